Lay the ground: error table, ports, views between the parts, checks

Cause: nothing existed. The error table, the ports and the views between the application's parts come first, so that each part can be built and tested with small fakes of the others. Ruled out: compiling tests through tap's own TypeScript plugin; it leaves a compiler process behind. Conclusion: the parts can be built side by side.

--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,114 @@
+/**
+ * The whole verdict: installs what is missing, compiles, runs every test file
+ * with tap, honours KNOWN-RED.txt and ends with `N passed, N failed`.
+ */
+import { spawn, spawnSync } from 'node:child_process';
+import { existsSync, readdirSync, readFileSync } from 'node:fs';
+import path from 'node:path';
+
+const MAX_KNOWN_RED = 3;
+const MAX_PARALLEL = '4';
+
+const tally = { passed: 0, failed: [], skipped: [], failedFiles: [] };
+
+function runStep(command, args) {
+  const result = spawnSync(command, args, { stdio: ['ignore', 'ignore', 'inherit'] });
+  if (result.status !== 0) process.exit(result.status ?? 1);
+}
+
+/** Reads KNOWN-RED.txt: a line each of `test name, cause, issue`. */
+function readKnownRed() {
+  if (!existsSync('KNOWN-RED.txt')) return [];
+  const lines = readFileSync('KNOWN-RED.txt', 'utf8')
+    .split('\n')
+    .filter((line) => line.trim() !== '');
+  if (lines.length > MAX_KNOWN_RED) {
+    process.stderr.write(`KNOWN-RED.txt has ${lines.length} lines; ${MAX_KNOWN_RED} are allowed\n`);
+    process.exit(1);
+  }
+  return lines;
+}
+
+function listTests() {
+  return readdirSync('build', { recursive: true })
+    .map((name) => path.join('build', String(name)))
+    .filter((name) => name.endsWith('_test.js'))
+    .sort();
+}
+
+/**
+ * Counts the innermost assertions' parents: each flat `t.test()` is one test.
+ * They stand one level (four spaces) below their file in the TAP stream.
+ */
+function countTest(line) {
+  const match = /^ {4}(not ok|ok) \d+ - (.*?)(?: # (?!time=)(SKIP|TODO).*| # time=.*| \{)?$/.exec(
+    line,
+  );
+  if (match) {
+    const [, verdict, name, directive] = match;
+    if (directive) tally.skipped.push(name);
+    else if (verdict === 'ok') tally.passed += 1;
+    else tally.failed.push(name);
+  }
+  const file = /^not ok \d+ - (.*?)(?: # time=.*| \{)?$/.exec(line);
+  if (file) tally.failedFiles.push(file[1]);
+}
+
+/** Passing assertions are left out; failures keep their diagnostics. */
+function isWorthShowing(line) {
+  if (/^\s*(ok \d|#|\d+\.\.\d+|\}|$)/.test(line)) return /^( {4})?ok \d/.test(line);
+  return !line.startsWith('TAP version');
+}
+
+async function runTap(files) {
+  const args = ['node_modules/tap/dist/esm/run.mjs'];
+  const bin = existsSync(args[0]) ? args : ['node_modules/.bin/tap'];
+  const child = spawn(
+    'node',
+    [
+      ...bin,
+      '--disable-coverage',
+      '--reporter=tap',
+      `--jobs=${MAX_PARALLEL}`,
+      '--timeout=240',
+      ...files,
+    ],
+    { stdio: ['ignore', 'pipe', 'inherit'] },
+  );
+  let rest = '';
+  child.stdout.setEncoding('utf8');
+  child.stdout.on('data', (text) => {
+    const lines = (rest + text).split('\n');
+    rest = lines.pop();
+    lines.forEach((line) => {
+      countTest(line);
+      if (process.env.VERBOSE || isWorthShowing(line)) process.stdout.write(`${line}\n`);
+    });
+  });
+  return new Promise((resolve) => {
+    child.on('close', resolve);
+  });
+}
+
+if (!existsSync('node_modules/.package-lock.json')) runStep('npm', ['ci', '--ignore-scripts']);
+const knownRed = readKnownRed();
+runStep('node', ['scripts/compile.mjs']);
+if (existsSync('scripts/build.mjs')) runStep('node', ['scripts/build.mjs']);
+const filter = process.argv[2];
+const files = listTests().filter((name) => !filter || name.includes(filter));
+const exitCode = await runTap(files);
+
+const isKnown = (name) => knownRed.some((line) => line.startsWith(`${name},`));
+const newFailures = tally.failed.filter((name) => !isKnown(name));
+knownRed.forEach((line) => process.stdout.write(`known red: ${line}\n`));
+tally.skipped.forEach((name) => process.stdout.write(`skipped: ${name}\n`));
+newFailures.forEach((name) => process.stdout.write(`failed: ${name}\n`));
+// A file that fails without a failed test crashed, timed out or ran no test.
+const crashed = exitCode !== 0 && tally.failed.length === 0;
+if (crashed)
+  process.stdout.write(`failed without a failed test: ${tally.failedFiles.join(', ')}\n`);
+const failedCount = tally.failed.length + (crashed ? Math.max(1, tally.failedFiles.length) : 0);
+const green =
+  newFailures.length === 0 && !crashed && tally.skipped.length === 0 && tally.passed > 0;
+process.stdout.write(`${tally.passed} passed, ${failedCount} failed\n`);
+process.exit(green ? 0 : 1);
--- /dev/null
+++ b/src/application/views/mod.ts
@@ -0,0 +1,22 @@
+/**
+ * What the parts of the application tell each other, as abstract classes, so
+ * that each part can be tested with small fakes of the others.
+ *
+ * @module
+ */
+export { ConfigurationView } from './configuration_view.js';
+export type { ConfigurationStatus, RejectedDocument } from './configuration_view.js';
+export { MembershipView } from './membership_view.js';
+export { SlotSource } from './slot_source.js';
+export type { Slot, SlotUse, SlotWish } from './slot_source.js';
+export { AllowanceSource } from './allowance_source.js';
+export type { Admission } from './allowance_source.js';
+export { RequestGateway } from './request_gateway.js';
+export type {
+  Assignment,
+  CallerAddress,
+  CallerAnswer,
+  CallerCall,
+  ReadOptions,
+  RequestReport,
+} from './request_gateway.js';
--- /dev/null
+++ b/src/domain/errors/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * The closed list of error kinds, the table from kind to answer, and the one
+ * error class that carries a kind. Every refusal on any path is made here:
+ * `throw new SchedulerError(ErrorKind.QueueFull, { retryAfterMs: 1200 })`.
+ *
+ * @module
+ */
+export { ErrorKind, RunOutcome } from './error_kind.js';
+export { ERROR_TABLE, LogLevel } from './error_table.js';
+export type { ErrorAnswer } from './error_table.js';
+export { buildErrorBody, SchedulerError } from './scheduler_error.js';
+export type { ErrorBody, SchedulerErrorOptions } from './scheduler_error.js';
--- /dev/null
+++ b/src/ports/mod.ts
@@ -0,0 +1,32 @@
+/**
+ * The ports: what the application needs of the world, as abstract classes.
+ * Adapters implement them, tests put small fakes in their place.
+ *
+ * @module
+ */
+export { Clock } from './clock.js';
+export type { Timer } from './clock.js';
+export { RandomSource } from './random_source.js';
+export { EventLog } from './event_log.js';
+export type { LogFields } from './event_log.js';
+export { Hop, Tracer } from './tracer.js';
+export type { Span } from './tracer.js';
+export { Metrics } from './metrics.js';
+export type { MetricLabels } from './metrics.js';
+export { PlatformReader } from './platform.js';
+export type { PlatformEntry, PlatformReadOptions, PlatformSnapshot } from './platform.js';
+export {
+  BackendCallError,
+  BackendCallStage,
+  BackendServerClient,
+} from './backend_server_client.js';
+export type {
+  BackendAnswer,
+  BackendCall,
+  BackendLoad,
+  CacheEvent,
+  ResumePoint,
+} from './backend_server_client.js';
+export { PeerNetwork } from './peer_network.js';
+export type { LinkEvent, PeerMessageHandler, PeerMessageOf } from './peer_network.js';
+export * from './peer_messages.js';
--- /dev/null
+++ b/src/ports/random_source.ts
@@ -0,0 +1,17 @@
+/**
+ * Random numbers, as the application sees them.
+ *
+ * @module
+ */
+
+/** Source of random numbers. Tests use a seeded one. */
+export abstract class RandomSource {
+  /** @returns a number in [0, 1) */
+  abstract nextFraction(): number;
+
+  /**
+   * @param length - how many bytes
+   * @returns that many unpredictable bytes
+   */
+  abstract nextBytes(length: number): Uint8Array;
+}
--- /dev/null
+++ b/test/support/fakes.ts
@@ -0,0 +1,73 @@
+/**
+ * Small fakes of the ports for tests.
+ *
+ * @module
+ */
+import { EventLog, Metrics, RandomSource, Tracer } from '../../src/ports/mod.js';
+import type { Hop, LogFields, MetricLabels, Span } from '../../src/ports/mod.js';
+import type { LogLevel } from '../../src/domain/errors/mod.js';
+
+/** Keeps what was logged. */
+export class FakeLog extends EventLog {
+  readonly lines: { level: LogLevel; event: string; fields: LogFields }[] = [];
+
+  override write(level: LogLevel, event: string, fields: LogFields = {}): void {
+    this.lines.push({ level, event, fields });
+  }
+}
+
+/** A seeded generator (mulberry32). */
+export class SeededRandom extends RandomSource {
+  #state: number;
+
+  constructor(seed = 1) {
+    super();
+    this.#state = seed;
+  }
+
+  override nextFraction(): number {
+    this.#state = Math.trunc(this.#state + 0x6d2b79f5);
+    let mixed = Math.imul(this.#state ^ (this.#state >>> 15), 1 | this.#state);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
+  }
+
+  override nextBytes(length: number): Uint8Array {
+    return Uint8Array.from({ length }, () => Math.floor(this.nextFraction() * 256));
+  }
+}
+
+/** Keeps counts and recorded values. */
+export class FakeMetrics extends Metrics {
+  readonly counts = new Map<string, number>();
+
+  readonly values = new Map<string, number[]>();
+
+  override count(name: string, labels: MetricLabels = {}, by = 1): void {
+    const key = `${name}${JSON.stringify(labels)}`;
+    this.counts.set(key, (this.counts.get(key) ?? 0) + by);
+  }
+
+  override record(name: string, value: number): void {
+    this.values.set(name, [...(this.values.get(name) ?? []), value]);
+  }
+
+  override set(name: string, value: number): void {
+    this.values.set(name, [value]);
+  }
+}
+
+/** Keeps the names of the hops that ended. */
+export class FakeTracer extends Tracer {
+  readonly hops: Hop[] = [];
+
+  override startSpan(hop: Hop, parent?: string): Span {
+    return {
+      traceparent: parent ?? '00-00000000000000000000000000000001-0000000000000001-01',
+      setAttributes: () => undefined,
+      end: () => {
+        this.hops.push(hop);
+      },
+    };
+  }
+}
