Add the pure decisions: request IDs, contracts, configuration, membership, limits, scheduling

Cause: no two entry hosts can agree on who runs a request, so each decision has to be a pure function of what one host knows, testable in any order of events. Ruled out: an owner by rendezvous hash alone (views differ), claims held by a majority (a replicated store, which the users rule out). Change: request IDs that name their owner incarnation, one-way states, a ledger; contracts and a join of accepted configuration entries; rendezvous hashing, leaving set, pause detector; allowance shares over the host list's IDs; tier queue with weighted fair shares, closing, windows, choice of backend server. Conclusion: the promises can be checked without sockets or clocks.

--- /dev/null
+++ b/src/domain/configuration/mod.ts
@@ -0,0 +1,26 @@
+/**
+ * The accepted configuration of an entry host: a merge in which the highest
+ * revision of each key holds, so that nothing ever goes back, whatever a stale
+ * service or a peer says: `const { state, changed } = mergeSnapshot(before, snapshot)`.
+ *
+ * @module
+ */
+export {
+  CONFIGURATION_PREFIX,
+  CONTRACT_KEY_PREFIX,
+  findAccountOfKey,
+  FLEET_KEY,
+} from './document_key.js';
+export type { AcceptedEntry, RawEntry, RejectedEntry } from './entry.js';
+export { compareEntries } from './precedence.js';
+export type { RankedEntry } from './precedence.js';
+export { EMPTY_STATE, mergeEntries, mergeSnapshot } from './configuration_state.js';
+export type {
+  ConfigurationSnapshot,
+  ConfigurationState,
+  MergeResult,
+} from './configuration_state.js';
+export { buildDigest, compareDigest, findRevision, hashState } from './digest.js';
+export type { Digest, DigestDifference } from './digest.js';
+export { buildIndex } from './configuration_index.js';
+export type { ConfigurationIndex } from './configuration_index.js';
--- /dev/null
+++ b/src/domain/contracts/hints.ts
@@ -0,0 +1,40 @@
+/**
+ * Hints about a contract beside the fleet. They are no faults: each document
+ * is checked alone, so that no team's document can make another's invalid.
+ *
+ * @module
+ */
+import { ServiceKind } from './types.js';
+import type { AccountContract, Fleet, WorkKind } from './types.js';
+
+/**
+ * Finds what an operator may have overlooked.
+ *
+ * @param contract - the valid contract
+ * @param fleet - the fleet that is in force, or will be
+ * @returns a sentence for each hint
+ */
+export function findHints(contract: AccountContract, fleet: Fleet): readonly string[] {
+  return contract.work.flatMap((work) => findWorkHints(work, fleet));
+}
+
+function findWorkHints(work: WorkKind, fleet: Fleet): readonly string[] {
+  const name = `Work "${work.kind}"`;
+  const service = fleet.services.find(({ id }) => id === work.serviceId);
+  if (!service) return [`${name} names the service "${work.serviceId}", which the fleet lacks`];
+  const hints: string[] = [];
+  if (service.backendServers.length === 0) {
+    hints.push(`${name} names the service "${work.serviceId}", which has no backend servers`);
+  }
+  const hasPatterns = work.methods.length > 0 || work.pathPrefixes.length > 0;
+  if (service.kind === ServiceKind.Model && hasPatterns) {
+    hints.push(`${name} names methods or paths, but "${work.serviceId}" serves models`);
+  }
+  if (!work.repeatable && !service.honoursContinue) {
+    hints.push(
+      `${name} is not repeatable and "${work.serviceId}" does not honour 100-continue: ` +
+        'a failed call may be answered "may have run"',
+    );
+  }
+  return hints;
+}
--- /dev/null
+++ b/src/domain/limits/mod.ts
@@ -0,0 +1,26 @@
+/**
+ * Limits of client accounts over all entry hosts, as pure arithmetic: token
+ * buckets, the shares that hold without any message, the ledger by which one
+ * entry host lends out what the others don't use, and the borrower's side.
+ * `new TokenBucket({ rate: 5, capacity: 5, nowMs }).take(1, nowMs)`.
+ *
+ * @module
+ */
+export { TokenBucket } from './token_bucket.js';
+export type { TokenBucketOptions } from './token_bucket.js';
+export {
+  buildShare,
+  computeBaseShare,
+  computeFloorShare,
+  LIMIT_KINDS,
+  LimitKind,
+  listBaseShares,
+} from './share.js';
+export type { AllowanceShare } from './share.js';
+export { pickAllowanceHome } from './allowance_home.js';
+export { LeaseHolder } from './lease_holder.js';
+export type { ReceivedLease } from './lease_holder.js';
+export { AllowanceLedger } from './allowance_ledger.js';
+export type { AllowanceLedgerOptions } from './allowance_ledger.js';
+export type { DemandReport, LedgerContext, LedgerGrant } from './ledger_types.js';
+export { ACK_REQUEST_NUMBER, HOLD_FACTOR, LEASE_LIFE_MS } from './lease_times.js';
--- /dev/null
+++ b/src/domain/membership/mod.ts
@@ -0,0 +1,30 @@
+/**
+ * Pure decisions about who is there: which entry hosts are live, who is
+ * responsible for a key, which backend servers leave, and whether this process
+ * may trust its view. `pickByRendezvous('group-1', incarnations)` names the
+ * same incarnation on every entry host that sees the same ones.
+ *
+ * @module
+ */
+export { PeerState } from './types.js';
+export type { EntryHostIdentity, EntryHostView } from './types.js';
+export { pickByRendezvous } from './rendezvous.js';
+export { sortForCallers } from './caller_order.js';
+export { HOST_LIST_PREFIX, HostRole, HostState, parseListedHost } from './host_list.js';
+export type { HostList, ListedHost, RawHostEntry } from './host_list.js';
+export { HostListOrder } from './host_list_order.js';
+export {
+  LeavingBackendServers,
+  LOAD_REPORT_LAG_MS,
+  NOTE_QUIET_MS,
+} from './leaving_backend_servers.js';
+export { hasSameWord, PeerReports } from './peer_reports.js';
+export type { PeerReport } from './peer_reports.js';
+export { EntryHostTable } from './entry_host_table.js';
+export type {
+  AddedIncarnation,
+  EntryHostRecord,
+  EntryHostTableOptions,
+} from './entry_host_table.js';
+export { PauseDetector } from './pause_detector.js';
+export type { PauseDetectorOptions } from './pause_detector.js';
--- /dev/null
+++ b/src/domain/membership/rendezvous.ts
@@ -0,0 +1,55 @@
+/**
+ * Rendezvous hashing: every entry host that sees the same candidates picks the
+ * same one for a key, and a candidate that comes or goes moves only its own keys.
+ *
+ * @module
+ */
+
+const LANE_ONE_SEED = 0xdeadbeef;
+const LANE_TWO_SEED = 0x41c6ce57;
+const LANE_ONE_PRIME = 2654435761;
+const LANE_TWO_PRIME = 1597334677;
+const FINAL_PRIME_ONE = 2246822507;
+const FINAL_PRIME_TWO = 3266489909;
+const HIGH_LANE_FACTOR = 4294967296;
+const HIGH_LANE_MASK = 0x1fffff;
+
+/** Two multiplicative 32-bit lanes over the text, mixed to 53 bits. */
+function hashText(text: string): number {
+  let one = LANE_ONE_SEED;
+  let two = LANE_TWO_SEED;
+  for (let index = 0; index < text.length; index += 1) {
+    const unit = text.charCodeAt(index);
+    one = Math.imul(one ^ unit, LANE_ONE_PRIME);
+    two = Math.imul(two ^ unit, LANE_TWO_PRIME);
+  }
+  const first = mixLanes(one, two);
+  const second = mixLanes(two, first);
+  return HIGH_LANE_FACTOR * (second & HIGH_LANE_MASK) + (first >>> 0);
+}
+
+function mixLanes(lane: number, other: number): number {
+  const mixed = Math.imul(lane ^ (lane >>> 16), FINAL_PRIME_ONE);
+  return mixed ^ Math.imul(other ^ (other >>> 13), FINAL_PRIME_TWO);
+}
+
+/**
+ * Picks the candidate whose hash together with the key is highest. The order of
+ * the candidates does not matter.
+ *
+ * @param key - what somebody is to be responsible for
+ * @param candidates - names to pick from, such as incarnations
+ * @returns the candidate; undefined when there is none
+ */
+export function pickByRendezvous(key: string, candidates: Iterable<string>): string | undefined {
+  let best: string | undefined;
+  let bestHash = -1;
+  [...candidates].forEach((candidate) => {
+    const hash = hashText(`${key}\n${candidate}`);
+    // Equal hashes are settled by name, or two entry hosts could pick differently.
+    if (hash < bestHash || (hash === bestHash && best !== undefined && candidate >= best)) return;
+    best = candidate;
+    bestHash = hash;
+  });
+  return best;
+}
--- /dev/null
+++ b/src/domain/requests/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Request IDs, the one-way states of requests and the ledger of their owner.
+ * `new RequestLedger(incarnation).accept(parseRequestId(text, key), hash, now)`
+ * tells whether this call is the one that may run.
+ *
+ * @module
+ */
+export { createRequestId, hashAccountId, parseRequestId } from './request_id.js';
+export type { RequestId, RequestIdFields } from './request_id.js';
+export { RequestLedger } from './request_ledger.js';
+export type { Acceptance } from './request_ledger.js';
+export { RequestRecord } from './request_record.js';
+export { RequestState } from './request_state.js';
--- /dev/null
+++ b/src/domain/scheduling/_refuser_test.ts
@@ -0,0 +1,66 @@
+import t from 'tap';
+import { ErrorKind } from '../errors/mod.js';
+import { buildDemand, buildSpecs, createGroup } from './_group_fixture.js';
+import { createStrategy, REOPEN_HOLD_MS, StrategyName, Tier } from './mod.js';
+
+t.test('GroupScheduler reopens a closed tier only after a calm spell', async (t) => {
+  // Symptom: callers of a low tier are let in and thrown out by turns. Sequence:
+  // load hovers at the edge. Cause: reopening at the level that closed.
+  const group = createGroup(buildSpecs(1, 1), createStrategy(StrategyName.Dispatcher));
+  group.submit(buildDemand('running', { expectedOutputTokens: 250 }), 0);
+  group.run(0);
+  group.submit(buildDemand('night', { tier: Tier.Batch }), 0);
+  const late = { tier: Tier.Urgent, deadlineAtMs: 1_500, expectedOutputTokens: 20 };
+  for (let index = 0; group.openTier === Tier.Batch && index < 20; index += 1)
+    group.submit(buildDemand(`urgent-${index}`, late), 0);
+  t.equal(group.openTier, Tier.Urgent, 'closed by the first refusal of an urgent request');
+  t.equal(group.countWaiting(Tier.Batch), 0, 'what waited below was refused first');
+  const refused = group.submit(buildDemand('again', { tier: Tier.Batch }), 100)[0];
+  t.equal(refused?.reason, ErrorKind.TierClosed);
+  t.ok((refused?.retryAfterMs ?? 0) >= REOPEN_HOLD_MS / 2);
+  group.listWaiting().forEach(({ key }) => group.cancel(key));
+  const openTiers = [1, 2, 3, 4].map((step) => {
+    group.run((step * REOPEN_HOLD_MS) / 2);
+    return group.openTier;
+  });
+  t.same(openTiers, [Tier.Urgent, Tier.Standard, Tier.Standard, Tier.Batch], 'one tier at a time');
+});
+
+t.test('GroupScheduler.noteSiblings() closes for a time and is not passed on', async (t) => {
+  const group = createGroup(buildSpecs(1, 1), createStrategy(StrategyName.Dispatcher));
+  group.submit(buildDemand('running'), 0);
+  group.run(0);
+  group.submit(buildDemand('night', { tier: Tier.Batch }), 0);
+  const refused = group.noteSiblings(Tier.Standard, 3_000, 0);
+  t.same(
+    refused.map(({ demand, reason }) => [demand.key, reason]),
+    [['night', ErrorKind.TierClosed]],
+  );
+  t.equal(group.openTier, Tier.Batch, 'its own gate, which it tells others of, stays open');
+  t.equal(group.submit(buildDemand('early', { tier: Tier.Batch }), 2_999).length, 1);
+  t.equal(group.submit(buildDemand('late', { tier: Tier.Batch }), 3_000).length, 0);
+});
+
+t.test('GroupScheduler refuses the account that fills the queue, not its neighbour', async (t) => {
+  // Symptom: a small account is refused although it brings little. Sequence: a
+  // large one fills the tier's queue. Cause: refusing whoever comes last.
+  const group = createGroup(buildSpecs(1, 1), createStrategy(StrategyName.Dispatcher));
+  const flood = { accountId: 'flood', expectedOutputTokens: 1000, deadlineAtMs: 10_000_000 };
+  let refused: string[] = [];
+  for (let index = 0; refused.length === 0 && index < 100; index += 1)
+    refused = group.submit(buildDemand(`flood-${index}`, flood), 0).map(({ demand }) => demand.key);
+  const small = group.submit(buildDemand('small', { accountId: 'small' }), 0);
+  t.notOk(small.some(({ demand }) => demand.key === 'small'));
+  t.ok(group.listWaiting().some(({ key }) => key === 'small'));
+});
+
+t.test('GroupScheduler spreads its advice when to come back', async (t) => {
+  const group = createGroup(buildSpecs(1, 1), createStrategy(StrategyName.Dispatcher));
+  const long = { expectedOutputTokens: 1000, deadlineAtMs: 10_000_000 };
+  const advice = Array.from({ length: 60 }, (_, index) =>
+    group.submit(buildDemand(String(index), long), 0),
+  ).flatMap((refusals) => refusals.map(({ retryAfterMs }) => retryAfterMs));
+  t.ok(advice.length > 20);
+  t.ok(new Set(advice).size > advice.length / 2, 'no two callers return together');
+  t.ok(advice.every((ms) => Number.isInteger(ms) && ms >= 250 && ms <= 60_000));
+});
--- /dev/null
+++ b/src/domain/scheduling/backend_servers_test.ts
@@ -0,0 +1,247 @@
+import fc from 'fast-check';
+import t from 'tap';
+import { buildDemand, buildSpecs, createGroup } from './_group_fixture.js';
+import {
+  ConcurrencyWindow,
+  createStrategy,
+  MAX_EJECTED_PART,
+  OutlierEjector,
+  pickNearBest,
+  ServerVerdict,
+  SLOW_START_MS,
+  StrategyName,
+  Tier,
+} from './mod.js';
+import { SeededRandom } from '../../../test/support/fakes.js';
+import { CacheHints } from './cache_hints.js';
+import { ServerSpeed } from './server_speed.js';
+
+const START = { prefillTokensPerSecond: 8000, decodeTokensPerSecond: 50 };
+
+t.test('ConcurrencyWindow never falls below 1, whatever comes', async (t) => {
+  const event = fc.record({
+    stretch: fc.double({ min: -10, max: 1e9, noNaN: true }),
+    perTokenMs: fc.double({ min: -10, max: 1e9, noNaN: true }),
+    inFlight: fc.nat(200),
+    isRefusal: fc.boolean(),
+    afterMs: fc.nat(200_000),
+  });
+  fc.assert(
+    fc.property(fc.integer({ min: 0, max: 64 }), fc.array(event), (slots, events) => {
+      const window = new ConcurrencyWindow(slots);
+      let nowMs = 0;
+      events.forEach(({ stretch, perTokenMs, inFlight, isRefusal, afterMs }) => {
+        nowMs += afterMs;
+        if (isRefusal) window.noteRefusal(nowMs);
+        else window.observe({ firstByteStretch: stretch, perTokenMs, inFlight }, nowMs);
+        const size = window.getSize(nowMs);
+        if (!Number.isInteger(size) || size < 1 || size > Math.max(1, slots))
+          throw new Error(`window of ${size}`);
+      });
+    }),
+    { seed: 42, numRuns: 300 },
+  );
+  t.pass();
+});
+
+t.test('ConcurrencyWindow shrinks when latency rises and comes back after', async (t) => {
+  const window = new ConcurrencyWindow(16);
+  let nowMs = 0;
+  const observe = (perTokenMs: number, times: number): void => {
+    for (let index = 0; index < times; index += 1) {
+      nowMs += 100;
+      window.observe({ firstByteStretch: 1, perTokenMs, inFlight: 16 }, nowMs);
+    }
+  };
+  observe(20, 100);
+  t.equal(window.getSize(nowMs), 16);
+  observe(200, 60);
+  t.ok(window.getSize(nowMs) <= 8, `${window.getSize(nowMs)} at ten times the latency`);
+  observe(20, 300);
+  t.equal(window.getSize(nowMs), 16);
+});
+
+t.test('ConcurrencyWindow grows slowly for a server that is new or woken', async (t) => {
+  const window = new ConcurrencyWindow(16);
+  window.startSlowly(1000);
+  const sizes = [0, 0.5, 1].map((part) => window.getSize(1000 + part * SLOW_START_MS));
+  t.same(sizes, [4, 10, 16]);
+});
+
+t.test(
+  'ServerPool starts slowly what joins later, not what was there from the start',
+  async (t) => {
+    const group = createGroup(buildSpecs(2, 16));
+    t.equal(group.pool.computeWindow(0), 32);
+    group.updateServers(buildSpecs(3, 16), 0);
+    t.equal(group.pool.computeWindow(0), 36);
+    group.updateServers(buildSpecs(3, 16, [0]), 20_000);
+    group.updateServers(buildSpecs(3, 16), 30_000);
+    t.equal(group.pool.computeWindow(30_000), 36, 'one that was leaving came back');
+  },
+);
+
+t.test('OutlierEjector never ejects more than a third of a group', async (t) => {
+  const health = fc.record({
+    failuresInRow: fc.nat(20),
+    slowdown: fc.double({ min: 0.1, max: 1000, noNaN: true }),
+    samples: fc.nat(20),
+  });
+  const rounds = fc.array(
+    fc.tuple(fc.nat(30_000), fc.array(health, { minLength: 12, maxLength: 12 })),
+  );
+  fc.assert(
+    fc.property(rounds, fc.integer({ min: 1, max: 12 }), (steps, size) => {
+      const ejector = new OutlierEjector();
+      let nowMs = 0;
+      steps.forEach(([afterMs, healths]) => {
+        nowMs += afterMs;
+        const group = healths.slice(0, size).map((one, index) => ({ ...one, id: String(index) }));
+        ejector.eject(group, nowMs);
+        const out = group.filter(({ id }) => ejector.isEjected(id, nowMs)).length;
+        if (out > size * MAX_EJECTED_PART) throw new Error(`${out} of ${size} are ejected`);
+      });
+    }),
+    { seed: 42, numRuns: 300 },
+  );
+  t.pass();
+});
+
+t.test('ServerPool takes a failing backend server out, and back slowly', async (t) => {
+  // Symptom: one request in three fails. Sequence: one engine breaks every
+  // stream off; its slots come free sooner than anybody's. Cause: a fast failure
+  // looks like a fast answer.
+  const group = createGroup(buildSpecs(3, 4));
+  const failed = { verdict: ServerVerdict.Failing, firstByteMs: 0, totalMs: 5, outputTokens: 0 };
+  for (let index = 0; index < 60 && group.pool.listEjected(index).length === 0; index += 1) {
+    group.submit(buildDemand(String(index), { waitingSinceMs: index }), index * 100);
+    group.run(index * 100);
+    const held = group.pool.listHeld().filter(({ serverId }) => serverId === 'engine-2');
+    held.forEach(({ grantId }) => group.release(grantId, failed, index * 100));
+    group.run(index * 100 + 99);
+  }
+  const ejectedAtMs = 6_000;
+  t.same(group.pool.listEjected(ejectedAtMs - 5_000 + 4_000), ['engine-2']);
+  t.same(group.pool.listEjected(60_000), []);
+});
+
+t.test('ServerState learns a slow server from what is overdue, before anything ends', async (t) => {
+  // Symptom: requests pile up on an engine that has become ten times slower.
+  // Sequence: nothing ends there, so no sample comes. Cause: speed is measured
+  // at the end.
+  const group = createGroup(buildSpecs(2, 8), createStrategy(StrategyName.Dispatcher));
+  const server = group.pool.findServer('engine-1');
+  group.submit(buildDemand('held', { expectedOutputTokens: 100 }), 0);
+  group.run(0);
+  t.equal(group.pool.listHeld()[0]?.serverId, 'engine-1', 'the faster one');
+  t.equal(server?.computeOverdue(1_000), 1);
+  t.ok((server?.computeOverdue(15_000) ?? 0) > 9);
+  group.submit(buildDemand('next', { expectedOutputTokens: 100 }), 15_000);
+  group.run(15_000);
+  t.equal(group.pool.listHeld().find(({ demand }) => demand.key === 'next')?.serverId, 'engine-0');
+});
+
+t.test('ServerState counts as foreign only load beyond its own recent peak', async (t) => {
+  // Symptom: half of the slots stay free under load. Sequence: reports lag, and
+  // show requests that have ended. Cause: taking them for somebody else's.
+  const group = createGroup(buildSpecs(1, 16));
+  const server = group.pool.findServer('engine-0');
+  for (let index = 0; index < 10; index += 1) group.submit(buildDemand(String(index)), 0);
+  group.run(0);
+  group.pool
+    .listHeld()
+    .forEach(({ grantId }) =>
+      group.release(
+        grantId,
+        { verdict: ServerVerdict.Unknown, firstByteMs: 0, totalMs: 0, outputTokens: 0 },
+        10,
+      ),
+    );
+  server?.noteLoad(10, false, 500);
+  t.equal(server?.predictForeignLoad(500), 0, 'our own of a moment ago');
+  server?.noteLoad(14, false, 600);
+  t.equal(server?.predictForeignLoad(600), 4);
+  t.equal(server?.predictForeignLoad(10_000), 0, 'an old report says nothing');
+});
+
+t.test('ServerSpeed tells waiting from the cost of tokens', async (t) => {
+  const speed = new ServerSpeed(START, false);
+  for (let index = 0; index < 300; index += 1) {
+    const prefillTokens = index % 2 === 0 ? 20 : 4000;
+    const firstByteMs = 300 + prefillTokens / 4;
+    speed.observe({ prefillTokens, outputTokens: 50, firstByteMs, totalMs: firstByteMs + 2000 });
+  }
+  t.ok(Math.abs(speed.predictFirstByteMs(20) - 305) < 60, `${speed.predictFirstByteMs(20)}`);
+  t.ok(Math.abs(speed.predictFirstByteMs(4000) - 1300) < 150, `${speed.predictFirstByteMs(4000)}`);
+  t.ok(Math.abs(speed.decodeTokensPerSecond - 25) < 1);
+  t.ok(speed.computeSlowdown() > 1.9);
+});
+
+t.test('CacheHints age, and forget the oldest first', async (t) => {
+  const hints = new CacheHints();
+  ['a', 'b', 'd'].forEach((hash) => hints.noteStored(hash, 0));
+  t.equal(hints.predictCachedTokens(['a', 'b', 'c', 'd'], 0), 128, 'up to the first gap');
+  t.equal(hints.predictCachedTokens(['a', 'b'], 60_000), 64, 'worth half at half their age');
+  t.equal(hints.predictCachedTokens(['a', 'b'], 120_000), 0);
+  hints.noteRemoved('a');
+  t.equal(hints.predictCachedTokens(['a', 'b'], 0), 0);
+  for (let index = 0; index < 9000; index += 1) hints.noteStored(`block-${index}`, 0);
+  t.equal(hints.predictCachedTokens(['d'], 0), 0);
+  t.equal(hints.predictCachedTokens(['block-8999'], 0), 64);
+});
+
+t.test('ServerPool sends a prompt where its prefix is probably cached', async (t) => {
+  const group = createGroup(
+    [0, 1].map((index) => ({ ...START, id: `engine-${index}`, slots: 8, isLeaving: false })),
+  );
+  const prompt = { promptTokens: 4000, blockHashes: Array.from({ length: 62 }, (_, i) => `h${i}`) };
+  group.pool.findServer('engine-1')?.hints.noteStored('h0', 0);
+  prompt.blockHashes.forEach((hash) =>
+    group.pool.findServer('engine-1')?.hints.noteStored(hash, 0),
+  );
+  const servers = new Set<string>();
+  for (let index = 0; index < 4; index += 1) {
+    group.submit(buildDemand(String(index), { ...prompt, expectedOutputTokens: 5 }), 0);
+    group.run(0);
+  }
+  group.pool.listHeld().forEach(({ serverId }) => servers.add(serverId));
+  t.same([...servers], ['engine-1']);
+});
+
+t.test('ServerPool keeps a part of each window for higher tiers', async (t) => {
+  const strategy = createStrategy(StrategyName.Dispatcher, { reserveFraction: 0.125 });
+  const counts = [Tier.Batch, Tier.Standard, Tier.Urgent].map((tier) => {
+    const group = createGroup(buildSpecs(1, 16), strategy);
+    for (let index = 0; index < 30; index += 1)
+      group.submit(buildDemand(String(index), { tier, deadlineAtMs: 1_000_000 }), 0);
+    group.run(0);
+    return group.pool.heldCount;
+  });
+  t.same(counts, [12, 14, 16]);
+});
+
+t.test('pickNearBest() spreads what arrives at once over the near-best', async (t) => {
+  // Symptom: everything of one moment goes to one backend server. Sequence: all
+  // requests see the same stale figures. Cause: always taking the very best.
+  const candidates = [100, 105, 110, 400].map((finishMs, index) => ({
+    id: `engine-${index}`,
+    finishMs,
+    utilization: 0.5,
+    reportedLoad: 0,
+  }));
+  const random = new SeededRandom(42);
+  const counts = new Map<string, number>();
+  for (let index = 0; index < 3000; index += 1) {
+    const id = pickNearBest(candidates, () => random.nextFraction())?.id ?? '';
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  t.same([...counts.keys()].sort(), ['engine-0', 'engine-1', 'engine-2']);
+  t.ok(
+    [...counts.values()].every((count) => count > 900 && count < 1100),
+    'evenly',
+  );
+  t.equal(
+    pickNearBest([], () => 0),
+    undefined,
+  );
+});
--- /dev/null
+++ b/src/domain/scheduling/cache_hints.ts
@@ -0,0 +1,62 @@
+/**
+ * What a backend server's prefix cache probably holds.
+ *
+ * @module
+ */
+import { BLOCK_TOKENS } from './prompt.js';
+
+/** Age at which a hint is worth nothing any more, in milliseconds. */
+const HINT_AGE_MS = 120_000;
+
+/** Most blocks that are remembered of one backend server; the oldest goes first. */
+const MAX_HINTS = 8192;
+
+/**
+ * Hints from late and gappy events and from own grants. They only order the
+ * choice; a wrong one costs a prefill and nothing else.
+ */
+export class CacheHints {
+  /** Block hash → when it was last seen, in order of that. */
+  readonly #seenAtMs = new Map<string, number>();
+
+  /**
+   * @param blockHash - a block that the cache now holds
+   * @param nowMs - monotonic time in milliseconds
+   */
+  noteStored(blockHash: string, nowMs: number): void {
+    this.#seenAtMs.delete(blockHash);
+    this.#seenAtMs.set(blockHash, nowMs);
+    if (this.#seenAtMs.size <= MAX_HINTS) return;
+    const [oldest] = this.#seenAtMs.keys();
+    if (oldest !== undefined) this.#seenAtMs.delete(oldest);
+  }
+
+  /** @param blockHash - a block that the cache no longer holds */
+  noteRemoved(blockHash: string): void {
+    this.#seenAtMs.delete(blockHash);
+  }
+
+  /** Forgets everything, as after a restart of the backend server. */
+  expireAll(): void {
+    this.#seenAtMs.clear();
+  }
+
+  /**
+   * Predicts how much of a prompt the cache holds.
+   *
+   * @param blockHashes - the prompt's blocks, first one first
+   * @param nowMs - monotonic time in milliseconds
+   * @returns tokens, worth less the older the hint is
+   */
+  predictCachedTokens(blockHashes: readonly string[], nowMs: number): number {
+    let tokens = 0;
+    for (const hash of blockHashes) {
+      const seenAtMs = this.#seenAtMs.get(hash);
+      if (seenAtMs === undefined) return tokens;
+      const worth = 1 - (nowMs - seenAtMs) / HINT_AGE_MS;
+      if (worth <= 0) return tokens;
+      tokens += BLOCK_TOKENS * Math.min(1, worth);
+    }
+    return tokens;
+  }
+}
--- /dev/null
+++ b/src/domain/scheduling/dispatch_groups.ts
@@ -0,0 +1,52 @@
+/**
+ * Dispatch groups: shards of a service's backend servers that share one queue.
+ *
+ * @module
+ */
+import type { BackendServer, Service } from '../contracts/types.js';
+
+/** A shard of one service's backend servers. */
+export interface DispatchGroup {
+  /** `<service>/<n>`, n from 0. */
+  readonly id: string;
+  readonly serviceId: string;
+  /** Sorted by ID; never empty. */
+  readonly backendServers: readonly BackendServer[];
+}
+
+/**
+ * Splits a service into as few dispatch groups as its group size allows, as
+ * even as can be. Every entry host with the same configuration finds the same
+ * groups, so nothing has to be agreed.
+ *
+ * @param service - the service
+ * @returns its groups; none when it has no backend servers
+ */
+export function splitDispatchGroups(service: Service): DispatchGroup[] {
+  const sorted = [...service.backendServers].sort((a, b) => compareIds(a.id, b.id));
+  const size = Math.max(1, service.dispatchGroupSize);
+  const count = Math.ceil(sorted.length / size);
+  return Array.from({ length: count }, (_, index) => ({
+    id: `${service.id}/${index}`,
+    serviceId: service.id,
+    backendServers: sorted.slice(
+      Math.floor((index * sorted.length) / count),
+      Math.floor(((index + 1) * sorted.length) / count),
+    ),
+  }));
+}
+
+/**
+ * Reads a group ID's service.
+ *
+ * @param groupId - `<service>/<n>`
+ * @returns the service's ID
+ */
+export function parseGroupService(groupId: string): string {
+  return groupId.slice(0, Math.max(0, groupId.lastIndexOf('/')));
+}
+
+function compareIds(a: string, b: string): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+}
--- /dev/null
+++ b/src/domain/scheduling/group_scheduler.ts
@@ -0,0 +1,290 @@
+/**
+ * The decisions of one dispatch group: who waits, who is refused, who runs where.
+ *
+ * @module
+ */
+import { ErrorKind } from '../errors/mod.js';
+import { MAX_WAIT_MS, MAX_WAITING } from './admission.js';
+import { DecisionKind } from './decision.js';
+import type { Decision, RefusalDecision } from './decision.js';
+import { OfferedLoad } from './offered_load.js';
+import { Refuser } from './_refuser.js';
+import { computeLateAt, SURE_PART } from './_server_fit.js';
+import { ServerPool } from './server_pool.js';
+import { ServerVerdict } from './server_state.js';
+import type { HeldSlot, ServerSpec, SlotResult } from './server_state.js';
+import type { SlotDemand, WaitingDemand } from './slot_demand.js';
+import type { SchedulingStrategy } from './strategy.js';
+import { Tier } from './tier.js';
+import { WaitPredictor } from './_wait_predictor.js';
+import type { Placement, WaitingQueue } from './waiting_queue.js';
+
+/** What a group's scheduler is made of. */
+export interface GroupSchedulerOptions {
+  readonly strategy: SchedulingStrategy;
+  /** Whether the group belongs to a plain service. */
+  readonly isPlain: boolean;
+  /** Monotonic time in milliseconds. */
+  readonly nowMs: number;
+  /** Gives random numbers in [0, 1). */
+  readonly nextFraction: () => number;
+}
+
+/** How often at most tiers are reopened and outliers ejected, in milliseconds. */
+const REVIEW_MS = 50;
+
+/**
+ * The pure state machine behind a dispatcher. It promises:
+ *
+ * - No refusal of a tier for lack of room, or for a deadline that the queue
+ *   makes unreachable, while a lower tier's request waits; and no lower tier is
+ *   admitted within `REOPEN_HOLD_MS` after it.
+ * - No slot that a waiting request may use stays free after a call of `run`.
+ */
+export class GroupScheduler {
+  readonly pool: ServerPool;
+
+  readonly #options: GroupSchedulerOptions;
+
+  readonly #strategy: SchedulingStrategy;
+
+  readonly #queue: WaitingQueue;
+
+  readonly #refuser: Refuser;
+
+  readonly #waits: WaitPredictor;
+
+  readonly #offered: OfferedLoad;
+
+  #lastGrantId = 0;
+
+  #reviewedAtMs = Number.NEGATIVE_INFINITY;
+
+  /** Nothing that waits is too late before this time, on the monotonic clock. */
+  #nextLateAtMs = Infinity;
+
+  /** @param options - what it is made of */
+  constructor(options: GroupSchedulerOptions) {
+    this.#options = options;
+    this.#strategy = options.strategy;
+    this.#queue = options.strategy.createQueue();
+    this.#offered = new OfferedLoad(options.nowMs);
+    this.pool = new ServerPool(options.strategy, options.isPlain);
+    this.#waits = new WaitPredictor(this.#queue, this.pool, options.nowMs);
+    this.#refuser = new Refuser({
+      strategy: options.strategy,
+      queue: this.#queue,
+      nextFraction: options.nextFraction,
+      waits: this.#waits,
+    });
+  }
+
+  /** How many wait. */
+  get waitingCount(): number {
+    return this.#queue.size;
+  }
+
+  /** Lowest tier that this group itself has open. */
+  get openTier(): Tier {
+    return this.#refuser.openTier;
+  }
+
+  /** @param tier - which tier. @returns how many of it wait */
+  countWaiting(tier: Tier): number {
+    return this.#queue.countTier(tier);
+  }
+
+  /** @returns everything that waits, in no order */
+  listWaiting(): SlotDemand[] {
+    return this.#queue.list().map(({ demand }) => demand);
+  }
+
+  /** @param specs - the group's backend servers. @param nowMs - monotonic time in milliseconds */
+  updateServers(specs: readonly ServerSpec[], nowMs: number): void {
+    this.pool.updateServers(specs, nowMs);
+  }
+
+  /**
+   * Takes in a request.
+   *
+   * @param demand - the request
+   * @param nowMs - monotonic time in milliseconds
+   * @returns refusals, lower tiers' first; an empty list when it waits. `run` grants
+   */
+  submit(demand: SlotDemand, nowMs: number): RefusalDecision[] {
+    const work = this.pool.predictWork(demand, nowMs);
+    if (!work) return [this.#refuser.refuseUnservable(demand)];
+    if (!this.#refuser.isOpen(demand.tier, nowMs))
+      return [this.#refuser.refuseClosed(demand, nowMs)];
+    const remainingMs = demand.deadlineAtMs - nowMs;
+    const leastMs = work.leastMs * SURE_PART;
+    if (remainingMs <= 0) return [this.#refuser.refuse(demand, ErrorKind.DeadlineExpired, 0)];
+    // Too long for its deadline on an empty group: no lack of room, nothing is closed.
+    if (leastMs > remainingMs && this.#strategy.predictsWaits)
+      return [this.#refuser.refuse(demand, ErrorKind.DeadlineUnreachable, 0)];
+    this.#offered.observe(demand.tier, work.meanMs, nowMs);
+    const waiting = { demand, workMs: work.meanMs, leastWorkMs: work.leastMs };
+    if (!this.#strategy.predictsWaits) return this.#admit(waiting, nowMs);
+    const waitMs = this.#waits.predictWait(demand, nowMs);
+    if (waitMs * SURE_PART + leastMs > remainingMs)
+      return this.#refuser.refuseForRoom(demand, ErrorKind.DeadlineUnreachable, nowMs);
+    if (waitMs <= MAX_WAIT_MS[demand.tier]) return this.#admit(waiting, nowMs);
+    this.#add(waiting);
+    return this.#refuser.refuseVictim(demand.tier, nowMs);
+  }
+
+  /** @param key - whose owner no longer waits. @returns whether it waited */
+  cancel(key: string): boolean {
+    return this.#queue.remove(key) !== undefined;
+  }
+
+  /**
+   * Takes a demand back without a decision, to be queued elsewhere.
+   *
+   * @returns every waiting demand; none waits any more
+   */
+  drainWaiting(): SlotDemand[] {
+    const demands = this.listWaiting();
+    demands.forEach(({ key }) => this.#queue.remove(key));
+    return demands;
+  }
+
+  /**
+   * Gives a slot back.
+   *
+   * @param grantId - which slot
+   * @param result - how it was used
+   * @param nowMs - monotonic time in milliseconds
+   * @returns the slot; undefined when it isn't held any more
+   */
+  release(grantId: number, result: SlotResult, nowMs: number): HeldSlot | undefined {
+    const slot = this.pool.release(grantId, result, nowMs);
+    if (!slot) return undefined;
+    const hasRun = [ServerVerdict.Healthy, ServerVerdict.Failing].includes(result.verdict);
+    this.#waits.observe(nowMs, hasRun ? slot.meanWorkMs : 0);
+    return slot;
+  }
+
+  /**
+   * Takes in what other groups of the service say of their gates.
+   *
+   * @param openTier - lowest tier that every other group has open
+   * @param untilMs - until when to believe it, on the monotonic clock
+   * @param nowMs - monotonic time in milliseconds
+   * @returns refusals of what waits below that tier
+   */
+  noteSiblings(openTier: Tier, untilMs: number, nowMs: number): RefusalDecision[] {
+    return this.#refuser.noteSiblings(openTier, untilMs, nowMs);
+  }
+
+  /**
+   * Does all that is due: refuses what can't make its deadline any more, reopens
+   * tiers, ejects outliers, and grants every slot that somebody may use.
+   *
+   * @param nowMs - monotonic time in milliseconds
+   * @returns the decisions, in order
+   */
+  run(nowMs: number): Decision[] {
+    this.#waits.observe(nowMs);
+    const refusals = nowMs >= this.#nextLateAtMs ? this.#expire(nowMs) : [];
+    if (nowMs - this.#reviewedAtMs >= REVIEW_MS) this.#review(nowMs);
+    return [...refusals, ...this.#grantAll(nowMs)];
+  }
+
+  /**
+   * Predicts how long a new request would wait.
+   *
+   * @param tier - its tier
+   * @param nowMs - monotonic time in milliseconds
+   * @returns the wait in milliseconds; 0 when there is room
+   */
+  predictTierWait(tier: Tier, nowMs: number): number {
+    return this.#waits.predictTierWait(tier, nowMs);
+  }
+
+  #review(nowMs: number): void {
+    this.#reviewedAtMs = nowMs;
+    this.#refuser.update(nowMs);
+    this.pool.ejectOutliers(nowMs);
+  }
+
+  #add(waiting: WaitingDemand): void {
+    this.#queue.add(waiting);
+    this.#nextLateAtMs = Math.min(this.#nextLateAtMs, this.#getLateAtMs(waiting));
+  }
+
+  #admit(waiting: WaitingDemand, nowMs: number): RefusalDecision[] {
+    this.#add(waiting);
+    if (this.#queue.size <= MAX_WAITING) return [];
+    return this.#refuser.refuseVictim(undefined, nowMs);
+  }
+
+  /** Refuses at once what waits and can't make its deadline any more, lowest tier first. */
+  #expire(nowMs: number): RefusalDecision[] {
+    const refusals = this.#queue
+      .list()
+      .filter((waiting) => this.#getLateAtMs(waiting) <= nowMs)
+      .sort((a, b) => b.demand.tier - a.demand.tier)
+      .flatMap(({ demand }) => {
+        // Refused meanwhile, when a higher tier's refusal closed its own.
+        if (!this.#queue.remove(demand.key)) return [];
+        const isOver = nowMs >= demand.deadlineAtMs;
+        const reason = isOver ? ErrorKind.DeadlineExpired : ErrorKind.DeadlineUnreachable;
+        return this.#refuser.refuseForRoom(demand, reason, nowMs);
+      });
+    this.#nextLateAtMs = this.#queue
+      .list()
+      .reduce((first, waiting) => Math.min(first, this.#getLateAtMs(waiting)), Infinity);
+    return refusals;
+  }
+
+  #getLateAtMs(waiting: WaitingDemand): number {
+    return computeLateAt(waiting, this.#strategy.predictsWaits);
+  }
+
+  #grantAll(nowMs: number): Decision[] {
+    const decisions: Decision[] = [];
+    const placer = {
+      hasRoom: (tier: Tier, isAged: boolean) =>
+        (isAged || this.#mayHoldMore(tier, nowMs)) && this.pool.hasRoom(tier, isAged, nowMs),
+      pickPlace: ({ demand }: WaitingDemand, isAged: boolean) =>
+        this.pool.pickServer(demand, isAged, nowMs, this.#options.nextFraction),
+    };
+    for (
+      let next = this.#queue.takeFirst(nowMs, placer);
+      next;
+      next = this.#queue.takeFirst(nowMs, placer)
+    )
+      decisions.push(this.#grant(next, nowMs));
+    return decisions;
+  }
+
+  /**
+   * Keeps lower tiers to what higher ones don't need. Their long requests would
+   * else hold the slots that come free for a minute, and the urgent ones of that
+   * minute would wait or run too late.
+   */
+  #mayHoldMore(tier: Tier, nowMs: number): boolean {
+    if (!this.#strategy.reservesByDemand || tier === Tier.Urgent) return true;
+    const kept = this.#offered.predictSlotsAbove(tier, nowMs);
+    return this.pool.countHeldFrom(tier) < Math.max(1, this.pool.computeWindow(nowMs) - kept);
+  }
+
+  #grant({ waiting, place }: Placement<string>, nowMs: number): Decision {
+    const { demand, workMs } = waiting;
+    this.#lastGrantId += 1;
+    const grantId = this.#lastGrantId;
+    const server = this.pool.findServer(place);
+    const work = server?.predictWork(demand, nowMs) ?? { prefillTokens: 0, outputTokens: 0 };
+    this.pool.acquire({
+      grantId,
+      demand,
+      serverId: place,
+      grantedAtMs: nowMs,
+      workMs: server?.speed.predictWorkMs(work) ?? workMs,
+      meanWorkMs: workMs,
+      work,
+    });
+    return { kind: DecisionKind.Grant, demand, grantId, backendServerId: place };
+  }
+}
--- /dev/null
+++ b/test/support/configuration_hosts.ts
@@ -0,0 +1,139 @@
+/**
+ * Entry hosts' configuration keepers in one process, for tests:
+ * `const deployment = await startDeployment(['a', 'b']);`
+ *
+ * @module
+ */
+import { ConfigurationKeeper } from '../../src/application/configuration/mod.js';
+import { CONTRACT_KEY_PREFIX, FLEET_KEY } from '../../src/domain/configuration/mod.js';
+import { buildIdentity, FakePeerHub, FakePeerNetwork } from './fake_peer_network.js';
+import { FakeLog, FakeMetrics } from './fakes.js';
+import { FakePlatform } from './fake_platform.js';
+import type { FakePlatformReader } from './fake_platform.js';
+import { VirtualClock } from './virtual_clock.js';
+
+/** Key of the contract that tests change. */
+export const FIRM_A = `${CONTRACT_KEY_PREFIX}firm-a`;
+
+/** Time between two heartbeats, in milliseconds. */
+export const HEARTBEAT_MS = 500;
+
+/** How long a starting keeper waits for peers, in milliseconds. */
+export const PATIENCE_MS = 2000;
+
+/** How long the service holds a watch, in milliseconds. */
+export const WAIT_MS = 10_000;
+
+/**
+ * Builds a valid contract document.
+ *
+ * @param weight - tells one version from another
+ * @param account - whose it is
+ * @returns the text
+ */
+export function buildContract(weight: number, account = 'firm-a'): string {
+  return JSON.stringify({
+    account,
+    keys: [{ sha256: '0'.repeat(64) }],
+    weight,
+    limits: { requestsPerSecond: 1, tokensPerSecond: 1, inFlight: 1 },
+    work: [{ kind: 'w', service: 's', tier: 'batch' }],
+  });
+}
+
+/** One entry host's keeper and what stands around it. */
+export interface ConfigurationHost {
+  readonly keeper: ConfigurationKeeper;
+  readonly network: FakePeerNetwork;
+  readonly reader: FakePlatformReader;
+  readonly log: FakeLog;
+  readonly metrics: FakeMetrics;
+  /** Weights of firm-a that this incarnation had in force, in order. */
+  readonly weights: number[];
+}
+
+/** Entry hosts with one service, their heartbeats included. */
+export class Deployment {
+  readonly clock = new VirtualClock();
+
+  readonly service = new FakePlatform(this.clock);
+
+  readonly hub = new FakePeerHub();
+
+  readonly hosts = new Map<string, ConfigurationHost>();
+
+  #incarnations = 0;
+
+  start(id: string, isCut = false): ConfigurationHost {
+    this.#incarnations += 1;
+    const identity = buildIdentity(id, `${id}-${this.#incarnations}`);
+    const network = new FakePeerNetwork(this.hub, identity);
+    const reader = this.service.createReader();
+    reader.setCut(isCut);
+    const log = new FakeLog();
+    const metrics = new FakeMetrics();
+    const keeper = new ConfigurationKeeper({
+      clock: this.clock,
+      log,
+      metrics,
+      platform: reader,
+      peers: network,
+      waitMs: WAIT_MS,
+      restartPatienceMs: PATIENCE_MS,
+    });
+    const host = { keeper, network, reader, log, metrics, weights: [] as number[] };
+    keeper.onChange(() => {
+      host.weights.push(keeper.findAccount('firm-a')?.weight ?? 0);
+    });
+    keeper.start();
+    this.hosts.set(id, host);
+    return host;
+  }
+
+  async stop(id: string): Promise<void> {
+    const host = this.hosts.get(id);
+    this.hosts.delete(id);
+    await host?.network.close();
+    await host?.keeper.stop();
+  }
+
+  /** Lets time pass, with heartbeats over every open link. */
+  async advance(byMs: number): Promise<void> {
+    for (let restMs = byMs; restMs > 0; restMs -= HEARTBEAT_MS) {
+      await this.clock.advance(Math.min(restMs, HEARTBEAT_MS));
+      this.#sendHeartbeats();
+    }
+  }
+
+  /** Ends everything, so that no watch is left behind. */
+  async close(): Promise<void> {
+    const stopping = [...this.hosts.keys()].map((id) => this.stop(id));
+    await this.clock.advance(0);
+    await Promise.all(stopping);
+  }
+
+  listWeights(): readonly (number | undefined)[] {
+    return [...this.hosts.values()].map(({ keeper }) => keeper.findAccount('firm-a')?.weight);
+  }
+
+  #sendHeartbeats(): void {
+    this.hosts.forEach((from) => {
+      this.hosts.forEach((to) => {
+        const [a, b] = [from.network.identity, to.network.identity];
+        if (a === b || !this.hub.isOpen(a.id, b.id)) return;
+        const { revision, hash } = from.keeper.getStatus();
+        to.keeper.handlePeerRevision(a.incarnation, revision, hash);
+      });
+    });
+  }
+}
+
+/** Starts a deployment whose first documents are in force. @param ids - its entry hosts */
+export async function startDeployment(ids: readonly string[]): Promise<Deployment> {
+  const deployment = new Deployment();
+  deployment.service.publish(FLEET_KEY, '{"services":[]}');
+  deployment.service.publish(FIRM_A, buildContract(1));
+  ids.forEach((id) => deployment.start(id));
+  await deployment.advance(PATIENCE_MS);
+  return deployment;
+}
--- /dev/null
+++ b/test/support/owner_hosts.ts
@@ -0,0 +1,257 @@
+/**
+ * Several entry hosts' requests in one process, on one virtual clock: real
+ * owners, ledgers, forwarding and gateways over small fakes of the rest.
+ *
+ * @module
+ */
+import { OwnerService } from '../../src/application/owner/mod.js';
+import {
+  CallerGateway,
+  ForwardedCalls,
+  IdentityIssuer,
+  OwnedCalls,
+} from '../../src/application/entry_host/mod.js';
+import { ForwardClient, ForwardServer } from '../../src/application/forwarding/mod.js';
+import { ConfigurationView, MembershipView } from '../../src/application/views/mod.js';
+import type { ConfigurationStatus, Slot, SlotWish } from '../../src/application/views/mod.js';
+import { ServiceKind } from '../../src/domain/contracts/types.js';
+import type {
+  AccountContract,
+  BackendServer,
+  EngineKind,
+  Service,
+  WorkKind,
+} from '../../src/domain/contracts/types.js';
+import { ErrorKind, SchedulerError } from '../../src/domain/errors/mod.js';
+import { PeerState } from '../../src/domain/membership/types.js';
+import type { EntryHostIdentity, EntryHostView } from '../../src/domain/membership/types.js';
+import { Tier } from '../../src/domain/scheduling/mod.js';
+import { FakeBackendClient } from './fake_backend.js';
+import type { FakeBackend } from './fake_backend.js';
+import { FakePeerNetwork } from './fake_peer_network.js';
+import type { FakePeerHub } from './fake_peer_network.js';
+import { FakeLog, FakeMetrics, FakeTracer, SeededRandom } from './fakes.js';
+import { GatedClock, ProcessGate } from './frozen_host.js';
+import type { VirtualClock } from './virtual_clock.js';
+
+const CLUSTER_KEY = Buffer.alloc(32, 3);
+const GRANT_VALID_MS = 2000;
+const WAKE_REFRESH_MS = 50;
+export const REQUEST_ID_LIFETIME_MS = 5000;
+
+const SERVER: BackendServer = {
+  id: 'server-1',
+  serviceId: 'desk',
+  url: 'http://server-1.test',
+  engineKind: 'fast',
+  availabilityZone: 'hall-a',
+};
+
+const SERVICE: Service = {
+  id: 'desk',
+  kind: ServiceKind.Plain,
+  models: [],
+  honoursContinue: true,
+  checksOrders: true,
+  dispatchGroupSize: 16,
+  backendServers: [SERVER],
+};
+
+function buildWork(kind: string, repeatable: boolean): WorkKind {
+  return {
+    kind,
+    serviceId: 'desk',
+    tier: Tier.Urgent,
+    repeatable,
+    deadlineMs: 3000,
+    expectedOutputTokens: 10,
+    methods: [],
+    pathPrefixes: [],
+  };
+}
+
+/** The one account of these hosts: notices must not be repeated, lookups may be. */
+export const ACCOUNT: AccountContract = {
+  accountId: 'franchise-a',
+  keyHashes: [],
+  weight: 1,
+  limits: { requestsPerSecond: 1000, tokensPerSecond: 1e6, inFlight: 1000 },
+  longestDeadlineMs: 60_000,
+  work: [buildWork('notice', false), buildWork('lookup', true)],
+};
+
+/** A configuration with one service and {@link ACCOUNT}. */
+export class FixedConfiguration extends ConfigurationView {
+  override getStatus(): ConfigurationStatus {
+    throw new Error('not used');
+  }
+
+  override findAccountByKeyHash = (): AccountContract => ACCOUNT;
+
+  override findAccount = (): AccountContract => ACCOUNT;
+
+  override listAccounts = (): readonly AccountContract[] => [ACCOUNT];
+
+  override listServices = (): readonly Service[] => [SERVICE];
+
+  override findService = (id: string): Service | undefined => (id === 'desk' ? SERVICE : undefined);
+
+  override findServiceByModel = (): Service | undefined => undefined;
+
+  override findBackendServer = (id: string): BackendServer | undefined =>
+    id === SERVER.id ? SERVER : undefined;
+
+  override findEngineKind = (): EngineKind | undefined => undefined;
+
+  override onChange = (): void => undefined;
+}
+
+/** Knows all incarnations that were ever started; the newest of each ID is live. */
+class FixedMembership extends MembershipView {
+  constructor(
+    readonly self: EntryHostIdentity,
+    readonly everyHost: readonly OwnerHost[],
+    readonly clock: VirtualClock,
+    readonly gate: ProcessGate,
+  ) {
+    super();
+  }
+
+  #freshAtMs = 0;
+
+  override listEntryHosts(): readonly EntryHostView[] {
+    const newest = new Map(this.everyHost.map((host) => [host.identity.id, host.identity]));
+    return [...newest.values()].map((identity) => ({
+      identity,
+      state: PeerState.Live,
+      silentMs: 0,
+    }));
+  }
+
+  override listListedIds = (): readonly string[] =>
+    this.listEntryHosts().map((view) => view.identity.id);
+
+  override findIncarnation = (incarnation: string): EntryHostView | undefined =>
+    this.listEntryHosts().find((view) => view.identity.incarnation === incarnation);
+
+  override findEntryHost = (id: string): EntryHostView | undefined =>
+    this.listEntryHosts().find((view) => view.identity.id === id);
+
+  override pickResponsible = (): EntryHostIdentity => this.self;
+
+  override isBackendServerLeaving = (): boolean => false;
+
+  /** After a freeze it takes a while until a peer has answered. */
+  override isFresh(): boolean {
+    if (this.gate.takeWasFrozen) {
+      this.gate.takeWasFrozen = false;
+      this.#freshAtMs = this.clock.nowMs() + WAKE_REFRESH_MS;
+    }
+    return this.clock.nowMs() >= this.#freshAtMs;
+  }
+
+  override isStopping = (): boolean => false;
+
+  override onChange = (): void => undefined;
+}
+
+/** One incarnation of an entry host. */
+export class OwnerHost {
+  readonly gate = new ProcessGate();
+
+  readonly network: FakePeerNetwork;
+
+  readonly gateway: CallerGateway;
+
+  readonly owner: OwnerService;
+
+  readonly #forwardServer: ForwardServer;
+
+  /**
+   * @param identity - who it is
+   * @param world - what all hosts share
+   */
+  constructor(
+    readonly identity: EntryHostIdentity,
+    readonly world: OwnerWorld,
+  ) {
+    const clock = new GatedClock(world.clock, this.gate);
+    this.network = new FakePeerNetwork(world.hub, identity);
+    const receive = this.network.receive.bind(this.network);
+    this.network.receive = (from, message) => this.gate.run(() => receive(from, message));
+    const shared = {
+      clock,
+      log: new FakeLog(),
+      metrics: new FakeMetrics(),
+      tracer: new FakeTracer(),
+      random: new SeededRandom(world.hosts.length + 1),
+      peers: this.network,
+      configuration: new FixedConfiguration(),
+      membership: new FixedMembership(identity, world.hosts, world.clock, this.gate),
+      backend: new FakeBackendClient(world.backend, this.gate),
+      allowances: { admit: () => ({ release: () => undefined }) },
+      slots: { acquire: (wish: SlotWish) => grantSlot(clock, wish) },
+    };
+    this.owner = new OwnerService({
+      ...shared,
+      answerBytes: 1_000_000,
+      answerKeepMs: 60_000,
+      maxRecords: 1000,
+    });
+    const issuer = new IdentityIssuer({
+      ...shared,
+      clusterKey: CLUSTER_KEY,
+      requestIdLifetimeMs: REQUEST_ID_LIFETIME_MS,
+      keepAddressMs: 1000,
+    });
+    const calls = new OwnedCalls({ ...shared, owner: this.owner });
+    const forwarded = new ForwardedCalls({ ...shared, issuer, calls, owner: this.owner });
+    this.#forwardServer = new ForwardServer({
+      peers: this.network,
+      handler: (call, callerGone) => forwarded.handle(call, callerGone),
+    });
+    const forwardClient = new ForwardClient(shared);
+    this.gateway = new CallerGateway({
+      ...shared,
+      issuer,
+      owner: this.owner,
+      calls,
+      forwardClient,
+    });
+  }
+
+  /** Joins the others. */
+  start(): void {
+    this.world.hosts.push(this);
+    this.#forwardServer.start();
+    this.owner.start();
+  }
+
+  /** Kills it, as SIGKILL does; peers see its links go. */
+  kill(): void {
+    this.gate.kill();
+    this.owner.stop();
+    this.network.close().catch(() => undefined);
+  }
+}
+
+/** What all hosts of a test share. */
+export interface OwnerWorld {
+  readonly clock: VirtualClock;
+  readonly hub: FakePeerHub;
+  readonly backend: FakeBackend;
+  /** Every incarnation, oldest first. */
+  readonly hosts: OwnerHost[];
+}
+
+async function grantSlot(clock: GatedClock, wish: SlotWish): Promise<Slot> {
+  await new Promise<void>((resolve) => {
+    clock.setTimer(1, resolve);
+  });
+  if (wish.signal.aborted) throw new SchedulerError(ErrorKind.Cancelled);
+  return {
+    backendServer: SERVER,
+    validUntilMs: clock.nowMs() + GRANT_VALID_MS,
+    release: () => undefined,
+  };
+}
