--- /dev/null
+++ b/src/adapters/admin_http/admin_listener.ts
@@ -0,0 +1,97 @@
+/**
+ * The administration listener.
+ *
+ * @module
+ */
+import { ERROR_TABLE, ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import type { EventLog } from '../../ports/mod.js';
+import {
+  compareSecrets,
+  findRoute,
+  HttpListener,
+  parseBearerKey,
+  parseRequestTarget,
+  toSchedulerError,
+} from '../http_common/mod.js';
+import type { HttpExchange, HttpLimits } from '../http_common/mod.js';
+import { ADMIN_ROUTES } from './_admin_routes.js';
+import type { AdminSources } from './admin_sources.js';
+
+/** Options of {@link AdminListener}. */
+export interface AdminListenerOptions {
+  /** The operators' key; never empty. */
+  readonly adminKey: string;
+  readonly log: EventLog;
+  readonly limits: HttpLimits;
+  readonly sources: AdminSources;
+}
+
+/** Answers operators. */
+export class AdminListener {
+  readonly #options: AdminListenerOptions;
+
+  readonly #listener: HttpListener;
+
+  /** @param options - the key, the limits and the sources of the answers */
+  constructor(options: AdminListenerOptions) {
+    if (options.adminKey === '') {
+      throw new TypeError('Cannot create the administration listener: its key is empty');
+    }
+    this.#options = options;
+    this.#listener = new HttpListener({
+      limits: options.limits,
+      handle: (http) => this.#handle(http),
+      onRefusal: (refusal) => this.#logRefusal(refusal, 'none'),
+    });
+  }
+
+  /**
+   * Starts listening.
+   *
+   * @param host - IP number
+   * @param port - port; 0 for any free one
+   * @returns the port
+   */
+  start(host: string, port: number): Promise<{ port: number }> {
+    return this.#listener.start(host, port);
+  }
+
+  /** @returns when the running answers are given and the last connection is closed */
+  stop(): Promise<void> {
+    return this.#listener.stop();
+  }
+
+  async #handle(http: HttpExchange): Promise<void> {
+    let name = 'none';
+    try {
+      const target = parseRequestTarget(http.request.url ?? '/');
+      const { route } = findRoute(ADMIN_ROUTES, http.request.method ?? 'GET', target, (allowed) => {
+        http.response.setHeader('allow', allowed.join(', '));
+      });
+      name = route.name;
+      if (route.handler.needsKey) this.#authenticate(http);
+      await route.handler.handle(http, this.#options.sources);
+    } catch (thrown) {
+      const error = toSchedulerError(thrown);
+      this.#logRefusal(error, name);
+      http.sendError(error);
+    }
+  }
+
+  #authenticate(http: HttpExchange): void {
+    const given = parseBearerKey(http.getHeader('authorization'));
+    if (given !== undefined && compareSecrets(given, this.#options.adminKey)) return;
+    throw new SchedulerError(ErrorKind.Unauthenticated, {
+      message: 'Cannot take the request: the administration key is missing or wrong',
+    });
+  }
+
+  #logRefusal(error: SchedulerError, route: string): void {
+    this.#options.log.write(ERROR_TABLE[error.kind].logLevel, 'admin_request_refused', {
+      route,
+      kind: error.kind,
+      reason: error.message,
+      cause: error.cause instanceof Error ? error.cause.message : undefined,
+    });
+  }
+}
--- /dev/null
+++ b/src/adapters/backend_http/http_backend_server_client.ts
@@ -0,0 +1,203 @@
+/**
+ * The adapter of the last hop.
+ *
+ * @module
+ */
+import http from 'node:http';
+import { z } from 'zod';
+import type { IncomingMessage } from 'node:http';
+import type { BackendServer } from '../../domain/contracts/types.js';
+import { BackendCallError, BackendCallStage, BackendServerClient } from '../../ports/mod.js';
+import type {
+  BackendAnswer,
+  BackendCall,
+  BackendLoad,
+  CacheEvent,
+  ResumePoint,
+} from '../../ports/mod.js';
+import { describeError, hasNotRun, toBackendAnswer } from './_answer.js';
+import { exchangeDirectly, ExchangeError, exchangeWithContinue } from './_exchange.js';
+
+const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+const DEFAULT_REPORT_TIMEOUT_MS = 1000;
+const IDLE_CONNECTION_MS = 30_000;
+const MAX_REPORT_BYTES = 1_048_576;
+
+const LOAD_SCHEMA = z.object({
+  running: z.number().nonnegative(),
+  waiting: z.number().nonnegative(),
+  leaving: z.boolean().default(false),
+});
+const CACHE_EVENTS_SCHEMA = z.object({
+  events: z.array(
+    z.object({ sequence: z.number(), stored: z.boolean(), blockHash: z.string().max(64) }),
+  ),
+});
+
+/** Options of the client. */
+export interface HttpBackendServerClientOptions {
+  /** Longest wait for a connection, in milliseconds. Default 1000. */
+  readonly connectTimeoutMs?: number;
+  /** Longest silence inside an answer's body, in milliseconds. Default 15000. */
+  readonly idleTimeoutMs?: number;
+  /** Longest wait for a load report or cache events, in milliseconds. Default 1000. */
+  readonly reportTimeoutMs?: number;
+}
+
+/** Calls backend servers over HTTP/1.1. */
+export class HttpBackendServerClient extends BackendServerClient {
+  readonly #connectTimeoutMs: number;
+
+  readonly #idleTimeoutMs: number;
+
+  readonly #reportTimeoutMs: number;
+
+  /** Connections to each backend server, kept open between calls. */
+  readonly #agents = new Map<string, http.Agent>();
+
+  /** @param options - time limits */
+  constructor(options: HttpBackendServerClientOptions = {}) {
+    super();
+    this.#connectTimeoutMs = options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS;
+    this.#idleTimeoutMs = options.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS;
+    this.#reportTimeoutMs = options.reportTimeoutMs ?? DEFAULT_REPORT_TIMEOUT_MS;
+  }
+
+  override async dispatch(call: BackendCall): Promise<BackendAnswer> {
+    const message = await this.#exchange(call);
+    if (hasNotRun(message)) {
+      message.resume();
+      throw new BackendCallError(
+        BackendCallStage.AfterHandOver,
+        `refused with status ${message.statusCode}`,
+      );
+    }
+    return toBackendAnswer(message, this.#idleTimeoutMs);
+  }
+
+  override async resume(point: ResumePoint): Promise<BackendAnswer> {
+    const path = `/v1/streams/${encodeURIComponent(point.streamId)}?offset=${point.offset}`;
+    const message = await this.#get(point.backendServer, path, point.signal);
+    if (message.statusCode !== 200) {
+      message.resume();
+      throw new BackendCallError(
+        BackendCallStage.Answering,
+        `Cannot resume stream ${point.streamId}: status ${message.statusCode}`,
+      );
+    }
+    return toBackendAnswer(message, this.#idleTimeoutMs);
+  }
+
+  override async cancel(backendServer: BackendServer, streamId: string): Promise<void> {
+    const url = new URL(`/v1/streams/${encodeURIComponent(streamId)}`, backendServer.url);
+    await new Promise<void>((resolve) => {
+      const request = http.request(
+        url,
+        { method: 'DELETE', agent: false, timeout: this.#reportTimeoutMs },
+        (message) => {
+          message.resume();
+          resolve();
+        },
+      );
+      request.on('timeout', () => request.destroy());
+      request.on('error', () => resolve());
+      request.end();
+    });
+  }
+
+  override async readLoad(backendServer: BackendServer): Promise<BackendLoad> {
+    return LOAD_SCHEMA.parse(await this.#readReport(backendServer, '/v1/load'));
+  }
+
+  override async readCacheEvents(
+    backendServer: BackendServer,
+    after: number,
+  ): Promise<readonly CacheEvent[]> {
+    const report = await this.#readReport(backendServer, `/v1/cache-events?after=${after}`);
+    return CACHE_EVENTS_SCHEMA.parse(report).events;
+  }
+
+  /** Closes idle connections. */
+  close(): void {
+    this.#agents.forEach((agent) => agent.destroy());
+    this.#agents.clear();
+  }
+
+  async #exchange(call: BackendCall): Promise<IncomingMessage> {
+    const { agent, connectTimeoutMs } = this.#findTarget(call.backendServer);
+    if (!call.honoursContinue || call.body.length === 0) {
+      return exchangeDirectly(call, { agent: undefined, connectTimeoutMs });
+    }
+    try {
+      return await exchangeWithContinue(call, { agent, connectTimeoutMs });
+    } catch (error) {
+      if (!mayTryNewConnection(error) || !call.mayHandOver()) throw error;
+      // The far end of the old connection may be lost: everything sent on it
+      // vanishes while new connections work. The others are as old, so they go.
+      closeIdleConnections(agent);
+      return exchangeWithContinue(call, { agent: undefined, connectTimeoutMs });
+    }
+  }
+
+  #findTarget(backendServer: BackendServer): { agent: http.Agent; connectTimeoutMs: number } {
+    let agent = this.#agents.get(backendServer.url);
+    if (!agent) {
+      agent = new http.Agent({
+        keepAlive: true,
+        timeout: IDLE_CONNECTION_MS,
+        scheduling: 'lifo',
+        noDelay: true,
+      });
+      this.#agents.set(backendServer.url, agent);
+    }
+    return { agent, connectTimeoutMs: this.#connectTimeoutMs };
+  }
+
+  async #readReport(backendServer: BackendServer, path: string): Promise<unknown> {
+    const signal = AbortSignal.timeout(this.#reportTimeoutMs);
+    const message = await this.#get(backendServer, path, signal);
+    const chunks: Uint8Array[] = [];
+    let length = 0;
+    try {
+      for await (const chunk of message) {
+        chunks.push(chunk as Uint8Array);
+        length += (chunk as Uint8Array).length;
+        if (length > MAX_REPORT_BYTES)
+          throw new Error(`the report exceeds ${MAX_REPORT_BYTES} bytes`);
+      }
+      if (message.statusCode !== 200) throw new Error(`status ${message.statusCode}`);
+      return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+    } catch (error) {
+      throw new BackendCallError(BackendCallStage.Answering, describeError(error), {
+        cause: error,
+      });
+    }
+  }
+
+  #get(backendServer: BackendServer, path: string, signal: AbortSignal): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      const url = new URL(path, backendServer.url);
+      const request = http.get(url, { agent: false, signal }, resolve);
+      request.on('error', (error) => {
+        reject(
+          new BackendCallError(BackendCallStage.Answering, describeError(error), { cause: error }),
+        );
+      });
+    });
+  }
+}
+
+function mayTryNewConnection(error: unknown): boolean {
+  return (
+    error instanceof ExchangeError &&
+    error.onOldConnection &&
+    error.stage === BackendCallStage.BeforeHandOver
+  );
+}
+
+function closeIdleConnections(agent: http.Agent): void {
+  Object.values(agent.freeSockets).forEach((sockets) => {
+    sockets?.forEach((socket) => socket.destroy());
+  });
+}
--- /dev/null
+++ b/src/adapters/callers_http/_chat_completion_route.ts
@@ -0,0 +1,35 @@
+/**
+ * `POST /v1/chat/completions`.
+ *
+ * @module
+ */
+import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import { buildCallerCall } from './_caller_call.js';
+import type { CallerExchange } from './_caller_exchange.js';
+import { parseChatCompletionBody } from './_chat_completion_body.js';
+import { sendAnswer } from './_send_answer.js';
+
+const CHAT_COMPLETIONS_PATH = '/v1/chat/completions';
+
+/** Longest part of a caller's text that an error repeats, in characters. */
+const MAX_NAME_LENGTH = 100;
+
+/**
+ * Passes a chat completion on, byte for byte, to the service of its model.
+ *
+ * @param exchange - the request
+ */
+export async function handleChatCompletion(exchange: CallerExchange): Promise<void> {
+  const body = await exchange.http.readBody(exchange.account.accountId);
+  const { model } = parseChatCompletionBody(body);
+  const serviceId = exchange.gateway.findServiceOfModel(model);
+  if (serviceId === undefined) {
+    throw new SchedulerError(ErrorKind.UnknownModel, {
+      message: `Cannot find the model ${JSON.stringify(model.slice(0, MAX_NAME_LENGTH))}`,
+    });
+  }
+  const path = `${CHAT_COMPLETIONS_PATH}${exchange.target.search}`;
+  const call = buildCallerCall(exchange, { serviceId, path, body });
+  exchange.noteHandOver();
+  await sendAnswer(exchange, await exchange.gateway.submit(call));
+}
--- /dev/null
+++ b/src/adapters/callers_http/_read_route.ts
@@ -0,0 +1,32 @@
+/**
+ * `GET /v1/requests/{id}`.
+ *
+ * @module
+ */
+import { parseRequestId, parseWholeNumber } from './_caller_call.js';
+import type { CallerExchange } from './_caller_exchange.js';
+import { sendAnswer } from './_send_answer.js';
+
+/**
+ * Tells a request's state or, with `?offset=N`, gives its answer's bytes from there.
+ *
+ * @param exchange - the request
+ */
+export async function handleRead(exchange: CallerExchange): Promise<void> {
+  const { http, gateway, account, params, target } = exchange;
+  const requestId = parseRequestId(params.id ?? '');
+  const offset = parseWholeNumber('offset', target.query.get('offset') ?? undefined, 0);
+  exchange.noteHandOver();
+  if (offset === undefined) {
+    const report = await gateway.readState(account, requestId);
+    http.sendJson(200, report, { 'request-id': requestId });
+    return;
+  }
+  const answer = await gateway.read(account, requestId, {
+    offset,
+    backendServer: target.query.get('backendServer') || undefined,
+    streamId: target.query.get('streamId') || undefined,
+    callerGone: http.callerGone,
+  });
+  await sendAnswer(exchange, answer);
+}
--- /dev/null
+++ b/src/adapters/callers_http/callers_listener_limits_test.ts
@@ -0,0 +1,147 @@
+import t from 'tap';
+import { setImmediate as waitForTurn } from 'node:timers/promises';
+import fc from 'fast-check';
+import {
+  formatChat,
+  formatRequest,
+  RawConnection,
+  sendRaw,
+  startFixture,
+} from './_test_fixture.js';
+
+const CHAT = 'POST /v1/chat/completions';
+
+t.test('CallersListener ends slow headers and slow bodies with 408', async (t) => {
+  // Symptom: all connections are taken and nobody is served. A caller opens
+  // many, sends a few bytes on each and never ends a request. Cause: a
+  // connection without a time limit costs the attacker nothing.
+  const { port } = await startFixture(t, { headerTimeoutMs: 40, requestTimeoutMs: 80 });
+  const slow = [
+    '',
+    'GET /v1/mod',
+    formatRequest(CHAT, { 'content-length': '50' }, '{'),
+    formatRequest(CHAT, { 'content-length': '50', authorization: '' }),
+  ];
+  const answers = await Promise.all(slow.map((text) => sendRaw(port, text)));
+  t.match(answers.slice(0, 3), [/^HTTP\/1.1 408/, /"request_timeout"/, /"run":"not_run"/]);
+  t.match(answers[3], /^HTTP\/1.1 401/, 'who has no key is told so before the body');
+  t.match(await sendRaw(port, formatChat()), /^HTTP\/1.1 200/);
+});
+
+t.test('CallersListener refuses connections over its limit and serves the rest', async (t) => {
+  const { port } = await startFixture(t, { maxConnections: 300 });
+  const open = Array.from({ length: 300 }, () => new RawConnection(port));
+  await Promise.all(open.map(({ opened }) => opened));
+  open[0]?.socket.write(formatRequest('GET /v1/models', { connection: 'keep-alive' }));
+  await open[0]?.waitFor(/monsoon-draft/);
+  t.match(await sendRaw(port, formatChat()), /^HTTP\/1.1 503[^]*"too_many_connections"/);
+  open[1]?.socket.write(formatChat());
+  t.match(await open[1]?.closed, /^HTTP\/1.1 200/, 'an admitted caller is served at the limit');
+  let answer = '';
+  do {
+    await waitForTurn();
+    answer = await sendRaw(port, formatChat());
+  } while (!answer.startsWith('HTTP/1.1 200'));
+  t.pass('a place that became free is given again');
+  open.forEach(({ socket }) => socket.destroy());
+});
+
+t.test('CallersListener drops connections far over its limit', async (t) => {
+  const { port } = await startFixture(t, { maxConnections: 1 });
+  const open = Array.from({ length: 129 }, () => new RawConnection(port));
+  await Promise.all(open.map(({ opened }) => opened));
+  t.equal(await sendRaw(port, formatChat()), '');
+  open[0]?.socket.write(formatChat());
+  t.match(await open[0]?.closed, /^HTTP\/1.1 200/);
+  open.forEach(({ socket }) => socket.destroy());
+});
+
+t.test('CallersListener bounds the bodies that one account has held', async (t) => {
+  // Symptom: the process is killed for want of memory, or nobody but one account
+  // is served. Each body is within its limit, but hundreds come at once and wait
+  // for the queue. Cause: a limit for one body bounds no sum.
+  const { port, gateway } = await startFixture(t, { maxTotalBodyBytes: 400 });
+  const { answer } = gateway;
+  let release = (): void => undefined;
+  gateway.answer = async (call) => {
+    await new Promise<void>((resolve) => {
+      release = resolve;
+    });
+    return answer(call);
+  };
+  const first = sendRaw(port, formatChat());
+  while (gateway.calls.length === 0) await waitForTurn();
+  t.match(await sendRaw(port, formatChat()), /^HTTP\/1.1 429[^]*"in_flight_limited"/);
+  release();
+  t.match(await first, /^HTTP\/1.1 200/);
+  gateway.answer = answer;
+  t.match(await sendRaw(port, formatChat()), /^HTTP\/1.1 200/, 'the room is given back');
+});
+
+t.test('CallersListener says nothing of a running request when garbage follows it', async (t) => {
+  // Symptom: a caller reads "not run" of a request that runs. It sent a whole
+  // request and then broken bytes on the same connection; the refusal of those
+  // was read as the first request's answer. Cause: HTTP/1.1 answers go by order.
+  const { port, gateway } = await startFixture(t);
+  const aborted = new Promise((resolve) => {
+    gateway.answer = (call) =>
+      new Promise(() => {
+        call.callerGone.addEventListener('abort', resolve);
+      });
+  });
+  const answer = await sendRaw(
+    port,
+    `${formatChat({ connection: 'keep-alive' })}\x00garbage\r\n\r\n`,
+  );
+  t.equal(answer, '', 'the connection closes without a claim');
+  await aborted;
+});
+
+t.test('CallersListener lets go of a caller that sends on after its refusal', async (t) => {
+  // Symptom: connections of refused callers never end. Cause: the answer is
+  // given, the caller reads it and sends on, and only a time limit of minutes,
+  // or none at all, would end it.
+  const limits = { maxUnauthenticatedBodyBytes: 100, requestTimeoutMs: 600_000 };
+  const { port } = await startFixture(t, limits);
+  const endless = { authorization: '', 'content-length': '999999999', connection: 'keep-alive' };
+  for (const text of ['garbage\r\n\r\n', formatRequest(CHAT, endless)]) {
+    const rude = new RawConnection(port, { allowHalfOpen: true });
+    rude.socket.write(text);
+    await rude.waitFor(/^HTTP\/1.1 40[01]/);
+    while (!rude.socket.destroyed) {
+      rude.socket.write('more');
+      await waitForTurn();
+    }
+    t.match(await rude.closed, /"run":"not_run"/);
+  }
+});
+
+t.test('CallersListener answers or closes whatever bytes come, and serves on', async (t) => {
+  const { port } = await startFixture(t, { headerTimeoutMs: 30, requestTimeoutMs: 30 });
+  const good = formatChat();
+  const piece = fc.oneof(
+    fc.string({ unit: 'binary', maxLength: 40 }),
+    fc.constantFrom(
+      '\r\n',
+      '\r\n\r\n',
+      'GET /v1/models HTTP/1.1\r\n',
+      'host: x\r\n',
+      'expect: 100-continue\r\n',
+    ),
+    fc.constantFrom(
+      'transfer-encoding: chunked\r\n',
+      'content-length: 5\r\n',
+      '5\r\nhello\r\n0\r\n\r\n',
+    ),
+    fc.nat(good.length).map((length) => good.slice(0, length)),
+    fc.nat(good.length).map((start) => good.slice(start)),
+  );
+  await fc.assert(
+    fc.asyncProperty(fc.array(piece, { maxLength: 6 }), async (pieces) => {
+      const answer = await sendRaw(port, pieces.join(''));
+      if (answer !== '') t.match(answer, /^HTTP\/1.1 [1-5]\d\d /);
+    }),
+    { seed: 42, numRuns: 120 },
+  );
+  t.match(await sendRaw(port, good), /^HTTP\/1.1 200/);
+});
--- /dev/null
+++ b/src/adapters/http_common/mod.ts
@@ -0,0 +1,19 @@
+/**
+ * What every HTTP listener shares: limits on connections, headers, bodies and
+ * time, answers from the error table, a small router and key comparison. Use it
+ * as `new HttpListener({ limits, handle: async (exchange) => exchange.sendJson(200, {}) })`.
+ *
+ * @module
+ */
+export { DEFAULT_HTTP_LIMITS } from './http_limits.js';
+export type { HttpLimits } from './http_limits.js';
+export { HttpExchange } from './http_exchange.js';
+export { HttpListener } from './http_listener.js';
+export type { HttpListenerOptions, TlsIdentity } from './http_listener.js';
+export { buildErrorHeaders, toSchedulerError } from './error_answer.js';
+export { pickEndToEndHeaders } from './end_to_end_headers.js';
+export { parseRequestTarget } from './request_target.js';
+export type { RequestTarget } from './request_target.js';
+export { findRoute } from './router.js';
+export type { FoundRoute, Route } from './router.js';
+export { compareSecrets, parseBearerKey } from './bearer_key.js';
--- /dev/null
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -0,0 +1,209 @@
+/**
+ * Checks of messages between entry hosts, before any handler sees them.
+ *
+ * @module
+ */
+import { z } from 'zod';
+import { ErrorKind, RunOutcome } from '../../domain/errors/mod.js';
+import { Tier } from '../../domain/scheduling/tier.js';
+import { ForwardOperation, PeerMessageType, SlotOutcome } from '../../ports/mod.js';
+import type { PeerMessage, PeerMessageOf } from '../../ports/mod.js';
+
+const MAX_NAME_LENGTH = 512;
+const MAX_TEXT_LENGTH = 65_536;
+const MAX_LIST_LENGTH = 65_536;
+const MAX_HEADERS = 1_000;
+
+const name = z.string().max(MAX_NAME_LENGTH);
+const text = z.string().max(MAX_TEXT_LENGTH);
+const bytes = z.instanceof(Uint8Array);
+const count = z.int().nonnegative();
+const amount = z.number().nonnegative();
+const names = z.array(name).max(MAX_LIST_LENGTH);
+const revision = z.int();
+const tier = z.enum(Tier);
+
+/** A wait may be unbounded, which msgpack can carry. */
+const waitMs = z.custom<number>((value) => typeof value === 'number' && value >= 0);
+
+const headers = z
+  .record(name, text)
+  .refine((record) => Object.keys(record).length <= MAX_HEADERS, 'too many headers');
+
+/** Check of an identity, which the handshake carries too. */
+export const identitySchema = z.object({
+  id: name.min(1),
+  incarnation: name.min(1),
+  url: name,
+  peerUrl: name,
+  availabilityZone: name,
+});
+
+const groupLoadSchema = z.object({
+  groupId: name,
+  waitMs: z.array(waitMs).max(MAX_LIST_LENGTH),
+  openTier: tier,
+});
+
+const forwardedCallSchema = z.object({
+  serviceId: name,
+  workKind: name,
+  method: name,
+  path: text,
+  headers,
+  body: bytes,
+  deadlineMs: amount,
+});
+
+type SchemaTable = { readonly [T in PeerMessageType]: z.ZodType<PeerMessageOf<T>> };
+
+const SCHEMAS: SchemaTable = {
+  [PeerMessageType.Hello]: z.object({
+    type: z.literal(PeerMessageType.Hello),
+    identity: identitySchema,
+  }),
+  [PeerMessageType.Heartbeat]: z.object({
+    type: z.literal(PeerMessageType.Heartbeat),
+    sequence: count,
+    leaving: z.boolean(),
+    configurationRevision: revision,
+    configurationHash: name,
+    leavingBackendServers: names,
+    groups: z.array(groupLoadSchema).max(MAX_LIST_LENGTH),
+  }),
+  [PeerMessageType.HeartbeatReply]: z.object({
+    type: z.literal(PeerMessageType.HeartbeatReply),
+    sequence: count,
+  }),
+  [PeerMessageType.ConfigurationDigest]: z.object({
+    type: z.literal(PeerMessageType.ConfigurationDigest),
+    revisions: z.record(name, revision),
+  }),
+  [PeerMessageType.ConfigurationEntries]: z.object({
+    type: z.literal(PeerMessageType.ConfigurationEntries),
+    entries: z
+      .array(z.object({ key: name, revision, value: bytes.optional() }))
+      .max(MAX_LIST_LENGTH) as z.ZodType<
+      PeerMessageOf<PeerMessageType.ConfigurationEntries>['entries']
+    >,
+  }),
+  [PeerMessageType.SlotRequest]: z.object({
+    type: z.literal(PeerMessageType.SlotRequest),
+    ticket: count,
+    groupId: name,
+    accountId: name,
+    weight: amount,
+    tier,
+    remainingMs: z.number(),
+    waitedMs: amount,
+    promptTokens: amount,
+    expectedOutputTokens: amount,
+    blockHashes: names,
+    excluded: names,
+  }),
+  [PeerMessageType.SlotGrant]: z.object({
+    type: z.literal(PeerMessageType.SlotGrant),
+    ticket: count,
+    grantId: count,
+    backendServerId: name,
+    validMs: amount,
+  }),
+  [PeerMessageType.SlotRefusal]: z.object({
+    type: z.literal(PeerMessageType.SlotRefusal),
+    ticket: count,
+    kind: z.enum(ErrorKind),
+    retryAfterMs: amount,
+  }),
+  [PeerMessageType.SlotCancel]: z.object({
+    type: z.literal(PeerMessageType.SlotCancel),
+    ticket: count,
+  }),
+  [PeerMessageType.SlotRelease]: z.object({
+    type: z.literal(PeerMessageType.SlotRelease),
+    groupId: name,
+    grantId: count,
+    outcome: z.enum(SlotOutcome),
+    firstByteMs: amount,
+    totalMs: amount,
+    outputTokens: amount,
+  }),
+  [PeerMessageType.AllowanceRequest]: z.object({
+    type: z.literal(PeerMessageType.AllowanceRequest),
+    accountId: name,
+    requestsPerSecond: amount,
+    tokensPerSecond: amount,
+    inFlight: amount,
+  }),
+  [PeerMessageType.AllowanceLease]: z.object({
+    type: z.literal(PeerMessageType.AllowanceLease),
+    accountId: name,
+    requestsPerSecond: amount,
+    tokensPerSecond: amount,
+    inFlight: amount,
+    validMs: amount,
+  }),
+  [PeerMessageType.ForwardCall]: z.object({
+    type: z.literal(PeerMessageType.ForwardCall),
+    callId: count,
+    operation: z.enum(ForwardOperation),
+    accountId: name,
+    requestId: text,
+    traceparent: name.optional(),
+    call: forwardedCallSchema.optional(),
+    offset: count,
+    idempotencyKey: text.optional(),
+  }) as z.ZodType<PeerMessageOf<PeerMessageType.ForwardCall>>,
+  [PeerMessageType.ForwardHead]: z.object({
+    type: z.literal(PeerMessageType.ForwardHead),
+    callId: count,
+    status: count,
+    headers,
+  }),
+  [PeerMessageType.ForwardChunk]: z.object({
+    type: z.literal(PeerMessageType.ForwardChunk),
+    callId: count,
+    offset: count,
+    bytes,
+  }),
+  [PeerMessageType.ForwardEnd]: z.object({
+    type: z.literal(PeerMessageType.ForwardEnd),
+    callId: count,
+    length: count,
+  }),
+  [PeerMessageType.ForwardError]: z.object({
+    type: z.literal(PeerMessageType.ForwardError),
+    callId: count,
+    kind: z.enum(ErrorKind),
+    run: z.enum(RunOutcome),
+    message: text,
+    retryAfterMs: amount,
+  }),
+  [PeerMessageType.ForwardCredit]: z.object({
+    type: z.literal(PeerMessageType.ForwardCredit),
+    callId: count,
+    bytes: count,
+  }),
+  [PeerMessageType.ForwardCancel]: z.object({
+    type: z.literal(PeerMessageType.ForwardCancel),
+    callId: count,
+  }),
+};
+
+const TYPES: ReadonlySet<unknown> = new Set(Object.values(PeerMessageType));
+
+/**
+ * Parses what was decoded.
+ *
+ * @param decoded - any value
+ * @returns the message, without fields that it should not have
+ * @throws Error that says what is wrong with it
+ */
+export function parseMessage(decoded: unknown): PeerMessage {
+  const type = (decoded as { type?: unknown } | null | undefined)?.type;
+  if (!TYPES.has(type)) throw new Error('Cannot parse peer message: its type is unknown');
+  const result = SCHEMAS[type as PeerMessageType].safeParse(decoded);
+  if (result.success) return result.data;
+  const [issue] = result.error.issues;
+  const where = issue?.path.join('.') ?? '';
+  throw new Error(`Cannot parse peer message ${String(type)}: ${where}: ${issue?.message}`);
+}
--- /dev/null
+++ b/src/adapters/peers_ws/_test_peers.ts
@@ -0,0 +1,187 @@
+/**
+ * Peers for this package's tests: networks on loopback, and a raw end that can
+ * break the protocol.
+ *
+ * @module
+ */
+import { createServer, connect } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { WebSocket } from 'ws';
+import type { EntryHostIdentity } from '../../domain/membership/types.js';
+import { PeerMessageType } from '../../ports/mod.js';
+import type { HeartbeatReplyMessage, PeerMessage } from '../../ports/mod.js';
+import { FakeLog, FakeMetrics, SeededRandom } from '../../../test/support/fakes.js';
+import { VirtualClock } from '../../../test/support/virtual_clock.js';
+import { decodeFrame, encodeFrame, FrameKind } from './_frames.js';
+import type { Frame } from './_frames.js';
+import { Handshake, LinkRole } from './_handshake.js';
+import { WsPeerNetwork } from './mod.js';
+import type { WsPeerNetworkOptions } from './mod.js';
+
+/** The key of every well-behaved test peer. */
+export const CLUSTER_KEY = Buffer.alloc(32, 7);
+
+/** A started network and what it was made with. */
+export interface TestPeer {
+  readonly network: WsPeerNetwork;
+  readonly clock: VirtualClock;
+  readonly log: FakeLog;
+  readonly metrics: FakeMetrics;
+  readonly port: number;
+  readonly url: string;
+  /** Sequence numbers of heartbeat replies, in order of arrival, with their senders. */
+  readonly received: { from: string; sequence: number }[];
+}
+
+/** Waits until something holds; the test's own time limit bounds it. */
+export async function waitUntil(holds: () => boolean): Promise<void> {
+  while (!holds()) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
+/** Builds a message that just carries a number. */
+export function buildNumbered(sequence: number): HeartbeatReplyMessage {
+  return { type: PeerMessageType.HeartbeatReply, sequence };
+}
+
+/** Builds an identity whose URL gets the listening port. */
+export function buildPeerIdentity(id: string, incarnation = `${id}-1`): EntryHostIdentity {
+  const url = `http://${id}.test`;
+  return { id, incarnation, url, peerUrl: 'ws://127.0.0.1:0', availabilityZone: 'hall-a' };
+}
+
+/** Starts a network on loopback. */
+export async function startPeer(
+  identity: EntryHostIdentity,
+  options: Partial<WsPeerNetworkOptions> = {},
+): Promise<TestPeer> {
+  const clock = new VirtualClock();
+  const log = new FakeLog();
+  const metrics = new FakeMetrics();
+  const seed = [...identity.incarnation].reduce((sum, unit) => sum * 31 + unit.charCodeAt(0), 1);
+  const network = new WsPeerNetwork({
+    self: identity,
+    listenHost: '127.0.0.1',
+    listenPort: 0,
+    clusterKey: CLUSTER_KEY,
+    random: new SeededRandom(seed),
+    ...{ clock, log, metrics },
+    ...options,
+  });
+  const received: { from: string; sequence: number }[] = [];
+  network.handle(PeerMessageType.HeartbeatReply, (from, { sequence }) => {
+    received.push({ from: from.incarnation, sequence });
+  });
+  const { port } = await network.start();
+  return { network, clock, log, metrics, port, url: `ws://127.0.0.1:${port}`, received };
+}
+
+/** Whether two peers are linked, as both ends see it. */
+export function areLinked(one: TestPeer, other: TestPeer): boolean {
+  const sees = (from: TestPeer, to: TestPeer): boolean =>
+    from.network
+      .listLinked()
+      .some(({ incarnation }) => incarnation === to.network.identity.incarnation);
+  return sees(one, other) && sees(other, one);
+}
+
+/** Why links were refused, in order. */
+export function listRefusals(peer: TestPeer): readonly string[] {
+  return peer.log.lines
+    .filter(({ fields }) => fields.end === 'refused')
+    .map(({ fields }) => String(fields.reason));
+}
+
+/** A dialling end without any rules. */
+export class RawPeer {
+  readonly frames: Buffer[] = [];
+
+  readonly webSocket: WebSocket;
+
+  isClosed = false;
+
+  constructor(url: string) {
+    this.webSocket = new WebSocket(url, { perMessageDeflate: false });
+    this.webSocket.on('message', (data) => this.frames.push(data as Buffer));
+    this.webSocket.on('error', () => undefined);
+    this.webSocket.on('close', () => {
+      this.isClosed = true;
+    });
+  }
+
+  /** Waits for the listener's challenge and answers it truthfully. */
+  async authenticate(self: EntryHostIdentity, clusterKey: Uint8Array = CLUSTER_KEY): Promise<void> {
+    const nonce = Buffer.alloc(32, 9);
+    const handshake = new Handshake({ role: LinkRole.Dialer, self, clusterKey, nonce });
+    await waitUntil(() => this.frames.length > 0);
+    const challenge = decodeFrame(this.frames[0] as Buffer);
+    if (challenge.kind !== FrameKind.Challenge) throw new Error('Cannot answer: no challenge');
+    this.send(handshake.buildChallenge());
+    this.send(handshake.acceptChallenge(challenge));
+  }
+
+  send(frame: Frame): void {
+    this.webSocket.send(encodeFrame(frame));
+  }
+
+  sendMessage(sequence: number, message: unknown): void {
+    this.send({ kind: FrameKind.Message, sequence, message: message as PeerMessage });
+  }
+}
+
+/** A TCP relay that can lose track of the connections it has. */
+export class TestRelay {
+  /** Chunks that came from the dialling side. */
+  readonly fromDialer: Buffer[] = [];
+
+  readonly #sockets = new Set<Socket>();
+
+  readonly #server = createServer((socket) => this.#handleSocket(socket));
+
+  #silenced = new WeakSet<Socket>();
+
+  constructor(readonly targetPort: number) {}
+
+  /** @returns its URL */
+  start(): Promise<string> {
+    return new Promise((resolve) => {
+      this.#server.listen(0, '127.0.0.1', () => {
+        resolve(`ws://127.0.0.1:${(this.#server.address() as AddressInfo).port}`);
+      });
+    });
+  }
+
+  /** From now on the present connections carry nothing; new ones work. */
+  silence(): void {
+    this.#sockets.forEach((socket) => this.#silenced.add(socket));
+  }
+
+  close(): Promise<void> {
+    this.#sockets.forEach((socket) => socket.destroy());
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+    });
+  }
+
+  #handleSocket(near: Socket): void {
+    const far = connect(this.targetPort, '127.0.0.1');
+    near.on('data', (data) => this.fromDialer.push(data));
+    this.#relay(near, far);
+    this.#relay(far, near);
+  }
+
+  #relay(from: Socket, to: Socket): void {
+    this.#sockets.add(from);
+    from.on('data', (data) => {
+      if (!this.#silenced.has(from)) to.write(data);
+    });
+    from.on('error', () => undefined);
+    from.on('close', () => {
+      if (!this.#silenced.has(from)) to.destroy();
+      this.#sockets.delete(from);
+    });
+  }
+}
--- /dev/null
+++ b/src/adapters/peers_ws/ws_peer_network.ts
@@ -0,0 +1,299 @@
+/**
+ * Links between entry hosts over web sockets.
+ *
+ * @module
+ */
+import type { Socket } from 'node:net';
+import { WebSocket } from 'ws';
+import type { EntryHostIdentity } from '../../domain/membership/types.js';
+import { LogLevel } from '../../domain/errors/mod.js';
+import { PeerNetwork } from '../../ports/mod.js';
+import type {
+  LinkEvent,
+  PeerMessage,
+  PeerMessageHandler,
+  PeerMessageType,
+} from '../../ports/mod.js';
+import { Dialer } from './_dialer.js';
+import { NONCE_BYTES } from './_frames.js';
+import type { MessageFrame } from './_frames.js';
+import { LinkRole } from './_handshake.js';
+import { LinkSweep } from './_link_sweep.js';
+import { LinkTable } from './_link_table.js';
+import { parseMessage } from './_message_schema.js';
+import { LinkEnd, PeerLink } from './_peer_link.js';
+import { PeerListener } from './_peer_listener.js';
+import { resolveOptions } from './ws_peer_network_options.js';
+import type { WsPeerNetworkOptions } from './ws_peer_network_options.js';
+
+const MIN_KEY_BYTES = 32;
+
+type AnyHandler = (from: EntryHostIdentity, message: PeerMessage) => void;
+
+/**
+ * Keeps one link to each address: an address is dialled unless a link leads there
+ * already, whichever end made it. When both ends dial at the same moment both links
+ * stay; each end sends on its oldest, and numbered messages keep the order.
+ *
+ * The handshake proves that both ends have the cluster key; what follows is neither
+ * encrypted nor signed, so the peers' listener belongs on a private network.
+ */
+export class WsPeerNetwork extends PeerNetwork {
+  readonly #options: Required<WsPeerNetworkOptions>;
+
+  readonly #listener: PeerListener;
+
+  readonly #dialer: Dialer;
+
+  readonly #sweep: LinkSweep;
+
+  readonly #table = new LinkTable();
+
+  /** All links, those in their handshake too. */
+  readonly #links = new Set<PeerLink>();
+
+  readonly #handlers = new Map<PeerMessageType, AnyHandler>();
+
+  readonly #linkHandlers: ((event: LinkEvent) => void)[] = [];
+
+  #identity: EntryHostIdentity;
+
+  #sequence = 0;
+
+  #lastChecked: PeerMessage | undefined;
+
+  #isClosed = false;
+
+  /**
+   * @param options - what the network needs
+   * @throws RangeError when the cluster key is too short
+   */
+  constructor(options: WsPeerNetworkOptions) {
+    super();
+    if (options.clusterKey.length < MIN_KEY_BYTES) {
+      throw new RangeError(
+        `Cannot link to peers: the cluster key has ${options.clusterKey.length} bytes, ` +
+          `${MIN_KEY_BYTES} are needed`,
+      );
+    }
+    this.#options = resolveOptions(options);
+    this.#identity = options.self;
+    this.#listener = new PeerListener({
+      host: options.listenHost,
+      port: options.listenPort,
+      maxMessageBytes: this.#options.maxMessageBytes,
+      onSocket: (webSocket, socket) => this.#handleSocket(webSocket, socket),
+      onError: (error) => this.#log(LogLevel.Error, 'peer_listener_failed', error.message),
+    });
+    this.#dialer = new Dialer({
+      ...this.#options,
+      isCovered: (url) => this.#isCovered(url),
+      open: (url) => this.#openLink(url),
+    });
+    this.#sweep = new LinkSweep({ ...this.#options, listLinks: () => [...this.#links] });
+  }
+
+  /** This entry host as peers see it; its `peerUrl` has the true port after the start. */
+  get identity(): EntryHostIdentity {
+    return this.#identity;
+  }
+
+  /**
+   * Listens, and begins to watch the links.
+   *
+   * @returns the listening port
+   * @throws Error when it can't listen
+   */
+  async start(): Promise<{ port: number }> {
+    const port = await this.#listener.start();
+    const { peerUrl } = this.#identity;
+    this.#identity = { ...this.#identity, peerUrl: peerUrl.replace(/:0(?=\/|$)/, `:${port}`) };
+    this.#sweep.start();
+    return { port };
+  }
+
+  override setAddresses(peerUrls: readonly string[]): void {
+    if (this.#isClosed) return;
+    this.#dialer.setAddresses(peerUrls.filter((url) => url !== this.#identity.peerUrl));
+  }
+
+  override send(incarnation: string, message: PeerMessage): boolean {
+    const link = this.#table.findLink(incarnation);
+    if (!link || !this.#maySend(link, message)) return false;
+    this.#sequence += 1;
+    link.send(this.#sequence, message);
+    this.#options.metrics.count('peer_messages_sent_total', { type: message.type });
+    return true;
+  }
+
+  override handle<T extends PeerMessageType>(type: T, handler: PeerMessageHandler<T>): void {
+    if (this.#handlers.has(type)) throw new Error(`Cannot handle "${type}" twice`);
+    this.#handlers.set(type, handler as AnyHandler);
+  }
+
+  override onLink(handler: (event: LinkEvent) => void): void {
+    this.#linkHandlers.push(handler);
+  }
+
+  override listLinked(): readonly EntryHostIdentity[] {
+    return this.#table.listIdentities();
+  }
+
+  override replaceLink(incarnation: string): void {
+    const links = this.#table.listLinks(incarnation);
+    const urls = links.flatMap(({ dialledUrl, peer }) => [dialledUrl, peer?.peerUrl]);
+    links.forEach((link) => link.end(LinkEnd.Replaced));
+    new Set(urls).forEach((url) => {
+      if (url !== undefined) this.#dialer.openNow(url);
+    });
+  }
+
+  override async close(): Promise<void> {
+    this.#isClosed = true;
+    this.#sweep.stop();
+    this.#dialer.stop();
+    const links = [...this.#links];
+    const timer = this.#options.clock.setTimer(this.#options.closeLimitMs, () => {
+      links.forEach((link) => link.terminate());
+    });
+    await Promise.all(links.map((link) => (link.peer ? link.close() : link.end(LinkEnd.Stopped))));
+    timer.cancel();
+    await this.#listener.close();
+  }
+
+  /**
+   * A message that the other end would refuse is a fault of this process. Sent, it
+   * would cost the link, and the next one after it; one would notice all links of
+   * the deployment going up and down.
+   */
+  #maySend(link: PeerLink, message: PeerMessage): boolean {
+    if (link.bufferedBytes > this.#options.maxBufferedBytes) {
+      this.#options.metrics.count('peer_sends_refused_total', { reason: 'buffer_full' });
+      return false;
+    }
+    if (message === this.#lastChecked) return true;
+    try {
+      parseMessage(message);
+      this.#lastChecked = message;
+      return true;
+    } catch (error) {
+      this.#options.metrics.count('peer_sends_refused_total', { reason: 'malformed' });
+      this.#log(LogLevel.Error, 'peer_message_malformed', String(error));
+      return false;
+    }
+  }
+
+  #isCovered(url: string): boolean {
+    return this.#table.hasUrl(url) || [...this.#links].some((link) => link.dialledUrl === url);
+  }
+
+  #handleSocket(webSocket: WebSocket, socket: Socket): void {
+    const unauthenticated = [...this.#links].filter((link) => !link.peer).length;
+    if (this.#isClosed || unauthenticated >= this.#options.maxUnauthenticated) {
+      this.#options.metrics.count('peer_links_refused_total', { reason: 'too_many' });
+      webSocket.on('error', () => undefined);
+      webSocket.terminate();
+      return;
+    }
+    const link = this.#addLink(webSocket, undefined);
+    link.start(socket);
+  }
+
+  #openLink(url: string): void {
+    try {
+      const webSocket = new WebSocket(url, {
+        maxPayload: this.#options.maxMessageBytes,
+        perMessageDeflate: false,
+        followRedirects: false,
+      });
+      const link = this.#addLink(webSocket, url);
+      // Listening to the socket before the library does would take its first bytes away.
+      webSocket.once('upgrade', ({ socket }) => {
+        webSocket.once('open', () => link.start(socket));
+      });
+    } catch (error) {
+      this.#log(LogLevel.Error, 'peer_url_refused', String(error), { peerUrl: url });
+    }
+  }
+
+  #addLink(webSocket: WebSocket, dialledUrl: string | undefined): PeerLink {
+    const link = new PeerLink({
+      webSocket,
+      dialledUrl,
+      nowMs: () => this.#options.clock.nowMs(),
+      handshake: {
+        role: dialledUrl === undefined ? LinkRole.Listener : LinkRole.Dialer,
+        self: this.#identity,
+        clusterKey: this.#options.clusterKey,
+        nonce: this.#options.random.nextBytes(NONCE_BYTES),
+      },
+      onAuthenticated: () => this.#handleAuthenticated(link),
+      onMessage: (_link, frame) => this.#handleMessage(link, frame),
+      onEnd: (_link, end, reason) => this.#handleEnd(link, end, reason),
+    });
+    this.#links.add(link);
+    return link;
+  }
+
+  #handleAuthenticated(link: PeerLink): void {
+    const { peer } = link;
+    if (!peer || !this.#table.add(peer, link)) return;
+    this.#log(LogLevel.Info, 'peer_link_up', undefined, {
+      entryHost: peer.id,
+      incarnation: peer.incarnation,
+    });
+    this.#notifyLink({ peer, up: true });
+  }
+
+  #handleMessage({ peer }: PeerLink, { sequence, message }: MessageFrame): void {
+    if (!peer || !this.#table.acceptSequence(peer.incarnation, sequence)) {
+      this.#options.metrics.count('peer_messages_overtaken_total');
+      return;
+    }
+    this.#options.metrics.count('peer_messages_received_total', { type: message.type });
+    try {
+      this.#handlers.get(message.type)?.(peer, message);
+    } catch (error) {
+      // A fault of one handler is no fault of the link, which carries all others' messages.
+      this.#log(LogLevel.Error, 'peer_message_handler_failed', String(error), {
+        type: message.type,
+      });
+    }
+  }
+
+  #handleEnd(link: PeerLink, end: LinkEnd, reason: string): void {
+    this.#links.delete(link);
+    const { peer, dialledUrl } = link;
+    this.#logEnd(link, end, reason);
+    if (end === LinkEnd.OwnIncarnation && dialledUrl !== undefined) {
+      this.#dialer.addOwnUrl(dialledUrl);
+    }
+    const wasLast = peer !== undefined && this.#table.remove(peer.incarnation, link);
+    const livedMs = this.#options.clock.nowMs() - link.begunAtMs;
+    new Set([dialledUrl, peer?.peerUrl]).forEach((url) => {
+      if (url !== undefined) this.#dialer.scheduleRedial(url, livedMs);
+    });
+    if (peer && wasLast) this.#notifyLink({ peer, up: false });
+  }
+
+  #logEnd({ peer, dialledUrl }: PeerLink, end: LinkEnd, reason: string): void {
+    const isFault = end === LinkEnd.Refused || end === LinkEnd.OwnIncarnation;
+    if (isFault) this.#options.metrics.count('peer_links_refused_total', { reason: end });
+    // An address that nobody listens at is dialled again and again.
+    const level = peer ? LogLevel.Info : LogLevel.Debug;
+    this.#log(isFault ? LogLevel.Warn : level, 'peer_link_down', reason, {
+      end,
+      entryHost: peer?.id,
+      incarnation: peer?.incarnation,
+      peerUrl: dialledUrl,
+    });
+  }
+
+  #notifyLink(event: LinkEvent): void {
+    this.#linkHandlers.forEach((handler) => handler(event));
+  }
+
+  #log(level: LogLevel, event: string, reason?: string, fields = {}): void {
+    this.#options.log.write(level, event, { ...fields, reason });
+  }
+}
--- /dev/null
+++ b/src/adapters/peers_ws/ws_peer_network_faults_test.ts
@@ -0,0 +1,199 @@
+import t from 'tap';
+import type { Test } from 'tap';
+import fc from 'fast-check';
+import { decodeFrame, encodeFrame, FrameKind } from './_frames.js';
+import {
+  areLinked,
+  buildNumbered,
+  buildPeerIdentity,
+  CLUSTER_KEY,
+  listRefusals,
+  RawPeer,
+  startPeer,
+  TestRelay,
+  waitUntil,
+} from './_test_peers.js';
+import type { TestPeer } from './_test_peers.js';
+
+const STRANGER = buildPeerIdentity('stranger');
+const PROPERTY_OPTIONS = { seed: 42, numRuns: 500 };
+
+/** Two linked peers, the first of which will be attacked. */
+async function startLinked(t: Test): Promise<[TestPeer, TestPeer]> {
+  const a = await startPeer(buildPeerIdentity('a'), { maxMessageBytes: 65_536 });
+  const b = await startPeer(buildPeerIdentity('b'));
+  t.teardown(() => Promise.all([a.network.close(), b.network.close()]));
+  a.network.setAddresses([b.url]);
+  await waitUntil(() => areLinked(a, b));
+  return [a, b];
+}
+
+/** The stranger is out, and the well-behaved peer's messages still arrive. */
+async function checkRefused(
+  t: Test,
+  [a, b]: readonly [TestPeer, TestPeer],
+  raw: RawPeer,
+  reason: RegExp,
+): Promise<void> {
+  await waitUntil(() => raw.isClosed && listRefusals(a).length > 0);
+  t.match(listRefusals(a), [reason]);
+  t.same(
+    a.network.listLinked().map(({ id }) => id),
+    ['b'],
+  );
+  b.network.send('a-1', buildNumbered(1));
+  await waitUntil(() => a.received.length === 1);
+  t.same(a.received, [{ from: 'b-1', sequence: 1 }]);
+}
+
+/** What an end may do wrong before it has proved that it has the key. */
+const STRANGERS: Readonly<Record<string, [(raw: RawPeer) => void, RegExp]>> = {
+  garbage: [(raw) => raw.webSocket.send(Buffer.alloc(100, 0xc1)), /./],
+  text: [(raw) => raw.webSocket.send('hello'), /not binary/],
+  'a message': [(raw) => raw.sendMessage(1, buildNumbered(1)), /before the handshake/],
+  'a nonce that is too short': [
+    (raw) => raw.send({ kind: FrameKind.Challenge, version: 1, nonce: new Uint8Array(4) }),
+    /wrong length/,
+  ],
+  'another version': [
+    (raw) => raw.send({ kind: FrameKind.Challenge, version: 2, nonce: new Uint8Array(32) }),
+    /version is 2/,
+  ],
+  'a hello without a challenge': [
+    (raw) => raw.send({ kind: FrameKind.Hello, identity: STRANGER, mac: new Uint8Array(32) }),
+    /no challenge/,
+  ],
+  'many bytes': [
+    (raw) => raw.webSocket.send(Buffer.alloc(60_000), { fin: false }),
+    /before the handshake/,
+  ],
+};
+
+Object.entries(STRANGERS).forEach(([name, [act, reason]]) => {
+  t.test(`WsPeerNetwork refuses a stranger that sends ${name}`, async (t) => {
+    const peers = await startLinked(t);
+    const raw = new RawPeer(peers[0].url);
+    await waitUntil(() => raw.frames.length > 0);
+    act(raw);
+    await checkRefused(t, peers, raw, reason);
+  });
+});
+
+/** What an authenticated end may do wrong. */
+const PEERS: Readonly<Record<string, [(raw: RawPeer) => void, RegExp]>> = {
+  garbage: [(raw) => raw.webSocket.send(Buffer.alloc(100, 0xc1)), /./],
+  'an unknown type': [(raw) => raw.sendMessage(1, { type: 'unheard_of' }), /type is unknown/],
+  'a missing field': [(raw) => raw.sendMessage(1, { type: 'slot_grant', ticket: 1 }), /slot_grant/],
+  'a field of another type': [
+    (raw) => raw.sendMessage(1, { type: 'heartbeat_reply', sequence: 'one' }),
+    /heartbeat_reply: sequence/,
+  ],
+  'no message': [(raw) => raw.sendMessage(1, undefined), /type is unknown/],
+  'a second handshake': [
+    (raw) => raw.send({ kind: FrameKind.Hello, identity: STRANGER, mac: new Uint8Array(32) }),
+    /second handshake/,
+  ],
+  'too much': [(raw) => raw.webSocket.send(Buffer.alloc(65_537)), /Max payload size exceeded/],
+};
+
+Object.entries(PEERS).forEach(([name, [act, reason]]) => {
+  t.test(`WsPeerNetwork closes the link of a peer that sends ${name}`, async (t) => {
+    const peers = await startLinked(t);
+    const raw = new RawPeer(peers[0].url);
+    await raw.authenticate(STRANGER);
+    await waitUntil(() => peers[0].network.listLinked().length === 2);
+    act(raw);
+    await checkRefused(t, peers, raw, reason);
+  });
+});
+
+t.test('WsPeerNetwork refuses a peer with another key, as dialer and as listener', async (t) => {
+  const [a, b] = await startLinked(t);
+  const other = await startPeer(buildPeerIdentity('c'), { clusterKey: Buffer.alloc(32, 8) });
+  t.teardown(() => other.network.close());
+  other.network.setAddresses([a.url]);
+  await waitUntil(() => listRefusals(other).length > 0);
+  b.network.setAddresses([other.url]);
+  await waitUntil(() => listRefusals(b).length > 0);
+  t.match([...listRefusals(other), ...listRefusals(b)].join(), /MAC does not match/);
+  t.same(other.network.listLinked(), []);
+  t.ok(areLinked(a, b));
+});
+
+t.test('WsPeerNetwork refuses a key that is too short', async (t) => {
+  const start = startPeer(buildPeerIdentity('a'), { clusterKey: new Uint8Array(31) });
+  await t.rejects(start, { message: /31 bytes/ });
+});
+
+t.test('WsPeerNetwork refuses a recorded handshake', async (t) => {
+  // Symptom: a stranger is taken for a peer.
+  // Sequence: it records a peer's handshake on the wire and sends the same bytes later.
+  // Cause: the proof covers nothing that is new at each link.
+  const [a, b] = await startLinked(t);
+  const dialer = await startPeer(buildPeerIdentity('c'));
+  const relay = new TestRelay(a.port);
+  dialer.network.setAddresses([await relay.start()]);
+  await waitUntil(() => areLinked(a, dialer));
+  await dialer.network.close();
+  await relay.close();
+  const raw = new RawPeer(a.url);
+  await waitUntil(() => raw.frames.length > 0 && a.network.listLinked().length === 1);
+  // The recorded bytes begin with the upgrade request; what follows are whole frames.
+  const recorded = Buffer.concat(relay.fromDialer);
+  const socket = (raw.webSocket as unknown as { _socket: { write(bytes: Buffer): void } })._socket;
+  socket.write(recorded.subarray(recorded.indexOf('\r\n\r\n') + 4));
+  await checkRefused(t, [a, b], raw, /MAC does not match/);
+});
+
+t.test('WsPeerNetwork refuses its own proof sent back', async (t) => {
+  // Symptom: a stranger without the key is taken for a peer.
+  // Sequence: it answers each frame with the very same frame.
+  // Cause: the proof does not say which end it comes from.
+  const peers = await startLinked(t);
+  const raw = new RawPeer(peers[0].url);
+  raw.webSocket.on('message', (data) => raw.webSocket.send(data as Buffer));
+  await checkRefused(t, peers, raw, /MAC does not match/);
+});
+
+t.test('WsPeerNetwork ends a handshake that hangs', async (t) => {
+  const a = await startPeer(buildPeerIdentity('a'), { maxUnauthenticated: 1 });
+  t.teardown(() => a.network.close());
+  const silent = new RawPeer(a.url);
+  await waitUntil(() => silent.frames.length > 0);
+  const second = new RawPeer(a.url);
+  await waitUntil(() => second.isClosed);
+  silent.webSocket.pause();
+  await a.clock.advance(4_000);
+  silent.webSocket.resume();
+  await waitUntil(() => silent.isClosed);
+  const third = new RawPeer(a.url);
+  await third.authenticate(STRANGER, CLUSTER_KEY);
+  await waitUntil(() => a.network.listLinked().length === 1);
+  third.webSocket.terminate();
+  t.pass('there is room again');
+});
+
+t.test('decodeFrame() takes any bytes without harm', async (t) => {
+  const damaged = fc
+    .tuple(fc.nat(200), fc.nat(255), fc.nat())
+    .map(([position, value, sequence]) => {
+      const bytes = encodeFrame({
+        kind: FrameKind.Message,
+        sequence,
+        message: buildNumbered(sequence),
+      });
+      bytes[position % bytes.length] = value;
+      return bytes;
+    });
+  fc.assert(
+    fc.property(fc.oneof(fc.uint8Array({ maxLength: 300 }), damaged), (bytes) => {
+      try {
+        return Object.values(FrameKind).includes(decodeFrame(bytes).kind);
+      } catch (error) {
+        return error instanceof Error;
+      }
+    }),
+    PROPERTY_OPTIONS,
+  );
+  t.pass();
+});
--- /dev/null
+++ b/src/adapters/peers_ws/ws_peer_network_test.ts
@@ -0,0 +1,231 @@
+import t from 'tap';
+import type { Test } from 'tap';
+import { PeerMessageType } from '../../ports/mod.js';
+import type { ForwardChunkMessage, LinkEvent, PeerMessage } from '../../ports/mod.js';
+import {
+  areLinked,
+  buildNumbered,
+  buildPeerIdentity,
+  RawPeer,
+  startPeer,
+  TestRelay,
+  waitUntil,
+} from './_test_peers.js';
+import type { TestPeer } from './_test_peers.js';
+
+const MESSAGES = 2_000;
+const REDIAL_MS = 5_000;
+const SILENT_MS = 3_000;
+
+async function startLinked(t: Test): Promise<[TestPeer, TestPeer]> {
+  const a = await startPeer(buildPeerIdentity('a'));
+  const b = await startPeer(buildPeerIdentity('b'));
+  t.teardown(() => Promise.all([a.network.close(), b.network.close()]));
+  a.network.setAddresses([b.url]);
+  await waitUntil(() => areLinked(a, b));
+  return [a, b];
+}
+
+function watchLinks(peer: TestPeer): string[] {
+  const events: string[] = [];
+  peer.network.onLink(({ peer: { incarnation }, up }: LinkEvent) => {
+    events.push(`${incarnation} ${up ? 'up' : 'down'}`);
+  });
+  return events;
+}
+
+function listSequences(peer: TestPeer): number[] {
+  return peer.received.map(({ sequence }) => sequence);
+}
+
+t.test('send() delivers in order, both ways, over the one link that one end made', async (t) => {
+  const [a, b] = await startLinked(t);
+  const events = watchLinks(b);
+  b.network.setAddresses([a.url]);
+  const expected = Array.from({ length: MESSAGES }, (_item, index) => index + 1);
+  const sent = expected.map(
+    (number) =>
+      a.network.send('b-1', buildNumbered(number)) && b.network.send('a-1', buildNumbered(number)),
+  );
+  t.ok(sent.every(Boolean));
+  await waitUntil(() => a.received.length === MESSAGES && b.received.length === MESSAGES);
+  t.same(listSequences(a), expected);
+  t.same(listSequences(b), expected);
+  t.same(events, []);
+});
+
+t.test('send() tells that there is no link', async (t) => {
+  const [a] = await startLinked(t);
+  t.equal(a.network.send('c-1', buildNumbered(1)), false);
+  t.equal(a.network.send('a-1', buildNumbered(1)), false);
+});
+
+t.test('send() refuses beyond its buffer, and other peers go on', async (t) => {
+  // Symptom: the memory of an entry host grows until it dies.
+  // Sequence: one peer reads nothing any more, and answers go on to be sent to it.
+  // Cause: sends are buffered without a bound.
+  const maxBufferedBytes = 262_144;
+  const a = await startPeer(buildPeerIdentity('a'), { maxBufferedBytes });
+  const b = await startPeer(buildPeerIdentity('b'));
+  t.teardown(() => Promise.all([a.network.close(), b.network.close()]));
+  b.network.setAddresses([a.url]);
+  const stuck = new RawPeer(a.url);
+  await stuck.authenticate(buildPeerIdentity('c'));
+  await waitUntil(() => a.network.listLinked().length === 2);
+  stuck.webSocket.pause();
+  const chunk: ForwardChunkMessage = {
+    type: PeerMessageType.ForwardChunk,
+    callId: 1,
+    offset: 0,
+    bytes: new Uint8Array(1_048_576),
+  };
+  let sent = 0;
+  while (sent < 500 && a.network.send('c-1', chunk)) sent += 1;
+  t.ok(sent > 0 && sent < 500, 'the send was refused at some time');
+  t.ok(a.network.send('b-1', buildNumbered(1)));
+  await waitUntil(() => b.received.length === 1);
+  stuck.webSocket.terminate();
+});
+
+t.test('send() keeps a malformed message back and the link up', async (t) => {
+  // Symptom: all links of a deployment go up and down without end.
+  // Sequence: a fault puts NaN into a message; the receiver closes the link; it is made anew.
+  // Cause: the sender does not check what the receiver will refuse.
+  const [a, b] = await startLinked(t);
+  t.equal(a.network.send('b-1', buildNumbered(Number.NaN)), false);
+  t.ok(a.log.lines.some(({ event }) => event === 'peer_message_malformed'));
+  t.ok(a.network.send('b-1', buildNumbered(1)));
+  await waitUntil(() => b.received.length === 1);
+});
+
+t.test('handle() keeps the link when a handler throws', async (t) => {
+  const [a, b] = await startLinked(t);
+  b.network.handle(PeerMessageType.SlotCancel, () => {
+    throw new Error('Cannot cancel');
+  });
+  a.network.send('b-1', { type: PeerMessageType.SlotCancel, ticket: 1 });
+  a.network.send('b-1', buildNumbered(1));
+  await waitUntil(() => b.received.length === 1);
+  t.ok(b.log.lines.some(({ event }) => event === 'peer_message_handler_failed'));
+  t.throws(() => b.network.handle(PeerMessageType.SlotCancel, () => undefined));
+});
+
+t.test('setAddresses() links to a peer that starts later, and again when restarted', async (t) => {
+  // Symptom: a restarted entry host stays unreachable for those that knew it before.
+  // Sequence: it is down, dialled in vain, and comes back at its address as a new incarnation.
+  // Cause: dialling is given up, or the old incarnation's link stands for the address.
+  const [a, b] = await startLinked(t);
+  const events = watchLinks(a);
+  await b.network.close();
+  await waitUntil(() => events.length === 1);
+  t.equal(a.network.send('b-1', buildNumbered(1)), false);
+  await a.clock.advance(REDIAL_MS);
+  const again = await startPeer(buildPeerIdentity('b', 'b-2'), { listenPort: b.port });
+  t.teardown(() => again.network.close());
+  while (events.length === 1) await a.clock.advance(REDIAL_MS);
+  t.same(events, ['b-1 down', 'b-2 up']);
+  t.ok(a.network.send('b-2', buildNumbered(2)));
+  await waitUntil(() => again.received.length === 1);
+});
+
+t.test('WsPeerNetwork replaces a silent link within its bound', async (t) => {
+  // Symptom: a peer seems dead for hours, though new connections to it work.
+  // Sequence: something between the ends forgets the connection; neither end is told.
+  // Cause: only a closed socket counts as a lost link.
+  const a = await startPeer(buildPeerIdentity('a'));
+  const b = await startPeer(buildPeerIdentity('b'));
+  const relay = new TestRelay(b.port);
+  t.teardown(async () => {
+    await relay.close();
+    await Promise.all([a.network.close(), b.network.close()]);
+  });
+  a.network.setAddresses([await relay.start()]);
+  await waitUntil(() => areLinked(a, b));
+  const events = watchLinks(a);
+  relay.silence();
+  t.ok(a.network.send('b-1', buildNumbered(1)), 'nobody has noticed yet');
+  await a.clock.advance(SILENT_MS + 1_000);
+  t.equal(events[0], 'b-1 down');
+  await a.clock.advance(1_000);
+  await waitUntil(() => events.length === 2);
+  t.ok(a.network.send('b-1', buildNumbered(2)));
+  await waitUntil(() => b.received.length === 1);
+  t.same(listSequences(b), [2]);
+});
+
+t.test('replaceLink() makes a new link without waiting', async (t) => {
+  const [a, b] = await startLinked(t);
+  const events = watchLinks(a);
+  a.network.replaceLink('b-1');
+  await waitUntil(() => events.length === 2);
+  t.same(events, ['b-1 down', 'b-1 up']);
+  t.ok(a.network.send('b-1', buildNumbered(1)));
+  await waitUntil(() => b.received.length === 1);
+});
+
+t.test('WsPeerNetwork keeps its quiet links by pings', async (t) => {
+  const [a, b] = await startLinked(t);
+  const events = watchLinks(a);
+  for (let second = 0; second < 10; second += 1) {
+    await a.clock.advance(1_000);
+    await b.clock.advance(1_000);
+  }
+  t.same(events, []);
+});
+
+t.test('WsPeerNetwork does not take its own pause for silent links', async (t) => {
+  // Symptom: after a pause of one process all its links are made anew at once.
+  // Sequence: it is stopped for a minute and woken; its timer runs before its sockets are read.
+  // Cause: the time that it stood still itself counts as silence of the others.
+  const [a] = await startLinked(t);
+  const events = watchLinks(a);
+  a.clock.jump(60_000);
+  await a.clock.advance(1_000);
+  t.same(events, []);
+});
+
+t.test('WsPeerNetwork refuses a message that was overtaken on another link', async (t) => {
+  // Symptom: a slot that was released and granted anew is released again.
+  // Sequence: the sender changes to its second link while messages are under way on the first.
+  // Cause: each link keeps its order, but two links have none between them.
+  const a = await startPeer(buildPeerIdentity('a'));
+  t.teardown(() => a.network.close());
+  const [first, second] = [new RawPeer(a.url), new RawPeer(a.url)];
+  const events = watchLinks(a);
+  await first.authenticate(buildPeerIdentity('c'));
+  await second.authenticate(buildPeerIdentity('c'));
+  second.sendMessage(2, buildNumbered(2));
+  await waitUntil(() => a.received.length === 1);
+  first.sendMessage(1, buildNumbered(1));
+  first.sendMessage(3, buildNumbered(3));
+  await waitUntil(() => a.received.length === 2);
+  t.same(listSequences(a), [2, 3]);
+  first.webSocket.terminate();
+  await waitUntil(() => first.isClosed);
+  t.same(events, ['c-1 up'], 'the second link still leads there');
+  second.webSocket.terminate();
+  await waitUntil(() => events.length === 2);
+});
+
+t.test('WsPeerNetwork links to its own address no longer than it takes to notice', async (t) => {
+  const a = await startPeer({ ...buildPeerIdentity('a'), peerUrl: 'ws://a.test' });
+  t.teardown(() => a.network.close());
+  a.network.setAddresses([a.url]);
+  const countOwn = (): number =>
+    a.log.lines.filter(({ fields }) => fields.end === 'own_incarnation' && fields.peerUrl === a.url)
+      .length;
+  await waitUntil(() => countOwn() > 0);
+  await a.clock.advance(60_000);
+  t.equal(countOwn(), 1);
+  t.same(a.network.listLinked(), []);
+});
+
+t.test('close() delivers what was sent before', async (t) => {
+  const [a, b] = await startLinked(t);
+  for (let number = 1; number <= MESSAGES; number += 1) {
+    a.network.send('b-1', buildNumbered(number) satisfies PeerMessage);
+  }
+  await a.network.close();
+  await waitUntil(() => b.network.listLinked().length === 0);
+  t.equal(b.received.length, MESSAGES);
+});
--- /dev/null
+++ b/src/adapters/platform_http/http_platform_reader_test.ts
@@ -0,0 +1,200 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import t from 'tap';
+import type { Test } from 'tap';
+import type { PlatformReader, PlatformReadOptions, Timer } from '../../ports/mod.js';
+import { Platform } from '../../../standin/mod.js';
+import { FakePlatform } from '../../../test/support/fake_platform.js';
+import { VirtualClock } from '../../../test/support/virtual_clock.js';
+import { ANSWER_MARGIN_MS, CONNECT_TIMEOUT_MS, HttpPlatformReader } from './mod.js';
+
+const PREFIX = 'monsoonhall/';
+const WAIT_MS = 10_000;
+const DEADLINE_MS = WAIT_MS * (1 + 1 / 16) + ANSWER_MARGIN_MS;
+
+function buildOptions(afterIndex = 0, signal = new AbortController().signal): PlatformReadOptions {
+  return { afterIndex, waitMs: WAIT_MS, signal };
+}
+
+/** Starts a server that ends with the test. */
+async function openServer(t: Test, listener: RequestListener): Promise<Server> {
+  const server = createServer(listener).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  return server;
+}
+
+function createReader(
+  t: Test,
+  server: Server,
+  clock = new VirtualClock(),
+  maxAnswerBytes?: number,
+): HttpPlatformReader {
+  const { port } = server.address() as AddressInfo;
+  const baseUrl = `http://127.0.0.1:${port}`;
+  const reader = new HttpPlatformReader({
+    baseUrl,
+    clock,
+    ...(maxAnswerBytes && { maxAnswerBytes }),
+  });
+  t.teardown(() => reader.close());
+  return reader;
+}
+
+interface ServiceUnderTest {
+  readonly reader: PlatformReader;
+  readonly publish: (key: string, value: string | undefined) => Promise<unknown>;
+}
+
+async function openStandIn(t: Test): Promise<ServiceUnderTest> {
+  const platform = new Platform();
+  const baseUrl = await platform.open({ host: '127.0.0.1', port: 0 });
+  const reader = new HttpPlatformReader({ baseUrl, clock: new VirtualClock() });
+  t.teardown(async () => {
+    reader.close();
+    await platform.close();
+  });
+  const publish = (key: string, body: string | undefined): Promise<unknown> =>
+    fetch(`${baseUrl}/_standin/kv/${key}`, { method: body === undefined ? 'DELETE' : 'PUT', body });
+  return { reader, publish };
+}
+
+async function openFake(): Promise<ServiceUnderTest> {
+  const service = new FakePlatform(new VirtualClock());
+  return {
+    reader: service.createReader(),
+    publish: async (key, value) => service.publish(key, value),
+  };
+}
+
+Object.entries({ HttpPlatformReader: openStandIn, FakePlatformReader: openFake }).forEach(
+  ([name, open]) => {
+    t.test(`${name} reads, watches and hears of deletions`, async (t) => {
+      const { reader, publish } = await open(t);
+      const empty = await reader.read(PREFIX, buildOptions());
+      t.same(empty.entries, []);
+      await publish('monsoonhall/contracts/firm-a', 'ä');
+      await publish('hosts/a', 'another prefix');
+      const first = await reader.read(PREFIX, buildOptions());
+      t.match(first.entries, [{ key: 'monsoonhall/contracts/firm-a', modifyIndex: 2 }]);
+      t.equal(Buffer.from(first.entries[0]?.value ?? []).toString(), 'ä');
+      const watch = reader.read(PREFIX, buildOptions(first.index));
+      await publish('monsoonhall/fleet', '');
+      const second = await watch;
+      t.ok(second.index > first.index);
+      t.equal(second.entries.length, 2);
+      await publish('monsoonhall/fleet', undefined);
+      t.equal((await reader.read(PREFIX, buildOptions(second.index))).entries.length, 1);
+    });
+
+    t.test(`${name} ends a watch when it is told to`, async (t) => {
+      const { reader, publish } = await open(t);
+      await publish('monsoonhall/fleet', '{}');
+      const { index } = await reader.read(PREFIX, buildOptions());
+      const abort = new AbortController();
+      const watch = reader.read(PREFIX, buildOptions(index, abort.signal));
+      abort.abort();
+      await t.rejects(watch, /Cannot read the platform service/);
+    });
+  },
+);
+
+t.test('HttpPlatformReader asks by the published protocol', async (t) => {
+  const paths: (string | undefined)[] = [];
+  const server = await openServer(t, (request, response) => {
+    paths.push(request.url);
+    response.writeHead(404, { 'x-consul-index': '7' }).end();
+  });
+  const reader = createReader(t, server);
+  t.same(await reader.read(PREFIX, buildOptions()), { index: 7, entries: [] });
+  await reader.read(PREFIX, buildOptions(7));
+  t.same(paths, [
+    '/v1/kv/monsoonhall/?recurse=true',
+    '/v1/kv/monsoonhall/?recurse=true&index=7&wait=10000ms',
+  ]);
+});
+
+t.test('HttpPlatformReader takes nothing of a malformed answer', async (t) => {
+  // Symptom: contracts vanish. Cause: a broken answer was taken for an emptier one.
+  const entry = { Key: 'monsoonhall/fleet', Value: 'e30=', ModifyIndex: 3 };
+  const cases: readonly (readonly [number, string | undefined, string, RegExp])[] = [
+    [200, undefined, '[]', /"" is no index/],
+    [200, '-1', '[]', /no index/],
+    [200, '7', '', /malformed/],
+    [200, '7', '{}', /malformed/],
+    [200, '7', JSON.stringify([entry]).slice(0, -3), /malformed/],
+    [200, '7', JSON.stringify([entry, { Key: 'k' }]), /malformed at 1/],
+    [200, '7', JSON.stringify([{ ...entry, Value: '*' }]), /malformed at 0.Value/],
+    [200, '7', JSON.stringify([{ ...entry, ModifyIndex: 'x' }]), /malformed/],
+    [500, '7', '[]', /status 500/],
+    [302, '7', '[]', /status 302/],
+    [200, '7', ' '.repeat(2000), /over 1000 bytes/],
+  ];
+  let [status, index, body] = cases[0] ?? [];
+  const server = await openServer(t, (_, response) => {
+    if (index !== undefined) response.setHeader('x-consul-index', index);
+    response.writeHead(status ?? 0).end(body);
+  });
+  const reader = createReader(t, server, undefined, 1000);
+  for (const [nextStatus, nextIndex, nextBody, message] of cases) {
+    [status, index, body] = [nextStatus, nextIndex, nextBody];
+    await t.rejects(reader.read(PREFIX, buildOptions()), message, `${status} ${body.slice(0, 40)}`);
+  }
+});
+
+t.test('HttpPlatformReader reads values of a megabyte', async (t) => {
+  const value = Buffer.alloc(1_048_576, 7);
+  const Value = value.toString('base64');
+  const server = await openServer(t, (_, response) => {
+    response.setHeader('x-consul-index', '7');
+    response.end(JSON.stringify([{ Key: 'k', Value, ModifyIndex: 3 }]));
+  });
+  const { entries } = await createReader(t, server).read(PREFIX, buildOptions());
+  t.ok(value.equals(entries[0]?.value ?? Buffer.alloc(0)));
+});
+
+['nothing', 'half an answer'].forEach((sent) => {
+  t.test(`HttpPlatformReader replaces a connection that is silent after ${sent}`, async (t) => {
+    // Symptom: one entry host hears of no change any more, and nothing fails.
+    // Sequence: something between it and the service loses track of the
+    // connection; no packet passes, nobody closes it. Cause: a watch without
+    // a deadline waits for ever.
+    const clock = new VirtualClock();
+    const sockets = new Set<Socket>();
+    const server = await openServer(t, (request, response) => {
+      sockets.add(request.socket);
+      response.setHeader('x-consul-index', '7');
+      if (sockets.size > 1) response.end('[]');
+      else if (sent !== 'nothing') response.write('[');
+    });
+    const reader = createReader(t, server, clock);
+    const arrived = once(server, 'request');
+    const watch = reader.read(PREFIX, buildOptions(6)).catch((error: unknown) => error);
+    await arrived;
+    await clock.advance(DEADLINE_MS - 1);
+    const [silent] = sockets;
+    t.notOk(silent?.destroyed, 'not before its time');
+    await clock.advance(1);
+    t.match(await watch, { message: /silent|aborted/ });
+    t.match(await reader.read(PREFIX, buildOptions(6)), { index: 7 });
+    t.equal(sockets.size, 2);
+  });
+});
+
+t.test('HttpPlatformReader gives up a connection that does not come up', async (t) => {
+  /** Fires the connection's timer before any packet can have passed. */
+  class HastyClock extends VirtualClock {
+    override setTimer(delayMs: number, callback: () => void): Timer {
+      if (delayMs === CONNECT_TIMEOUT_MS) queueMicrotask(callback);
+      return super.setTimer(delayMs, callback);
+    }
+  }
+  const server = await openServer(t, (_, response) => response.end());
+  const reader = createReader(t, server, new HastyClock());
+  await t.rejects(reader.read(PREFIX, buildOptions()), /Cannot connect .* in 1000 ms/);
+});
--- /dev/null
+++ b/src/adapters/platform_http/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * The platform's services over HTTP:
+ * `await new HttpPlatformReader({ baseUrl, clock }).read('monsoonhall/', { afterIndex: 0, waitMs: 0, signal })`.
+ *
+ * @module
+ */
+export {
+  ANSWER_MARGIN_MS,
+  CONNECT_TIMEOUT_MS,
+  HttpPlatformReader,
+  MAX_ANSWER_BYTES,
+} from './http_platform_reader.js';
+export type { HttpPlatformReaderOptions } from './http_platform_reader.js';
--- /dev/null
+++ b/src/application/entry_host/caller_gateway.ts
@@ -0,0 +1,222 @@
+/**
+ * What callers ask, answered here or by the owner.
+ *
+ * @module
+ */
+import { createHash } from 'node:crypto';
+import type { AccountContract } from '../../domain/contracts/types.js';
+import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import type { RequestId } from '../../domain/requests/mod.js';
+import { ForwardOperation } from '../../ports/mod.js';
+import type { BackendServerClient } from '../../ports/mod.js';
+import type { ForwardClient, ForwardFields } from '../forwarding/mod.js';
+import type { OwnedCall, OwnerService } from '../owner/mod.js';
+import { RequestGateway } from '../views/mod.js';
+import type {
+  Assignment,
+  CallerAnswer,
+  CallerCall,
+  ConfigurationView,
+  MembershipView,
+  ReadOptions,
+  RequestReport,
+} from '../views/mod.js';
+import { readJsonBody } from './_json_answer.js';
+import { passWithRescue, resumeForCaller } from './_stream_rescue.js';
+import type { IdentityIssuer } from './identity_issuer.js';
+import type { OwnedCalls } from './owned_calls.js';
+
+/** Options of the gateway. */
+export interface CallerGatewayOptions {
+  readonly configuration: ConfigurationView;
+  readonly membership: MembershipView;
+  readonly issuer: IdentityIssuer;
+  readonly owner: OwnerService;
+  readonly calls: OwnedCalls;
+  readonly forwardClient: ForwardClient;
+  readonly backend: BackendServerClient;
+}
+
+const EMPTY_FIELDS: ForwardFields = {
+  operation: ForwardOperation.Read,
+  accountId: '',
+  requestId: '',
+  traceparent: undefined,
+  call: undefined,
+  offset: 0,
+  idempotencyKey: undefined,
+};
+
+/** Takes callers' calls in; see {@link RequestGateway}. */
+export class CallerGateway extends RequestGateway {
+  readonly #options: CallerGatewayOptions;
+
+  /** @param options - what it needs */
+  constructor(options: CallerGatewayOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override authenticate(apiKey: string | undefined): AccountContract {
+    const { configuration } = this.#options;
+    if (apiKey === undefined) throw new SchedulerError(ErrorKind.Unauthenticated);
+    // A lookup by hash needs no comparison in constant time: what an attacker
+    // could learn from its duration is about hashes, not about keys.
+    const keyHash = createHash('sha256').update(apiKey).digest('hex');
+    const account = configuration.findAccountByKeyHash(keyHash);
+    if (account) return account;
+    const isEmpty = configuration.listAccounts().length === 0;
+    throw new SchedulerError(isEmpty ? ErrorKind.ConfigurationMissing : ErrorKind.Unauthenticated);
+  }
+
+  override async assign(
+    account: AccountContract,
+    idempotencyKey: string | undefined,
+  ): Promise<Assignment> {
+    const { issuer } = this.#options;
+    const id =
+      idempotencyKey === undefined
+        ? issuer.createId(account.accountId, issuer.pickOwner())
+        : await this.#findIdByKey(account.accountId, idempotencyKey);
+    return issuer.buildAssignment(id);
+  }
+
+  override async submit(call: CallerCall): Promise<CallerAnswer> {
+    const { issuer, calls } = this.#options;
+    const { accountId } = call.account;
+    if (call.requestId === undefined) {
+      const owned = calls.resolve(call);
+      const id = issuer.createId(accountId);
+      if (!owned.work.repeatable) throw buildIdRequired(owned, id);
+      return calls.submit(id, owned, call.callerGone);
+    }
+    const id = issuer.parseId(call.requestId, accountId);
+    const owned = calls.resolveForId(call, id);
+    if (calls.isOwn(id)) return calls.submit(id, owned, call.callerGone);
+    return this.#submitElsewhere(id, call, owned);
+  }
+
+  override async read(
+    account: AccountContract,
+    requestId: string,
+    options: ReadOptions,
+  ): Promise<CallerAnswer> {
+    const { issuer, calls } = this.#options;
+    const id = issuer.parseId(requestId, account.accountId);
+    try {
+      if (calls.isOwn(id)) return await calls.read(id, options);
+      const { accountId } = account;
+      const { offset } = options;
+      const answer = await this.#forward(
+        id,
+        { operation: ForwardOperation.Read, accountId, offset },
+        options.callerGone,
+      );
+      return passWithRescue(this.#options, id, answer, options);
+    } catch (error) {
+      return resumeForCaller(this.#options, id, error, options);
+    }
+  }
+
+  override async readState(account: AccountContract, requestId: string): Promise<RequestReport> {
+    const { issuer, calls, owner } = this.#options;
+    const id = issuer.parseId(requestId, account.accountId);
+    if (calls.isOwn(id)) return owner.readState(id);
+    return this.#forwardForReport(id, ForwardOperation.ReadState, account.accountId);
+  }
+
+  override async cancel(account: AccountContract, requestId: string): Promise<RequestReport> {
+    const { issuer, calls, owner } = this.#options;
+    const id = issuer.parseId(requestId, account.accountId);
+    if (calls.isOwn(id)) return owner.cancel(id);
+    return this.#forwardForReport(id, ForwardOperation.Cancel, account.accountId);
+  }
+
+  override listModels(account: AccountContract): readonly string[] {
+    const services = new Set(account.work.map((work) => work.serviceId));
+    return this.#options.configuration
+      .listServices()
+      .filter((service) => services.has(service.id))
+      .flatMap((service) => service.models);
+  }
+
+  override findServiceOfModel(model: string): string | undefined {
+    return this.#options.configuration.findServiceByModel(model)?.id;
+  }
+
+  async #submitElsewhere(id: RequestId, call: CallerCall, owned: OwnedCall): Promise<CallerAnswer> {
+    const answer = await this.#forward(
+      id,
+      {
+        operation: ForwardOperation.Submit,
+        accountId: call.account.accountId,
+        traceparent: call.traceparent,
+        call: {
+          serviceId: owned.service.id,
+          workKind: owned.work.kind,
+          method: call.method,
+          path: call.path,
+          headers: call.headers,
+          body: call.body,
+          deadlineMs: owned.deadlineMs,
+        },
+      },
+      call.callerGone,
+    );
+    return passWithRescue(this.#options, id, answer, { offset: 0, callerGone: call.callerGone });
+  }
+
+  async #findIdByKey(accountId: string, key: string): Promise<RequestId> {
+    const { issuer, membership, forwardClient } = this.#options;
+    const responsible = membership.pickResponsible(`idempotency/${accountId}/${key}`);
+    if (responsible.incarnation === membership.self.incarnation) {
+      return issuer.findOrCreateByKey(accountId, key);
+    }
+    const operation = ForwardOperation.Assign;
+    const fields = { ...EMPTY_FIELDS, operation, accountId, idempotencyKey: key };
+    try {
+      const { id: ownerId, incarnation } = responsible;
+      const { body } = await forwardClient.forward(ownerId, incarnation, fields, createPatience());
+      const { id } = await readJsonBody<{ id: string }>(body);
+      return issuer.parseId(id, accountId);
+    } catch {
+      // A convenience only: without it the caller gets an ID that a repeated
+      // question won't give again.
+      return issuer.findOrCreateByKey(accountId, key);
+    }
+  }
+
+  async #forwardForReport(
+    id: RequestId,
+    operation: ForwardOperation,
+    accountId: string,
+  ): Promise<RequestReport> {
+    const { body } = await this.#forward(id, { operation, accountId }, createPatience());
+    return readJsonBody<RequestReport>(body);
+  }
+
+  #forward(
+    id: RequestId,
+    fields: Partial<ForwardFields>,
+    callerGone: AbortSignal,
+  ): ReturnType<ForwardClient['forward']> {
+    return this.#options.forwardClient.forward(
+      id.ownerId,
+      id.incarnation,
+      { ...EMPTY_FIELDS, ...fields, requestId: id.text },
+      callerGone,
+    );
+  }
+}
+
+/** A signal for short questions to a peer, which no caller's connection ends. */
+function createPatience(): AbortSignal {
+  return new AbortController().signal;
+}
+
+function buildIdRequired(call: OwnedCall, id: RequestId): SchedulerError {
+  return new SchedulerError(ErrorKind.RequestIdRequired, {
+    message: `Cannot run work kind ${call.work.kind} without a request ID: it must not be repeated; send it again with this one`,
+    requestId: id.text,
+  });
+}
--- /dev/null
+++ b/src/application/membership/membership_keeper.ts
@@ -0,0 +1,287 @@
+/**
+ * Keeps this entry host's view of the others and of itself.
+ *
+ * @module
+ */
+import { hasSameWord, LeavingBackendServers, PeerState } from '../../domain/membership/mod.js';
+import type { EntryHostIdentity, EntryHostView, HostList } from '../../domain/membership/mod.js';
+import { LogLevel } from '../../domain/errors/mod.js';
+import { PeerMessageType } from '../../ports/mod.js';
+import type { HeartbeatMessage, HeartbeatReplyMessage, LinkEvent, Timer } from '../../ports/mod.js';
+import { MembershipView } from '../views/mod.js';
+import { Freshness } from './_freshness.js';
+import { HeartbeatExchange } from './_heartbeat_exchange.js';
+import type { HeartbeatContent } from './_heartbeat_exchange.js';
+import { HostListWatch } from './_host_list_watch.js';
+import { PeerDirectory } from './_peer_directory.js';
+import { SilentLinks } from './_silent_links.js';
+import type {
+  GroupLoadsHandler,
+  MembershipKeeperOptions,
+  PeerConfigurationHandler,
+} from './membership_keeper_options.js';
+
+/** Silence after which an unlisted peer is forgotten: beyond any request ID's lifetime. */
+const FORGET_AFTER_MS = 3_600_000;
+/** Keeps the view by the host list and by heartbeats, each of which does without the other. */
+export class MembershipKeeper extends MembershipView {
+  override readonly self: EntryHostIdentity;
+
+  readonly #options: MembershipKeeperOptions;
+
+  readonly #directory: PeerDirectory;
+
+  readonly #leaving = new LeavingBackendServers();
+
+  readonly #exchange: HeartbeatExchange;
+
+  readonly #watch: HostListWatch;
+
+  readonly #freshness: Freshness;
+
+  readonly #silentLinks: SilentLinks;
+
+  readonly #changeHandlers: (() => void)[] = [];
+
+  readonly #configurationHandlers: PeerConfigurationHandler[] = [];
+
+  readonly #loadHandlers: GroupLoadsHandler[] = [];
+
+  #leavingIds = '';
+
+  #timer: Timer | undefined;
+
+  #isRunning = false;
+
+  /** @param options - what the keeper needs */
+  constructor(options: MembershipKeeperOptions) {
+    super();
+    this.#options = options;
+    this.self = options.self;
+    this.#directory = new PeerDirectory({ ...options, forgetAfterMs: FORGET_AFTER_MS });
+    this.#exchange = new HeartbeatExchange(options);
+    this.#watch = new HostListWatch({
+      ...options,
+      onList: (list, begunAtMs) => this.#handleHostList(list, begunAtMs),
+    });
+    this.#freshness = new Freshness({ ...options, onWake: (nowMs) => this.#handleWake(nowMs) });
+    this.#silentLinks = new SilentLinks({
+      ...options,
+      isSilent: (incarnation) => this.#directory.getState(incarnation) === PeerState.Suspected,
+    });
+    options.peers.onLink((event) => this.#handleLink(event));
+    options.peers.handle(PeerMessageType.Heartbeat, (from, message) =>
+      this.#handleHeartbeat(from, message),
+    );
+    options.peers.handle(PeerMessageType.HeartbeatReply, (from, message) =>
+      this.#handleReply(from, message),
+    );
+  }
+
+  /** Begins to watch the host list and to send heartbeats. */
+  start(): void {
+    this.#isRunning = true;
+    this.#freshness.start();
+    this.#options.peers.listLinked().forEach((peer) => this.#addPeer(peer));
+    this.#updateAddresses();
+    this.#watch.run().catch((error: unknown) => {
+      this.#options.log.write(LogLevel.Error, 'host_list_watch_failed', { reason: String(error) });
+    });
+    this.#handleTick();
+  }
+
+  /** Ends the watch and the heartbeats. The links stay; whoever made them closes them. */
+  stop(): void {
+    this.#isRunning = false;
+    this.#watch.stop();
+    this.#timer?.cancel();
+    this.#freshness.stop();
+  }
+
+  /** Takes note that this process was told to stop, and tells all peers at once. */
+  setStopping(): void {
+    if (this.#directory.isSelfStopping) return;
+    this.#directory.setSelfStopping();
+    this.#sendHeartbeats();
+    this.#update();
+  }
+
+  /**
+   * Takes a load report or refusal that says that a backend server leaves; tells
+   * all peers at once.
+   *
+   * @param backendServerId - which one
+   */
+  noteBackendServerLeaving(backendServerId: string): void {
+    if (!this.#leaving.noteOwn(backendServerId, this.#options.clock.nowMs())) return;
+    this.#options.log.write(LogLevel.Info, 'backend_server_leaving', {
+      backendServer: backendServerId,
+    });
+    this.#sendHeartbeats();
+    this.#update();
+  }
+
+  /** @param handler - called with each heartbeat's configuration revision and hash */
+  onPeerConfiguration(handler: PeerConfigurationHandler): void {
+    this.#configurationHandlers.push(handler);
+  }
+
+  /** @param handler - called with each heartbeat's group loads */
+  onGroupLoads(handler: GroupLoadsHandler): void {
+    this.#loadHandlers.push(handler);
+  }
+
+  override onChange(handler: () => void): void {
+    this.#changeHandlers.push(handler);
+  }
+
+  override listEntryHosts(): readonly EntryHostView[] {
+    return this.#directory.listViews(this.#options.clock.nowMs());
+  }
+
+  override listListedIds(): readonly string[] {
+    return this.#directory.listIds();
+  }
+
+  override findIncarnation(incarnation: string): EntryHostView | undefined {
+    return this.#directory.findIncarnation(incarnation, this.#options.clock.nowMs());
+  }
+
+  override findEntryHost(id: string): EntryHostView | undefined {
+    return this.listEntryHosts().find(({ identity }) => identity.id === id);
+  }
+
+  override pickResponsible(key: string): EntryHostIdentity {
+    return this.#directory.pickResponsible(key);
+  }
+
+  override isBackendServerLeaving(backendServerId: string): boolean {
+    return this.#leaving.isLeaving(backendServerId);
+  }
+
+  /** @returns backend servers that anybody within reach knows to leave, sorted */
+  listLeavingBackendServers(): readonly string[] {
+    return this.#leaving.listLeaving();
+  }
+
+  override isFresh(): boolean {
+    return this.#freshness.isFresh();
+  }
+
+  override isStopping(): boolean {
+    return this.#directory.isSelfStopping;
+  }
+
+  #handleTick(): void {
+    if (!this.#isRunning) return;
+    this.#timer = this.#options.clock.setTimer(this.#options.heartbeatMs, () => this.#handleTick());
+    if (!this.#freshness.detectPause()) this.#sendHeartbeats();
+    this.#update();
+    this.#silentLinks.replaceAll();
+  }
+
+  /**
+   * After a pause every question that is still open was asked before it, so its
+   * answer tells of the time before: heartbeats and the list read start anew.
+   */
+  #handleWake(nowMs: number): void {
+    this.#directory.noteWake(nowMs);
+    if (!this.#isRunning) return;
+    this.#watch.restart();
+    this.#sendHeartbeats();
+  }
+
+  #handleHostList(list: HostList, begunAtMs: number): void {
+    const nowMs = this.#options.clock.nowMs();
+    const toldBefore = this.#leaving.listKnownAtFirstHand().join();
+    this.#directory.applyHostList(list);
+    this.#leaving.applyHostList(list, nowMs);
+    this.#freshness.acceptRefresh(begunAtMs);
+    this.#updateAddresses();
+    if (this.#leaving.listKnownAtFirstHand().join() !== toldBefore) this.#sendHeartbeats();
+    this.#update();
+  }
+
+  #handleLink({ peer, up }: LinkEvent): void {
+    if (!this.#isRunning) return;
+    if (up && this.#addPeer(peer)) {
+      this.#exchange.sendTo(peer.incarnation, this.#buildContent());
+    }
+    this.#update();
+  }
+
+  #handleHeartbeat(from: EntryHostIdentity, message: HeartbeatMessage): void {
+    if (!this.#isRunning || !this.#addPeer(from)) return;
+    const nowMs = this.#options.clock.nowMs();
+    const { incarnation } = from;
+    this.#directory.noteHeard(incarnation, nowMs);
+    this.#exchange.sendReply(incarnation, message);
+    const before = this.#directory.findReport(incarnation);
+    // A heartbeat that was overtaken on another link must not take back newer word.
+    if (!this.#directory.mergeReport(incarnation, message)) return;
+    this.#leaving.applyClaims(incarnation, message.leavingBackendServers, nowMs);
+    if (!hasSameWord(before, message)) this.#update();
+    const { configurationRevision, configurationHash, groups } = message;
+    this.#configurationHandlers.forEach((handler) =>
+      handler(incarnation, configurationRevision, configurationHash),
+    );
+    this.#loadHandlers.forEach((handler) => handler(incarnation, groups));
+  }
+
+  #handleReply({ incarnation }: EntryHostIdentity, message: HeartbeatReplyMessage): void {
+    // The pause must be seen before a reply that waited in a buffer all through it.
+    this.#freshness.detectPause();
+    const sentAtMs = this.#exchange.findSentAt(message);
+    if (sentAtMs === undefined) return;
+    this.#directory.noteHeard(incarnation, this.#options.clock.nowMs());
+    this.#directory.noteReply(incarnation, sentAtMs);
+    this.#freshness.acceptRefresh(sentAtMs);
+    if (this.#directory.getState(incarnation) === PeerState.Suspected) this.#update();
+  }
+
+  #addPeer(identity: EntryHostIdentity): boolean {
+    if (identity.incarnation === this.self.incarnation) return false;
+    if (this.#directory.getState(identity.incarnation) !== undefined) return true;
+    const { accepted, replaced } = this.#directory.addPeer(identity, this.#options.clock.nowMs());
+    if (!accepted) return false;
+    const { id, incarnation, peerUrl } = identity;
+    this.#options.log.write(LogLevel.Info, 'entry_host_seen', {
+      entryHost: id,
+      incarnation,
+      peerUrl,
+      replaced: replaced?.incarnation,
+    });
+    // The old incarnation's link may hang half open without ever being closed.
+    if (replaced) this.#options.peers.replaceLink(replaced.incarnation);
+    this.#updateAddresses();
+    this.#update();
+    return true;
+  }
+
+  #sendHeartbeats(): void {
+    if (this.#isRunning) this.#exchange.sendToAll(this.#buildContent());
+  }
+
+  #buildContent(): HeartbeatContent {
+    const { revision, hash } = this.#options.getConfiguration();
+    return {
+      leaving: this.#directory.isSelfStopping,
+      configurationRevision: revision,
+      configurationHash: hash,
+      leavingBackendServers: this.#leaving.listKnownAtFirstHand(),
+      groups: this.#options.listGroupLoads(),
+    };
+  }
+
+  #updateAddresses(): void {
+    this.#options.peers.setAddresses(this.#directory.listPeerUrls());
+  }
+
+  #update(): void {
+    const isChanged = this.#directory.updateStates(this.#options.clock.nowMs());
+    const leavingIds = this.#leaving.listLeaving().join();
+    if (!isChanged && leavingIds === this.#leavingIds) return;
+    this.#leavingIds = leavingIds;
+    this.#changeHandlers.forEach((handler) => handler());
+  }
+}
--- /dev/null
+++ b/src/application/owner/_run_request.ts
@@ -0,0 +1,153 @@
+/**
+ * The process that takes one owned request from admission to its end.
+ *
+ * @module
+ */
+import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import { RequestState } from '../../domain/requests/mod.js';
+import type { OutputPredictor, RetryBudget } from '../../domain/scheduling/mod.js';
+import { SlotOutcome } from '../../ports/mod.js';
+import { settle } from '../channels/mod.js';
+import type { Step } from '../channels/mod.js';
+import type { Admission, AllowanceSource, Slot, SlotSource } from '../views/mod.js';
+import { Attempt } from './_attempt.js';
+import type { AttemptContext, AttemptResult } from './_attempt.js';
+import { readPromptFacts } from './_prompt_facts.js';
+import type { PromptFacts } from './_prompt_facts.js';
+import type { OwnedCall } from './owned_call.js';
+import type { OwnedRequest } from './owned_request.js';
+
+const MAX_ATTEMPTS = 4;
+
+/** What the process needs. */
+export interface RunContext extends AttemptContext {
+  readonly allowances: AllowanceSource;
+  readonly slots: SlotSource;
+  readonly outputs: OutputPredictor;
+  readonly retries: RetryBudget;
+}
+
+const UNUSED = { outcome: SlotOutcome.Unused, firstByteMs: 0, totalMs: 0, outputTokens: 0 };
+
+/**
+ * Runs a request to its end. Every way out ends the record and the answer.
+ *
+ * @param context - what it needs
+ * @param request - the request, in state Accepted
+ * @param call - its call
+ */
+export function* runRequest(
+  context: RunContext,
+  request: OwnedRequest,
+  call: OwnedCall,
+): Step<void> {
+  const facts = readPromptFacts(call);
+  const outputTokens = predictOutput(context, call, facts);
+  let admission: Admission | undefined;
+  let usedTokens = 0;
+  try {
+    admission = context.allowances.admit(call.account, facts.promptTokens + outputTokens);
+    request.record.advance(RequestState.Queued);
+    const result = yield* runAttempts(context, request, call, facts, outputTokens);
+    usedTokens = request.record.hasLeft ? facts.promptTokens + result.use.outputTokens : 0;
+    if (result.error) request.fail(result.error);
+    else observeOutput(context, call, result.use.outputTokens);
+  } catch (error) {
+    request.fail(
+      error instanceof SchedulerError
+        ? error
+        : new SchedulerError(ErrorKind.Internal, {
+            message: 'Cannot go on: internal fault',
+            cause: error,
+          }),
+    );
+  } finally {
+    admission?.release(usedTokens);
+  }
+}
+
+function* runAttempts(
+  context: RunContext,
+  request: OwnedRequest,
+  call: OwnedCall,
+  facts: PromptFacts,
+  outputTokens: number,
+): Step<AttemptResult> {
+  const deadlineAtMs = context.clock.nowMs() + call.deadlineMs;
+  const excluded: string[] = [];
+  context.retries.noteAttempt();
+  for (let attempt = 1; ; attempt += 1) {
+    const slot: Slot = yield* settle(
+      context.slots.acquire({
+        requestId: request.record.id.text,
+        serviceId: call.service.id,
+        accountId: call.account.accountId,
+        weight: call.account.weight,
+        tier: call.work.tier,
+        deadlineAtMs,
+        promptTokens: facts.promptTokens,
+        expectedOutputTokens: outputTokens,
+        blockHashes: facts.blockHashes,
+        excluded,
+        traceparent: call.traceparent,
+        signal: request.signal,
+      }),
+    );
+    const result = yield* useSlot(context, request, call, slot, deadlineAtMs);
+    if (!result.mayRetry) return result;
+    checkMayRetry(context, request, result, { attempt, deadlineAtMs });
+    if (result.use.outcome === SlotOutcome.Refused) excluded.push(slot.backendServer.id);
+    request.record.advance(RequestState.Queued);
+  }
+}
+
+function* useSlot(
+  context: RunContext,
+  request: OwnedRequest,
+  call: OwnedCall,
+  slot: Slot,
+  deadlineAtMs: number,
+): Step<AttemptResult> {
+  if (request.record.isFinal) {
+    slot.release(UNUSED);
+    throw request.record.error ?? new SchedulerError(ErrorKind.Cancelled);
+  }
+  request.record.advance(RequestState.Dispatching);
+  let result: AttemptResult | undefined;
+  try {
+    result = yield* new Attempt(context, request, call, slot, deadlineAtMs).run();
+    return result;
+  } finally {
+    slot.release(result?.use ?? { ...UNUSED, outcome: SlotOutcome.Failed });
+  }
+}
+
+/** Throws the reason why a call whose body never left is not tried again. */
+function checkMayRetry(
+  context: RunContext,
+  request: OwnedRequest,
+  result: AttemptResult,
+  limits: { readonly attempt: number; readonly deadlineAtMs: number },
+): void {
+  const nowMs = context.clock.nowMs();
+  if (request.record.isFinal) throw request.record.error ?? new SchedulerError(ErrorKind.Cancelled);
+  if (nowMs >= limits.deadlineAtMs) throw new SchedulerError(ErrorKind.DeadlineExpired);
+  if (context.ledger.isExpired(request.record.id, context.clock.wallMs())) {
+    throw new SchedulerError(ErrorKind.RequestIdExpired, {
+      message: 'Cannot dispatch the call: its request ID expired first',
+    });
+  }
+  const isLast = limits.attempt >= MAX_ATTEMPTS || !context.retries.takeRetry(nowMs);
+  if (isLast && result.error) throw result.error;
+}
+
+function predictOutput(context: RunContext, call: OwnedCall, facts: PromptFacts): number {
+  const { work, account } = call;
+  const learnt = context.outputs.predict(account.accountId, work.kind, work.expectedOutputTokens);
+  return Math.ceil(Math.min(learnt, facts.maxOutputTokens ?? learnt));
+}
+
+function observeOutput(context: RunContext, call: OwnedCall, outputTokens: number): void {
+  const { work, account } = call;
+  context.outputs.observe(account.accountId, work.kind, outputTokens, work.expectedOutputTokens);
+}
--- /dev/null
+++ b/src/application/owner/owner_service.ts
@@ -0,0 +1,296 @@
+/**
+ * All requests that this entry host owns.
+ *
+ * @module
+ */
+import { ERROR_TABLE, ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
+import { RequestLedger } from '../../domain/requests/mod.js';
+import type { RequestId } from '../../domain/requests/mod.js';
+import { OutputPredictor, RetryBudget, TIER_NAMES } from '../../domain/scheduling/mod.js';
+import { Hop } from '../../ports/mod.js';
+import type {
+  BackendServerClient,
+  Clock,
+  EventLog,
+  Metrics,
+  Span,
+  Tracer,
+} from '../../ports/mod.js';
+import { Signal, startProcess } from '../channels/mod.js';
+import type { AllowanceSource, MembershipView, RequestReport, SlotSource } from '../views/mod.js';
+import { runRequest } from './_run_request.js';
+import type { RunContext } from './_run_request.js';
+import { AnswerStore } from './answer_store.js';
+import type { AnswerHead } from './kept_answer.js';
+import { KeptAnswer } from './kept_answer.js';
+import { hashCall } from './owned_call.js';
+import type { OwnedCall } from './owned_call.js';
+import { buildUnusedReport, OwnedRequest } from './owned_request.js';
+
+const PRUNE_INTERVAL_MS = 1000;
+const MAX_ANSWER_BYTES = 4_194_304;
+const COME_BACK_MS = 10_000;
+
+/** Options of the service. */
+export interface OwnerServiceOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  readonly tracer: Tracer;
+  readonly membership: MembershipView;
+  readonly allowances: AllowanceSource;
+  readonly slots: SlotSource;
+  readonly backend: BackendServerClient;
+  /** Bytes that finished answers may take together. */
+  readonly answerBytes: number;
+  /** How long a finished answer is kept, in milliseconds. */
+  readonly answerKeepMs: number;
+  /** Most requests that are remembered at once. */
+  readonly maxRecords: number;
+}
+
+/** An answer and the request that it is for. */
+export interface OwnedAnswer {
+  readonly head: AnswerHead;
+  readonly request: OwnedRequest;
+}
+
+/** Takes in calls at most once each, and tells what became of them. */
+export class OwnerService {
+  readonly #options: OwnerServiceOptions;
+
+  readonly #ledger: RequestLedger;
+
+  readonly #requests = new Map<string, OwnedRequest>();
+
+  readonly #store: AnswerStore;
+
+  readonly #context: RunContext;
+
+  readonly #idle = new Signal();
+
+  readonly #refusals = new Map<string, number>();
+
+  #running = 0;
+
+  #isStopped = false;
+
+  /** @param options - what it needs */
+  constructor(options: OwnerServiceOptions) {
+    this.#options = options;
+    this.#ledger = new RequestLedger(options.membership.self.incarnation);
+    this.#store = new AnswerStore({
+      clock: options.clock,
+      maxBytes: options.answerBytes,
+      keepMs: options.answerKeepMs,
+    });
+    this.#context = {
+      ...options,
+      ledger: this.#ledger,
+      outputs: new OutputPredictor(),
+      retries: new RetryBudget(options.clock.nowMs()),
+    };
+  }
+
+  /** Requests that are being worked on now. */
+  get runningCount(): number {
+    return this.#running;
+  }
+
+  /** Bytes that finished answers take now. */
+  get keptAnswerBytes(): number {
+    return this.#store.bytes;
+  }
+
+  /** @returns refusals and failures so far, by error kind */
+  listRefusals(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.#refusals);
+  }
+
+  /** Starts forgetting what is over. */
+  start(): void {
+    this.#options.clock.setTimer(PRUNE_INTERVAL_MS, () => {
+      if (this.#isStopped) return;
+      this.#prune();
+      this.start();
+    });
+  }
+
+  /** Stops forgetting. Running requests go on. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** @returns when no request is being worked on */
+  async waitUntilIdle(): Promise<void> {
+    while (this.#running > 0) await this.#idle.wait();
+  }
+
+  /**
+   * Takes in a call. The first call with an ID runs; a copy of it gets the same
+   * answer.
+   *
+   * @param id - the call's ID, its MAC checked
+   * @param call - the call
+   * @param callerGone - aborted when the caller's connection is gone
+   * @returns the answer, head first
+   * @throws SchedulerError when it is refused or fails
+   */
+  async submit(id: RequestId, call: OwnedCall, callerGone: AbortSignal): Promise<OwnedAnswer> {
+    const { clock } = this.#options;
+    this.#checkRoom();
+    const { record, isFirst } = this.#ledger.accept(id, hashCall(call), clock.wallMs());
+    let request = this.#requests.get(id.nonce);
+    if (isFirst || !request) {
+      request = new OwnedRequest({
+        record,
+        answer: new KeptAnswer(MAX_ANSWER_BYTES),
+        clock,
+        comeBackMs: call.canComeBack ? COME_BACK_MS : 0,
+        runsToItsEnd: !call.work.repeatable,
+      });
+      this.#requests.set(id.nonce, request);
+      if (record.error) request.answer.close(record.error);
+    }
+    request.addCaller(callerGone);
+    if (isFirst) this.#startRequest(request, call);
+    return { head: await this.#waitForHead(request, call), request };
+  }
+
+  /**
+   * @param id - a request's ID, its MAC checked
+   * @returns the request; undefined when the ID was not used so far
+   * @throws SchedulerError of kind OwnerGone or RequestIdExpired
+   */
+  find(id: RequestId): OwnedRequest | undefined {
+    const record = this.#ledger.find(id, this.#options.clock.wallMs());
+    return record ? this.#requests.get(id.nonce) : undefined;
+  }
+
+  /** @param id - a request's ID, its MAC checked. @returns its state */
+  readState(id: RequestId): RequestReport {
+    return this.find(id)?.buildReport() ?? buildUnusedReport(id.text);
+  }
+
+  /**
+   * Cancels a request; an ID that was not used is used up.
+   *
+   * @param id - its ID, the MAC checked
+   * @returns its state after
+   */
+  cancel(id: RequestId): RequestReport {
+    const known = this.find(id);
+    if (known) {
+      known.cancel();
+      return known.buildReport();
+    }
+    const { clock } = this.#options;
+    const error = new SchedulerError(ErrorKind.Cancelled);
+    const record = this.#ledger.void(id, error, clock.wallMs());
+    const request = new OwnedRequest({
+      record,
+      answer: new KeptAnswer(0),
+      clock,
+      comeBackMs: 0,
+      runsToItsEnd: false,
+    });
+    request.answer.close(record.error);
+    this.#requests.set(id.nonce, request);
+    return request.buildReport();
+  }
+
+  /** Ends everything that still runs, with honest answers. @param error - why */
+  refuseAll(error: SchedulerError): void {
+    this.#ledger.listOpen().forEach((record) => this.#requests.get(record.id.nonce)?.fail(error));
+  }
+
+  #checkRoom(): void {
+    if (this.#ledger.size < this.#options.maxRecords) return;
+    throw new SchedulerError(ErrorKind.TooManyConnections, {
+      message: `Cannot take the call: ${this.#options.maxRecords} requests are remembered already`,
+    });
+  }
+
+  #startRequest(request: OwnedRequest, call: OwnedCall): void {
+    const span = this.#options.tracer.startSpan(Hop.Owner, call.traceparent);
+    const startedAtMs = this.#options.clock.nowMs();
+    this.#running += 1;
+    startProcess(() =>
+      runRequest(this.#context, request, { ...call, traceparent: span.traceparent }),
+    )
+      .catch((error: unknown) => {
+        request.fail(new SchedulerError(ErrorKind.Internal, { cause: error }));
+      })
+      .finally(() => {
+        this.#running -= 1;
+        this.#idle.notify();
+        this.#store.put(request.answer);
+        this.#noteEnd(request, call, span, startedAtMs);
+      });
+  }
+
+  /**
+   * Waits for the answer's head, to the deadline and no longer: a caller whose
+   * request was given up on is told at once. A request that may not be repeated
+   * goes on, and its answer can be read later.
+   */
+  async #waitForHead(request: OwnedRequest, call: OwnedCall): Promise<AnswerHead> {
+    let isLate = false;
+    const late = new Promise<undefined>((resolve) => {
+      const timer = this.#options.clock.setTimer(call.deadlineMs, () => {
+        isLate = true;
+        resolve(undefined);
+      });
+      request.answer.waitForHead().then(
+        () => timer.cancel(),
+        () => timer.cancel(),
+      );
+    });
+    const head = await Promise.race([request.answer.waitForHead(), late]);
+    if (head) return head;
+    const error = new SchedulerError(ErrorKind.DeadlineExpired, {
+      message: `Cannot answer within ${call.deadlineMs} ms`,
+      requestId: request.record.id.text,
+    });
+    if (isLate && (call.work.repeatable || !request.record.hasLeft)) {
+      request.stop(error);
+      throw request.record.error ?? error;
+    }
+    throw new SchedulerError(ErrorKind.DeadlineExpired, {
+      message: `${error.message}; it goes on, and its answer can be read later`,
+      run: request.record.run,
+      requestId: request.record.id.text,
+    });
+  }
+
+  #noteEnd(request: OwnedRequest, call: OwnedCall, span: Span, startedAtMs: number): void {
+    const { log, metrics, clock } = this.#options;
+    const { error, id } = request.record;
+    const tier = TIER_NAMES[call.work.tier];
+    const totalMs = clock.nowMs() - startedAtMs;
+    span.end(error?.kind);
+    if (error) this.#refusals.set(error.kind, (this.#refusals.get(error.kind) ?? 0) + 1);
+    metrics.record('request_duration_ms', totalMs, { tier });
+    metrics.count('requests_total', { tier, result: error?.kind ?? 'answered' });
+    log.write(error ? ERROR_TABLE[error.kind].logLevel : LogLevel.Info, 'request_ended', {
+      requestId: id.text,
+      account: call.account.accountId,
+      service: call.service.id,
+      tier,
+      state: request.record.state,
+      run: request.record.run,
+      kind: error?.kind,
+      reason: error?.message,
+      backendServer: request.backendServerId,
+      totalMs: Math.round(totalMs),
+      answerBytes: request.answer.length,
+    });
+  }
+
+  #prune(): void {
+    this.#store.prune();
+    this.#ledger.prune(this.#options.clock.wallMs()).forEach((record) => {
+      this.#requests.delete(record.id.nonce);
+    });
+  }
+}
--- /dev/null
+++ b/src/caller/_answer_body.ts
@@ -0,0 +1,209 @@
+/**
+ * Reads an answer's body to its end, over as many connections as it takes.
+ *
+ * @module
+ */
+import type { IncomingMessage } from 'node:http';
+import { RunOutcome } from '../domain/errors/mod.js';
+import { buildAuthorization, MAX_TRIES, waitBetweenRounds } from './_call_context.js';
+import type { CallContext } from './_call_context.js';
+import { ErrorEvent, EventReader } from './_event_reader.js';
+import { Exchange, ExchangeError } from './_exchange.js';
+import { isOwnerGone, isPassing, openAnswer } from './_refusal.js';
+import type { Refusal } from './_refusal.js';
+import { waitWatching } from './_silence_watch.js';
+import type { Submitted } from './_submission.js';
+import { CallerError, LocalErrorCode } from './caller_error.js';
+
+const EVENT_STREAM = 'text/event-stream';
+
+/** Where the answer is being read now. */
+interface Source {
+  readonly head: IncomingMessage;
+  readonly exchange: Exchange;
+  readonly url: string;
+}
+
+function getHeader(head: IncomingMessage, name: string): string | undefined {
+  const value = head.headers[name];
+  return typeof value === 'string' ? value : undefined;
+}
+
+/** The body of one answer. */
+export class AnswerBody {
+  readonly #context: CallContext;
+
+  readonly #requestId: string;
+
+  readonly #signal: AbortSignal | undefined;
+
+  readonly #first: Submitted;
+
+  #source: Source;
+
+  #offset = 0;
+
+  #resumes = 0;
+
+  #fruitlessTries = 0;
+
+  /**
+   * @param context - shared by the client's calls
+   * @param requestId - the call's ID
+   * @param submitted - the answer whose head has come
+   * @param signal - ends the reading
+   */
+  constructor(
+    context: CallContext,
+    requestId: string,
+    submitted: Submitted,
+    signal: AbortSignal | undefined,
+  ) {
+    this.#context = context;
+    this.#requestId = requestId;
+    this.#signal = signal;
+    this.#first = submitted;
+    const { answer, exchange, url } = submitted;
+    this.#source = { head: answer.head, exchange, url };
+  }
+
+  /** How often it was read on through a new connection. */
+  get resumes(): number {
+    return this.#resumes;
+  }
+
+  /**
+   * @returns the body, in order, each byte once
+   * @throws CallerError when it breaks off and can't be read on
+   */
+  async *read(): AsyncGenerator<Uint8Array> {
+    const { body } = this.#first.answer;
+    if (body) {
+      yield body;
+      return;
+    }
+    try {
+      for (;;) {
+        try {
+          yield* this.#readSource();
+          return;
+        } catch (error) {
+          this.#signal?.throwIfAborted();
+          await this.#resume(error);
+        }
+      }
+    } finally {
+      // A whole answer's connection is kept for the next call; any other is of no more use.
+      if (!this.#source.head.readableEnded) this.#source.exchange.close();
+    }
+  }
+
+  async *#readSource(): AsyncGenerator<Uint8Array> {
+    const { head } = this.#source;
+    const events = getHeader(head, 'content-type')?.startsWith(EVENT_STREAM)
+      ? new EventReader()
+      : undefined;
+    const chunks = (head as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
+    for (;;) {
+      const watched = { requestId: this.#requestId, offset: this.#offset, signal: this.#signal };
+      const next = await waitWatching(this.#context, chunks.next(), watched);
+      if (next.done) break;
+      for (const part of events ? events.split(next.value) : [next.value]) yield this.#note(part);
+    }
+    if (!head.complete) throw new ExchangeError(true, 'The answer broke off');
+    const rest = events?.takeRest();
+    if (rest && rest.length > 0) yield this.#note(rest);
+  }
+
+  #note(part: Uint8Array): Uint8Array {
+    this.#offset += part.length;
+    this.#fruitlessTries = 0;
+    return part;
+  }
+
+  /** Finds an entry host that reads on at the offset; starts nothing. */
+  async #resume(cause: unknown): Promise<void> {
+    this.#source.exchange.close();
+    if (cause instanceof ErrorEvent) this.#checkMayResume(cause.refusal, cause);
+    let lastError = cause;
+    this.#context.addresses.noteFailure(this.#source.url);
+    while (this.#fruitlessTries < MAX_TRIES) {
+      if (this.#fruitlessTries > 0)
+        await waitBetweenRounds(this.#context.clock, this.#fruitlessTries - 1);
+      this.#fruitlessTries += 1;
+      const url = this.#context.addresses.list()[0] ?? this.#source.url;
+      try {
+        this.#source = await this.#openAt(url);
+        this.#resumes += 1;
+        return;
+      } catch (error) {
+        this.#signal?.throwIfAborted();
+        if (error instanceof CallerError) throw error;
+        this.#context.addresses.noteFailure(url);
+        lastError = error;
+      }
+    }
+    throw this.#buildLost(lastError);
+  }
+
+  async #openAt(url: string): Promise<Source> {
+    const exchange = new Exchange(
+      {
+        url: `${url}${this.#buildPath()}`,
+        method: 'GET',
+        headers: buildAuthorization(this.#context.apiKey),
+        signal: this.#signal,
+      },
+      this.#context.agents,
+      this.#context.clock,
+    );
+    try {
+      const watched = { requestId: this.#requestId, offset: this.#offset, signal: this.#signal };
+      const head = await waitWatching(this.#context, exchange.head, watched);
+      const { refusal } = await openAnswer(head);
+      if (refusal) this.#checkMayResume(refusal);
+      if (refusal) throw new Error(refusal.message);
+      return { head, exchange, url };
+    } catch (error) {
+      exchange.close();
+      throw error;
+    }
+  }
+
+  #buildPath(): string {
+    const query = new URLSearchParams({ offset: String(this.#offset) });
+    const { head } = this.#first.answer;
+    const backendServer = getHeader(head, 'backend-server');
+    const streamId = getHeader(head, 'stream-id');
+    if (backendServer !== undefined) query.set('backendServer', backendServer);
+    if (streamId !== undefined) query.set('streamId', streamId);
+    return `/v1/requests/${encodeURIComponent(this.#requestId)}?${query}`;
+  }
+
+  /** Other entry hosts may still reach what this one could not; a cut that its owner tells is final. */
+  #checkMayResume(refusal: Refusal, cause?: unknown): void {
+    if (isPassing(refusal.code) || isOwnerGone(refusal.code)) return;
+    const { code, message, retryAfterMs, run } = refusal;
+    // The head was a backend server's: whatever is lost now, the call ran.
+    const known = run === RunOutcome.NotRun || this.#hasRun() ? RunOutcome.Ran : run;
+    throw new CallerError(known, message, {
+      code,
+      retryAfterMs,
+      requestId: this.#requestId,
+      cause,
+    });
+  }
+
+  #hasRun(): boolean {
+    return getHeader(this.#first.answer.head, 'backend-server') !== undefined;
+  }
+
+  #buildLost(cause: unknown): CallerError {
+    const reason = cause instanceof Error ? cause.message : String(cause);
+    return new CallerError(
+      this.#hasRun() ? RunOutcome.Ran : RunOutcome.MayHaveRun,
+      `The answer broke off after ${this.#offset} bytes and can't be read on: ${reason}`,
+      { code: LocalErrorCode.AnswerLost, requestId: this.#requestId, cause },
+    );
+  }
+}
--- /dev/null
+++ b/src/caller/_call_context.ts
@@ -0,0 +1,42 @@
+/**
+ * What the parts of the caller share.
+ *
+ * @module
+ */
+import type { Clock } from '../ports/mod.js';
+import type { AddressBook } from './_address_book.js';
+import type { Agents } from './_exchange.js';
+
+/** Shared by all calls of one client. */
+export interface CallContext {
+  readonly clock: Clock;
+  readonly agents: Agents;
+  readonly addresses: AddressBook;
+  readonly apiKey: string;
+  /** Silence after which the caller asks whether it misses something, in milliseconds. */
+  readonly silenceMs: number;
+}
+
+/** Most tries in a row that bring nothing. */
+export const MAX_TRIES = 6;
+
+const FIRST_PAUSE_MS = 100;
+const MAX_PAUSE_MS = 2000;
+
+/** @param apiKey - the caller's key. @returns the header that carries it */
+export function buildAuthorization(apiKey: string): Readonly<Record<string, string>> {
+  return { authorization: `Bearer ${apiKey}` };
+}
+
+/**
+ * Waits between two rounds over the addresses.
+ *
+ * @param clock - the clock
+ * @param round - rounds before, from 0 on; the pause doubles with each
+ */
+export function waitBetweenRounds(clock: Clock, round: number): Promise<void> {
+  const pauseMs = Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** round);
+  return new Promise((resolve) => {
+    clock.setTimer(pauseMs, resolve);
+  });
+}
--- /dev/null
+++ b/src/caller/_exchange.ts
@@ -0,0 +1,110 @@
+/**
+ * One HTTP request of a caller and the head of its answer.
+ *
+ * @module
+ */
+import http from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import https from 'node:https';
+import type { Clock } from '../ports/mod.js';
+
+const CONNECT_TIMEOUT_MS = 2000;
+
+/** Connections that are kept for the next request. */
+export interface Agents {
+  readonly http: http.Agent;
+  readonly https: https.Agent;
+}
+
+/** What is sent. */
+export interface ExchangeCall {
+  readonly url: string;
+  readonly method: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body?: Uint8Array | undefined;
+  readonly signal?: AbortSignal | undefined;
+}
+
+/** An exchange that broke before its answer was whole. */
+export class ExchangeError extends Error {
+  override readonly name = 'ExchangeError';
+
+  /**
+   * @param mayHaveLeft - whether the entry host may have the request
+   * @param message - what could not be done, and why
+   * @param options - the error underneath
+   */
+  constructor(
+    readonly mayHaveLeft: boolean,
+    message: string,
+    options?: ErrorOptions,
+  ) {
+    super(message, options);
+  }
+}
+
+/** Sends one request. */
+export class Exchange {
+  /** The answer's head. Fails with {@link ExchangeError}. */
+  readonly head: Promise<IncomingMessage>;
+
+  readonly #request: ClientRequest;
+
+  #hasConnected = false;
+
+  /**
+   * @param call - what to send
+   * @param agents - where to take connections from
+   * @param clock - bounds the time to connect
+   */
+  constructor(call: ExchangeCall, agents: Agents, clock: Clock) {
+    const isSecure = call.url.startsWith('https:');
+    const send = isSecure ? https.request : http.request;
+    this.#request = send(call.url, {
+      method: call.method,
+      headers: {
+        ...call.headers,
+        ...(call.body ? { 'content-length': String(call.body.length) } : {}),
+      },
+      agent: isSecure ? agents.https : agents.http,
+      signal: call.signal,
+    });
+    this.head = this.#waitForHead(call.url);
+    // Nobody may be waiting any more when it fails.
+    this.head.catch(() => undefined);
+    this.#limitConnecting(clock);
+    this.#request.end(call.body);
+  }
+
+  /** Ends the exchange and its connection. */
+  close(): void {
+    this.#request.destroy();
+  }
+
+  #waitForHead(url: string): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      this.#request.once('response', resolve);
+      // Stays for the life of the request: later errors reach the reader through the answer.
+      this.#request.on('error', (error) => {
+        const message = `Cannot reach ${new URL(url).origin}: ${error.message}`;
+        reject(new ExchangeError(this.#hasConnected, message, { cause: error }));
+      });
+    });
+  }
+
+  #limitConnecting(clock: Clock): void {
+    const timer = clock.setTimer(CONNECT_TIMEOUT_MS, () => {
+      if (!this.#hasConnected)
+        this.#request.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
+    });
+    const noteConnected = (): void => {
+      this.#hasConnected = true;
+      timer.cancel();
+    };
+    this.#request.once('socket', (socket) => {
+      if (socket.connecting) socket.once('connect', noteConnected);
+      else noteConnected();
+    });
+    this.#request.once('close', () => timer.cancel());
+  }
+}
--- /dev/null
+++ b/src/caller/_submission.ts
@@ -0,0 +1,161 @@
+/**
+ * Sends a call until the head of its answer is there.
+ *
+ * @module
+ */
+import type { Assignment } from '../application/views/mod.js';
+import { RunOutcome } from '../domain/errors/mod.js';
+import { buildAuthorization, MAX_TRIES, waitBetweenRounds } from './_call_context.js';
+import type { CallContext } from './_call_context.js';
+import { Exchange, ExchangeError } from './_exchange.js';
+import { isFromOwner, isOwnerUnreachable, isPassing, openAnswer } from './_refusal.js';
+import type { OpenedAnswer, Refusal } from './_refusal.js';
+import { waitWatching } from './_silence_watch.js';
+import { CallerError, LocalErrorCode } from './caller_error.js';
+import type { CallerRequest } from './caller_request.js';
+
+/** An answer whose head has come. */
+export interface Submitted {
+  readonly answer: OpenedAnswer;
+  readonly exchange: Exchange;
+  readonly url: string;
+}
+
+/** Nothing has left this process, so the ID may be dropped and the call sent under another one. */
+export class NeverSentError extends Error {
+  override readonly name = 'NeverSentError';
+}
+
+/** @param request - the call. @returns its body in bytes */
+function encodeBody({ body }: CallerRequest): Uint8Array | undefined {
+  return typeof body === 'string' ? Buffer.from(body) : body;
+}
+
+function buildHeaders(context: CallContext, requestId: string, request: CallerRequest) {
+  const headers: Record<string, string> = {
+    ...(request.body === undefined ? {} : { 'content-type': 'application/json' }),
+    ...request.headers,
+    ...buildAuthorization(context.apiKey),
+    'request-id': requestId,
+  };
+  if (request.workKind !== undefined) headers['work-kind'] = request.workKind;
+  if (request.deadlineMs !== undefined) headers['request-deadline-ms'] = String(request.deadlineMs);
+  if (request.traceparent !== undefined) headers.traceparent = request.traceparent;
+  return headers;
+}
+
+/**
+ * Sends one call under one ID. Its copies, sent through other entry hosts when
+ * a connection breaks, all reach the one owner that the ID names, which runs
+ * the first and gives each the same answer.
+ */
+export class Submission {
+  readonly #context: CallContext;
+
+  readonly #assignment: Assignment;
+
+  readonly #request: CallerRequest;
+
+  readonly #body: Uint8Array | undefined;
+
+  #mayHaveLeft = false;
+
+  /**
+   * @param context - shared by the client's calls
+   * @param assignment - the ID and the addresses
+   * @param request - the call
+   */
+  constructor(context: CallContext, assignment: Assignment, request: CallerRequest) {
+    this.#context = context;
+    this.#assignment = assignment;
+    this.#request = request;
+    this.#body = encodeBody(request);
+  }
+
+  /**
+   * @returns the answer's head
+   * @throws NeverSentError when nothing left this process
+   * @throws CallerError when the call is refused, or nobody can tell what became of it
+   */
+  async run(): Promise<Submitted> {
+    let lastError: Error = new NeverSentError('there is no address');
+    for (let attempt = 0; attempt < MAX_TRIES; attempt += 1) {
+      const urls = this.#context.addresses.list(this.#assignment.entryHost.url);
+      const url = urls[0] ?? this.#assignment.entryHost.url;
+      if (attempt > 0) await waitBetweenRounds(this.#context.clock, attempt - 1);
+      try {
+        return await this.#sendTo(url);
+      } catch (error) {
+        this.#request.signal?.throwIfAborted();
+        if (!(error instanceof ExchangeError) && !isWorthAnotherTry(error)) throw error;
+        if (error instanceof ExchangeError && error.mayHaveLeft) this.#mayHaveLeft = true;
+        this.#context.addresses.noteFailure(url);
+        lastError = error;
+        if (!this.#mayHaveLeft && error instanceof ExchangeError)
+          throw new NeverSentError(error.message, { cause: error });
+      }
+    }
+    throw this.#buildLost(lastError);
+  }
+
+  async #sendTo(url: string): Promise<Submitted> {
+    const { id } = this.#assignment;
+    const { method, path, signal } = this.#request;
+    const exchange = new Exchange(
+      {
+        url: `${url}${path}`,
+        method,
+        headers: buildHeaders(this.#context, id, this.#request),
+        body: this.#body,
+        signal,
+      },
+      this.#context.agents,
+      this.#context.clock,
+    );
+    try {
+      const watched = { requestId: id, offset: 0, signal };
+      const head = await waitWatching(this.#context, exchange.head, watched);
+      const answer = await openAnswer(head).catch((error: unknown) => {
+        throw new ExchangeError(true, `The answer broke off: ${String(error)}`, { cause: error });
+      });
+      if (answer.refusal) throw this.#buildRefused(answer.refusal, head.statusCode);
+      return { answer, exchange, url };
+    } catch (error) {
+      exchange.close();
+      throw error;
+    }
+  }
+
+  /**
+   * When an earlier copy of the call may have reached the owner, "not run" from
+   * an entry host in between only says that *it* passed nothing on. Taken for
+   * the whole truth, the caller would send the work again under a new ID and
+   * double it.
+   */
+  #buildRefused(refusal: Refusal, status: number | undefined): CallerError {
+    const { code, message, retryAfterMs } = refusal;
+    const isTrusted = !this.#mayHaveLeft || isFromOwner(code);
+    const run =
+      refusal.run === RunOutcome.NotRun && !isTrusted ? RunOutcome.MayHaveRun : refusal.run;
+    if (isOwnerUnreachable(code)) this.#mayHaveLeft = true;
+    return new CallerError(run, message, {
+      code,
+      retryAfterMs,
+      status,
+      requestId: this.#assignment.id,
+    });
+  }
+
+  #buildLost(lastError: Error): CallerError {
+    if (lastError instanceof CallerError) return lastError;
+    return new CallerError(
+      RunOutcome.MayHaveRun,
+      `Cannot tell what became of the call: ${lastError.message}`,
+      { code: LocalErrorCode.ConnectionLost, requestId: this.#assignment.id, cause: lastError },
+    );
+  }
+}
+
+function isWorthAnotherTry(error: unknown): error is CallerError {
+  return error instanceof CallerError && isPassing(error.code);
+}
--- /dev/null
+++ b/src/caller/caller_client_test.ts
@@ -0,0 +1,269 @@
+import type { ServerResponse } from 'node:http';
+import fc from 'fast-check';
+import t from 'tap';
+import {
+  CALL,
+  catchCallerError,
+  CHAT,
+  cutAfter,
+  EVENTS,
+  HEADERS,
+  readAll,
+  readOn,
+  startHosts,
+  WHOLE,
+} from '../../test/support/caller_hosts.js';
+import { FakeEntryHost, sendJson, sendRefusal } from '../../test/support/fake_entry_host.js';
+import type { FakeHandler } from '../../test/support/fake_entry_host.js';
+import { RunOutcome } from '../domain/errors/mod.js';
+import { CallerClient } from './caller_client.js';
+import { LocalErrorCode } from './caller_error.js';
+
+t.test('CallerClient sends a call under the ID that it was given', async (t) => {
+  const { owner, client } = await startHosts(t, {
+    owner: (request, response) => response.writeHead(200, HEADERS).end(WHOLE),
+    other: (request, response) => response.destroy(),
+  });
+  const reply = await client.send({
+    ...CALL,
+    workKind: 'report',
+    deadlineMs: 5000,
+    idempotencyKey: 'key-1',
+    headers: { 'x-team': 'a' },
+  });
+  t.strictSame(await readAll(reply), WHOLE);
+  t.match(reply, { requestId: 'request-1', status: 200, resumes: 0 });
+  t.match(owner.listSeen('POST', '/v1/requests'), [{ headers: { 'idempotency-key': 'key-1' } }]);
+  t.match(owner.listSeen('POST', CHAT), [
+    {
+      body: CALL.body,
+      headers: {
+        authorization: 'Bearer secret-key',
+        'request-id': 'request-1',
+        'work-kind': 'report',
+        'request-deadline-ms': '5000',
+        'x-team': 'a',
+      },
+    },
+  ]);
+});
+
+t.test('CallerClient reads an answer on wherever it is cut', async (t) => {
+  // Symptom: half an answer, or a doubled piece of it. The entry host dies at
+  // any byte; the caller goes on at its offset through another one. Cause of a
+  // gap or a double would be an offset that counts bytes not passed on.
+  let cutAt = 0;
+  const { other, client } = await startHosts(t, {
+    owner: (request, response) => cutAfter(response, WHOLE.subarray(0, cutAt)),
+    other: (request, response) =>
+      request.method === 'GET'
+        ? readOn(request, response)
+        : cutAfter(response, WHOLE.subarray(0, cutAt)),
+  });
+  await fc.assert(
+    fc.asyncProperty(fc.integer({ min: 1, max: WHOLE.length - 1 }), async (at) => {
+      cutAt = at;
+      return WHOLE.equals(await readAll(await client.send(CALL)));
+    }),
+    { seed: 42, numRuns: 25 },
+  );
+  const resumed = other.seen.filter(({ method }) => method === 'GET');
+  t.ok(resumed.length > 0);
+  resumed.forEach(({ query }) => {
+    t.equal(query.get('backendServer'), 'engine-1');
+    t.equal(query.get('streamId'), 'stream-7');
+  });
+});
+
+t.test('CallerClient leaves an error event out of the answer and reads on', async (t) => {
+  // Symptom: an answer with a hole. The entry host in between loses the owner
+  // and ends the stream with an error event, which is no part of the answer.
+  const error = { message: 'x', code: 'owner_gone', run: 'may_have_run', retryAfterMs: 0 };
+  const { client } = await startHosts(t, {
+    owner: (request, response) => {
+      response.writeHead(200, HEADERS);
+      response.end(`${EVENTS[0]}${EVENTS[1]}data: ${JSON.stringify({ error })}\n\n`);
+    },
+    other: readOn,
+  });
+  const reply = await client.send(CALL);
+  t.strictSame(await readAll(reply), WHOLE);
+  t.equal(reply.resumes, 1);
+});
+
+t.test('CallerClient tells that an answer is lost for good', async (t) => {
+  const error = { message: 'cut', code: 'answer_cut', run: 'ran', retryAfterMs: 0 };
+  const event = `data: ${JSON.stringify({ error })}\n\n`;
+  const cases: readonly (readonly [FakeHandler, FakeHandler, string])[] = [
+    [(request, response) => response.writeHead(200, HEADERS).end(event), readOn, 'answer_cut'],
+    [
+      (request, response) => cutAfter(response, WHOLE.subarray(0, 30)),
+      (request, response) =>
+        sendRefusal(response, 410, { code: 'answer_no_longer_kept', run: 'ran' }),
+      'answer_no_longer_kept',
+    ],
+    [
+      (request, response) =>
+        request.method === 'POST'
+          ? cutAfter(response, WHOLE.subarray(0, 30))
+          : sendRefusal(response, 502, { code: 'owner_gone', run: 'may_have_run' }),
+      (request, response) =>
+        sendRefusal(response, 502, { code: 'owner_gone', run: 'may_have_run' }),
+      LocalErrorCode.AnswerLost,
+    ],
+  ];
+  for (const [owner, other, code] of cases) {
+    const { client } = await startHosts(t, { owner, other });
+    const reply = await client.send(CALL);
+    t.match(await catchCallerError(readAll(reply)), { code, run: RunOutcome.Ran });
+  }
+});
+
+t.test('CallerClient sends the same call under the same ID when a connection breaks', async (t) => {
+  // Symptom: doubled work. The connection breaks after the body has left and
+  // before the head came; a call sent again under a new ID would run twice.
+  const { owner, other, client } = await startHosts(t, {
+    owner: (request, response) => response.destroy(),
+    other: (request, response) => response.writeHead(200, HEADERS).end(WHOLE),
+  });
+  t.strictSame(await readAll(await client.send(CALL)), WHOLE);
+  const calls = [...owner.listSeen('POST', CHAT), ...other.listSeen('POST', CHAT)];
+  t.strictSame(
+    calls.map(({ headers, body }) => [headers['request-id'], body]),
+    [
+      ['request-1', CALL.body],
+      ['request-1', CALL.body],
+    ],
+  );
+});
+
+t.test('CallerClient takes a new ID when nothing was sent', async (t) => {
+  // The owner dies between its answer and the call: nothing has left the
+  // caller, so its ID may be dropped without any danger of a double.
+  const hosts = await startHosts(t, {
+    owner: (request, response) => response.destroy(),
+    other: (request, response) => response.writeHead(200, HEADERS).end(WHOLE),
+  });
+  const { owner, other } = hosts;
+  const closed = await FakeEntryHost.start();
+  const deadUrl = closed.url;
+  await closed.close();
+  const { handle } = owner;
+  let isFirst = true;
+  owner.handle = (request, response) => {
+    if (!isFirst || request.path !== '/v1/requests') {
+      handle(request, response);
+      return;
+    }
+    isFirst = false;
+    const entryHost = { id: 'dead', url: deadUrl };
+    const entryHosts = [{ id: 'other', url: other.url }];
+    sendJson(response, 200, { id: 'lost-id', entryHost, entryHosts, keepMs: 30_000 });
+  };
+  const reply = await hosts.client.send(CALL);
+  t.strictSame(await readAll(reply), WHOLE);
+  t.equal(reply.requestId, 'request-1');
+  t.match(other.listSeen('POST', CHAT), [{ headers: { 'request-id': 'request-1' } }]);
+});
+
+t.test('CallerClient believes "not run" only where it can be known', async (t) => {
+  // Symptom: a doubled notice. The first connection breaks after the body has
+  // left; a second entry host that stops refuses the copy with "not run", which
+  // is true of the copy only.
+  const refuse =
+    (code: string): FakeHandler =>
+    (request, response) =>
+      sendRefusal(response, 503, { code, run: 'not_run', retryAfterMs: 1500 });
+  const cut: FakeHandler = (request, response) => response.destroy();
+  const cases: readonly (readonly [FakeHandler, FakeHandler, string, RunOutcome])[] = [
+    [refuse('tier_closed'), cut, 'tier_closed', RunOutcome.NotRun],
+    [cut, refuse('tier_closed'), 'tier_closed', RunOutcome.NotRun],
+    [cut, refuse('unauthenticated'), 'unauthenticated', RunOutcome.MayHaveRun],
+    [refuse('entry_host_stopping'), refuse('queue_full'), 'queue_full', RunOutcome.NotRun],
+    [cut, cut, LocalErrorCode.ConnectionLost, RunOutcome.MayHaveRun],
+  ];
+  for (const [owner, other, code, run] of cases) {
+    const { client } = await startHosts(t, { owner, other });
+    const error = await catchCallerError(client.send(CALL));
+    t.match(error, { code, run, requestId: 'request-1' });
+    if (code === 'tier_closed') t.equal(error.retryAfterMs, 1500);
+  }
+});
+
+t.test('CallerClient leaves a connection that has gone silent', async (t) => {
+  // Symptom: a caller that waits for good. Something between the two ends has
+  // lost track of the connection; new ones work. The state, asked over another
+  // connection, shows that the answer is there.
+  const report = { state: 'answered', answerBytes: WHOLE.length };
+  const { other, client } = await startHosts(
+    t,
+    {
+      owner: (request, response) => {
+        if (request.method === 'GET') sendJson(response, 200, report);
+      },
+      other: (request, response) => response.writeHead(200, HEADERS).end(WHOLE),
+    },
+    20,
+  );
+  t.strictSame(await readAll(await client.send(CALL)), WHOLE);
+  t.match(other.listSeen('POST', CHAT), [{ headers: { 'request-id': 'request-1' } }]);
+});
+
+t.test('CallerClient waits on while its request is queued', async (t) => {
+  let questions = 0;
+  let answer: ServerResponse | undefined;
+  const { owner, client } = await startHosts(
+    t,
+    {
+      owner: (request, response) => {
+        if (request.method === 'POST') {
+          answer = response;
+          return;
+        }
+        questions += 1;
+        sendJson(response, 200, { state: 'queued', answerBytes: 0 });
+        if (questions === 2) answer?.writeHead(200, HEADERS).end(WHOLE);
+      },
+      other: (request, response) => response.destroy(),
+    },
+    20,
+  );
+  t.strictSame(await readAll(await client.send(CALL)), WHOLE);
+  t.equal(owner.listSeen('POST', CHAT).length, 1);
+});
+
+t.test("CallerClient passes a backend server's own error on as an answer", async (t) => {
+  const { client } = await startHosts(t, {
+    owner: (request, response) => sendJson(response, 404, { error: { message: 'no such case' } }),
+    other: (request, response) => response.destroy(),
+  });
+  const reply = await client.send({ method: 'GET', path: '/v1/services/case-app/status/7' });
+  t.equal(reply.status, 404);
+  t.match(JSON.parse((await readAll(reply)).toString()), { error: { message: 'no such case' } });
+});
+
+t.test('CallerClient ends a call when it is told to', async (t) => {
+  const { owner, client } = await startHosts(t, {
+    owner: (request, response) => response.writeHead(200, HEADERS).write(EVENTS[0]),
+    other: readOn,
+  });
+  const abort = new AbortController();
+  const reply = await client.send({ ...CALL, signal: abort.signal });
+  const body = reply.body[Symbol.asyncIterator]();
+  t.equal(Buffer.from((await body.next()).value as Uint8Array).toString(), EVENTS[0]);
+  abort.abort();
+  await t.rejects(body.next(), { name: 'AbortError' });
+  owner.handle = (request, response) => sendJson(response, 200, {});
+  await client.cancel(reply.requestId);
+  t.equal(owner.listSeen('DELETE', '/v1/requests/request-1').length, 1);
+});
+
+t.test('CallerClient says that nobody could be reached', async (t) => {
+  const closed = await FakeEntryHost.start();
+  const client = new CallerClient({ urls: [closed.url], apiKey: 'k' });
+  await closed.close();
+  t.match(await catchCallerError(client.send(CALL)), {
+    code: LocalErrorCode.Unreachable,
+    run: RunOutcome.NotRun,
+  });
+});
--- /dev/null
+++ b/src/commands/_cli.ts
@@ -0,0 +1,92 @@
+/**
+ * The command line.
+ *
+ * @module
+ */
+import { Builtins, Cli } from 'clipanion';
+import type { BaseContext, Command } from 'clipanion';
+import { formatUsage, HelpCommand } from './_help.js';
+import { VERSION } from './_version.js';
+import { CallCommand } from './call.js';
+import { ContractCheckCommand } from './contract_check.js';
+import { ContractExplainCommand } from './contract_explain.js';
+import { EntryCommand } from './entry.js';
+import { LoadCommand } from './load.js';
+import { SETTINGS_EXIT_CODE, SettingsError } from './settings.js';
+import { StatusCommand } from './status.js';
+
+const FAILURE_EXIT_CODE = 1;
+
+const COMMANDS = [
+  EntryCommand,
+  CallCommand,
+  StatusCommand,
+  ContractCheckCommand,
+  ContractExplainCommand,
+  LoadCommand,
+  HelpCommand,
+  Builtins.VersionCommand,
+];
+
+/** @returns the command line with every command */
+export function createCli(): Cli {
+  return Cli.from(COMMANDS, {
+    binaryLabel: 'monsoonhall',
+    binaryName: 'monsoonhall',
+    binaryVersion: VERSION,
+    enableColors: false,
+  });
+}
+
+function formatReason(error: unknown): string {
+  const message = error instanceof Error ? error.message : String(error);
+  return message.split('\n')[0]?.replace(/(; did you mean.*)?[.:]$/, '') ?? message;
+}
+
+/** Prints one line a fault and no stack trace: operators read it, not developers. */
+function printFailure(error: unknown, context: BaseContext): number {
+  if (error instanceof SettingsError) {
+    error.faults.forEach((fault) => context.stderr.write(`${fault}\n`));
+    return SETTINGS_EXIT_CODE;
+  }
+  context.stderr.write(`monsoonhall: ${formatReason(error)}\n`);
+  return FAILURE_EXIT_CODE;
+}
+
+async function runCommand(cli: Cli, command: Command, context: BaseContext): Promise<number> {
+  if (command.help) {
+    context.stdout.write(formatUsage(cli, command));
+    return 0;
+  }
+  const prepared = command;
+  prepared.context = context;
+  prepared.cli = cli;
+  return prepared.validateAndExecute();
+}
+
+/**
+ * Runs one command.
+ *
+ * @param argv - arguments behind the program's name
+ * @param streams - streams and environment; by default those of the process
+ * @returns the exit code
+ */
+export async function runCli(
+  argv: readonly string[],
+  streams: Partial<BaseContext> = {},
+): Promise<number> {
+  const cli = createCli();
+  const context = { ...Cli.defaultContext, ...streams };
+  let command: Command;
+  try {
+    command = cli.process(argv.length === 0 ? ['--help'] : [...argv], context);
+  } catch (error) {
+    context.stderr.write(`monsoonhall: ${formatReason(error)}; see monsoonhall --help\n`);
+    return SETTINGS_EXIT_CODE;
+  }
+  try {
+    return await runCommand(cli, command, context);
+  } catch (error) {
+    return printFailure(error, context);
+  }
+}
--- /dev/null
+++ b/src/commands/_entry_admin.ts
@@ -0,0 +1,82 @@
+/**
+ * What the administration listener tells of an entry host's parts.
+ *
+ * @module
+ */
+import { AdminListener } from '../adapters/admin_http/mod.js';
+import type { AdminSources, ContractCheck, Readiness } from '../adapters/admin_http/mod.js';
+import { explainContract, formatFault, parseContract } from '../domain/contracts/mod.js';
+import { buildLimits } from './_entry_parts.js';
+import type { EntryParts } from './_entry_parts.js';
+import { VERSION } from './_version.js';
+
+/**
+ * Creates the administration listener.
+ *
+ * @param parts - the entry host's parts
+ * @returns the listener, not started
+ */
+export function createAdminListener(parts: EntryParts): AdminListener {
+  return new AdminListener({
+    adminKey: parts.settings.adminKey,
+    log: parts.log,
+    limits: buildLimits(parts.settings),
+    sources: createSources(parts),
+  });
+}
+
+function createSources(parts: EntryParts): AdminSources {
+  const { configuration, membership, dispatcher, owner, metrics } = parts;
+  return {
+    getHealth: () => ({
+      id: membership.self.id,
+      incarnation: membership.self.incarnation,
+      version: VERSION,
+      pid: process.pid,
+      uptimeMs: Math.round(process.uptime() * 1000),
+      fresh: membership.isFresh(),
+      stopping: membership.isStopping(),
+      runningRequests: owner.runningCount,
+      keptAnswerBytes: owner.keptAnswerBytes,
+    }),
+    getReadiness: () => computeReadiness(parts),
+    getConfiguration: () => configuration.getStatus(),
+    listEntryHosts: () => membership.listEntryHosts(),
+    listBackendServers: () => listBackendServers(parts),
+    listQueues: () => dispatcher.listQueues(),
+    listRefusals: () => owner.listRefusals(),
+    getMetricsText: () => metrics.exportPrometheus(),
+    checkContract,
+  };
+}
+
+function computeReadiness(parts: EntryParts): Readiness {
+  const { configuration, membership } = parts;
+  const reasons: string[] = [];
+  if (!configuration.hasLoaded()) reasons.push('no configuration is in force yet');
+  if (configuration.listServices().length === 0) reasons.push('no fleet document is in force');
+  if (!membership.isFresh()) reasons.push('membership is not fresh');
+  if (membership.isStopping()) reasons.push('this entry host stops');
+  return { ready: reasons.length === 0, reasons };
+}
+
+function listBackendServers(parts: EntryParts): unknown {
+  return parts.configuration.listServices().flatMap((service) =>
+    service.backendServers.map((server) => ({
+      ...server,
+      leaving: parts.membership.isBackendServerLeaving(server.id),
+    })),
+  );
+}
+
+function checkContract(text: string): ContractCheck {
+  const result = parseContract(text);
+  if (!result.valid) return { ok: false, faults: result.faults.map(formatFault), explanation: [] };
+  return {
+    ok: true,
+    faults: [],
+    explanation: explainContract(result.value).map(
+      (row) => `${row.subject}: ${row.name} = ${row.value}`,
+    ),
+  };
+}
--- /dev/null
+++ b/src/commands/_entry_options.ts
@@ -0,0 +1,85 @@
+/**
+ * The flags of `monsoonhall entry`.
+ *
+ * @module
+ */
+import { Command, Option } from 'clipanion';
+import { ENTRY_SETTING_TABLE } from './_entry_setting_table.js';
+import type { EntrySettingName, SettingRow } from './_entry_setting_table.js';
+import { formatFlag, formatVariable } from './settings.js';
+import type { EntryFlags } from './settings.js';
+
+function createFlag(name: EntrySettingName): string | undefined {
+  const { description, fallback }: SettingRow<unknown> = ENTRY_SETTING_TABLE[name];
+  const standard = fallback ? `; default ${fallback}` : '';
+  return Option.String(formatFlag(name), {
+    description: `${description}${standard} (${formatVariable(name)})`,
+  });
+}
+
+/** Declares every flag of the entry host; its command extends this. */
+export abstract class EntryOptions extends Command {
+  id = createFlag('id');
+
+  availabilityZone = createFlag('availabilityZone');
+
+  listen = createFlag('listen');
+
+  advertise = createFlag('advertise');
+
+  peerListen = createFlag('peerListen');
+
+  peerAdvertise = createFlag('peerAdvertise');
+
+  adminListen = createFlag('adminListen');
+
+  adminKey = createFlag('adminKey');
+
+  clusterKey = createFlag('clusterKey');
+
+  configurationUrl = createFlag('configurationUrl');
+
+  hostListUrl = createFlag('hostListUrl');
+
+  peers = createFlag('peers');
+
+  tlsCertificate = createFlag('tlsCertificate');
+
+  tlsKey = createFlag('tlsKey');
+
+  logLevel = createFlag('logLevel');
+
+  traceFile = createFlag('traceFile');
+
+  otlpUrl = createFlag('otlpUrl');
+
+  requestIdLifetimeMs = createFlag('requestIdLifetimeMs');
+
+  keepAddressMs = createFlag('keepAddressMs');
+
+  answerBytes = createFlag('answerBytes');
+
+  answerKeepMs = createFlag('answerKeepMs');
+
+  stopLimitMs = createFlag('stopLimitMs');
+
+  heartbeatMs = createFlag('heartbeatMs');
+
+  suspectAfterMs = createFlag('suspectAfterMs');
+
+  maxBodyBytes = createFlag('maxBodyBytes');
+
+  maxConnections = createFlag('maxConnections');
+
+  headerTimeoutMs = createFlag('headerTimeoutMs');
+
+  requestTimeoutMs = createFlag('requestTimeoutMs');
+
+  strategy = createFlag('strategy');
+
+  /** @returns the texts of the flags that were given, for `parseEntrySettings` */
+  protected readFlags(): EntryFlags {
+    const names = Object.keys(ENTRY_SETTING_TABLE) as EntrySettingName[];
+    return Object.fromEntries(names.map((name) => [name, this[name]]));
+  }
+}
