--- a/demo/_caller.ts
+++ b/demo/_caller.ts
@@ -42,6 +42,7 @@
 const ERROR_EVENT_START = 'data: {"error"';
 const MAX_CONNECTIONS_PER_REQUEST = 6;
 const RECONNECT_PAUSE_MS = 100;
+const REMEMBER_REFUSAL_MS = 5000;
 
 /** The caller's own finding: its first connection was refused, so it takes a new ID. */
 const NEVER_SENT: Pick<Ending, 'kind' | 'code' | 'run' | 'retryAfterMs'> = {
@@ -125,6 +126,9 @@
 
 /** Sends the work of one client account. */
 export class Caller {
+  /** When an entry host last refused a connection, by its URL. */
+  readonly #refusedAtMs = new Map<string, number>();
+
   /**
    * @param account - whose work
    * @param urls - base URLs of the entry hosts that it knows from its settings
@@ -149,13 +153,14 @@
     let refusal: Refusal | undefined;
     while (receiving.connections < MAX_CONNECTIONS_PER_REQUEST && !signal.aborted) {
       try {
-        const result = await this.#connect(work, receiving, signal);
+        const result = await this.#sendOnce(work, receiving, signal);
         if (result === 'whole') return this.#checkAnswer(work, receiving);
         refusal = result ?? refusal;
         if (refusal && !this.#mayResume(refusal, receiving)) break;
       } catch (error) {
         // Refused connections take no bytes: an ID that was never sent never runs.
         if (receiving.connections === 0 && isConnectionRefused(error)) {
+          this.#refusedAtMs.set(receiving.url, performance.now());
           return this.#buildEnding(receiving, NEVER_SENT);
         }
         // The connection broke before the head: the next entry host is asked.
@@ -183,7 +188,8 @@
         });
         const { bytes } = await readBody(response);
         if (response.statusCode === 200 || response.statusCode === 201) {
-          return JSON.parse(bytes.toString()) as Assignment;
+          const assignment = JSON.parse(bytes.toString()) as Assignment;
+          if (!this.#isRefusing(assignment.entryHost.url)) return assignment;
         }
       } catch {
         // That entry host is gone: the next one is asked.
@@ -193,13 +199,18 @@
     throw new Error('Cannot get a request ID');
   }
 
+  /** An ID whose owner refuses connections is left unused, and another is asked for. */
+  #isRefusing(url: string): boolean {
+    return performance.now() - (this.#refusedAtMs.get(url) ?? -Infinity) < REMEMBER_REFUSAL_MS;
+  }
+
   /** A broken answer goes on elsewhere when the caller knows where it runs. */
   #mayResume(refusal: Refusal, receiving: Receiving): boolean {
     return refusal.run !== 'not_run' && receiving.streamId !== '' && receiving.connections < 2;
   }
 
   /** The same ID may be sent again to any entry host: only its owner dispatches it, once. */
-  async #connect(
+  async #sendOnce(
     work: Work,
     receiving: Receiving,
     signal: AbortSignal,
--- a/demo/_verdict.ts
+++ b/demo/_verdict.ts
@@ -101,7 +101,7 @@
   return repeatedIds + repeatedWork;
 }
 
-function sumTokens(runs: readonly RunRecord[], field: 'prefillTokens' | 'cachedTokens'): number {
+function countTokens(runs: readonly RunRecord[], field: 'prefillTokens' | 'cachedTokens'): number {
   return runs.reduce((sum, run) => sum + run[field], 0);
 }
 
@@ -154,10 +154,10 @@
     untrueRefusals: untrue.length,
     wrongAnswers: answered.filter((ending) => !ending.isRight).length,
     resumed: answered.filter((ending) => ending.reconnects > 0).length,
-    unreceivedTokens: sumTokens(unreceived, 'prefillTokens'),
+    unreceivedTokens: countTokens(unreceived, 'prefillTokens'),
     recomputedTokens: countRecomputed(journeys, received),
-    prefillTokens: sumTokens(runs, 'prefillTokens'),
-    cachedTokens: sumTokens(runs, 'cachedTokens'),
+    prefillTokens: countTokens(runs, 'prefillTokens'),
+    cachedTokens: countTokens(runs, 'cachedTokens'),
   };
 }
 
--- a/src/adapters/logging/bounded_output.ts
+++ b/src/adapters/logging/bounded_output.ts
@@ -47,11 +47,11 @@
       this.#droppedCount += 1;
       return;
     }
-    if (this.#droppedCount > 0) this.#tellDropped();
+    if (this.#droppedCount > 0) this.#writeDropped();
     this.#stream.write(line);
   }
 
-  #tellDropped(): void {
+  #writeDropped(): void {
     const line = formatLogLine({
       time: new Date().toISOString(),
       level: LogLevel.Warn,
--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -65,6 +65,7 @@
   [PeerMessageType.Heartbeat]: z.object({
     type: z.literal(PeerMessageType.Heartbeat),
     sequence: count,
+    ready: z.boolean(),
     leaving: z.boolean(),
     configurationRevision: revision,
     configurationHash: name,
@@ -133,6 +134,9 @@
     requestsPerSecond: amount,
     tokensPerSecond: amount,
     inFlight: amount,
+    requestNumber: count,
+    heldLease: count,
+    running: count,
   }),
   [PeerMessageType.AllowanceLease]: z.object({
     type: z.literal(PeerMessageType.AllowanceLease),
@@ -141,6 +145,8 @@
     tokensPerSecond: amount,
     inFlight: amount,
     validMs: amount,
+    leaseNumber: count,
+    requestNumber: count,
   }),
   [PeerMessageType.ForwardCall]: z.object({
     type: z.literal(PeerMessageType.ForwardCall),
--- /dev/null
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -0,0 +1,145 @@
+import t from 'tap';
+import { ErrorKind, RunOutcome } from '../../domain/errors/mod.js';
+import { Tier } from '../../domain/scheduling/mod.js';
+import { ForwardOperation, PeerMessageType, SlotOutcome } from '../../ports/mod.js';
+import type { PeerMessage } from '../../ports/mod.js';
+import { parseMessage } from './_message_schema.js';
+
+const LIMITS = { requestsPerSecond: 1.5, tokensPerSecond: 200, inFlight: 3 };
+
+/** One message of each type, with every field set. */
+const SAMPLES: { readonly [T in PeerMessageType]: Extract<PeerMessage, { type: T }> } = {
+  [PeerMessageType.Hello]: {
+    type: PeerMessageType.Hello,
+    identity: {
+      id: 'entry-1',
+      incarnation: '00112233445566aa',
+      url: 'http://127.0.0.1:1',
+      peerUrl: 'ws://127.0.0.1:2',
+      availabilityZone: 'hall-a',
+    },
+  },
+  [PeerMessageType.Heartbeat]: {
+    type: PeerMessageType.Heartbeat,
+    sequence: 4,
+    ready: true,
+    leaving: true,
+    configurationRevision: 7,
+    configurationHash: 'abcd',
+    leavingBackendServers: ['engine-1'],
+    groups: [{ groupId: 'desk/0', waitMs: [1, 2, 3], openTier: Tier.Standard }],
+  },
+  [PeerMessageType.HeartbeatReply]: { type: PeerMessageType.HeartbeatReply, sequence: 4 },
+  [PeerMessageType.ConfigurationDigest]: {
+    type: PeerMessageType.ConfigurationDigest,
+    revisions: { 'monsoonhall/fleet': 3 },
+  },
+  [PeerMessageType.ConfigurationEntries]: {
+    type: PeerMessageType.ConfigurationEntries,
+    entries: [{ key: 'monsoonhall/fleet', revision: 3, value: Buffer.from('{}') }],
+  },
+  [PeerMessageType.SlotRequest]: {
+    type: PeerMessageType.SlotRequest,
+    ticket: 1,
+    groupId: 'desk/0',
+    accountId: 'franchise-a',
+    weight: 2,
+    tier: Tier.Urgent,
+    remainingMs: 900,
+    waitedMs: 5,
+    promptTokens: 10,
+    expectedOutputTokens: 20,
+    blockHashes: ['aa'],
+    excluded: ['engine-2'],
+  },
+  [PeerMessageType.SlotGrant]: {
+    type: PeerMessageType.SlotGrant,
+    ticket: 1,
+    grantId: 2,
+    backendServerId: 'engine-1',
+    validMs: 500,
+  },
+  [PeerMessageType.SlotRefusal]: {
+    type: PeerMessageType.SlotRefusal,
+    ticket: 1,
+    kind: ErrorKind.TierClosed,
+    retryAfterMs: 800,
+  },
+  [PeerMessageType.SlotCancel]: { type: PeerMessageType.SlotCancel, ticket: 1 },
+  [PeerMessageType.SlotRelease]: {
+    type: PeerMessageType.SlotRelease,
+    groupId: 'desk/0',
+    grantId: 2,
+    outcome: SlotOutcome.Answered,
+    firstByteMs: 30,
+    totalMs: 90,
+    outputTokens: 40,
+  },
+  [PeerMessageType.AllowanceRequest]: {
+    type: PeerMessageType.AllowanceRequest,
+    accountId: 'franchise-a',
+    ...LIMITS,
+    requestNumber: 5,
+    heldLease: 4,
+    running: 2,
+  },
+  [PeerMessageType.AllowanceLease]: {
+    type: PeerMessageType.AllowanceLease,
+    accountId: 'franchise-a',
+    ...LIMITS,
+    validMs: 2000,
+    leaseNumber: 9,
+    requestNumber: 5,
+  },
+  [PeerMessageType.ForwardCall]: {
+    type: PeerMessageType.ForwardCall,
+    callId: 1,
+    operation: ForwardOperation.Submit,
+    accountId: 'franchise-a',
+    requestId: 'mh1_x',
+    traceparent: '00-00000000000000000000000000000001-0000000000000001-01',
+    call: {
+      serviceId: 'desk',
+      workKind: 'notice',
+      method: 'POST',
+      path: '/notices',
+      headers: { a: 'b' },
+      body: Buffer.from('x'),
+      deadlineMs: 1000,
+    },
+    offset: 3,
+    idempotencyKey: 'key',
+  },
+  [PeerMessageType.ForwardHead]: {
+    type: PeerMessageType.ForwardHead,
+    callId: 1,
+    status: 200,
+    headers: { a: 'b' },
+  },
+  [PeerMessageType.ForwardChunk]: {
+    type: PeerMessageType.ForwardChunk,
+    callId: 1,
+    offset: 3,
+    bytes: Buffer.from('part'),
+  },
+  [PeerMessageType.ForwardEnd]: { type: PeerMessageType.ForwardEnd, callId: 1, length: 7 },
+  [PeerMessageType.ForwardError]: {
+    type: PeerMessageType.ForwardError,
+    callId: 1,
+    kind: ErrorKind.QueueFull,
+    run: RunOutcome.NotRun,
+    message: 'full',
+    retryAfterMs: 100,
+  },
+  [PeerMessageType.ForwardCredit]: { type: PeerMessageType.ForwardCredit, callId: 1, bytes: 9 },
+  [PeerMessageType.ForwardCancel]: { type: PeerMessageType.ForwardCancel, callId: 1 },
+};
+
+Object.values(SAMPLES).forEach((sample) => {
+  t.test(`parseMessage() keeps every field of ${sample.type}`, async (t) => {
+    // Symptom: one busy entry host got an eighth of its account's limit for
+    // ever. Sequence: a field was added to a message, not to its schema. Cause:
+    // the schema drops what it does not know, and the receiver sees a default.
+    t.same(parseMessage(structuredClone(sample)), sample);
+  });
+});
--- a/src/application/allowances/_allowance_lender.ts
+++ b/src/application/allowances/_allowance_lender.ts
@@ -3,14 +3,12 @@
  *
  * @module
  */
-import { LogLevel } from '../../domain/errors/mod.js';
 import { AllowanceLedger, LIMIT_KINDS, pickAllowanceHome } from '../../domain/limits/mod.js';
 import type { LedgerContext, LedgerGrant } from '../../domain/limits/mod.js';
 import { PeerState } from '../../domain/membership/types.js';
 import type { EntryHostIdentity } from '../../domain/membership/types.js';
-import type { Clock, EventLog, Metrics } from '../../ports/mod.js';
+import type { AllowanceRequestMessage, Clock, EventLog, Metrics } from '../../ports/mod.js';
 import type { ConfigurationView, MembershipView } from '../views/mod.js';
-import type { NumberedRequest } from './_messages.js';
 
 /** What the lender works with. */
 export interface AllowanceLenderOptions {
@@ -40,8 +38,6 @@
 
   #isRoundDue = false;
 
-  #hasNotedUnnumbered = false;
-
   /** Since when this view of the host list holds, or the process runs. */
   #listedSinceMs: number;
 
@@ -53,21 +49,20 @@
   }
 
   /** Takes a request of another entry host, or of this one. */
-  handleRequest(from: EntryHostIdentity, message: NumberedRequest): void {
+  handleRequest(from: EntryHostIdentity, message: AllowanceRequestMessage): void {
     const { accountId } = message;
     const context = this.#buildContext(accountId);
     if (!context || !this.#isHome(accountId)) return;
     const ledger = this.#openLedger(accountId);
-    if (message.requestNumber === undefined) this.#noteUnnumbered(from);
-    const requestNumber = message.requestNumber ?? 0;
+    const { requestNumber, heldLease, running } = message;
     ledger.record(
       {
         entryHostId: from.id,
         incarnation: from.incarnation,
         requestNumber,
-        heldLease: message.heldLease ?? 0,
+        heldLease,
         demand: message,
-        running: message.running ?? message.inFlight,
+        running,
       },
       context.nowMs,
     );
@@ -93,14 +88,6 @@
     });
   }
 
-  /** Without its number no lease can answer a request: base shares hold, and nobody would see why. */
-  #noteUnnumbered(from: EntryHostIdentity): void {
-    if (this.#hasNotedUnnumbered) return;
-    this.#hasNotedUnnumbered = true;
-    const { log } = this.#options;
-    log.write(LogLevel.Warn, 'allowance_request_unnumbered', { entryHost: from.id });
-  }
-
   #isHome(accountId: string): boolean {
     return pickAllowanceHome(accountId, this.#listedIds) === this.#options.membership.self.id;
   }
--- a/src/application/allowances/_demand_meter.ts
+++ b/src/application/allowances/_demand_meter.ts
@@ -23,7 +23,7 @@
 
   #hadDemand = false;
 
-  #isExpected = false;
+  #wasIdle = false;
 
   /** @param nowMs - monotonic time in milliseconds */
   constructor(nowMs: number) {
@@ -56,13 +56,13 @@
   }
 
   /** Whether the home is to hear of the next attempt at once. */
-  get isExpected(): boolean {
-    return this.#isExpected;
+  get wasIdle(): boolean {
+    return this.#wasIdle;
   }
 
   /** Lets the home hear of the next attempt at once: the account was idle. */
-  expectRequest(): void {
-    this.#isExpected = true;
+  noteIdle(): void {
+    this.#wasIdle = true;
   }
 
   /** @param tokens - expected tokens of an attempt. @param running - in flight before it */
@@ -99,7 +99,7 @@
     this.#hadDemand = demand.inFlight > 0;
     this.#hadRefusals = this.#refusedCount > 0;
     this.#refusedCount = 0;
-    this.#isExpected = false;
+    this.#wasIdle = false;
     this.#sinceMs = nowMs;
     return demand;
   }
--- a/src/application/allowances/allowance_keeper.ts
+++ b/src/application/allowances/allowance_keeper.ts
@@ -15,12 +15,19 @@
 import type { EntryHostIdentity } from '../../domain/membership/types.js';
 import { LogLevel, SchedulerError } from '../../domain/errors/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
-import type { Clock, EventLog, Metrics, PeerNetwork, Timer } from '../../ports/mod.js';
+import type {
+  AllowanceLeaseMessage,
+  AllowanceRequestMessage,
+  Clock,
+  EventLog,
+  Metrics,
+  PeerNetwork,
+  Timer,
+} from '../../ports/mod.js';
 import { AllowanceSource } from '../views/mod.js';
 import type { Admission, ConfigurationView, MembershipView } from '../views/mod.js';
 import { AccountLimiter } from './_account_limiter.js';
 import { AllowanceLender } from './_allowance_lender.js';
-import type { NumberedLease, NumberedRequest } from './_messages.js';
 
 /** Parts of a lease's life after which an account asks again. */
 const RENEW_LIVES = 1 / 2;
@@ -109,7 +116,7 @@
     const limiter = new AccountLimiter(account, this.#computeBase(account), nowMs);
     this.#limiters.set(account.accountId, limiter);
     // The first request of an idle account lets the home hear of it at once.
-    limiter.meter.expectRequest();
+    limiter.meter.noteIdle();
     return limiter;
   }
 
@@ -153,7 +160,7 @@
     const isUrgent = meter.hasNewRefusals && ageMs >= URGENT_LIVES * this.#lifeMs;
     // One last request without demand gives the room back before its lease ends.
     const isRenewal = (isActive || meter.hadDemand) && ageMs >= RENEW_LIVES * this.#lifeMs;
-    if (this.#timer && (isUrgent || isRenewal || (isActive && meter.isExpected)))
+    if (this.#timer && (isUrgent || isRenewal || (isActive && meter.wasIdle)))
       this.#sendRequest(limiter, false);
   }
 
@@ -166,7 +173,7 @@
       : limiter.meter.take(limiter.running, minSpanMs, nowMs);
     if (!home) return;
     const requestNumber = isBareConfirmation ? ACK_REQUEST_NUMBER : this.#assignNumber(limiter);
-    const message: NumberedRequest = {
+    const message: AllowanceRequestMessage = {
       type: PeerMessageType.AllowanceRequest,
       accountId: limiter.account.accountId,
       ...demand,
@@ -195,7 +202,7 @@
   }
 
   #sendLease(grant: LedgerGrant, accountId: string): void {
-    const message: NumberedLease = {
+    const message: AllowanceLeaseMessage = {
       type: PeerMessageType.AllowanceLease,
       accountId,
       ...grant.share,
@@ -209,11 +216,11 @@
     else peers.send(grant.incarnation, message);
   }
 
-  #handleLease(from: EntryHostIdentity, message: NumberedLease): void {
+  #handleLease(from: EntryHostIdentity, message: AllowanceLeaseMessage): void {
     const { clock, configuration, log } = this.#options;
     const account = configuration.findAccount(message.accountId);
     const isFromHome = pickAllowanceHome(message.accountId, this.#listedIds) === from.id;
-    if (!account || !isFromHome || message.leaseNumber === undefined) {
+    if (!account || !isFromHome) {
       log.write(LogLevel.Debug, 'allowance_lease_ignored', {
         account: message.accountId,
         entryHost: from.id,
@@ -225,7 +232,7 @@
     const lease = {
       home: from.incarnation,
       leaseNumber: message.leaseNumber,
-      requestNumber: message.requestNumber ?? ACK_REQUEST_NUMBER,
+      requestNumber: message.requestNumber,
       share: message,
       validMs: message.validMs,
     };
--- a/src/application/configuration/_peer_exchange.ts
+++ b/src/application/configuration/_peer_exchange.ts
@@ -70,16 +70,16 @@
   start(): void {
     const { peers } = this.#options;
     peers.handle(PeerMessageType.ConfigurationDigest, (from, { revisions }) => {
-      this.#answer(from, revisions);
+      this.#handleDigest(from, revisions);
     });
     peers.handle(PeerMessageType.ConfigurationEntries, (from, { entries }) => {
-      this.#take(from, entries);
+      this.#handleEntries(from, entries);
     });
     peers.onLink(({ peer, up }) => {
       if (!up) this.#remove(peer.incarnation);
-      else if (!this.#options.hasLoaded()) this.ask(peer.incarnation);
+      else if (!this.#options.hasLoaded()) this.sendDigest(peer.incarnation);
     });
-    this.#askNext();
+    this.#sendNextDigest();
   }
 
   /** Stops asking. */
@@ -93,7 +93,7 @@
    *
    * @param incarnation - which peer
    */
-  ask(incarnation: string): void {
+  sendDigest(incarnation: string): void {
     const { clock, getState, peers } = this.#options;
     const nowMs = clock.nowMs();
     const askedAtMs = this.#askedAtMs.get(incarnation) ?? -Infinity;
@@ -141,14 +141,14 @@
     });
   }
 
-  #askNext(): void {
+  #sendNextDigest(): void {
     const { clock, hasLoaded, peers } = this.#options;
     if (hasLoaded()) return;
     const linked = peers.listLinked();
     const peer = linked[this.#nextPeer % Math.max(1, linked.length)];
     this.#nextPeer += 1;
-    if (peer) this.ask(peer.incarnation);
-    this.#timer = clock.setTimer(DIGEST_INTERVAL_MS, () => this.#askNext());
+    if (peer) this.sendDigest(peer.incarnation);
+    this.#timer = clock.setTimer(DIGEST_INTERVAL_MS, () => this.#sendNextDigest());
   }
 
   /**
@@ -156,7 +156,7 @@
    * be taken by a peer that starts at the same time as a sign that nothing is
    * newer than what a stale service says.
    */
-  #answer(from: EntryHostIdentity, revisions: Readonly<Record<string, number>>): void {
+  #handleDigest(from: EntryHostIdentity, revisions: Readonly<Record<string, number>>): void {
     const { getState, hasLoaded, peers } = this.#options;
     if (!hasLoaded()) return;
     const state = getState();
@@ -165,7 +165,7 @@
     this.#send(from.incarnation, isClash ? [...state.entries.values()] : ahead);
     // An empty message ends the answer: the peer knows now that it has heard everything.
     peers.send(from.incarnation, { type: PeerMessageType.ConfigurationEntries, entries: [] });
-    if (isBehind) this.ask(from.incarnation);
+    if (isBehind) this.sendDigest(from.incarnation);
   }
 
   /**
@@ -181,7 +181,7 @@
     return isCurrent && ageMs >= CLASH_PATIENCE_MS;
   }
 
-  #take(from: EntryHostIdentity, entries: readonly ConfigurationEntry[]): void {
+  #handleEntries(from: EntryHostIdentity, entries: readonly ConfigurationEntry[]): void {
     const { onAnswered, onEntries } = this.#options;
     if (entries.length === 0) onAnswered();
     else onEntries(entries.map(readEntry), from);
--- a/src/application/configuration/configuration_keeper.ts
+++ b/src/application/configuration/configuration_keeper.ts
@@ -53,6 +53,9 @@
   readonly restartPatienceMs: number;
 }
 
+/** What is answered before anything is in force. */
+const EMPTY_INDEX = buildIndex(EMPTY_STATE);
+
 /**
  * Reads and watches the configuration service, exchanges accepted entries with
  * peers, and answers what is in force.
@@ -72,7 +75,7 @@
 
   #state: ConfigurationState = EMPTY_STATE;
 
-  #index: ConfigurationIndex = buildIndex(EMPTY_STATE);
+  #index: ConfigurationIndex = EMPTY_INDEX;
 
   #hash = hashState(EMPTY_STATE);
 
@@ -142,7 +145,7 @@
   handlePeerRevision(incarnation: string, revision: number, hash: string): void {
     if (hash === this.#hash) return;
     this.#exchange.noteDifference(incarnation, hash);
-    if (!this.#hasLoaded || revision >= this.#revision) this.#exchange.ask(incarnation);
+    if (!this.#hasLoaded || revision >= this.#revision) this.#exchange.sendDigest(incarnation);
   }
 
   override getStatus(): ConfigurationStatus {
@@ -161,35 +164,35 @@
   }
 
   override findAccountByKeyHash(keyHash: string): AccountContract | undefined {
-    return this.#index.accountsByKeyHash.get(keyHash);
+    return this.#getIndex().accountsByKeyHash.get(keyHash);
   }
 
   override findAccount(accountId: string): AccountContract | undefined {
-    return this.#index.accounts.get(accountId);
+    return this.#getIndex().accounts.get(accountId);
   }
 
   override listAccounts(): readonly AccountContract[] {
-    return [...this.#index.accounts.values()];
+    return [...this.#getIndex().accounts.values()];
   }
 
   override listServices(): readonly Service[] {
-    return [...this.#index.services.values()];
+    return [...this.#getIndex().services.values()];
   }
 
   override findService(serviceId: string): Service | undefined {
-    return this.#index.services.get(serviceId);
+    return this.#getIndex().services.get(serviceId);
   }
 
   override findServiceByModel(model: string): Service | undefined {
-    return this.#index.servicesByModel.get(model);
+    return this.#getIndex().servicesByModel.get(model);
   }
 
   override findBackendServer(backendServerId: string): BackendServer | undefined {
-    return this.#index.backendServers.get(backendServerId);
+    return this.#getIndex().backendServers.get(backendServerId);
   }
 
   override findEngineKind(engineKindId: string): EngineKind | undefined {
-    return this.#index.engineKinds.get(engineKindId);
+    return this.#getIndex().engineKinds.get(engineKindId);
   }
 
   override onChange(handler: () => void): void {
@@ -247,6 +250,14 @@
     if (this.#hasLoaded) this.#notifyHandlers();
   }
 
+  /**
+   * Until it is loaded nothing is answered: a peer's first answer may hold a
+   * part only, and who acted on that would refuse accounts that are in force.
+   */
+  #getIndex(): ConfigurationIndex {
+    return this.#hasLoaded ? this.#index : EMPTY_INDEX;
+  }
+
   #notifyHandlers(): void {
     this.#handlers.forEach((handler) => {
       try {
--- a/src/application/configuration/configuration_keeper_test.ts
+++ b/src/application/configuration/configuration_keeper_test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import { CONTRACT_KEY_PREFIX } from '../../domain/configuration/mod.js';
+import { PeerMessageType } from '../../ports/mod.js';
 import {
   buildContract,
   FIRM_A,
@@ -8,6 +9,7 @@
   startDeployment,
   WAIT_MS,
 } from '../../../test/support/configuration_hosts.js';
+import { MAX_BATCH_BYTES } from './_entry_batches.js';
 
 t.test('ConfigurationKeeper loads from the service when no peer answers', async (t) => {
   const deployment = await startDeployment([]);
@@ -152,6 +154,47 @@
   await deployment.close();
 });
 
+t.test('ConfigurationKeeper tells few peers of a change, and all hear of it', async (t) => {
+  // Symptom: each change costs every entry host a message to every other one.
+  const ids = Array.from({ length: 60 }, (_, at) => `host-${at}`);
+  const deployment = await startDeployment(ids);
+  ids.slice(1).forEach((id) => deployment.hosts.get(id)?.reader.setCut(true));
+  const network = deployment.hosts.get('host-0')?.network;
+  const before = network?.sent.length ?? 0;
+  deployment.service.publish(FIRM_A, buildContract(2));
+  await deployment.clock.advance(0);
+  t.equal((network?.sent.length ?? 0) - before, 16);
+  await deployment.advance(4 * HEARTBEAT_MS);
+  t.same(
+    deployment.listWeights(),
+    ids.map(() => 2),
+  );
+  await deployment.close();
+});
+
+t.test('ConfigurationKeeper splits a long answer, and loads from all of it', async (t) => {
+  // Symptom: heartbeats are late behind one long message, and peers are suspected.
+  const deployment = await startDeployment([]);
+  for (let at = 0; at < 20; at += 1) {
+    const document = buildContract(2, `firm-${at}`) + ' '.repeat(30_000);
+    deployment.service.publish(`${CONTRACT_KEY_PREFIX}firm-${at}`, document);
+  }
+  deployment.start('a');
+  await deployment.advance(PATIENCE_MS);
+  deployment.service.setDown(true);
+  const restarted = deployment.start('b');
+  await deployment.advance(PATIENCE_MS);
+  t.equal(restarted.keeper.getStatus().accountCount, 21);
+  const sizes = deployment.hub.delivered.flatMap(({ message }) =>
+    message.type === PeerMessageType.ConfigurationEntries
+      ? [message.entries.reduce((sum, { value }) => sum + (value?.length ?? 0), 0)]
+      : [],
+  );
+  t.ok(Math.max(...sizes) <= MAX_BATCH_BYTES);
+  t.ok(Math.max(...sizes) > 0);
+  await deployment.close();
+});
+
 t.test('ConfigurationKeeper settles operators who publish at once', async (t) => {
   const deployment = await startDeployment(['a', 'b']);
   deployment.hosts.get('b')?.reader.setCut(true);
--- a/src/application/dispatcher/_acquire_slot.ts
+++ b/src/application/dispatcher/_acquire_slot.ts
@@ -90,8 +90,10 @@
 
 /** In a service of several groups a tier is closed everywhere as soon as it is in one. */
 function checkOpen(client: SlotClient, wish: SlotWish, groups: readonly DispatchGroup[]): void {
-  const { clock, strategy } = client.options;
-  if (groups.length < 2 || !strategy.closesTiers) return;
+  const { clock, dispatcher, strategy } = client.options;
+  if (groups.length < 2) return;
+  client.loads.update(dispatcher.listGroupLoads(), clock.nowMs());
+  if (!strategy.closesTiers) return;
   const closed = client.loads.findClosed(groups, wish.tier, clock.nowMs());
   if (!closed) return;
   throw new SchedulerError(ErrorKind.TierClosed, {
--- a/src/application/dispatcher/_server_poller.ts
+++ b/src/application/dispatcher/_server_poller.ts
@@ -7,6 +7,20 @@
 import type { HeldGroup } from './_held_group.js';
 import type { DispatcherOptions } from './dispatcher_options.js';
 
+/**
+ * Time without cache events after which they are read from the beginning, in
+ * milliseconds. A backend server that was restarted counts from 0 again; asked
+ * for what comes after the old numbers, it would have nothing to tell for long.
+ */
+const REREAD_AFTER_MS = 60_000;
+
+/** How far the cache events of a backend server were read. */
+interface ReadMark {
+  readonly sequence: number;
+  /** When the last event came, on the monotonic clock. */
+  readonly atMs: number;
+}
+
 /** Reads once at a time for each backend server, however long it takes. */
 export class ServerPoller {
   readonly #options: DispatcherOptions;
@@ -14,8 +28,8 @@
   /** Backend servers that a read is under way to. */
   readonly #reading = new Set<string>();
 
-  /** Last sequence number seen, by backend server. */
-  readonly #sequences = new Map<string, number>();
+  /** By backend server. */
+  readonly #marks = new Map<string, ReadMark>();
 
   /** @param options - what the dispatcher is built from */
   constructor(options: DispatcherOptions) {
@@ -56,7 +70,10 @@
   }
 
   async #readCacheEvents(group: HeldGroup, server: BackendServer): Promise<void> {
-    const after = this.#sequences.get(server.id) ?? 0;
+    const startMs = this.#options.clock.nowMs();
+    const mark = this.#marks.get(server.id);
+    const isSilent = !mark || startMs - mark.atMs > REREAD_AFTER_MS;
+    const after = isSilent ? 0 : mark.sequence;
     const events = await this.#options.backend.readCacheEvents(server, after);
     const hints = group.scheduler.pool.findServer(server.id)?.hints;
     const nowMs = this.#options.clock.nowMs();
@@ -64,7 +81,8 @@
       if (stored) hints?.noteStored(blockHash, nowMs);
       else hints?.noteRemoved(blockHash);
     });
-    const last = events.reduce((most, { sequence }) => Math.max(most, sequence), after);
-    this.#sequences.set(server.id, last);
+    const sequence = events.reduce((most, event) => Math.max(most, event.sequence), after);
+    const atMs = isSilent || events.length > 0 ? nowMs : mark.atMs;
+    this.#marks.set(server.id, { sequence, atMs });
   }
 }
--- a/src/application/dispatcher/dispatcher_service.ts
+++ b/src/application/dispatcher/dispatcher_service.ts
@@ -12,6 +12,7 @@
 import type { DispatcherOptions } from './dispatcher_options.js';
 import { Grant, GrantBook } from './_grant_book.js';
 import { GroupRegistry } from './_group_registry.js';
+import { GroupWatch } from './_group_watch.js';
 import type { HeldGroup } from './_held_group.js';
 import { findExpiredGrants } from './_reclaim.js';
 import { RepeatedTimers } from './_repeated_timers.js';
@@ -52,12 +53,15 @@
 
   readonly #timers: RepeatedTimers;
 
+  readonly #watch: GroupWatch;
+
   /** @param options - what it is built from */
   constructor(options: DispatcherOptions) {
     this.#options = options;
     this.#groups = new GroupRegistry(options);
     this.#poller = new ServerPoller(options);
     this.#timers = new RepeatedTimers(options.clock);
+    this.#watch = new GroupWatch(options.log, options.metrics);
     const { peers, membership, configuration } = options;
     peers.handle(PeerMessageType.SlotRequest, ({ incarnation }, message) =>
       this.handleRequest(
@@ -270,6 +274,7 @@
       .filter((group) => group.updateResponsibility(nowMs))
       .forEach((group) => this.#handBack(group));
     this.#runAll();
+    this.#groups.list().forEach((group) => this.#watch.note(group, nowMs));
   }
 
   /** Sends waiting requests back to their owners, which ask the group's new dispatcher. */
@@ -285,7 +290,9 @@
   }
 
   #poll(): void {
+    const nowMs = this.#options.clock.nowMs();
     this.#groups.prune();
+    this.#groups.list().forEach((group) => this.#watch.record(group, nowMs));
     this.#groups.openOwn().forEach((group) => {
       this.#poller.run(group).catch(() => undefined);
     });
--- a/src/application/dispatcher/slot_client.ts
+++ b/src/application/dispatcher/slot_client.ts
@@ -219,9 +219,11 @@
 
   #handleMembershipChange(): void {
     this.#outbox.prune();
+    const { membership } = this.options;
     const dispatchers = new Set([...this.#waits.values()].map(({ dispatcher }) => dispatcher));
+    dispatchers.delete(membership.self.incarnation);
     dispatchers.forEach((incarnation) => {
-      const view = this.options.membership.findIncarnation(incarnation);
+      const view = membership.findIncarnation(incarnation);
       if (!view || view.state === PeerState.Suspected) this.#noteLost(incarnation);
     });
   }
--- a/src/application/entry_host/identity_issuer.ts
+++ b/src/application/entry_host/identity_issuer.ts
@@ -7,8 +7,8 @@
 import type { RequestId } from '../../domain/requests/mod.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { PeerState, sortForCallers } from '../../domain/membership/mod.js';
-import type { EntryHostIdentity } from '../../domain/membership/mod.js';
-import type { Clock, RandomSource } from '../../ports/mod.js';
+import type { EntryHostIdentity, EntryHostView } from '../../domain/membership/mod.js';
+import type { Clock, PeerNetwork, RandomSource } from '../../ports/mod.js';
 import type { Assignment, CallerAddress, MembershipView } from '../views/mod.js';
 
 const NONCE_BYTES = 12;
@@ -19,6 +19,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly membership: MembershipView;
+  readonly peers: PeerNetwork;
   /** Key that all entry hosts share. */
   readonly clusterKey: Uint8Array;
   /** Life of a request ID, in milliseconds. */
@@ -77,10 +78,7 @@
   /** @returns an owner for a new request, evenly among the entry hosts that take new callers */
   pickOwner(): EntryHostIdentity {
     const { membership, random } = this.#options;
-    const live = membership
-      .listEntryHosts()
-      .filter((view) => view.state === PeerState.Live)
-      .map((view) => view.identity);
+    const live = this.#listReachable().map((view) => view.identity);
     return live[Math.floor(random.nextFraction() * live.length)] ?? membership.self;
   }
 
@@ -112,10 +110,8 @@
    */
   buildAssignment(id: RequestId): Assignment {
     const { membership, random, keepAddressMs } = this.#options;
-    const sorted = sortForCallers(
-      membership.listEntryHosts(),
-      membership.self.availabilityZone,
-      () => random.nextFraction(),
+    const sorted = sortForCallers(this.#listReachable(), membership.self.availabilityZone, () =>
+      random.nextFraction(),
     ).map((view) => view.identity);
     const owner = membership.findIncarnation(id.incarnation)?.identity ?? membership.self;
     return {
@@ -125,6 +121,23 @@
       keepMs: keepAddressMs,
     };
   }
+
+  /**
+   * Lists entry hosts that callers can be sent to. A process that was killed
+   * stays live for its peers until it is suspected, yet its links go at once:
+   * who has no link now is left out, so that callers aren't sent to a dead
+   * address for that time.
+   */
+  #listReachable(): readonly EntryHostView[] {
+    const { membership, peers } = this.#options;
+    const linked = new Set(peers.listLinked().map((peer) => peer.incarnation));
+    linked.add(membership.self.incarnation);
+    return membership
+      .listEntryHosts()
+      .filter(
+        ({ state, identity }) => state === PeerState.Live && linked.has(identity.incarnation),
+      );
+  }
 }
 
 function toAddress(identity: EntryHostIdentity): CallerAddress {
--- a/src/application/entry_host/planned_stop.ts
+++ b/src/application/entry_host/planned_stop.ts
@@ -7,6 +7,12 @@
 import type { Clock, EventLog } from '../../ports/mod.js';
 import type { OwnerService } from '../owner/mod.js';
 
+/**
+ * Time that peers need to hear of the stop, and callers to connect: until then
+ * an address may still be given out or be on its way to be used.
+ */
+const NOTICE_MS = 1000;
+
 /** Options of a planned stop. */
 export interface PlannedStopOptions {
   readonly clock: Clock;
@@ -38,7 +44,7 @@
   const cut = Promise.race([waitFor(clock, options.limitMs), options.hurry]).then(() => {
     isCut.value = true;
   });
-  await Promise.race([waitFor(clock, options.keepAddressMs), cut]);
+  await Promise.race([waitFor(clock, options.keepAddressMs + NOTICE_MS), cut]);
   await Promise.race([owner.waitUntilIdle(), cut]);
   const isClean = !isCut.value || owner.runningCount === 0;
   if (!isClean) owner.refuseAll(new SchedulerError(ErrorKind.EntryHostStopping));
--- a/src/application/membership/_peer_directory.ts
+++ b/src/application/membership/_peer_directory.ts
@@ -116,7 +116,7 @@
     const { self } = this.#options;
     const next = new Map<string, PeerState>([[self.incarnation, this.#getSelfState()]]);
     this.#table.list().forEach((record) => {
-      const state = this.#table.getState(record, this.#isLeaving(record), nowMs);
+      const state = this.#table.getState(record, this.#findClaimed(record), nowMs);
       next.set(record.identity.incarnation, state);
     });
     const isSame =
@@ -188,10 +188,13 @@
   }
 
   /** The list's word about an earlier incarnation does not hold for its successor. */
-  #isLeaving({ identity, staleListIndex }: EntryHostRecord): boolean {
-    if (this.#reports.find(identity.incarnation)?.leaving) return true;
+  #findClaimed({ identity, staleListIndex }: EntryHostRecord): PeerState {
+    const report = this.#reports.find(identity.incarnation);
     const listed = this.#listed.get(identity.id);
-    return listed?.state === HostState.Leaving && listed.modifyIndex > staleListIndex;
+    const isListedLeaving =
+      listed?.state === HostState.Leaving && listed.modifyIndex > staleListIndex;
+    if (report?.leaving || isListedLeaving) return PeerState.Leaving;
+    return report?.ready ? PeerState.Live : PeerState.Starting;
   }
 
   #buildSelfView(): EntryHostView {
--- a/src/application/membership/_test_hosts.ts
+++ b/src/application/membership/_test_hosts.ts
@@ -4,13 +4,13 @@
  * @module
  */
 import type { Test } from 'tap';
-import { Clock, PlatformReader } from '../../ports/mod.js';
+import { PlatformReader } from '../../ports/mod.js';
 import type {
   GroupLoad,
+  LinkEvent,
+  PeerMessage,
   PlatformReadOptions,
   PlatformSnapshot,
-  PlatformEntry,
-  Timer,
 } from '../../ports/mod.js';
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
 import { FakeLog, FakeMetrics, SeededRandom } from '../../../test/support/fakes.js';
@@ -19,6 +19,9 @@
   FakePeerHub,
   FakePeerNetwork,
 } from '../../../test/support/fake_peer_network.js';
+import { FakePlatform } from '../../../test/support/fake_platform.js';
+import type { FakePlatformReader } from '../../../test/support/fake_platform.js';
+import { GatedClock, ProcessGate } from '../../../test/support/frozen_host.js';
 import { VirtualClock } from '../../../test/support/virtual_clock.js';
 import { MembershipKeeper } from './mod.js';
 
@@ -27,104 +30,51 @@
 /** Silence after which test keepers suspect. */
 export const SUSPECT_MS = 2_000;
 
-/** How the fake host list behaves. */
-export enum ListFault {
-  None = 'none',
-  Down = 'down',
-  /** Reads are never answered. */
-  Silent = 'silent',
-}
-
-/** A host list in memory, with waiting reads. */
-export class FakeHostList extends PlatformReader {
-  fault = ListFault.None;
-
-  /** Begun reads. */
-  reads = 0;
-
-  #index = 1;
-
-  readonly #entries = new Map<string, PlatformEntry>();
+/** A reader whose connection can fall silent. */
+class SilenceableReader extends PlatformReader {
+  isSilent = false;
 
-  #wakers: (() => void)[] = [];
-
-  constructor(readonly clock: VirtualClock) {
+  constructor(readonly reader: FakePlatformReader) {
     super();
   }
 
-  /** Writes one entry, at the next index. */
-  put(id: string, value: object | string): void {
-    this.#index += 1;
-    const text = typeof value === 'string' ? value : JSON.stringify({ id, ...value });
-    const entry = { key: `hosts/${id}`, value: Buffer.from(text), modifyIndex: this.#index };
-    this.#entries.set(entry.key, entry);
-    this.#wakers.splice(0).forEach((wake) => wake());
-  }
-
-  /** Lists an entry host. */
-  putEntryHost({ id, peerUrl }: EntryHostIdentity, state = 'live'): void {
-    this.put(id, { role: 'entry_host', peerUrl, state, availabilityZone: 'hall-a' });
-  }
-
-  /** Lists a backend server. */
-  putBackendServer(id: string, state = 'live'): void {
-    this.put(id, { role: 'backend_server', url: `http://${id}.test`, state });
-  }
-
-  /** @returns what the list is now */
-  take(): PlatformSnapshot {
-    return { index: this.#index, entries: [...this.#entries.values()] };
-  }
-
-  override async read(_prefix: string, options: PlatformReadOptions): Promise<PlatformSnapshot> {
-    this.reads += 1;
-    if (this.fault === ListFault.Down) throw new Error('Cannot read: connection refused');
-    if (this.fault === ListFault.Silent) return this.#waitForEver();
-    if (options.afterIndex === this.#index) await this.#waitForChange(options.waitMs);
-    return this.take();
-  }
-
-  #waitForEver(): Promise<never> {
+  override read(prefix: string, options: PlatformReadOptions): Promise<PlatformSnapshot> {
+    if (!this.isSilent) return this.reader.read(prefix, options);
     return new Promise(() => {});
   }
-
-  #waitForChange(waitMs: number): Promise<void> {
-    return new Promise<void>((resolve) => {
-      this.#wakers.push(resolve);
-      this.clock.setTimer(waitMs, resolve);
-    });
-  }
 }
 
-/** The clock of one process, which can be ahead of the others after it was frozen. */
-class ProcessClock extends Clock {
-  aheadMs = 0;
-
-  constructor(readonly base: VirtualClock) {
-    super();
-  }
-
-  override nowMs(): number {
-    return this.base.nowMs() + this.aheadMs;
+/** A network whose messages wait while the process is frozen. */
+class GatedPeerNetwork extends FakePeerNetwork {
+  constructor(
+    hub: FakePeerHub,
+    identity: EntryHostIdentity,
+    readonly gate: ProcessGate,
+  ) {
+    super(hub, identity);
   }
 
-  override wallMs(): number {
-    return this.base.wallMs() + this.aheadMs;
+  override notifyLink(event: LinkEvent): void {
+    // The base class announces the links that are there before the gate is.
+    if (this.gate) this.gate.run(() => super.notifyLink(event));
+    else super.notifyLink(event);
   }
 
-  override setTimer(delayMs: number, callback: () => void): Timer {
-    return this.base.setTimer(delayMs, callback);
+  override receive(from: FakePeerNetwork, message: PeerMessage): void {
+    this.gate.run(() => super.receive(from, message));
   }
 }
 
 /** One entry host. */
 export class TestHost {
-  readonly log = new FakeLog();
+  readonly gate = new ProcessGate();
 
-  readonly metrics = new FakeMetrics();
+  readonly log = new FakeLog();
 
   readonly peers: FakePeerNetwork;
 
+  readonly reader: SilenceableReader;
+
   readonly keeper: MembershipKeeper;
 
   /** How often the keeper told of a change. */
@@ -134,27 +84,25 @@
 
   groups: GroupLoad[] = [];
 
-  readonly #clock: ProcessClock;
-
   constructor(
-    hub: FakePeerHub,
+    { clock, hub, platform }: Omit<World, 'hosts'>,
     readonly identity: EntryHostIdentity,
-    readonly platform: FakeHostList,
   ) {
-    this.#clock = new ProcessClock(platform.clock);
-    this.peers = new FakePeerNetwork(hub, identity);
+    this.peers = new GatedPeerNetwork(hub, identity, this.gate);
+    this.reader = new SilenceableReader(platform.createReader());
     this.keeper = new MembershipKeeper({
-      clock: this.#clock,
+      clock: new GatedClock(clock, this.gate),
       log: this.log,
-      metrics: this.metrics,
+      metrics: new FakeMetrics(),
       random: new SeededRandom(1),
-      platform,
+      platform: this.reader,
       peers: this.peers,
       self: identity,
       seedPeerUrls: [],
       heartbeatMs: HEARTBEAT_MS,
       suspectAfterMs: SUSPECT_MS,
       listGroupLoads: () => this.groups,
+      isReady: () => true,
       getConfiguration: () => this.configuration,
     });
     this.keeper.onChange(() => {
@@ -163,11 +111,6 @@
     this.keeper.start();
   }
 
-  /** Lets this process stand still, by its own clock. */
-  freeze(forMs: number): void {
-    this.#clock.aheadMs += forMs;
-  }
-
   /** @returns states by ID, as this one sees them */
   listStates(): Record<string, string> {
     const views = this.keeper.listEntryHosts();
@@ -181,11 +124,27 @@
   }
 }
 
+/** Lists an entry host. */
+export function listEntryHost(
+  platform: FakePlatform,
+  { id, peerUrl }: EntryHostIdentity,
+  state = 'live',
+): void {
+  const host = { id, role: 'entry_host', peerUrl, state, availabilityZone: 'hall-a' };
+  platform.publish(`hosts/${id}`, JSON.stringify(host));
+}
+
+/** Lists a backend server. */
+export function listBackendServer(platform: FakePlatform, id: string, state = 'live'): void {
+  const host = { id, role: 'backend_server', url: `http://${id}.test`, state };
+  platform.publish(`hosts/${id}`, JSON.stringify(host));
+}
+
 /** What {@link startWorld} made. */
 export interface World {
   readonly clock: VirtualClock;
   readonly hub: FakePeerHub;
-  readonly list: FakeHostList;
+  readonly platform: FakePlatform;
   readonly hosts: readonly [TestHost, TestHost, TestHost];
 }
 
@@ -193,12 +152,12 @@
 export async function startWorld(t: Test): Promise<World> {
   const clock = new VirtualClock();
   const hub = new FakePeerHub();
-  const list = new FakeHostList(clock);
-  list.putBackendServer('engine-1');
+  const platform = new FakePlatform(clock);
+  listBackendServer(platform, 'engine-1');
   const identities = ['a', 'b', 'c'].map((id) => buildIdentity(id));
-  identities.forEach((identity) => list.putEntryHost(identity));
-  const hosts = identities.map((identity) => new TestHost(hub, identity, list));
+  identities.forEach((identity) => listEntryHost(platform, identity));
+  const hosts = identities.map((identity) => new TestHost({ clock, hub, platform }, identity));
   t.teardown(() => hosts.forEach(({ keeper }) => keeper.stop()));
   await clock.advance(HEARTBEAT_MS);
-  return { clock, hub, list, hosts: hosts as unknown as World['hosts'] };
+  return { clock, hub, platform, hosts: hosts as unknown as World['hosts'] };
 }
--- a/src/application/membership/membership_keeper.ts
+++ b/src/application/membership/membership_keeper.ts
@@ -265,6 +265,7 @@
   #buildContent(): HeartbeatContent {
     const { revision, hash } = this.#options.getConfiguration();
     return {
+      ready: this.#options.isReady(),
       leaving: this.#directory.isSelfStopping,
       configurationRevision: revision,
       configurationHash: hash,
--- a/src/application/membership/membership_keeper_options.ts
+++ b/src/application/membership/membership_keeper_options.ts
@@ -38,6 +38,8 @@
   readonly suspectAfterMs: number;
   /** What heartbeats tell of the groups that this entry host dispatches for. */
   readonly listGroupLoads: () => readonly GroupLoad[];
+  /** Whether callers can be sent here; told by heartbeats. */
+  readonly isReady: () => boolean;
   /** What heartbeats tell of the configuration. */
   readonly getConfiguration: () => ConfigurationMark;
 }
--- a/src/caller/_exchange.ts
+++ b/src/caller/_exchange.ts
@@ -72,7 +72,7 @@
     this.head = this.#waitForHead(call.url);
     // Nobody may be waiting any more when it fails.
     this.head.catch(() => undefined);
-    this.#limitConnecting(clock);
+    this.#watchConnecting(clock, isSecure ? 'secureConnect' : 'connect');
     this.#request.end(call.body);
   }
 
@@ -92,7 +92,8 @@
     });
   }
 
-  #limitConnecting(clock: Clock): void {
+  /** Before the connection is ready, TLS included, not a byte of the request can have left. */
+  #watchConnecting(clock: Clock, readyEvent: 'connect' | 'secureConnect'): void {
     const timer = clock.setTimer(CONNECT_TIMEOUT_MS, () => {
       if (!this.#hasConnected)
         this.#request.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`));
@@ -102,7 +103,7 @@
       timer.cancel();
     };
     this.#request.once('socket', (socket) => {
-      if (socket.connecting) socket.once('connect', noteConnected);
+      if (socket.connecting) socket.once(readyEvent, noteConnected);
       else noteConnected();
     });
     this.#request.once('close', () => timer.cancel());
--- a/src/caller/_refusal.ts
+++ b/src/caller/_refusal.ts
@@ -47,6 +47,19 @@
   ErrorKind.Cancelled,
 ]);
 
+/** Refusals by a listener's own rules, made before it passes a call on. */
+const LISTENER_CODES: ReadonlySet<string> = new Set([
+  ErrorKind.MalformedRequest,
+  ErrorKind.BodyTooLarge,
+  ErrorKind.HeaderTooLarge,
+  ErrorKind.RequestTimeout,
+  ErrorKind.NotFound,
+  ErrorKind.MethodNotAllowed,
+  ErrorKind.Unauthenticated,
+  ErrorKind.UnknownModel,
+  ErrorKind.TooManyConnections,
+]);
+
 /** @param code - of an error answer. @returns whether another entry host may answer better */
 export function isPassing(code: string): boolean {
   return PASSING_CODES.has(code);
@@ -57,6 +70,11 @@
   return OWNER_CODES.has(code);
 }
 
+/** @param code - of an error answer. @returns whether the listener passed nothing on */
+export function isFromListener(code: string): boolean {
+  return LISTENER_CODES.has(code);
+}
+
 /** @param code - of an error answer. @returns whether the owner was asked and did not answer */
 export function isOwnerUnreachable(code: string): boolean {
   return code === String(ErrorKind.OwnerUnreachable);
--- a/src/caller/_submission.ts
+++ b/src/caller/_submission.ts
@@ -8,7 +8,13 @@
 import { buildAuthorization, MAX_TRIES, waitBetweenRounds } from './_call_context.js';
 import type { CallContext } from './_call_context.js';
 import { Exchange, ExchangeError } from './_exchange.js';
-import { isFromOwner, isOwnerUnreachable, isPassing, openAnswer } from './_refusal.js';
+import {
+  isFromListener,
+  isFromOwner,
+  isOwnerUnreachable,
+  isPassing,
+  openAnswer,
+} from './_refusal.js';
 import type { OpenedAnswer, Refusal } from './_refusal.js';
 import { waitWatching } from './_silence_watch.js';
 import { CallerError, LocalErrorCode } from './caller_error.js';
@@ -126,17 +132,9 @@
     }
   }
 
-  /**
-   * When an earlier copy of the call may have reached the owner, "not run" from
-   * an entry host in between only says that *it* passed nothing on. Taken for
-   * the whole truth, the caller would send the work again under a new ID and
-   * double it.
-   */
   #buildRefused(refusal: Refusal, status: number | undefined): CallerError {
     const { code, message, retryAfterMs } = refusal;
-    const isTrusted = !this.#mayHaveLeft || isFromOwner(code);
-    const run =
-      refusal.run === RunOutcome.NotRun && !isTrusted ? RunOutcome.MayHaveRun : refusal.run;
+    const run = this.#computeRun(refusal);
     if (isOwnerUnreachable(code)) this.#mayHaveLeft = true;
     return new CallerError(run, message, {
       code,
@@ -146,6 +144,23 @@
     });
   }
 
+  /**
+   * When an earlier copy of the call may have reached the owner, "not run" from
+   * an entry host in between only says that *it* passed nothing on. Taken for
+   * the whole truth, the caller would send the work again under a new ID and
+   * double it. The other way round, a listener that refuses a call by its own
+   * rules can't know of other copies, while this caller knows that it was the
+   * first and only one.
+   */
+  #computeRun({ code, run }: Refusal): RunOutcome {
+    if (this.#mayHaveLeft && run === RunOutcome.NotRun && !isFromOwner(code))
+      return RunOutcome.MayHaveRun;
+    const isOnlyCopy = !this.#mayHaveLeft && this.#request.idempotencyKey === undefined;
+    if (isOnlyCopy && run === RunOutcome.MayHaveRun && isFromListener(code))
+      return RunOutcome.NotRun;
+    return run;
+  }
+
   #buildLost(lastError: Error): CallerError {
     if (lastError instanceof CallerError) return lastError;
     return new CallerError(
--- a/src/commands/_call_settings.ts
+++ b/src/commands/_call_settings.ts
@@ -10,6 +10,8 @@
   createNameSchema,
   createPemFileSchema,
   createUrlListSchema,
+  createUrlSchema,
+  createWritableFileSchema,
 } from './_setting_schemas.js';
 import { SettingsError } from './settings.js';
 
@@ -30,6 +32,8 @@
   readonly maxTokens?: string | undefined;
   readonly idempotencyKey?: string | undefined;
   readonly traceparent?: string | undefined;
+  readonly traceFile?: string | undefined;
+  readonly otlpUrl?: string | undefined;
   readonly stream: boolean;
   readonly prompt?: string | undefined;
 }
@@ -49,6 +53,8 @@
   readonly maxTokens: number | undefined;
   readonly idempotencyKey: string | undefined;
   readonly traceparent: string | undefined;
+  readonly traceFile: string | undefined;
+  readonly otlpUrl: string | undefined;
   readonly stream: boolean;
   readonly prompt: string | undefined;
 }
@@ -116,6 +122,16 @@
     '--certificate-authority (MONSOONHALL_CERTIFICATE_AUTHORITY)',
     flags.certificateAuthority,
   );
+  const traceFile = faults.parse(
+    createWritableFileSchema(),
+    '--trace-file (MONSOONHALL_TRACE_FILE)',
+    flags.traceFile,
+  );
+  const otlpUrl = faults.parse(
+    createUrlSchema(['http', 'https']),
+    '--otlp-url (MONSOONHALL_OTLP_URL)',
+    flags.otlpUrl,
+  );
   const service = faults.parse(createNameSchema(), '--service', flags.service);
   const workKind = faults.parse(createNameSchema(), '--work-kind', flags.workKind);
   checkTarget(faults, flags);
@@ -133,6 +149,8 @@
     maxTokens,
     idempotencyKey: flags.idempotencyKey,
     traceparent: flags.traceparent,
+    traceFile,
+    otlpUrl,
     stream: flags.stream,
     prompt: flags.prompt,
   };
--- a/src/commands/_entry_admin.ts
+++ b/src/commands/_entry_admin.ts
@@ -6,7 +6,7 @@
 import { AdminListener } from '../adapters/admin_http/mod.js';
 import type { AdminSources, ContractCheck, Readiness } from '../adapters/admin_http/mod.js';
 import { explainContract, formatFault, parseContract } from '../domain/contracts/mod.js';
-import { buildLimits } from './_entry_parts.js';
+import { buildLimits, listStartReasons } from './_entry_parts.js';
 import type { EntryParts } from './_entry_parts.js';
 import { VERSION } from './_version.js';
 
@@ -51,11 +51,9 @@
 }
 
 function computeReadiness(parts: EntryParts): Readiness {
-  const { configuration, membership } = parts;
-  const reasons: string[] = [];
-  if (!configuration.hasLoaded()) reasons.push('no configuration is in force yet');
-  if (configuration.listServices().length === 0) reasons.push('no fleet document is in force');
-  if (!membership.isFresh()) reasons.push('membership is not fresh');
+  const { configuration, membership, late } = parts;
+  const reasons = [...listStartReasons(configuration, membership)];
+  if (!late.isListening) reasons.push("the callers' listener is not open yet");
   if (membership.isStopping()) reasons.push('this entry host stops');
   return { ready: reasons.length === 0, reasons };
 }
--- a/src/commands/_entry_parts.ts
+++ b/src/commands/_entry_parts.ts
@@ -26,8 +26,10 @@
 } from '../application/entry_host/mod.js';
 import { ForwardClient, ForwardServer } from '../application/forwarding/mod.js';
 import { MembershipKeeper } from '../application/membership/mod.js';
+import type { MembershipView } from '../application/views/mod.js';
 import { OwnerService } from '../application/owner/mod.js';
 import type { EntryHostIdentity } from '../domain/membership/types.js';
+import type { GroupLoad } from '../ports/mod.js';
 import { createStrategy } from '../domain/scheduling/mod.js';
 import type { EntrySettings } from './settings.js';
 
@@ -76,23 +78,44 @@
     waitMs: PLATFORM_WAIT_MS,
     restartPatienceMs: RESTART_PATIENCE_MS,
   });
-  // The dispatcher needs the membership and the membership's heartbeats tell
-  // the dispatcher's loads; the list is filled once both are there.
-  const loads: { list: DispatcherService['listGroupLoads'] } = { list: () => [] };
-  const membership = new MembershipKeeper({
+  // The dispatcher and the listener need the membership, whose heartbeats tell
+  // of both; they are filled in once they are there.
+  const late = { listLoads: (): readonly GroupLoad[] => [], isListening: false };
+  const membership: MembershipKeeper = new MembershipKeeper({
     ...base,
     platform: new HttpPlatformReader({ baseUrl: settings.hostListUrl, clock }),
     peers,
     seedPeerUrls: settings.peers,
     heartbeatMs: settings.heartbeatMs,
     suspectAfterMs: settings.suspectAfterMs,
-    listGroupLoads: () => loads.list(),
+    listGroupLoads: () => late.listLoads(),
+    isReady: () => late.isListening && listStartReasons(configuration, membership).length === 0,
     getConfiguration: () => configuration.getStatus(),
   });
   membership.onPeerConfiguration((incarnation, revision, hash) => {
     configuration.handlePeerRevision(incarnation, revision, hash);
   });
-  return { peers, configuration, membership, loads };
+  return { peers, configuration, membership, late };
+}
+
+/**
+ * Tells what a starting entry host still lacks. Peers name it to callers only
+ * when it lacks nothing: a caller sent here before would be refused for want of
+ * a configuration that every other entry host has.
+ *
+ * @param configuration - what is in force here
+ * @param membership - who is there
+ * @returns a line for each thing that is lacking
+ */
+export function listStartReasons(
+  configuration: ConfigurationKeeper,
+  membership: MembershipView,
+): readonly string[] {
+  const reasons: string[] = [];
+  if (!configuration.hasLoaded()) reasons.push('no configuration is in force yet');
+  if (configuration.listServices().length === 0) reasons.push('no fleet document is in force');
+  if (!membership.isFresh()) reasons.push('membership is not fresh');
+  return reasons;
 }
 
 /** Dispatching: slots, limits, the last hop. */
@@ -101,7 +124,7 @@
   base: ReturnType<typeof createBase>,
   keepers: ReturnType<typeof createKeepers>,
 ) {
-  const { membership, loads } = keepers;
+  const { membership, late } = keepers;
   const backend = new HttpBackendServerClient();
   const strategy = createStrategy(settings.strategy);
   const options = {
@@ -114,7 +137,7 @@
     },
   };
   const dispatcher = new DispatcherService(options);
-  loads.list = () => dispatcher.listGroupLoads();
+  late.listLoads = () => dispatcher.listGroupLoads();
   const slots = new SlotClient({ ...options, dispatcher });
   membership.onGroupLoads((incarnation, groups) => slots.handleGroupLoads(incarnation, groups));
   const allowances = new AllowanceKeeper({ ...base, ...keepers });
--- a/src/commands/_entry_process.ts
+++ b/src/commands/_entry_process.ts
@@ -11,7 +11,7 @@
 import type { EntryParts } from './_entry_parts.js';
 import type { EntrySettings } from './settings.js';
 
-/** Time that listeners get to end their last answers, in milliseconds. */
+/** Time that listeners get at least to end their last answers, in milliseconds. */
 const CLOSE_LIMIT_MS = 2000;
 
 /** One running entry host. */
@@ -29,7 +29,7 @@
   /** Starts everything. The callers' listener comes last: who connects is served. */
   async start(): Promise<void> {
     const { settings, peers, configuration, membership, log } = this.#parts;
-    const { dispatcher, allowances, owner, forwardServer, callers, self } = this.#parts;
+    const { dispatcher, allowances, owner, forwardServer, callers, self, late } = this.#parts;
     await peers.start();
     await this.#admin.start(settings.adminListen.host, settings.adminListen.port);
     membership.start();
@@ -39,6 +39,7 @@
     owner.start();
     forwardServer.start();
     await callers.start(settings.listen.host, settings.listen.port);
+    late.isListening = true;
     log.write(LogLevel.Info, 'entry_host_started', {
       entryHost: self.id,
       incarnation: self.incarnation,
@@ -56,6 +57,7 @@
    */
   async stop(hurry: Promise<void>): Promise<boolean> {
     const { clock, log, owner, membership, callers, settings } = this.#parts;
+    const startedAtMs = clock.nowMs();
     const isClean = await runPlannedStop({
       clock,
       log,
@@ -68,7 +70,12 @@
       limitMs: settings.stopLimitMs,
       hurry,
     });
-    await Promise.race([this.#close(), this.#waitForClose()]);
+    // Answers that are passed on for other owners, or that slow callers still
+    // read, get the rest of the limit; a hurried stop only a moment.
+    const restMs = isClean ? settings.stopLimitMs - (clock.nowMs() - startedAtMs) : 0;
+    const hurried = hurry.then(() => this.#waitFor(CLOSE_LIMIT_MS));
+    const limit = this.#waitFor(Math.max(CLOSE_LIMIT_MS, restMs));
+    await Promise.race([this.#close(), limit, hurried]);
     return isClean;
   }
 
@@ -90,9 +97,9 @@
     this.#parts.backend.close();
   }
 
-  #waitForClose(): Promise<void> {
+  #waitFor(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
-      this.#parts.clock.setTimer(CLOSE_LIMIT_MS, resolve);
+      this.#parts.clock.setTimer(delayMs, resolve);
     });
   }
 }
--- a/src/commands/_entry_setting_table.ts
+++ b/src/commands/_entry_setting_table.ts
@@ -47,7 +47,7 @@
   readonly optional?: true;
 }
 
-function milliseconds(least: number, most: number, fallback: number, description: string) {
+function buildDuration(least: number, most: number, fallback: number, description: string) {
   const schema = createIntegerSchema(least, most);
   return { schema, description: `${description}, in milliseconds`, fallback: String(fallback) };
 }
@@ -119,17 +119,17 @@
       'URL that spans are sent to by OTLP over HTTP, such as http://10.0.0.9:4318/v1/traces',
     optional: true,
   },
-  requestIdLifetimeMs: milliseconds(1000, 24 * HOUR_MS, 600_000, 'How long a request ID lives'),
-  keepAddressMs: milliseconds(100, HOUR_MS, 30_000, 'How long callers may keep an address'),
+  requestIdLifetimeMs: buildDuration(1000, 24 * HOUR_MS, 600_000, 'How long a request ID lives'),
+  keepAddressMs: buildDuration(100, HOUR_MS, 30_000, 'How long callers may keep an address'),
   answerBytes: {
     schema: createIntegerSchema(65_536, 64 * GIBIBYTE),
     description: 'Bytes of answers that are kept, over all requests',
     fallback: '33554432',
   },
-  answerKeepMs: milliseconds(0, HOUR_MS, 60_000, 'How long a finished answer is kept'),
-  stopLimitMs: milliseconds(100, 24 * HOUR_MS, 120_000, 'Longest time of a planned stop'),
-  heartbeatMs: milliseconds(10, MINUTE_MS, 500, 'Time between heartbeats'),
-  suspectAfterMs: milliseconds(20, HOUR_MS, 2000, 'Silence after which a peer is suspected'),
+  answerKeepMs: buildDuration(0, HOUR_MS, 60_000, 'How long a finished answer is kept'),
+  stopLimitMs: buildDuration(100, 24 * HOUR_MS, 120_000, 'Longest time of a planned stop'),
+  heartbeatMs: buildDuration(10, MINUTE_MS, 500, 'Time between heartbeats'),
+  suspectAfterMs: buildDuration(20, HOUR_MS, 2000, 'Silence after which a peer is suspected'),
   maxBodyBytes: {
     schema: createIntegerSchema(1024, MAX_BODY_BYTES),
     description: "Longest body of a caller's request, in bytes",
@@ -140,8 +140,8 @@
     description: "Most connections of the callers' listener",
     fallback: '2000',
   },
-  headerTimeoutMs: milliseconds(10, HOUR_MS, 5000, "Longest time for a request's header"),
-  requestTimeoutMs: milliseconds(10, HOUR_MS, 15_000, 'Longest time for a whole request'),
+  headerTimeoutMs: buildDuration(10, HOUR_MS, 5000, "Longest time for a request's header"),
+  requestTimeoutMs: buildDuration(10, HOUR_MS, 15_000, 'Longest time for a whole request'),
   strategy: {
     schema: createChoiceSchema(Object.values(StrategyName)),
     description: 'Scheduling: dispatcher; two-choices, fixed-shares and first-come are baselines',
--- a/src/commands/_status_report.ts
+++ b/src/commands/_status_report.ts
@@ -56,10 +56,10 @@
 }
 
 /** Puts the fields of nested objects side by side, so that each gets a column. */
-function flattenRow(row: TableRow): TableRow {
+function toFlatRow(row: TableRow): TableRow {
   return Object.fromEntries(
     Object.entries(row).flatMap(([name, value]): [string, unknown][] => {
-      if (isRecord(value)) return Object.entries(flattenRow(value));
+      if (isRecord(value)) return Object.entries(toFlatRow(value));
       return [[name, Array.isArray(value) ? value.map(formatItem).join(' ') : value]];
     }),
   );
@@ -67,9 +67,9 @@
 
 /** A record of counts becomes two columns, a list one row an item. */
 function toRows(section: Section): readonly TableRow[] {
-  if (Array.isArray(section)) return section.map(flattenRow);
+  if (Array.isArray(section)) return section.map(toFlatRow);
   return Object.entries(section).map(([name, value]) =>
-    isRecord(value) ? { name, ...flattenRow(value) } : { name, value },
+    isRecord(value) ? { name, ...toFlatRow(value) } : { name, value },
   );
 }
 
--- a/src/commands/call.ts
+++ b/src/commands/call.ts
@@ -5,9 +5,12 @@
  */
 import { once } from 'node:events';
 import { Command, Option } from 'clipanion';
+import { OtelTracer } from '../adapters/tracing/mod.js';
 import { CallerClient, CallerError } from '../caller/mod.js';
 import type { CallerReply } from '../caller/mod.js';
 import { RunOutcome } from '../domain/errors/mod.js';
+import { Hop } from '../ports/mod.js';
+import type { Span } from '../ports/mod.js';
 import { buildCallRequest, parseCallSettings } from './_call_settings.js';
 import type { CallSettings } from './_call_settings.js';
 import { EventTextReader } from './_event_text_reader.js';
@@ -90,6 +93,16 @@
     description: 'W3C trace context that the call belongs to (TRACEPARENT)',
   });
 
+  traceFile = Option.String('--trace-file', {
+    env: 'MONSOONHALL_TRACE_FILE',
+    description: "file that the call's span is appended to (MONSOONHALL_TRACE_FILE)",
+  });
+
+  otlpUrl = Option.String('--otlp-url', {
+    env: 'MONSOONHALL_OTLP_URL',
+    description: "URL that the call's span is sent to by OTLP over HTTP (MONSOONHALL_OTLP_URL)",
+  });
+
   stream = Option.Boolean('--stream', false, {
     description: 'print the answer as it is generated',
   });
@@ -104,16 +117,24 @@
       apiKey: settings.key,
       certificateAuthority: settings.certificateAuthority,
     });
+    const { traceFile, otlpUrl, traceparent } = settings;
+    const tracer = new OtelTracer({ entryHostId: 'caller', traceFile, otlpUrl });
+    const span = tracer.startSpan(Hop.Caller, traceparent);
     const interrupt = new AbortController();
     const onInterrupt = (): void => interrupt.abort();
     process.once('SIGINT', onInterrupt);
     try {
-      return await this.#send(client, settings, interrupt.signal);
+      const traced = { ...settings, traceparent: span.traceparent };
+      const exitCode = await this.#send(client, traced, interrupt.signal);
+      span.end();
+      return exitCode;
     } catch (error) {
+      closeFailedSpan(span, error);
       return this.#printFailure(error, interrupt.signal);
     } finally {
       process.removeListener('SIGINT', onInterrupt);
       client.close();
+      await tracer.stop();
     }
   }
 
@@ -162,3 +183,7 @@
     return EXIT_CODES[error.run];
   }
 }
+
+function closeFailedSpan(span: Span, error: unknown): void {
+  span.end(error instanceof CallerError ? error.code : 'interrupted');
+}
--- a/src/commands/call_test.ts
+++ b/src/commands/call_test.ts
@@ -1,3 +1,6 @@
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
 import { PassThrough } from 'node:stream';
 import t from 'tap';
 import { HEADERS } from '../../test/support/caller_hosts.js';
@@ -70,6 +73,21 @@
   t.equal(call?.query.get('full'), '1');
 });
 
+t.test('call exports its span, which the entry host continues', async (t) => {
+  const folder = mkdtempSync(path.join(tmpdir(), 'monsoonhall-'));
+  t.teardown(() => rmSync(folder, { recursive: true }));
+  const traceFile = path.join(folder, 'spans.jsonl');
+  const traceId = '0af7651916cd43dd8448eb211c80319c';
+  const host = await startHost(t, (request, response) => response.writeHead(200).end('dry'));
+  const argv = ['call', '--url', host.url, '--key', KEY, '--service', 'case-app', '--path', '/'];
+  const env = { TRACEPARENT: `00-${traceId}-b7ad6b7169203331-01` };
+  await runCommand([...argv, '--trace-file', traceFile], env);
+  const span = JSON.parse(readFileSync(traceFile, 'utf8')) as { spanId: string };
+  t.match(span, { traceId, parentSpanId: 'b7ad6b7169203331', name: 'caller' });
+  const [call] = host.listSeen('GET', '/v1/services/case-app/');
+  t.equal(call?.headers.traceparent, `00-${traceId}-${span.spanId}-01`);
+});
+
 /** What the entry host answers, the exit code, and what the line must say. */
 const OUTCOMES: readonly (readonly [FakeHandler, number, RegExp])[] = [
   [
--- a/src/commands/settings_test.ts
+++ b/src/commands/settings_test.ts
@@ -1,9 +1,17 @@
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import t from 'tap';
 import { LogLevel } from '../domain/errors/mod.js';
-import { parseEntrySettings, SettingsError, StrategyName } from './settings.js';
+import { ENTRY_SETTING_TABLE } from './_entry_setting_table.js';
+import type { SettingRow } from './_entry_setting_table.js';
+import {
+  formatFlag,
+  formatVariable,
+  parseEntrySettings,
+  SettingsError,
+  StrategyName,
+} from './settings.js';
 import type { EntryFlags } from './settings.js';
 
 const ADMIN_KEY = 'operators-only';
@@ -141,3 +149,18 @@
     t.match(listFaults({ ...GOOD, tlsCertificate: file, tlsKey: file }), [/fits --tls-key$/]);
   },
 );
+
+t.test("the operators' page has every setting with its default", async (t) => {
+  const page = readFileSync('docs/OPERATIONS.md', 'utf8').replaceAll(/ +/g, ' ');
+  Object.entries<SettingRow<unknown>>(ENTRY_SETTING_TABLE).forEach(([name, row]) => {
+    const given = row.optional ? 'none' : 'must be given';
+    const fallback = row.fallback === '' ? 'empty' : `\`${row.fallback}\``;
+    const cells = [
+      `\`${formatFlag(name)}\``,
+      `\`${formatVariable(name)}\``,
+      row.fallback === undefined ? given : fallback,
+      row.description,
+    ];
+    t.ok(page.includes(`| ${cells.join(' | ')} |`), name);
+  });
+});
--- a/src/domain/configuration/configuration_state.ts
+++ b/src/domain/configuration/configuration_state.ts
@@ -67,7 +67,7 @@
     if (rejected && compareEntries(ranked, rejected) === 0) return;
     const verdict = validateEntry(entry);
     if ('accepted' in verdict) this.#accept(verdict.accepted);
-    else this.#reject(verdict.rejected);
+    else this.#refuse(verdict.rejected);
   }
 
   /**
@@ -95,7 +95,7 @@
     if (rejected && compareEntries(rejected, entry) <= 0) this.rejected.delete(entry.key);
   }
 
-  #reject(entry: RejectedEntry): void {
+  #refuse(entry: RejectedEntry): void {
     const known = this.rejected.get(entry.key);
     if (known && compareEntries(entry, known) <= 0) return;
     this.rejected.set(entry.key, entry);
--- a/src/domain/contracts/_document.ts
+++ b/src/domain/contracts/_document.ts
@@ -34,16 +34,16 @@
   rules: DocumentRules<T>,
 ): DocumentResult<T> {
   const text = decodeText(published);
-  if (text === undefined) return refuse([wholeFault('is not UTF-8 text')]);
+  if (text === undefined) return refuse([buildWholeFault('is not UTF-8 text')]);
   if (text.length > MAX_DOCUMENT_BYTES || published.length > MAX_DOCUMENT_BYTES) {
-    return refuse([wholeFault(`is longer than ${MAX_DOCUMENT_BYTES} bytes`)]);
+    return refuse([buildWholeFault(`is longer than ${MAX_DOCUMENT_BYTES} bytes`)]);
   }
   const lines = readJsonLines(text);
   if (lines.faults.some((fault) => fault.path.length === 0)) {
     return refuse(lines.faults.map((fault) => toFault(lines, fault, fault.line)));
   }
   const raw = parseJson(text);
-  if (raw === undefined) return refuse([wholeFault('is no JSON')]);
+  if (raw === undefined) return refuse([buildWholeFault('is no JSON')]);
   return checkRaw(raw, lines, rules);
 }
 
@@ -63,7 +63,7 @@
   return { valid: false, faults: sorted };
 }
 
-function wholeFault(message: string): DocumentFault {
+function buildWholeFault(message: string): DocumentFault {
   return { line: 1, field: '', message };
 }
 
--- a/src/domain/contracts/_json_lines.ts
+++ b/src/domain/contracts/_json_lines.ts
@@ -32,7 +32,7 @@
   /true|false|null/y,
 ];
 
-function matchAt(pattern: RegExp, text: string, offset: number): string | undefined {
+function findAt(pattern: RegExp, text: string, offset: number): string | undefined {
   const sticky = pattern;
   sticky.lastIndex = offset;
   return sticky.exec(text)?.[0];
@@ -53,26 +53,26 @@
     private readonly getLine: (offset: number) => number,
   ) {}
 
-  walk(): void {
+  read(): void {
     try {
-      this.#walkValue([], this.#takeToken());
+      this.#readValue([], this.#takeToken());
       if (this.text.slice(this.#offset).trim() !== '') this.#stop('has text after its end');
     } catch (error) {
       if (!(error instanceof WalkStopped)) throw error;
     }
   }
 
-  #walkValue(path: FieldPath, token: string): void {
+  #readValue(path: FieldPath, token: string): void {
     if (!this.offsets.has(buildPathKey(path))) {
       this.offsets.set(buildPathKey(path), this.#offset - token.length);
     }
     if (path.length > MAX_DOCUMENT_DEPTH) this.#stop('is nested too deeply');
-    if (token === '{') this.#walkObject(path);
-    else if (token === '[') this.#walkList(path);
+    if (token === '{') this.#readObject(path);
+    else if (token === '[') this.#readList(path);
     else if (/^[}\],:]$/.test(token)) this.#stop(`is no JSON: "${token}" where a value should be`);
   }
 
-  #walkObject(path: FieldPath): void {
+  #readObject(path: FieldPath): void {
     const names = new Set<string>();
     let token = this.#takeToken();
     while (token !== '}') {
@@ -83,15 +83,15 @@
       names.add(name);
       this.offsets.set(buildPathKey(child), this.#offset - token.length);
       if (this.#takeToken() !== ':') this.#stop('is no JSON: ":" should be here');
-      this.#walkValue(child, this.#takeToken());
+      this.#readValue(child, this.#takeToken());
       token = this.#takeSeparator('}');
     }
   }
 
-  #walkList(path: FieldPath): void {
+  #readList(path: FieldPath): void {
     let token = this.#takeToken();
     for (let position = 0; token !== ']'; position += 1) {
-      this.#walkValue([...path, position], token);
+      this.#readValue([...path, position], token);
       token = this.#takeSeparator(']');
     }
   }
@@ -107,9 +107,9 @@
   }
 
   #takeToken(): string {
-    this.#offset += matchAt(SPACE, this.text, this.#offset)?.length ?? 0;
-    const pattern = TOKENS.find((one) => matchAt(one, this.text, this.#offset) !== undefined);
-    const token = pattern && matchAt(pattern, this.text, this.#offset);
+    this.#offset += findAt(SPACE, this.text, this.#offset)?.length ?? 0;
+    const pattern = TOKENS.find((one) => findAt(one, this.text, this.#offset) !== undefined);
+    const token = pattern && findAt(pattern, this.text, this.#offset);
     if (token === undefined) return this.#stop(this.#formatRest());
     this.#offset += token.length;
     return token;
@@ -158,7 +158,7 @@
 export function readJsonLines(text: string): JsonLines {
   const getLine = buildLineFinder(text);
   const walker = new JsonWalker(text, getLine);
-  walker.walk();
+  walker.read();
   return {
     faults: walker.faults,
     findLine: (path) => {
--- a/src/domain/limits/allowance_ledger.ts
+++ b/src/domain/limits/allowance_ledger.ts
@@ -109,7 +109,12 @@
     const isLendable = nowMs >= this.#quietUntilMs && context.listedIds.includes(entryHostId);
     if (!isLendable || incarnation === undefined) return undefined;
     const entry = this.#openEntry(entryHostId, incarnation);
-    const share = this.#computeGrant(entryHostId, this.#computeTargets(context), context);
+    const share = this.#computeGrant(
+      entryHostId,
+      this.#computeTargets(context).get(entryHostId),
+      this.#computeReserved(context),
+      context,
+    );
     const leaseNumber = this.#nextLeaseNumber();
     entry.noteSent(leaseNumber, share, nowMs);
     return {
@@ -133,7 +138,8 @@
     if (context.nowMs < this.#quietUntilMs || !this.#isPressed(context)) return [];
     const targets = this.#computeTargets(context);
     const ids = context.listedIds.filter((id) => context.reachable.has(id));
-    return ids.filter((id) => this.#isDue(id, targets, context));
+    const reserved = this.#computeReserved(context);
+    return ids.filter((id) => this.#isDue(id, targets.get(id), reserved, context));
   }
 
   /**
@@ -224,45 +230,49 @@
 
   #computeGrant(
     id: string,
-    targets: ReadonlyMap<string, AllowanceShare>,
+    target: AllowanceShare | undefined,
+    reserved: AllowanceShare,
     context: LedgerContext,
   ): AllowanceShare {
-    this.#expireRunning(context);
     const base = this.#getBase(id, context);
+    const entry = this.#entries.get(id);
     return buildShare((kind) => {
-      const target = targets.get(id)?.[kind] ?? 0;
-      const room = context.limits[kind] - this.#computeReserved(id, kind, context);
-      const sure =
-        this.#entries.get(id)?.computeSure(kind, base[kind], context.nowMs) ?? base[kind];
-      return Math.min(target, Math.max(room, sure, 0));
+      const own = this.#computeReserve(id, kind, context);
+      const room = context.limits[kind] - (reserved[kind] - own);
+      const sure = entry?.computeSure(kind, base[kind], context.nowMs) ?? base[kind];
+      return Math.min(target?.[kind] ?? 0, Math.max(room, sure, 0));
     });
   }
 
-  /** What all others may be using during the coming lease life. */
-  #computeReserved(exceptId: string, kind: LimitKind, context: LedgerContext): number {
-    const ids = new Set([...context.listedIds, ...this.#entries.keys()]);
-    ids.delete(exceptId);
-    return [...ids].reduce((sum, id) => {
-      const base = this.#getBase(id, context)[kind];
-      const entry = this.#entries.get(id);
-      return sum + (entry ? entry.computeReserve(kind, base, context.nowMs) : base);
-    }, 0);
+  /** What one entry host may be using during the coming lease life. */
+  #computeReserve(id: string, kind: LimitKind, context: LedgerContext): number {
+    const base = this.#getBase(id, context)[kind];
+    return this.#entries.get(id)?.computeReserve(kind, base, context.nowMs) ?? base;
+  }
+
+  /** What all together may be using during the coming lease life. */
+  #computeReserved(context: LedgerContext): AllowanceShare {
+    this.#expireRunning(context);
+    const ids = [...new Set([...context.listedIds, ...this.#entries.keys()])];
+    return buildShare((kind) =>
+      ids.reduce((sum, id) => sum + this.#computeReserve(id, kind, context), 0),
+    );
   }
 
   #isDue(
     id: string,
-    targets: ReadonlyMap<string, AllowanceShare>,
+    target: AllowanceShare | undefined,
+    reserved: AllowanceShare,
     context: LedgerContext,
   ): boolean {
     const { nowMs } = context;
     const entry = this.#entries.get(id);
-    const target = targets.get(id);
     if (!entry || !target) return true;
     const ageMs = nowMs - entry.lastSentAtMs;
     if (ageMs < CHANGE_LIVES * this.#lifeMs) return false;
     if (ageMs >= RENEW_LIVES * this.#lifeMs && !this.#isActive(id, nowMs)) return true;
     const base = this.#getBase(id, context);
-    const next = this.#computeGrant(id, targets, context);
+    const next = this.#computeGrant(id, target, reserved, context);
     return LIMIT_KINDS.some((kind) => {
       const use = entry.computeUse(kind, base[kind], nowMs);
       const mustShrink = use > target[kind] * WORTHWHILE_FACTOR;
--- a/src/domain/membership/entry_host_table.ts
+++ b/src/domain/membership/entry_host_table.ts
@@ -150,13 +150,12 @@
 
   /**
    * @param record - whose state
-   * @param isLeaving - whether it or the host list says that it leaves
+   * @param claimed - what it and the host list say of it
    * @param nowMs - monotonic time
-   * @returns its state; silence weighs more than leaving
+   * @returns its state; silence weighs more than any word
    */
-  getState(record: EntryHostRecord, isLeaving: boolean, nowMs: number): PeerState {
-    if (this.isSilent(record, nowMs)) return PeerState.Suspected;
-    return isLeaving ? PeerState.Leaving : PeerState.Live;
+  getState(record: EntryHostRecord, claimed: PeerState, nowMs: number): PeerState {
+    return this.isSilent(record, nowMs) ? PeerState.Suspected : claimed;
   }
 
   #updateRecord(incarnation: string, change: Partial<EntryHostRecord>): void {
--- a/src/domain/membership/peer_reports.ts
+++ b/src/domain/membership/peer_reports.ts
@@ -8,6 +8,8 @@
 export interface PeerReport {
   /** Number of the heartbeat; higher is newer. */
   readonly sequence: number;
+  /** Whether that entry host serves callers. */
+  readonly ready: boolean;
   /** Whether that entry host stops. */
   readonly leaving: boolean;
   /** Backend servers that it knows at first hand to leave. */
@@ -23,7 +25,8 @@
  */
 export function hasSameWord(left: PeerReport | undefined, right: PeerReport): boolean {
   return (
-    left?.leaving === right.leaving &&
+    left?.ready === right.ready &&
+    left.leaving === right.leaving &&
     left.leavingBackendServers.join() === right.leavingBackendServers.join()
   );
 }
--- a/src/domain/membership/types.ts
+++ b/src/domain/membership/types.ts
@@ -20,6 +20,8 @@
 /** What an entry host believes of a peer. */
 export enum PeerState {
   Live = 'live',
+  /** Awake, but serves no callers yet: gets no new work. */
+  Starting = 'starting',
   /** Silent for longer than the suspicion time: gets no new work. */
   Suspected = 'suspected',
   /** Said that it stops, or the host list says so. */
--- a/src/domain/scheduling/_server_fit.ts
+++ b/src/domain/scheduling/_server_fit.ts
@@ -4,11 +4,25 @@
  * @module
  */
 import type { ServerState } from './server_state.js';
-import type { SlotDemand, WaitingDemand } from './slot_demand.js';
+import type { SlotDemand } from './slot_demand.js';
 
 /** Part of a predicted time that is surely needed; predictions err on both sides. */
 export const SURE_PART = 0.8;
 
+/**
+ * Multiple of its predicted time that a request must have left for which it is
+ * worth waiting. With less, most of those that waited long run in vain, and
+ * their prefill is wasted; a request that comes with less is still let run at
+ * once.
+ */
+export const WAIT_FACTOR = 2;
+
+/**
+ * Multiple of its predicted wait that a request must have time for. Requests of
+ * higher tiers that come later go ahead of it, and lengthen the wait.
+ */
+export const WAIT_RISK_FACTOR = 1.5;
+
 /** How much slower than the best a backend server may be and still take a risky request. */
 const WORTH_WAITING_FACTOR = 2;
 
@@ -77,18 +91,19 @@
   nowMs: number,
 ): ServerWorkNow[] {
   const bestMs = Math.min(...usable.map((server) => predictWorkNow(server, demand, nowMs)));
+  if (bestMs * SURE_PART > demand.deadlineAtMs - nowMs) return [];
   return free.filter(({ workMs }) => workMs <= bestMs * WORTH_WAITING_FACTOR);
 }
 
 /**
- * Computes when a waiting request can't make its deadline any more, even if it
- * were granted then.
+ * Computes when a request that waits is too late.
  *
- * @param waiting - the request
- * @param predictsWaits - whether its own predicted work counts
+ * @param demand - the request
+ * @param leastMs - its predicted work on the backend server that suits it best, in milliseconds
+ * @param nowMs - when it comes, on the monotonic clock, in milliseconds
  * @returns the time on the monotonic clock, in milliseconds
  */
-export function computeLateAt(waiting: WaitingDemand, predictsWaits: boolean): number {
-  const neededMs = predictsWaits ? waiting.leastWorkMs * SURE_PART : 0;
-  return waiting.demand.deadlineAtMs - neededMs;
+export function computeLateAt(demand: SlotDemand, leastMs: number, nowMs: number): number {
+  const isTight = demand.deadlineAtMs - nowMs <= leastMs * WAIT_FACTOR;
+  return demand.deadlineAtMs - leastMs * (isTight ? SURE_PART : WAIT_FACTOR);
 }
--- a/src/domain/scheduling/cache_hints.ts
+++ b/src/domain/scheduling/cache_hints.ts
@@ -50,8 +50,8 @@
    */
   predictCachedTokens(blockHashes: readonly string[], nowMs: number): number {
     let tokens = 0;
-    for (const hash of blockHashes) {
-      const seenAtMs = this.#seenAtMs.get(hash);
+    for (let index = 0; index < blockHashes.length; index += 1) {
+      const seenAtMs = this.#seenAtMs.get(blockHashes[index] ?? '');
       if (seenAtMs === undefined) return tokens;
       const worth = 1 - (nowMs - seenAtMs) / HINT_AGE_MS;
       if (worth <= 0) return tokens;
--- a/src/domain/scheduling/fair_queue.ts
+++ b/src/domain/scheduling/fair_queue.ts
@@ -22,7 +22,7 @@
  * them can't use it. It bounds the time of a grant; a slot is left unused by it
  * only where as many demands in a row exclude the same backend servers.
  */
-const MAX_LOOKED_AT = 64;
+const MAX_LOOKED_AT = 16;
 
 /**
  * Part of the granted work that goes to aged demands out of their turn while
--- a/src/domain/scheduling/group_scheduler.ts
+++ b/src/domain/scheduling/group_scheduler.ts
@@ -9,7 +9,7 @@
 import type { Decision, RefusalDecision } from './decision.js';
 import { OfferedLoad } from './offered_load.js';
 import { Refuser } from './_refuser.js';
-import { computeLateAt, SURE_PART } from './_server_fit.js';
+import { computeLateAt, SURE_PART, WAIT_RISK_FACTOR } from './_server_fit.js';
 import { ServerPool } from './server_pool.js';
 import { ServerVerdict } from './server_state.js';
 import type { HeldSlot, ServerSpec, SlotResult } from './server_state.js';
@@ -68,8 +68,8 @@
     this.#options = options;
     this.#strategy = options.strategy;
     this.#queue = options.strategy.createQueue();
-    this.#offered = new OfferedLoad(options.nowMs);
     this.pool = new ServerPool(options.strategy, options.isPlain);
+    this.#offered = new OfferedLoad(options.nowMs);
     this.#waits = new WaitPredictor(this.#queue, this.pool, options.nowMs);
     this.#refuser = new Refuser({
       strategy: options.strategy,
@@ -117,20 +117,16 @@
     if (!this.#refuser.isOpen(demand.tier, nowMs))
       return [this.#refuser.refuseClosed(demand, nowMs)];
     const remainingMs = demand.deadlineAtMs - nowMs;
-    const leastMs = work.leastMs * SURE_PART;
     if (remainingMs <= 0) return [this.#refuser.refuse(demand, ErrorKind.DeadlineExpired, 0)];
+    const { predictsWaits } = this.#strategy;
     // Too long for its deadline on an empty group: no lack of room, nothing is closed.
-    if (leastMs > remainingMs && this.#strategy.predictsWaits)
+    if (predictsWaits && work.leastMs * SURE_PART > remainingMs)
       return [this.#refuser.refuse(demand, ErrorKind.DeadlineUnreachable, 0)];
     this.#offered.observe(demand.tier, work.meanMs, nowMs);
-    const waiting = { demand, workMs: work.meanMs, leastWorkMs: work.leastMs };
-    if (!this.#strategy.predictsWaits) return this.#admit(waiting, nowMs);
-    const waitMs = this.#waits.predictWait(demand, nowMs);
-    if (waitMs * SURE_PART + leastMs > remainingMs)
-      return this.#refuser.refuseForRoom(demand, ErrorKind.DeadlineUnreachable, nowMs);
-    if (waitMs <= MAX_WAIT_MS[demand.tier]) return this.#admit(waiting, nowMs);
-    this.#add(waiting);
-    return this.#refuser.refuseVictim(demand.tier, nowMs);
+    const leastMs = predictsWaits ? work.leastMs : 0;
+    const lateAtMs = computeLateAt(demand, leastMs, nowMs);
+    const waiting = { demand, workMs: work.meanMs, lateAtMs };
+    return predictsWaits ? this.#admitInTime(waiting, nowMs) : this.#admit(waiting, nowMs);
   }
 
   /** @param key - whose owner no longer waits. @returns whether it waited */
@@ -208,9 +204,20 @@
     this.pool.ejectOutliers(nowMs);
   }
 
+  /** Admits what will probably be granted in time, within the bound of the tier's queue. */
+  #admitInTime(waiting: WaitingDemand, nowMs: number): RefusalDecision[] {
+    const { demand, lateAtMs } = waiting;
+    const waitMs = this.#waits.predictWait(demand, nowMs);
+    if (waitMs > 0 && nowMs + waitMs * WAIT_RISK_FACTOR > lateAtMs)
+      return this.#refuser.refuseForRoom(demand, ErrorKind.DeadlineUnreachable, nowMs);
+    if (waitMs <= MAX_WAIT_MS[demand.tier]) return this.#admit(waiting, nowMs);
+    this.#add(waiting);
+    return this.#refuser.refuseVictim(demand.tier, nowMs);
+  }
+
   #add(waiting: WaitingDemand): void {
     this.#queue.add(waiting);
-    this.#nextLateAtMs = Math.min(this.#nextLateAtMs, this.#getLateAtMs(waiting));
+    this.#nextLateAtMs = Math.min(this.#nextLateAtMs, waiting.lateAtMs);
   }
 
   #admit(waiting: WaitingDemand, nowMs: number): RefusalDecision[] {
@@ -223,7 +230,7 @@
   #expire(nowMs: number): RefusalDecision[] {
     const refusals = this.#queue
       .list()
-      .filter((waiting) => this.#getLateAtMs(waiting) <= nowMs)
+      .filter((waiting) => waiting.lateAtMs <= nowMs)
       .sort((a, b) => b.demand.tier - a.demand.tier)
       .flatMap(({ demand }) => {
         // Refused meanwhile, when a higher tier's refusal closed its own.
@@ -234,14 +241,10 @@
       });
     this.#nextLateAtMs = this.#queue
       .list()
-      .reduce((first, waiting) => Math.min(first, this.#getLateAtMs(waiting)), Infinity);
+      .reduce((first, waiting) => Math.min(first, waiting.lateAtMs), Infinity);
     return refusals;
   }
 
-  #getLateAtMs(waiting: WaitingDemand): number {
-    return computeLateAt(waiting, this.#strategy.predictsWaits);
-  }
-
   #grantAll(nowMs: number): Decision[] {
     const decisions: Decision[] = [];
     const placer = {
--- a/src/domain/scheduling/offered_load.ts
+++ b/src/domain/scheduling/offered_load.ts
@@ -22,7 +22,7 @@
   }
 
   /**
-   * Notes an arrival, whether it is admitted or not.
+   * Notes an arrival that a slot could serve in time, whether it is admitted or not.
    *
    * @param tier - its tier
    * @param workMs - its predicted work in milliseconds of one slot
--- a/src/domain/scheduling/server_pool.ts
+++ b/src/domain/scheduling/server_pool.ts
@@ -6,6 +6,7 @@
 import { OutlierEjector } from './outlier_ejection.js';
 import type { ServerCandidate } from './server_choice.js';
 import { computeSafeWork, filterWorthwhile, predictWorkNow } from './_server_fit.js';
+import type { ServerWorkNow } from './_server_fit.js';
 import { ServerState } from './server_state.js';
 import type { HeldSlot, ServerSpec, SlotResult } from './server_state.js';
 import type { SlotDemand } from './slot_demand.js';
@@ -183,10 +184,10 @@
       .filter((server) => this.#hasServerRoom(server, demand.tier, isAged, nowMs))
       .map((server) => ({ server, workMs: predictWorkNow(server, demand, nowMs) }));
     if (free.length === 0) return undefined;
-    const safeMs = computeSafeWork(demand, nowMs);
+    const safeMs = this.strategy.weighsDeadlines ? computeSafeWork(demand, nowMs) : Infinity;
     const safe = free.filter(({ workMs }) => workMs <= safeMs);
     const chosen = safe.length > 0 ? safe : filterWorthwhile(free, usable, demand, nowMs);
-    const candidates = chosen.map(({ server, workMs }) => toCandidate(server, workMs, nowMs));
+    const candidates = chosen.map((each) => toCandidate(each, demand, nowMs));
     if (candidates.length === 0) return undefined;
     return this.strategy.pickServer(candidates, nextFraction)?.id;
   }
@@ -248,11 +249,16 @@
   }
 }
 
-function toCandidate(server: ServerState, workMs: number, nowMs: number): ServerCandidate {
+function toCandidate(
+  { server, workMs }: ServerWorkNow,
+  demand: SlotDemand,
+  nowMs: number,
+): ServerCandidate {
   const window = server.window.getSize(nowMs);
   return {
     id: server.spec.id,
     finishMs: workMs + server.outstandingMs / window,
+    cachedTokens: server.hints.predictCachedTokens(demand.blockHashes, nowMs),
     utilization: server.held.size / window,
     reportedLoad: server.reportedLoad,
   };
--- a/src/domain/scheduling/server_state.ts
+++ b/src/domain/scheduling/server_state.ts
@@ -76,6 +76,9 @@
 
   readonly #peak = new PeakMeter();
 
+  /** The last computed value; one grant asks for it many times. */
+  #overdue = { atMs: Number.NaN, held: 0, value: 1 };
+
   #outstandingMs = 0;
 
   #failuresInRow = 0;
@@ -180,11 +183,19 @@
    */
   computeOverdue(nowMs: number): number {
     if (this.held.size === 0) return 1;
+    if (this.#overdue.atMs === nowMs && this.#overdue.held === this.held.size)
+      return this.#overdue.value;
+    const value = this.#sumOverdue(nowMs) / this.held.size;
+    this.#overdue = { atMs: nowMs, held: this.held.size, value };
+    return value;
+  }
+
+  #sumOverdue(nowMs: number): number {
     let sum = 0;
     this.held.forEach((slot) => {
       sum += Math.min(MAX_OVERDUE, Math.max(1, (nowMs - slot.grantedAtMs) / slot.workMs));
     });
-    return sum / this.held.size;
+    return sum;
   }
 
   /** @param slot - a slot that is held from now on */
--- a/src/domain/scheduling/slot_demand.ts
+++ b/src/domain/scheduling/slot_demand.ts
@@ -30,6 +30,6 @@
   readonly demand: SlotDemand;
   /** Predicted time that it will hold a slot, in milliseconds; above 0. */
   readonly workMs: number;
-  /** The same on the backend server that suits it best, in milliseconds. */
-  readonly leastWorkMs: number;
+  /** From when on it is too late to wait any more, on the monotonic clock, in milliseconds. */
+  readonly lateAtMs: number;
 }
--- a/src/domain/scheduling/strategy.ts
+++ b/src/domain/scheduling/strategy.ts
@@ -50,6 +50,9 @@
   /** Whether a request is refused when its predicted wait is too long. */
   abstract readonly predictsWaits: boolean;
 
+  /** Whether a backend server that is probably too slow for a deadline is passed over. */
+  abstract readonly weighsDeadlines: boolean;
+
   /** Whether load that others put on a backend server takes room away. */
   abstract readonly countsForeignLoad: boolean;
 
@@ -92,6 +95,8 @@
 
   override readonly predictsWaits: boolean = true;
 
+  override readonly weighsDeadlines: boolean = true;
+
   override readonly countsForeignLoad: boolean = true;
 
   override readonly reserveFraction: number;
@@ -125,6 +130,8 @@
 
   override readonly isLocal = true;
 
+  override readonly weighsDeadlines = false;
+
   override readonly countsForeignLoad = false;
 
   override computeShare(): number {
@@ -160,6 +167,8 @@
 
   override readonly predictsWaits = false;
 
+  override readonly weighsDeadlines = false;
+
   constructor() {
     super({ reserveFraction: 0 });
   }
--- a/src/ports/mod.ts
+++ b/src/ports/mod.ts
@@ -29,4 +29,6 @@
 } from './backend_server_client.js';
 export { PeerNetwork } from './peer_network.js';
 export type { LinkEvent, PeerMessageHandler, PeerMessageOf } from './peer_network.js';
+export * from './forward_messages.js';
+export { PeerMessageType } from './peer_message_type.js';
 export * from './peer_messages.js';
--- /dev/null
+++ b/src/ports/peer_message_type.ts
@@ -0,0 +1,27 @@
+/**
+ * The types of messages between entry hosts.
+ *
+ * @module
+ */
+/** The types of messages. */
+export enum PeerMessageType {
+  Hello = 'hello',
+  Heartbeat = 'heartbeat',
+  HeartbeatReply = 'heartbeat_reply',
+  ConfigurationDigest = 'configuration_digest',
+  ConfigurationEntries = 'configuration_entries',
+  SlotRequest = 'slot_request',
+  SlotGrant = 'slot_grant',
+  SlotRefusal = 'slot_refusal',
+  SlotCancel = 'slot_cancel',
+  SlotRelease = 'slot_release',
+  AllowanceRequest = 'allowance_request',
+  AllowanceLease = 'allowance_lease',
+  ForwardCall = 'forward_call',
+  ForwardHead = 'forward_head',
+  ForwardChunk = 'forward_chunk',
+  ForwardEnd = 'forward_end',
+  ForwardError = 'forward_error',
+  ForwardCredit = 'forward_credit',
+  ForwardCancel = 'forward_cancel',
+}
--- a/src/ports/peer_messages.ts
+++ b/src/ports/peer_messages.ts
@@ -4,32 +4,19 @@
  *
  * @module
  */
-import type { ErrorKind, RunOutcome } from '../domain/errors/mod.js';
+import type { ErrorKind } from '../domain/errors/mod.js';
 import type { EntryHostIdentity } from '../domain/membership/types.js';
 import type { Tier } from '../domain/scheduling/tier.js';
-
-/** The types of messages. */
-export enum PeerMessageType {
-  Hello = 'hello',
-  Heartbeat = 'heartbeat',
-  HeartbeatReply = 'heartbeat_reply',
-  ConfigurationDigest = 'configuration_digest',
-  ConfigurationEntries = 'configuration_entries',
-  SlotRequest = 'slot_request',
-  SlotGrant = 'slot_grant',
-  SlotRefusal = 'slot_refusal',
-  SlotCancel = 'slot_cancel',
-  SlotRelease = 'slot_release',
-  AllowanceRequest = 'allowance_request',
-  AllowanceLease = 'allowance_lease',
-  ForwardCall = 'forward_call',
-  ForwardHead = 'forward_head',
-  ForwardChunk = 'forward_chunk',
-  ForwardEnd = 'forward_end',
-  ForwardError = 'forward_error',
-  ForwardCredit = 'forward_credit',
-  ForwardCancel = 'forward_cancel',
-}
+import type {
+  ForwardCallMessage,
+  ForwardCancelMessage,
+  ForwardChunkMessage,
+  ForwardCreditMessage,
+  ForwardEndMessage,
+  ForwardErrorMessage,
+  ForwardHeadMessage,
+} from './forward_messages.js';
+import type { PeerMessageType } from './peer_message_type.js';
 
 /** First message on each link, from both ends. */
 export interface HelloMessage {
@@ -50,6 +37,8 @@
 export interface HeartbeatMessage {
   readonly type: PeerMessageType.Heartbeat;
   readonly sequence: number;
+  /** Whether the sender serves callers; before, nobody is sent there. */
+  readonly ready: boolean;
   readonly leaving: boolean;
   /** Highest accepted configuration revision. */
   readonly configurationRevision: number;
@@ -167,6 +156,12 @@
   readonly tokensPerSecond: number;
   /** In flight and waiting for room now. */
   readonly inFlight: number;
+  /** Rises with each request of the sender; 0: it only confirms a lease. */
+  readonly requestNumber: number;
+  /** Number of the lease that the sender holds of the receiver; 0: none. */
+  readonly heldLease: number;
+  /** In flight at the sender now. */
+  readonly running: number;
 }
 
 /** A share of an account's limits, for a short time. */
@@ -177,93 +172,10 @@
   readonly tokensPerSecond: number;
   readonly inFlight: number;
   readonly validMs: number;
-}
-
-/** What a forwarded call asks of the owner. */
-export enum ForwardOperation {
-  Submit = 'submit',
-  Read = 'read',
-  ReadState = 'read_state',
-  Cancel = 'cancel',
-  /** Asks the entry host of an idempotency key for the key's request ID. */
-  Assign = 'assign',
-}
-
-/** Passes a caller's call on to the owner of its request ID. */
-export interface ForwardCallMessage {
-  readonly type: PeerMessageType.ForwardCall;
-  /** Names the call on this link; unique for the sender's incarnation. */
-  readonly callId: number;
-  readonly operation: ForwardOperation;
-  readonly accountId: string;
-  /** Empty for {@link ForwardOperation.Assign}. */
-  readonly requestId: string;
-  readonly traceparent: string | undefined;
-  /** For Submit: the caller's call. */
-  readonly call: ForwardedCall | undefined;
-  /** For Read: offset in bytes. */
-  readonly offset: number;
-  /** For Assign. */
-  readonly idempotencyKey: string | undefined;
-}
-
-/** A caller's call as the entry host took it in. */
-export interface ForwardedCall {
-  readonly serviceId: string;
-  readonly workKind: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
-  readonly body: Uint8Array;
-  readonly deadlineMs: number;
-}
-
-/** Head of a forwarded call's answer. */
-export interface ForwardHeadMessage {
-  readonly type: PeerMessageType.ForwardHead;
-  readonly callId: number;
-  readonly status: number;
-  readonly headers: Readonly<Record<string, string>>;
-}
-
-/** A part of a forwarded call's answer. */
-export interface ForwardChunkMessage {
-  readonly type: PeerMessageType.ForwardChunk;
-  readonly callId: number;
-  /** Offset of its first byte; a gap is a fault of the link. */
-  readonly offset: number;
-  readonly bytes: Uint8Array;
-}
-
-/** The forwarded call's answer is whole. */
-export interface ForwardEndMessage {
-  readonly type: PeerMessageType.ForwardEnd;
-  readonly callId: number;
-  /** Length of the whole answer in bytes. */
-  readonly length: number;
-}
-
-/** The forwarded call was refused or its answer broke off. */
-export interface ForwardErrorMessage {
-  readonly type: PeerMessageType.ForwardError;
-  readonly callId: number;
-  readonly kind: ErrorKind;
-  readonly run: RunOutcome;
-  readonly message: string;
-  readonly retryAfterMs: number;
-}
-
-/** The receiver has room for more bytes of the answer. */
-export interface ForwardCreditMessage {
-  readonly type: PeerMessageType.ForwardCredit;
-  readonly callId: number;
-  readonly bytes: number;
-}
-
-/** The caller behind a forwarded call has gone. */
-export interface ForwardCancelMessage {
-  readonly type: PeerMessageType.ForwardCancel;
-  readonly callId: number;
+  /** Rises with each lease of the sender. */
+  readonly leaseNumber: number;
+  /** Newest request for this account that the sender had heard; 0: none. */
+  readonly requestNumber: number;
 }
 
 /** Every message between entry hosts. */
--- a/src/ports/peer_network.ts
+++ b/src/ports/peer_network.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { EntryHostIdentity } from '../domain/membership/types.js';
-import type { PeerMessage, PeerMessageType } from './peer_messages.js';
+import type { PeerMessageType } from './peer_message_type.js';
+import type { PeerMessage } from './peer_messages.js';
 
 /** The message of one type. */
 export type PeerMessageOf<T extends PeerMessageType> = Extract<PeerMessage, { type: T }>;
--- a/standin/_revision_store.ts
+++ b/standin/_revision_store.ts
@@ -48,12 +48,12 @@
   }
 
   /** @param index - writes after it are forgotten, as after a restore from a backup */
-  truncate(index: number): void {
+  removeAfter(index: number): void {
     this.#writes = this.#writes.filter((write) => write.index <= index);
   }
 
   /** @returns a copy that later writes don't change */
-  copy(): RevisionStore {
+  createCopy(): RevisionStore {
     const copied = new RevisionStore();
     copied.#writes = [...this.#writes];
     return copied;
--- a/standin/model_engine.ts
+++ b/standin/model_engine.ts
@@ -168,7 +168,7 @@
       kept.run.cancelled = true;
       this.runs.update(kept.run);
       this.#batch.remove(kept.run);
-      kept.stream.cut();
+      kept.stream.closeBroken();
       this.#streams.delete(id);
     }
     sendJson(response, 200, { cancelled: cancels });
--- a/standin/platform.ts
+++ b/standin/platform.ts
@@ -179,7 +179,7 @@
       sendJson(response, 200, { reads: this.#reads, waiting: this.#watches.size });
     } else if (route === 'POST /_standin/faults') this.#setFault(body.toString(), response);
     else if (route === 'POST /_standin/restore') {
-      this.#store.truncate((JSON.parse(body.toString()) as { index: number }).index);
+      this.#store.removeAfter((JSON.parse(body.toString()) as { index: number }).index);
       this.#checkWatches(true);
       sendJson(response, 200, { index: this.#store.index });
     } else sendJson(response, 404, { error: `no ${route}` });
@@ -204,7 +204,7 @@
       return;
     }
     this.#fault = { kind, factor: order.factor ?? 1 };
-    this.#frozen = kind === PlatformFaultKind.Stale ? this.#store.copy() : undefined;
+    this.#frozen = kind === PlatformFaultKind.Stale ? this.#store.createCopy() : undefined;
     this.#checkWatches(false);
     sendJson(response, 200, { kind });
   }
--- a/test/fleet/fleet.ts
+++ b/test/fleet/fleet.ts
@@ -12,6 +12,7 @@
 import type { FilledFleetOptions } from './fleet_options.js';
 import type { BackendServer, EntryHost, PlatformProcess } from './fleet_process.js';
 import type { HostEntry } from './operator.js';
+import type { PortReservation } from './port_reservation.js';
 
 /** A fault of a backend server's stand-in. */
 export interface BackendFault {
@@ -24,6 +25,7 @@
 export interface FleetParts {
   readonly options: FilledFleetOptions;
   readonly guardian: Guardian;
+  readonly ports: PortReservation;
   readonly configuration: PlatformProcess;
   readonly hostList: PlatformProcess;
   readonly engines: readonly BackendServer[];
@@ -165,5 +167,6 @@
     await Promise.all(processes.map((each) => each.waitExit()));
     await Promise.all(processes.map((each) => each.proxy?.close()));
     await parts.guardian.close();
+    await parts.ports.close();
   }
 }
