Look for a lost stream under its request's ID; bound the wait for a head

Cause: a connection that is lost between the hand-over and the head left an answer that the engine was writing, and its caller heard may_have_run. A backend server that took a body that must not be repeated and fell silent held its slot for ever: nothing bounded the wait. Ruled out: sending the call again (a double); cutting a stream that still flows at the longest deadline. Change: model engines are asked for the stream by the request's ID after such a loss; a model engine's head must come within 5 s; a head that has not come by the contract's longest deadline is given up. Refusals on the administration API now count what every caller was told, the listener's own included. Conclusion: the engine's own record of the request is the better witness.

--- a/src/adapters/backend_http/_exchange.ts
+++ b/src/adapters/backend_http/_exchange.ts
@@ -57,7 +57,7 @@
       reject(new ExchangeError(stage, message, request.reusedSocket, cause));
       request.destroy();
     };
-    const timer = setTimeout(() => {
+    let timer: NodeJS.Timeout | undefined = setTimeout(() => {
       fail(`no 100-continue within ${call.continueTimeoutMs} ms`);
     }, call.continueTimeoutMs);
     request.on('continue', () => {
@@ -68,6 +68,7 @@
       }
       handedOver = true;
       call.onHandOver();
+      timer = startHeadTimer(call, fail);
       request.end(call.body);
     });
     request.on('response', (message) => {
@@ -113,15 +114,33 @@
   call.onHandOver();
   return new Promise((resolve, reject) => {
     const request = startRequest(call, undefined, {}, socket);
-    request.on('response', resolve);
-    request.on('error', (error) => {
+    const fail = (message: string, cause?: unknown): void => {
       socket.destroy();
-      reject(new ExchangeError(BackendCallStage.AfterHandOver, describeError(error), false, error));
+      reject(new ExchangeError(BackendCallStage.AfterHandOver, message, false, cause));
+    };
+    const timer = startHeadTimer(call, fail);
+    request.on('response', (message) => {
+      clearTimeout(timer);
+      resolve(message);
+    });
+    request.on('error', (error) => {
+      clearTimeout(timer);
+      fail(describeError(error), error);
     });
     request.end(call.body);
   });
 }
 
+/** A head that does not come may be lost on a connection that went silent after the hand-over. */
+function startHeadTimer(
+  call: BackendCall,
+  fail: (message: string) => void,
+): NodeJS.Timeout | undefined {
+  const { headTimeoutMs } = call;
+  if (headTimeoutMs === undefined) return undefined;
+  return setTimeout(() => fail(`no head within ${headTimeoutMs} ms`), headTimeoutMs);
+}
+
 function startRequest(
   call: BackendCall,
   agent: http.Agent | undefined,
--- a/src/adapters/backend_http/http_backend_server_client_test.ts
+++ b/src/adapters/backend_http/http_backend_server_client_test.ts
@@ -4,6 +4,9 @@
  *
  * @module
  */
+import { createServer } from 'node:http';
+import type { ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import t from 'tap';
 import type { Test } from 'tap';
 import { FaultKind, ModelEngine } from '../../../standin/mod.js';
@@ -211,6 +214,45 @@
   t.equal(await hop.countRuns(), 1);
 });
 
+t.test('resume() finds a stream by the ID of its request', async (t) => {
+  // Symptom: "may have run" for a report that the engine was writing. Sequence:
+  // the connection went silent between the body and the head. Cause: the name
+  // of the stream stood in the head only.
+  const hop = await Hop.start(t);
+  const whole = await readText(await hop.dispatch());
+  const found = await hop.client.resume({
+    backendServer: hop.server,
+    streamId: 'request-1',
+    offset: 0,
+    signal: new AbortController().signal,
+  });
+  t.equal(await readText(found), whole);
+});
+
+[true, false].forEach((honoursContinue) => {
+  t.test(`dispatch() gives up a head that does not come (100: ${honoursContinue})`, async (t) => {
+    const server = createServer();
+    const answer = (_request: unknown, response: ServerResponse): void => response.writeContinue();
+    server.on('checkContinue', answer);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    t.teardown(() => {
+      server.closeAllConnections();
+      server.close();
+    });
+    const hop = await Hop.start(t);
+    const { port } = server.address() as AddressInfo;
+    const stage = await hop.run({
+      backendServer: { ...hop.server, url: `http://127.0.0.1:${port}` },
+      headTimeoutMs: CONTINUE_TIMEOUT_MS,
+      honoursContinue,
+    });
+    t.equal(stage, BackendCallStage.AfterHandOver);
+    t.equal(hop.handOvers, 1);
+  });
+});
+
 t.test('resume() refuses a stream that is not there', async (t) => {
   const hop = await Hop.start(t);
   const resumed = hop.client.resume({
--- a/src/adapters/backend_http/mod.ts
+++ b/src/adapters/backend_http/mod.ts
@@ -1,6 +1,6 @@
 /**
  * Calls to backend servers over Node's `http`: hands a body over only after
- * the backend server has proved that the connection lives.
+ * the backend server has answered 100, where its service honours that.
  * `new HttpBackendServerClient().dispatch(call)` gives the answer, head first.
  *
  * @module
--- a/src/adapters/http_common/_request_body.ts
+++ b/src/adapters/http_common/_request_body.ts
@@ -1,5 +1,5 @@
 /**
- * Bounded reading of a request's body, and bounded throwing away of a refused one.
+ * Bounded reading of a request's body, and bounded discarding of a refused one.
  *
  * @module
  */
--- a/src/adapters/metrics/hdr_metrics.ts
+++ b/src/adapters/metrics/hdr_metrics.ts
@@ -78,6 +78,25 @@
     this.#takeNumbers(this.#gauges, name).take(labels).value = value;
   }
 
+  /**
+   * Adds a counter up by one of its labels.
+   *
+   * @param name - the counter's name
+   * @param label - the label to group by
+   * @returns the sums by the label's values
+   */
+  computeSums(name: string, label: string): Readonly<Record<string, number>> {
+    const sums: Record<string, number> = {};
+    this.#counters
+      .get(name)
+      ?.list()
+      .forEach(({ labels, value }) => {
+        const group = labels[label] ?? 'other';
+        sums[group] = (sums[group] ?? 0) + value;
+      });
+    return sums;
+  }
+
   /** @returns every series as Prometheus text, names with the prefix `monsoonhall_` */
   exportPrometheus(): string {
     const lines = [
--- a/src/adapters/metrics/hdr_metrics_test.ts
+++ b/src/adapters/metrics/hdr_metrics_test.ts
@@ -81,3 +81,12 @@
   t.equal(getMedian(), 10);
   t.match(metrics.exportPrometheus(), /^monsoonhall_wait_ms_sum 110$/m);
 });
+
+t.test('HdrMetrics.computeSums() adds a counter up by one label', async (t) => {
+  const metrics = new HdrMetrics({ clock: new VirtualClock() });
+  metrics.count('refusals_total', { kind: 'queue_full', route: 'a' }, 2);
+  metrics.count('refusals_total', { kind: 'queue_full', route: 'b' });
+  metrics.count('refusals_total', { kind: 'rate_limited', route: 'a' });
+  t.same(metrics.computeSums('refusals_total', 'kind'), { queue_full: 3, rate_limited: 1 });
+  t.same(metrics.computeSums('unknown_total', 'kind'), {});
+});
--- a/src/application/allowances/allowance_keeper.ts
+++ b/src/application/allowances/allowance_keeper.ts
@@ -102,7 +102,7 @@
         this.#options.metrics.count('allowance_refusals_total', { kind: error.kind });
       throw error;
     } finally {
-      this.#requestIfDue(limiter);
+      this.#sendIfDue(limiter);
     }
   }
 
@@ -136,7 +136,7 @@
     this.#updateListed();
     const nowMs = this.#options.clock.nowMs();
     this.#limiters.forEach((limiter, accountId) => {
-      this.#requestIfDue(limiter);
+      this.#sendIfDue(limiter);
       if (limiter.isIdle(nowMs)) this.#limiters.delete(accountId);
     });
     this.#lender.update(this.#listedIds);
@@ -153,7 +153,7 @@
     this.#lender.update(listedIds);
   }
 
-  #requestIfDue(limiter: AccountLimiter): void {
+  #sendIfDue(limiter: AccountLimiter): void {
     const { meter } = limiter;
     const ageMs = this.#options.clock.nowMs() - meter.sinceMs;
     const { isActive } = limiter;
--- a/src/application/forwarding/forward_client.ts
+++ b/src/application/forwarding/forward_client.ts
@@ -1,5 +1,5 @@
 /**
- * The entry host's side of forwarding.
+ * The side of forwarding that passes calls on to their owners.
  *
  * @module
  */
@@ -143,7 +143,7 @@
           uncredited += reply.bytes.length;
           yield reply.bytes;
           if (uncredited >= CREDIT_STEP_BYTES) {
-            this.#credit(callId, uncredited);
+            this.#sendCredit(callId, uncredited);
             uncredited = 0;
           }
         } else {
@@ -175,7 +175,7 @@
     pending.arrival.notify();
   }
 
-  #credit(callId: number, bytes: number): void {
+  #sendCredit(callId: number, bytes: number): void {
     const pending = this.#pending.get(callId);
     if (!pending) return;
     this.#options.peers.send(pending.incarnation, {
@@ -189,7 +189,7 @@
     const pending = this.#pending.get(callId);
     if (!pending) return;
     this.#options.peers.send(pending.incarnation, { type: PeerMessageType.ForwardCancel, callId });
-    lose(pending);
+    noteLost(pending);
   }
 
   #failUnreachable(): void {
@@ -202,12 +202,12 @@
   /** Ends calls whose owner went out of reach: their callers are told at once. */
   #failCalls(isLost: (pending: Pending) => boolean): void {
     this.#pending.forEach((pending) => {
-      if (isLost(pending)) lose(pending);
+      if (isLost(pending)) noteLost(pending);
     });
   }
 }
 
-function lose(pending: Pending): void {
+function noteLost(pending: Pending): void {
   Object.assign(pending, { isLost: true });
   pending.arrival.close();
 }
--- a/src/application/forwarding/mod.ts
+++ b/src/application/forwarding/mod.ts
@@ -1,7 +1,7 @@
 /**
  * Passes callers' calls on to the owners of their request IDs over the peer
  * links, and serves those that peers pass on:
- * `forwardClient.forward(incarnation, operation, fields)` gives the owner's answer.
+ * `forwardClient.forward(ownerId, incarnation, fields, callerGone)` gives the owner's answer.
  *
  * @module
  */
--- a/src/application/owner/_attempt.ts
+++ b/src/application/owner/_attempt.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import { ErrorKind, RunOutcome, SchedulerError } from '../../domain/errors/mod.js';
+import { ServiceKind } from '../../domain/contracts/types.js';
 import { RequestState } from '../../domain/requests/mod.js';
 import type { RequestLedger } from '../../domain/requests/mod.js';
-import { BackendCallError, Hop, SlotOutcome } from '../../ports/mod.js';
+import { BackendCallError, BackendCallStage, Hop, SlotOutcome } from '../../ports/mod.js';
 import type { BackendAnswer, BackendServerClient, Clock, Tracer } from '../../ports/mod.js';
 import { settle } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
@@ -17,6 +18,8 @@
 
 const CONTINUE_TIMEOUT_MS = 1000;
 const MAX_RESUMES = 2;
+/** Engines give a stream's head at once; a plain service gives it when its work is done. */
+const HEAD_TIMEOUT_MS = 5000;
 const STREAM_ID_HEADER = 'stream-id';
 
 /** What an attempt needs. */
@@ -88,7 +91,7 @@
   *#runHop(traceparent: string): Step<AttemptResult> {
     const { answer } = this.#request;
     try {
-      const backendAnswer = yield* settle(this.#dispatch(traceparent));
+      const backendAnswer = yield* this.#dispatchOrFind(traceparent);
       this.#openAnswer(backendAnswer);
       yield* this.#readBody(backendAnswer);
       this.#request.record.advance(RequestState.Answered);
@@ -100,6 +103,39 @@
     }
   }
 
+  /**
+   * Dispatches. When the connection is lost between the hand-over and the head,
+   * an engine may have the stream all the same: it is looked for under the
+   * request's own ID, so that its caller gets the answer.
+   */
+  *#dispatchOrFind(traceparent: string): Step<BackendAnswer> {
+    try {
+      return yield* settle(this.#dispatch(traceparent));
+    } catch (error) {
+      const isLost =
+        error instanceof BackendCallError && error.stage === BackendCallStage.AfterHandOver;
+      if (!isLost || !this.#request.isWanted || !this.#hasStreams) throw error;
+      try {
+        return yield* settle(this.#resume(this.#request.record.id.text));
+      } catch {
+        throw error;
+      }
+    }
+  }
+
+  get #hasStreams(): boolean {
+    return this.#call.service.kind === ServiceKind.Model;
+  }
+
+  #resume(streamId: string): Promise<BackendAnswer> {
+    return this.#context.backend.resume({
+      backendServer: this.#slot.backendServer,
+      streamId,
+      offset: this.#request.answer.length,
+      signal: this.#request.signal,
+    });
+  }
+
   #dispatch(traceparent: string): Promise<BackendAnswer> {
     const { backendServer } = this.#slot;
     return this.#context.backend.dispatch({
@@ -115,6 +151,7 @@
       body: this.#call.body,
       honoursContinue: this.#call.service.honoursContinue,
       continueTimeoutMs: CONTINUE_TIMEOUT_MS,
+      headTimeoutMs: this.#hasStreams ? HEAD_TIMEOUT_MS : undefined,
       mayHandOver: () => this.#mayHandOver(),
       onHandOver: () => this.#noteHandOver(),
       signal: this.#request.signal,
@@ -169,14 +206,7 @@
         const { streamId } = this.#request;
         if (!(error instanceof BackendCallError) || !streamId || resumes >= MAX_RESUMES)
           throw error;
-        backendAnswer = yield* settle(
-          this.#context.backend.resume({
-            backendServer: this.#slot.backendServer,
-            streamId,
-            offset: this.#request.answer.length,
-            signal: this.#request.signal,
-          }),
-        );
+        backendAnswer = yield* settle(this.#resume(streamId));
       }
     }
   }
--- /dev/null
+++ b/src/application/owner/_record_end.ts
@@ -0,0 +1,51 @@
+/**
+ * The log line and the measurements of a request's end.
+ *
+ * @module
+ */
+import { ERROR_TABLE, LogLevel } from '../../domain/errors/mod.js';
+import { TIER_NAMES } from '../../domain/scheduling/mod.js';
+import type { Clock, EventLog, Metrics } from '../../ports/mod.js';
+import type { OwnedCall } from './owned_call.js';
+import type { OwnedRequest } from './owned_request.js';
+
+/** Where the end is recorded. */
+export interface EndPorts {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+}
+
+/**
+ * Records how a request ended.
+ *
+ * @param ports - where to
+ * @param request - the request, final
+ * @param call - its call
+ * @param startedAtMs - when its owner took it in, monotonic
+ */
+export function recordEnd(
+  { clock, log, metrics }: EndPorts,
+  request: OwnedRequest,
+  call: OwnedCall,
+  startedAtMs: number,
+): void {
+  const { error, id, state, run } = request.record;
+  const tier = TIER_NAMES[call.work.tier];
+  const totalMs = clock.nowMs() - startedAtMs;
+  metrics.record('request_duration_ms', totalMs, { tier });
+  metrics.count('requests_total', { tier, result: error?.kind ?? 'answered' });
+  log.write(error ? ERROR_TABLE[error.kind].logLevel : LogLevel.Info, 'request_ended', {
+    requestId: id.text,
+    account: call.account.accountId,
+    service: call.service.id,
+    tier,
+    state,
+    run,
+    kind: error?.kind,
+    reason: error?.message,
+    backendServer: request.backendServerId,
+    totalMs: Math.round(totalMs),
+    answerBytes: request.answer.length,
+  });
+}
--- a/src/application/owner/owner_service.ts
+++ b/src/application/owner/owner_service.ts
@@ -3,21 +3,22 @@
  *
  * @module
  */
-import { ERROR_TABLE, ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
+import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { RequestLedger } from '../../domain/requests/mod.js';
 import type { RequestId } from '../../domain/requests/mod.js';
-import { OutputPredictor, RetryBudget, TIER_NAMES } from '../../domain/scheduling/mod.js';
+import { OutputPredictor, RetryBudget } from '../../domain/scheduling/mod.js';
 import { Hop } from '../../ports/mod.js';
 import type {
   BackendServerClient,
   Clock,
   EventLog,
   Metrics,
-  Span,
+  Timer,
   Tracer,
 } from '../../ports/mod.js';
 import { Signal, startProcess } from '../channels/mod.js';
 import type { AllowanceSource, MembershipView, RequestReport, SlotSource } from '../views/mod.js';
+import { recordEnd } from './_record_end.js';
 import { runRequest } from './_run_request.js';
 import type { RunContext } from './_run_request.js';
 import { AnswerStore } from './answer_store.js';
@@ -69,8 +70,6 @@
 
   readonly #idle = new Signal();
 
-  readonly #refusals = new Map<string, number>();
-
   #running = 0;
 
   #isStopped = false;
@@ -102,11 +101,6 @@
     return this.#store.bytes;
   }
 
-  /** @returns refusals and failures so far, by error kind */
-  listRefusals(): Readonly<Record<string, number>> {
-    return Object.fromEntries(this.#refusals);
-  }
-
   /** Starts forgetting what is over. */
   start(): void {
     this.#options.clock.setTimer(PRUNE_INTERVAL_MS, () => {
@@ -215,6 +209,7 @@
     const span = this.#options.tracer.startSpan(Hop.Owner, call.traceparent);
     const startedAtMs = this.#options.clock.nowMs();
     this.#running += 1;
+    const patience = this.#startPatience(request, call);
     startProcess(() =>
       runRequest(this.#context, request, { ...call, traceparent: span.traceparent }),
     )
@@ -222,13 +217,31 @@
         request.fail(new SchedulerError(ErrorKind.Internal, { cause: error }));
       })
       .finally(() => {
+        patience.cancel();
         this.#running -= 1;
         this.#idle.notify();
         this.#store.put(request.answer);
-        this.#noteEnd(request, call, span, startedAtMs);
+        span.end(request.record.error?.kind);
+        recordEnd(this.#options, request, call, startedAtMs);
       });
   }
 
+  /**
+   * Gives up on a head that has not come within the contract's longest deadline.
+   * A backend server that took the body and fell silent would otherwise hold
+   * its slot for ever, and no planned stop would end.
+   */
+  #startPatience(request: OwnedRequest, call: OwnedCall): Timer {
+    return this.#options.clock.setTimer(call.account.longestDeadlineMs, () => {
+      if (request.answer.head) return;
+      request.stop(
+        new SchedulerError(ErrorKind.BackendServerLost, {
+          message: `Cannot get an answer within ${call.account.longestDeadlineMs} ms`,
+        }),
+      );
+    });
+  }
+
   /**
    * Waits for the answer's head, to the deadline and no longer: a caller whose
    * request was given up on is told at once. A request that may not be repeated
@@ -263,30 +276,6 @@
     });
   }
 
-  #noteEnd(request: OwnedRequest, call: OwnedCall, span: Span, startedAtMs: number): void {
-    const { log, metrics, clock } = this.#options;
-    const { error, id } = request.record;
-    const tier = TIER_NAMES[call.work.tier];
-    const totalMs = clock.nowMs() - startedAtMs;
-    span.end(error?.kind);
-    if (error) this.#refusals.set(error.kind, (this.#refusals.get(error.kind) ?? 0) + 1);
-    metrics.record('request_duration_ms', totalMs, { tier });
-    metrics.count('requests_total', { tier, result: error?.kind ?? 'answered' });
-    log.write(error ? ERROR_TABLE[error.kind].logLevel : LogLevel.Info, 'request_ended', {
-      requestId: id.text,
-      account: call.account.accountId,
-      service: call.service.id,
-      tier,
-      state: request.record.state,
-      run: request.record.run,
-      kind: error?.kind,
-      reason: error?.message,
-      backendServer: request.backendServerId,
-      totalMs: Math.round(totalMs),
-      answerBytes: request.answer.length,
-    });
-  }
-
   #prune(): void {
     this.#store.prune();
     this.#ledger.prune(this.#options.clock.wallMs()).forEach((record) => {
--- a/src/commands/_entry_admin.ts
+++ b/src/commands/_entry_admin.ts
@@ -44,7 +44,7 @@
     listEntryHosts: () => membership.listEntryHosts(),
     listBackendServers: () => listBackendServers(parts),
     listQueues: () => dispatcher.listQueues(),
-    listRefusals: () => owner.listRefusals(),
+    listRefusals: () => metrics.computeSums('caller_refusals_total', 'kind'),
     getMetricsText: () => metrics.exportPrometheus(),
     checkContract,
   };
--- a/src/ports/backend_server_client.ts
+++ b/src/ports/backend_server_client.ts
@@ -18,6 +18,11 @@
   readonly honoursContinue: boolean;
   /** How long to wait for the 100 before the connection is given up, in milliseconds. */
   readonly continueTimeoutMs: number;
+  /**
+   * How long the head may take after the hand-over, in milliseconds; undefined
+   * waits until the signal.
+   */
+  readonly headTimeoutMs?: number;
   /**
    * Asked at the last moment before the body leaves. When it answers false the
    * connection is closed and nothing has run.
--- a/standin/model_engine.ts
+++ b/standin/model_engine.ts
@@ -151,14 +151,21 @@
     if (stream.state === StreamState.Broken) this.#streams.delete(stream.id);
   }
 
+  /** Finds a stream by the name that its head told, or by the request's own ID. */
+  #findStream(id: string): KeptStream | undefined {
+    return (
+      this.#streams.get(id) ?? [...this.#streams.values()].find(({ run }) => run.requestId === id)
+    );
+  }
+
   #resume(id: string, offset: number, response: ServerResponse): void {
-    const kept = this.#streams.get(id);
+    const kept = this.#findStream(id);
     if (kept) kept.stream.send(response, offset);
     else sendJson(response, 404, { error: { message: `no stream ${id}` } });
   }
 
   #cancel(id: string, response: ServerResponse): void {
-    const kept = this.#streams.get(id);
+    const kept = this.#findStream(id);
     if (!kept) {
       sendJson(response, 404, { error: { message: `no stream ${id}` } });
       return;
@@ -169,7 +176,7 @@
       this.runs.update(kept.run);
       this.#batch.remove(kept.run);
       kept.stream.closeBroken();
-      this.#streams.delete(id);
+      this.#streams.delete(kept.stream.id);
     }
     sendJson(response, 200, { cancelled: cancels });
   }
