--- a/demo/_report.ts
+++ b/demo/_report.ts
@@ -54,7 +54,7 @@
   return [
     formatRow(HEADINGS),
     ...verdict.rows.map(formatTier),
-    `  refusals by kind: ${refusals || 'none'}`,
+    `  refusals by kind, also those that a later try made good: ${refusals || 'none'}`,
     `  runs recorded: ${verdict.runs}; doubles: ${verdict.doubles}; losses: ${verdict.losses}; ` +
       `untrue "not run": ${verdict.untrueRefusals}; torn or crossed answers: ${verdict.wrongAnswers}`,
     `  answers that went on through another entry host: ${verdict.resumed}`,
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -7,6 +7,7 @@
   if (result.status !== 0) process.exit(result.status ?? 1);
 }
 
+const PARENT_CHECK_MS = 500;
 const PROGRAMS = { demo: 'build/demo/main.js', bench: 'build/bench/main.js' };
 const [name, ...rest] = process.argv.slice(2);
 const program = PROGRAMS[name];
@@ -19,3 +20,10 @@
 const child = spawn('node', ['--enable-source-maps', program, ...rest], { stdio: 'inherit' });
 ['SIGINT', 'SIGTERM'].forEach((signal) => process.on(signal, () => child.kill(signal)));
 child.on('exit', (code) => process.exit(code ?? 1));
+
+// npm that is killed tells nobody: the program would go on without anyone to
+// stop it. The parent's process ID changes then.
+const parentPid = process.ppid;
+setInterval(() => {
+  if (process.ppid !== parentPid) child.kill('SIGINT');
+}, PARENT_CHECK_MS).unref();
--- a/src/application/configuration/configuration_keeper.ts
+++ b/src/application/configuration/configuration_keeper.ts
@@ -53,6 +53,11 @@
   readonly restartPatienceMs: number;
 }
 
+/** Operators compare the silence with seconds; its fractions are noise. */
+function roundSilence(silentMs: number | undefined): number | undefined {
+  return silentMs === undefined ? undefined : Math.round(silentMs);
+}
+
 /** What is answered before anything is in force. */
 const EMPTY_INDEX = buildIndex(EMPTY_STATE);
 
@@ -153,7 +158,7 @@
       revision: this.#revision,
       hash: this.#hash,
       platformIndex: this.#watch.index,
-      platformSilentMs: this.#watch.silentMs,
+      platformSilentMs: roundSilence(this.#watch.silentMs),
       accountCount: this.#index.accounts.size,
       rejected: [...this.#state.rejected.values()].map(({ key, revision, reasons }) => ({
         key,
--- a/src/application/entry_host/caller_gateway.ts
+++ b/src/application/entry_host/caller_gateway.ts
@@ -59,14 +59,17 @@
 
   override authenticate(apiKey: string | undefined): AccountContract {
     const { configuration } = this.#options;
-    if (apiKey === undefined) throw new SchedulerError(ErrorKind.Unauthenticated);
+    if (apiKey === undefined) throw buildUnauthenticated('no key was sent');
     // A lookup by hash needs no comparison in constant time: what an attacker
     // could learn from its duration is about hashes, not about keys.
     const keyHash = createHash('sha256').update(apiKey).digest('hex');
     const account = configuration.findAccountByKeyHash(keyHash);
     if (account) return account;
-    const isEmpty = configuration.listAccounts().length === 0;
-    throw new SchedulerError(isEmpty ? ErrorKind.ConfigurationMissing : ErrorKind.Unauthenticated);
+    if (configuration.listAccounts().length > 0)
+      throw buildUnauthenticated('no contract has the key');
+    throw new SchedulerError(ErrorKind.ConfigurationMissing, {
+      message: 'Cannot tell accounts apart: no contract is in force here yet',
+    });
   }
 
   override async assign(
@@ -214,6 +217,12 @@
   return new AbortController().signal;
 }
 
+function buildUnauthenticated(reason: string): SchedulerError {
+  return new SchedulerError(ErrorKind.Unauthenticated, {
+    message: `Cannot tell whose call this is: ${reason}`,
+  });
+}
+
 function buildIdRequired(call: OwnedCall, id: RequestId): SchedulerError {
   return new SchedulerError(ErrorKind.RequestIdRequired, {
     message: `Cannot run work kind ${call.work.kind} without a request ID: it must not be repeated; send it again with this one`,
--- a/src/application/membership/membership_keeper.ts
+++ b/src/application/membership/membership_keeper.ts
@@ -21,7 +21,10 @@
   PeerConfigurationHandler,
 } from './membership_keeper_options.js';
 
-/** Silence after which an unlisted peer is forgotten: beyond any request ID's lifetime. */
+/**
+ * Silence after which an unlisted peer is forgotten. Its requests are answered
+ * `owner_gone` from then on; the default life of a request ID is shorter.
+ */
 const FORGET_AFTER_MS = 3_600_000;
 /** Keeps the view by the host list and by heartbeats, each of which does without the other. */
 export class MembershipKeeper extends MembershipView {
--- a/src/application/views/membership_view.ts
+++ b/src/application/views/membership_view.ts
@@ -13,7 +13,7 @@
   /** @returns every known entry host, itself included */
   abstract listEntryHosts(): readonly EntryHostView[];
 
-  /** @returns IDs in the host list, whether reachable or not; itself is always among them */
+  /** @returns IDs that the host list has or that were heard of, reachable or not, its own included */
   abstract listListedIds(): readonly string[];
 
   /** @param incarnation - whose view. @returns it, unless that incarnation is gone or unknown */
--- a/src/application/views/request_gateway.ts
+++ b/src/application/views/request_gateway.ts
@@ -59,7 +59,7 @@
   readonly id: string;
   readonly state: RequestState;
   readonly run: RunOutcome;
-  /** Bytes of the answer that are kept now. */
+  /** Length of the answer so far, in bytes. */
   readonly answerBytes: number;
   /** Error kind of a refused or failed request. */
   readonly code: string | undefined;
--- a/src/commands/_cli.ts
+++ b/src/commands/_cli.ts
@@ -28,14 +28,23 @@
   Builtins.VersionCommand,
 ];
 
+/** A command line whose help names the values of options; clipanion's own prints `#0`. */
+class ReadableCli extends Cli {
+  override usage(...args: Parameters<Cli['usage']>): string {
+    return formatUsage(super.usage(...args));
+  }
+}
+
 /** @returns the command line with every command */
 export function createCli(): Cli {
-  return Cli.from(COMMANDS, {
+  const cli = new ReadableCli({
     binaryLabel: 'monsoonhall',
     binaryName: 'monsoonhall',
     binaryVersion: VERSION,
     enableColors: false,
   });
+  COMMANDS.forEach((command) => cli.register(command));
+  return cli;
 }
 
 function formatReason(error: unknown): string {
@@ -55,7 +64,7 @@
 
 async function runCommand(cli: Cli, command: Command, context: BaseContext): Promise<number> {
   if (command.help) {
-    context.stdout.write(formatUsage(cli, command));
+    context.stdout.write(cli.usage(command, { detailed: true }));
     return 0;
   }
   const prepared = command;
--- a/src/commands/_help.ts
+++ b/src/commands/_help.ts
@@ -4,21 +4,19 @@
  * @module
  */
 import { Command } from 'clipanion';
-import type { Cli } from 'clipanion';
 
 /** How clipanion writes the value of an option, and the room behind it. */
 const VALUE_PATTERN = /#0 {3}/g;
 const VALUE_NAME = 'VALUE';
 
 /**
- * Formats the help of one command.
+ * Puts a name in the place of an option's value.
  *
- * @param cli - the command line
- * @param command - the command
- * @returns usage, options, details and examples
+ * @param usage - help as clipanion writes it
+ * @returns the help as it is printed
  */
-export function formatUsage(cli: Pick<Cli, 'usage'>, command: Command): string {
-  return cli.usage(command, { detailed: true }).replace(VALUE_PATTERN, VALUE_NAME);
+export function formatUsage(usage: string): string {
+  return usage.replace(VALUE_PATTERN, VALUE_NAME);
 }
 
 /** Lists the commands; their options would fill several screens here. */
--- a/src/domain/contracts/fleet.ts
+++ b/src/domain/contracts/fleet.ts
@@ -39,7 +39,7 @@
   url: z
     .string()
     .max(MAX_URL_LENGTH)
-    .refine(isBaseUrl, 'must be http:// or https://, an IP number and a port, without a path'),
+    .refine(isBaseUrl, 'must be http://, an IP number and a port, without a path'),
   engineKind: idField.optional(),
   availabilityZone: idField,
 });
@@ -114,7 +114,7 @@
 }
 
 function isBaseUrl(text: string): boolean {
-  const match = /^https?:\/\/(?:\[([0-9a-f:.]+)\]|([0-9.]+))(?::\d{1,5})?\/?$/i.exec(text);
+  const match = /^http:\/\/(?:\[([0-9a-f:.]+)\]|([0-9.]+))(?::\d{1,5})?\/?$/i.exec(text);
   const host = match?.[1] ?? match?.[2];
   return z.union([z.ipv4(), z.ipv6()]).safeParse(host).success && URL.canParse(text);
 }
