Refuse at once when this entry host has lost touch; notice silent watches in 3 s

A woken entry host that nobody answered held 32 calls for about 60 s, their deadline. A restarted entry host that heard its peers' word before its first host list took a leaving backend server for live. A caller with one address and a silent kept connection gave up. Ruled out: holding calls back (not accepted); shorter patience than an ordinary wake needs. Red without the mend: leaving_backend_servers_test, one assertion.

--- a/src/application/membership/_host_list_watch.ts
+++ b/src/application/membership/_host_list_watch.ts
@@ -17,8 +17,6 @@
   Timer,
 } from '../../ports/mod.js';
 
-/** How long one read waits for a change. */
-const READ_WAIT_MS = 10_000;
 /** How much later than the wait an answer may come before the read is given up. */
 const READ_MARGIN_MS = 2_000;
 /** Least time between the begins of two reads, also when the list changes all the time. */
@@ -35,6 +33,8 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly platform: PlatformReader;
+  /** How long one read waits for a change, in milliseconds. */
+  readonly readWaitMs: number;
   /** Called with each list that is in force, and when its read was begun. */
   readonly onList: (list: HostList, begunAtMs: number) => void;
 }
@@ -102,7 +102,8 @@
   /** Neither a silent connection nor a reader that ignores the signal may hold the watch. */
   async #readBounded(): Promise<PlatformSnapshot> {
     const controller = new AbortController();
-    const limitMs = READ_WAIT_MS + READ_MARGIN_MS;
+    const { readWaitMs } = this.#options;
+    const limitMs = readWaitMs + READ_MARGIN_MS;
     const aborted = new Promise<never>((_resolve, reject) => {
       controller.signal.addEventListener('abort', () => {
         const { message } = controller.signal.reason as Error;
@@ -115,7 +116,7 @@
     this.#interrupt = () => controller.abort(new Error('given up'));
     const options = {
       afterIndex: this.#afterIndex,
-      waitMs: READ_WAIT_MS,
+      waitMs: readWaitMs,
       signal: controller.signal,
     };
     try {
--- a/src/application/membership/_test_hosts.ts
+++ b/src/application/membership/_test_hosts.ts
@@ -103,6 +103,7 @@
       suspectAfterMs: SUSPECT_MS,
       listGroupLoads: () => this.groups,
       isReady: () => true,
+      readWaitMs: 10_000,
       getConfiguration: () => this.configuration,
     });
     this.keeper.onChange(() => {
--- a/src/application/membership/membership_keeper_options.ts
+++ b/src/application/membership/membership_keeper_options.ts
@@ -32,6 +32,8 @@
   readonly self: EntryHostIdentity;
   /** Peers to link to before the host list was read. */
   readonly seedPeerUrls: readonly string[];
+  /** How long the host list may hold a watch, in milliseconds. */
+  readonly readWaitMs: number;
   /** Time between two heartbeats, in milliseconds. */
   readonly heartbeatMs: number;
   /** Silence after which a peer is suspected, in milliseconds. */
--- a/src/application/owner/_run_request.ts
+++ b/src/application/owner/_run_request.ts
@@ -12,6 +12,7 @@
 import type { Admission, AllowanceSource, Slot, SlotSource } from '../views/mod.js';
 import { Attempt } from './_attempt.js';
 import type { AttemptContext, AttemptResult } from './_attempt.js';
+import { acquireSlot } from './_slot_wait.js';
 import { readPromptFacts } from './_prompt_facts.js';
 import type { PromptFacts } from './_prompt_facts.js';
 import type { OwnedCall } from './owned_call.js';
@@ -78,7 +79,7 @@
   context.retries.noteAttempt();
   for (let attempt = 1; ; attempt += 1) {
     const slot: Slot = yield* settle(
-      context.slots.acquire({
+      acquireSlot(context, {
         requestId: request.record.id.text,
         serviceId: call.service.id,
         accountId: call.account.accountId,
--- a/src/caller/_control_call.ts
+++ b/src/caller/_control_call.ts
@@ -6,9 +6,9 @@
 import { RunOutcome } from '../domain/errors/mod.js';
 import { buildAuthorization } from './_call_context.js';
 import type { CallContext } from './_call_context.js';
-import { Exchange } from './_exchange.js';
+import { closeIdleConnections, Exchange } from './_exchange.js';
 import { isPassing, openAnswer, readBody } from './_refusal.js';
-import { waitWithin } from './_wait_within.js';
+import { SilenceError, waitWithin } from './_wait_within.js';
 import { CallerError, LocalErrorCode } from './caller_error.js';
 
 const CONTROL_TIMEOUT_MS = 5000;
@@ -36,7 +36,12 @@
     return await waitWithin(readAnswer(exchange), context.clock, CONTROL_TIMEOUT_MS);
   } catch (error) {
     exchange.close();
-    throw error;
+    if (!(error instanceof SilenceError) || !exchange.isOnKeptConnection) throw error;
+    // The far end may have lost track of a kept connection. A caller that knows
+    // one address would be told that nobody answers, while a new connection to
+    // that address works.
+    closeIdleConnections(context.agents);
+    return sendTo(context, url, call);
   }
 }
 
--- a/src/caller/_exchange.ts
+++ b/src/caller/_exchange.ts
@@ -16,6 +16,21 @@
   readonly https: https.Agent;
 }
 
+/**
+ * Closes the connections that wait for their next use. When one connection has
+ * gone silent, the others are as old: whatever is sent on them may vanish too,
+ * while new ones work.
+ *
+ * @param agents - whose connections
+ */
+export function closeIdleConnections(agents: Agents): void {
+  [agents.http, agents.https].forEach(({ freeSockets }) => {
+    Object.values(freeSockets).forEach((sockets) => {
+      sockets?.forEach((socket) => socket.destroy());
+    });
+  });
+}
+
 /** What is sent. */
 export interface ExchangeCall {
   readonly url: string;
@@ -76,6 +91,11 @@
     this.#request.end(call.body);
   }
 
+  /** Whether its connection had been used before. */
+  get isOnKeptConnection(): boolean {
+    return this.#request.reusedSocket;
+  }
+
   /** Ends the exchange and its connection. */
   close(): void {
     this.#request.destroy();
--- a/src/caller/_silence_watch.ts
+++ b/src/caller/_silence_watch.ts
@@ -7,7 +7,7 @@
 import { RequestState } from '../domain/requests/request_state.js';
 import type { CallContext } from './_call_context.js';
 import { sendControlCall } from './_control_call.js';
-import { ExchangeError } from './_exchange.js';
+import { closeIdleConnections, ExchangeError } from './_exchange.js';
 import { SilenceError, waitWithin } from './_wait_within.js';
 
 const FINAL_STATES: readonly RequestState[] = [
@@ -62,6 +62,8 @@
       return await waitWithin(step, context.clock, context.silenceMs);
     } catch (error) {
       if (!(error instanceof SilenceError)) throw error;
+      // A kept connection may be as silent as this one and would hold the question up.
+      closeIdleConnections(context.agents);
       if (await isBehind(context, watched))
         throw new ExchangeError(true, `The connection went silent: ${error.message}`);
     }
--- a/src/commands/_entry_options.ts
+++ b/src/commands/_entry_options.ts
@@ -63,6 +63,8 @@
 
   stopLimitMs = createFlag('stopLimitMs');
 
+  platformWaitMs = createFlag('platformWaitMs');
+
   heartbeatMs = createFlag('heartbeatMs');
 
   suspectAfterMs = createFlag('suspectAfterMs');
--- a/src/commands/_entry_parts.ts
+++ b/src/commands/_entry_parts.ts
@@ -34,7 +34,7 @@
 import type { EntrySettings } from './settings.js';
 
 const INCARNATION_BYTES = 8;
-const PLATFORM_WAIT_MS = 10_000;
+const PLATFORM_MARGIN_MS = 1000;
 const RESTART_PATIENCE_MS = 1500;
 const MAX_RECORDS = 200_000;
 
@@ -62,6 +62,14 @@
   return { clock, random, log, metrics, tracer, self };
 }
 
+/**
+ * Creates a reader whose watches are given up soon after the platform should
+ * have answered: a watch that went silent hides changes until then.
+ */
+function createReader(baseUrl: string, clock: SystemClock): HttpPlatformReader {
+  return new HttpPlatformReader({ baseUrl, clock, answerMarginMs: PLATFORM_MARGIN_MS });
+}
+
 /** Links, configuration and membership: what an entry host knows. */
 function createKeepers(settings: EntrySettings, base: ReturnType<typeof createBase>) {
   const { clock } = base;
@@ -73,9 +81,9 @@
   });
   const configuration = new ConfigurationKeeper({
     ...base,
-    platform: new HttpPlatformReader({ baseUrl: settings.configurationUrl, clock }),
+    platform: createReader(settings.configurationUrl, clock),
     peers,
-    waitMs: PLATFORM_WAIT_MS,
+    waitMs: settings.platformWaitMs,
     restartPatienceMs: RESTART_PATIENCE_MS,
   });
   // The dispatcher and the listener need the membership, whose heartbeats tell
@@ -83,9 +91,10 @@
   const late = { listLoads: (): readonly GroupLoad[] => [], isListening: false };
   const membership: MembershipKeeper = new MembershipKeeper({
     ...base,
-    platform: new HttpPlatformReader({ baseUrl: settings.hostListUrl, clock }),
+    platform: createReader(settings.hostListUrl, clock),
     peers,
     seedPeerUrls: settings.peers,
+    readWaitMs: settings.platformWaitMs,
     heartbeatMs: settings.heartbeatMs,
     suspectAfterMs: settings.suspectAfterMs,
     listGroupLoads: () => late.listLoads(),
--- a/src/commands/_entry_setting_table.ts
+++ b/src/commands/_entry_setting_table.ts
@@ -128,6 +128,12 @@
   },
   answerKeepMs: buildDuration(0, HOUR_MS, 60_000, 'How long a finished answer is kept'),
   stopLimitMs: buildDuration(100, 24 * HOUR_MS, 120_000, 'Longest time of a planned stop'),
+  platformWaitMs: buildDuration(
+    100,
+    HOUR_MS,
+    2000,
+    'How long the platform may hold a watch; a silent watch is noticed a second later',
+  ),
   heartbeatMs: buildDuration(10, MINUTE_MS, 500, 'Time between heartbeats'),
   suspectAfterMs: buildDuration(20, HOUR_MS, 2000, 'Silence after which a peer is suspected'),
   maxBodyBytes: {
--- a/src/commands/settings_test.ts
+++ b/src/commands/settings_test.ts
@@ -54,6 +54,7 @@
     answerBytes: 33_554_432,
     answerKeepMs: 60_000,
     stopLimitMs: 120_000,
+    platformWaitMs: 2000,
     heartbeatMs: 500,
     suspectAfterMs: 2000,
     maxBodyBytes: 4_194_304,
--- a/src/domain/errors/error_table.ts
+++ b/src/domain/errors/error_table.ts
@@ -70,6 +70,7 @@
   [ErrorKind.DeadlineExpired]: answer(504, SERVER, RunOutcome.NotRun, 1000, LogLevel.Info),
   [ErrorKind.TooManyConnections]: answer(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
   [ErrorKind.EntryHostStopping]: answer(503, SERVER, RunOutcome.NotRun, 100, LogLevel.Info),
+  [ErrorKind.EntryHostCutOff]: answer(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
   [ErrorKind.ConfigurationMissing]: answer(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Error),
   [ErrorKind.NoBackendServer]: answer(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
   [ErrorKind.BackendServerRefused]: answer(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
--- a/src/domain/membership/leaving_backend_servers.ts
+++ b/src/domain/membership/leaving_backend_servers.ts
@@ -13,6 +13,9 @@
 export const LOAD_REPORT_LAG_MS = 5_000;
 
 const OWN_SOURCE = '';
+
+/** Before the first list. */
+const NO_INDEX = -1;
 const OVERRULED_KEEP_MS = 600_000;
 
 /** Somebody said that a backend server leaves. */
@@ -35,7 +38,7 @@
 export class LeavingBackendServers {
   #listed: ReadonlyMap<string, ListedHost> = new Map();
 
-  #index = -1;
+  #index = NO_INDEX;
 
   readonly #notes = new Map<string, Map<string, LeavingNote>>();
 
@@ -152,12 +155,18 @@
   }
 
   #buildNote(note: LeavingNote, overruled: boolean): LeavingNote {
-    return { ...note, overruled, baselineIndex: Math.min(note.baselineIndex, this.#index) };
+    const isFirstList = note.baselineIndex === NO_INDEX;
+    const baselineIndex = isFirstList ? this.#index : Math.min(note.baselineIndex, this.#index);
+    return { ...note, overruled, baselineIndex };
   }
 
   #mayLift(id: string, note: LeavingNote, nowMs: number): boolean {
     const host = this.#listed.get(id);
     if (host?.state === HostState.Leaving) return false;
+    // A restarted entry host hears of its peers before it has read any list. Each
+    // entry of the first list is newer than no list, but not newer than the note:
+    // work would go to the leaving backend server from this entry host alone.
+    if (note.baselineIndex === NO_INDEX) return false;
     if (host && host.modifyIndex > note.baselineIndex) return true;
     const isQuiet = nowMs - note.toldAtMs >= NOTE_QUIET_MS;
     return isQuiet && this.#index > note.baselineIndex;
--- a/src/domain/membership/leaving_backend_servers_test.ts
+++ b/src/domain/membership/leaving_backend_servers_test.ts
@@ -136,3 +136,15 @@
   );
   t.pass();
 });
+
+t.test('LeavingBackendServers keeps a claim that came before the first list', async (t) => {
+  // Symptom: one restarted entry host alone sent work to a leaving backend server.
+  // Sequence: it heard its peers' word, then read its first list, which lagged.
+  // Cause: every entry of a first list counted as newer than the word.
+  const leaving = new LeavingBackendServers();
+  leaving.applyClaims('a', ['engine-1'], 0);
+  leaving.applyHostList(buildList(10, buildHost(HostState.Live, 5)), 100);
+  t.ok(leaving.isLeaving('engine-1'));
+  leaving.applyHostList(buildList(12, buildHost(HostState.Live, 12)), 200);
+  t.notOk(leaving.isLeaving('engine-1'), 'a list that shows it written anew lifts it');
+});
