--- a/src/commands/_entry_options.ts
+++ b/src/commands/_entry_options.ts
@@ -77,6 +77,8 @@
 
   requestTimeoutMs = createFlag('requestTimeoutMs');
 
+  reserveFraction = createFlag('reserveFraction');
+
   strategy = createFlag('strategy');
 
   /** @returns the texts of the flags that were given, for `parseEntrySettings` */
--- a/src/commands/_entry_parts.ts
+++ b/src/commands/_entry_parts.ts
@@ -135,7 +135,7 @@
 ) {
   const { membership, late } = keepers;
   const backend = new HttpBackendServerClient();
-  const strategy = createStrategy(settings.strategy);
+  const strategy = createStrategy(settings.strategy, { reserveFraction: settings.reserveFraction });
   const options = {
     ...base,
     ...keepers,
--- a/src/commands/_entry_setting_table.ts
+++ b/src/commands/_entry_setting_table.ts
@@ -11,6 +11,7 @@
   createChoiceSchema,
   createHexKeySchema,
   createIntegerSchema,
+  createPartSchema,
   createNameSchema,
   createPemFileSchema,
   createSecretSchema,
@@ -19,6 +20,7 @@
   createWritableFileSchema,
 } from './_setting_schemas.js';
 
+const MAX_RESERVE_FRACTION = 0.5;
 const LEAST_ADMIN_KEY_LENGTH = 8;
 const LEAST_CLUSTER_KEY_BYTES = 32;
 const MINUTE_MS = 60_000;
@@ -148,6 +150,11 @@
   },
   headerTimeoutMs: buildDuration(10, HOUR_MS, 5000, "Longest time for a request's header"),
   requestTimeoutMs: buildDuration(10, HOUR_MS, 15_000, 'Longest time for a whole request'),
+  reserveFraction: {
+    schema: createPartSchema(MAX_RESERVE_FRACTION),
+    description: 'Part of each window kept free for each higher tier',
+    fallback: '0.125',
+  },
   strategy: {
     schema: createChoiceSchema(Object.values(StrategyName)),
     description: 'Scheduling: dispatcher; two-choices, fixed-shares and first-come are baselines',
--- a/src/commands/_setting_schemas.ts
+++ b/src/commands/_setting_schemas.ts
@@ -114,6 +114,18 @@
   });
 }
 
+/**
+ * @param most - greatest value
+ * @returns schema of a part from 0 to that
+ */
+export function createPartSchema(most: number) {
+  return createSchema(`a number from 0 to ${most}`, (text) => {
+    const part = Number(text);
+    const isPart = text.trim() !== '' && part >= 0 && part <= most;
+    return isPart ? part : undefined;
+  });
+}
+
 /**
  * One of a closed list of words.
  *
--- a/src/commands/settings_test.ts
+++ b/src/commands/settings_test.ts
@@ -55,6 +55,7 @@
     answerKeepMs: 60_000,
     stopLimitMs: 120_000,
     platformWaitMs: 2000,
+    reserveFraction: 0.125,
     heartbeatMs: 500,
     suspectAfterMs: 2000,
     maxBodyBytes: 4_194_304,
@@ -109,6 +110,7 @@
   [{ maxConnections: '0' }, /^--max-connections .*whole number from 1 to/],
   [{ maxBodyBytes: '1e9' }, /^--max-body-bytes .*whole number from/],
   [{ heartbeatMs: '1500' }, /^--suspect-after-ms .*at least twice --heartbeat-ms \(1500\)$/],
+  [{ reserveFraction: '0.6' }, /^--reserve-fraction .*a number from 0 to 0\.5/],
   [{ stopLimitMs: '1000' }, /^--stop-limit-ms .*at least --keep-address-ms \(30000\)$/],
   [{ requestTimeoutMs: '100' }, /^--request-timeout-ms .*at least --header-timeout-ms \(5000\)$/],
   [
