Refuse what can finish nowhere; choose waiting work by the engines' caches

Cause: wasted prefill under overload came from low-tier work that was started and missed its deadline, and from prefixes computed again on whichever engine came free first. Change: a margin per tier learnt from actual over predicted time; a look-ahead of 16 within one tier, bounded by 10 s of an account's work; a repeated prefill counts against the server chosen; a slot kept free for a warm prefix up to 150 ms a tier. Red runs, mechanism off, 7 of 7: unbounded lead, unbounded hold, no look-ahead, late refusal off, late letting lower tiers past, cut-off requests ignored, no reserve.

--- a/src/application/dispatcher/_acquire_slot.ts
+++ b/src/application/dispatcher/_acquire_slot.ts
@@ -42,7 +42,7 @@
 type Outcome = { readonly slot: Slot } | { readonly refusal: SchedulerError };
 
 /** What is known of one wish while it waits. */
-interface Quest {
+interface SlotSearch {
   readonly client: SlotClient;
   readonly wish: SlotWish;
   readonly startedAtMs: number;
@@ -67,7 +67,7 @@
   const service = configuration.findService(wish.serviceId);
   const groups = service ? splitDispatchGroups(service) : [];
   checkOpen(client, wish, groups);
-  const quest: Quest = {
+  const search: SlotSearch = {
     client,
     wish,
     startedAtMs,
@@ -79,7 +79,7 @@
   for (let tried = 0; tried < MAX_GROUPS; tried += 1) {
     const group = client.loads.pickGroup(left, wish, clock.nowMs(), random.nextFraction());
     if (!group) break;
-    const outcome = yield* askGroup(quest, group);
+    const outcome = yield* askGroup(search, group);
     if ('slot' in outcome) return outcome.slot;
     refusal = outcome.refusal;
     if (!REFUSALS_OF_A_GROUP.has(refusal.kind)) throw refusal;
@@ -101,16 +101,16 @@
   });
 }
 
-function* askGroup(quest: Quest, group: DispatchGroup): Step<Outcome> {
+function* askGroup(search: SlotSearch, group: DispatchGroup): Step<Outcome> {
   for (let question = 0; question < MAX_QUESTIONS; question += 1) {
-    checkWanted(quest);
-    const wait = quest.client.openWait(group.id, pickDispatcher(quest, group.id));
-    const message = buildRequest(quest, wait);
-    if (!quest.client.send(wait.dispatcher, message)) {
-      noteLost(quest, wait, false);
+    checkWanted(search);
+    const wait = search.client.openWait(group.id, pickDispatcher(search, group.id));
+    const message = buildRequest(search, wait);
+    if (!search.client.send(wait.dispatcher, message)) {
+      noteLost(search, wait, false);
       continue;
     }
-    const outcome = yield* waitForAnswer(quest, wait, message);
+    const outcome = yield* waitForAnswer(search, wait, message);
     if (outcome) return outcome;
   }
   return { refusal: new SchedulerError(ErrorKind.EntryHostStopping) };
@@ -118,21 +118,21 @@
 
 /** @returns undefined when the question should be put anew */
 function* waitForAnswer(
-  quest: Quest,
+  search: SlotSearch,
   wait: PendingWait,
   message: SlotRequestMessage,
 ): Step<Outcome | undefined> {
-  const stopWatching = watchWish(quest, wait);
+  const stopWatching = watchWish(search, wait);
   try {
     for (;;) {
       const event = yield* wait.events.take();
       if (event === CLOSED || event.kind === WaitEventKind.Ended) {
-        quest.client.closeWait(wait, true);
-        checkWanted(quest);
+        search.client.closeWait(wait, true);
+        checkWanted(search);
         return { refusal: new SchedulerError(ErrorKind.EntryHostStopping) };
       }
-      if (event.kind !== WaitEventKind.Silence) return settleWait(quest, wait, event);
-      quest.client.send(wait.dispatcher, message);
+      if (event.kind !== WaitEventKind.Silence) return settleWait(search, wait, event);
+      search.client.send(wait.dispatcher, message);
     }
   } finally {
     stopWatching();
@@ -140,16 +140,16 @@
 }
 
 function settleWait(
-  quest: Quest,
+  search: SlotSearch,
   wait: PendingWait,
   event: Exclude<WaitEvent, { kind: WaitEventKind.Ended | WaitEventKind.Silence }>,
 ): Outcome | undefined {
-  if (event.kind === WaitEventKind.Granted) return acceptGrant(quest, wait, event);
+  if (event.kind === WaitEventKind.Granted) return acceptGrant(search, wait, event);
   if (event.kind === WaitEventKind.DispatcherLost) {
-    noteLost(quest, wait, true);
+    noteLost(search, wait, true);
     return undefined;
   }
-  quest.client.closeWait(wait, false);
+  search.client.closeWait(wait, false);
   // The dispatcher gave the queue up; its successor is asked with the time waited.
   if (event.reason === ErrorKind.EntryHostStopping) return undefined;
   const { reason, retryAfterMs } = event;
@@ -157,18 +157,18 @@
 }
 
 function acceptGrant(
-  quest: Quest,
+  search: SlotSearch,
   wait: PendingWait,
   event: Extract<WaitEvent, { kind: WaitEventKind.Granted }>,
 ): Outcome | undefined {
-  const { client, wish } = quest;
+  const { client, wish } = search;
   const { clock, configuration, membership, metrics } = client.options;
   const release = client.holdSlot(wait, event.grantId);
   const backendServer = configuration.findBackendServer(event.backendServerId);
   if (!backendServer || membership.isBackendServerLeaving(event.backendServerId)) {
     // This entry host knows more than the dispatcher did.
     release({ outcome: SlotOutcome.Unused, firstByteMs: 0, totalMs: 0, outputTokens: 0 });
-    quest.excluded.add(event.backendServerId);
+    search.excluded.add(event.backendServerId);
     return undefined;
   }
   metrics.count('slot_grants_total', { tier: TIER_NAMES[wish.tier] });
@@ -180,42 +180,42 @@
  * if that one is lost; this entry host itself if it is the only one left. An
  * entry host that isn't responsible keeps to its fixed share of the windows.
  */
-function pickDispatcher(quest: Quest, groupId: string): string {
-  const { membership, strategy } = quest.client.options;
+function pickDispatcher(search: SlotSearch, groupId: string): string {
+  const { membership, strategy } = search.client.options;
   const { self } = membership;
   if (strategy.isLocal) return self.incarnation;
   const responsible = membership.pickResponsible(groupId).incarnation;
-  if (!quest.lost.has(responsible)) return responsible;
+  if (!search.lost.has(responsible)) return responsible;
   const reachable = membership
     .listEntryHosts()
     .filter(({ state }) => state === PeerState.Live)
     .map(({ identity }) => identity.incarnation)
-    .filter((incarnation) => !quest.lost.has(incarnation));
+    .filter((incarnation) => !search.lost.has(incarnation));
   return pickByRendezvous(groupId, reachable) ?? self.incarnation;
 }
 
-function noteLost(quest: Quest, wait: PendingWait, mustTell: boolean): void {
-  const { log, membership, metrics } = quest.client.options;
-  quest.client.closeWait(wait, mustTell);
-  if (wait.dispatcher !== membership.self.incarnation) quest.lost.add(wait.dispatcher);
+function noteLost(search: SlotSearch, wait: PendingWait, mustTell: boolean): void {
+  const { log, membership, metrics } = search.client.options;
+  search.client.closeWait(wait, mustTell);
+  if (wait.dispatcher !== membership.self.incarnation) search.lost.add(wait.dispatcher);
   metrics.count('dispatcher_losses_total');
   log.write(LogLevel.Info, 'dispatcher_lost', {
-    requestId: quest.wish.requestId,
-    account: quest.wish.accountId,
+    requestId: search.wish.requestId,
+    account: search.wish.accountId,
     group: wait.groupId,
     dispatcher: wait.dispatcher,
   });
 }
 
 /** Throws when nobody wants the slot any more. */
-function checkWanted({ client, wish }: Quest): void {
+function checkWanted({ client, wish }: SlotSearch): void {
   if (wish.signal.aborted) throw new SchedulerError(ErrorKind.Cancelled);
   if (client.options.clock.nowMs() >= wish.deadlineAtMs)
     throw new SchedulerError(ErrorKind.DeadlineExpired);
 }
 
 /** Tells the wait of the wish's end and of silence. */
-function watchWish({ client, wish }: Quest, wait: PendingWait): () => void {
+function watchWish({ client, wish }: SlotSearch, wait: PendingWait): () => void {
   const { clock } = client.options;
   const end = (): void => {
     wait.notify({ kind: WaitEventKind.Ended });
@@ -237,8 +237,8 @@
   };
 }
 
-function buildRequest(quest: Quest, wait: PendingWait): SlotRequestMessage {
-  const { client, wish, startedAtMs } = quest;
+function buildRequest(search: SlotSearch, wait: PendingWait): SlotRequestMessage {
+  const { client, wish, startedAtMs } = search;
   const nowMs = client.options.clock.nowMs();
   return {
     type: PeerMessageType.SlotRequest,
@@ -252,6 +252,6 @@
     promptTokens: wish.promptTokens,
     expectedOutputTokens: wish.expectedOutputTokens,
     blockHashes: wish.blockHashes,
-    excluded: [...quest.excluded],
+    excluded: [...search.excluded],
   };
 }
--- a/src/application/dispatcher/dispatcher_loss_test.ts
+++ b/src/application/dispatcher/dispatcher_loss_test.ts
@@ -6,9 +6,9 @@
 import { PeerMessageType, SlotOutcome } from '../../ports/mod.js';
 import { settle } from '../../../test/support/virtual_clock.js';
 import { buildIdentity } from '../../../test/support/fake_peer_network.js';
-import { SERVICE_ID } from './_fake_views.js';
-import { DispatchFleet, watch } from './_fleet_fixture.js';
-import type { FixtureHost } from './_fleet_fixture.js';
+import { SERVICE_ID } from '../../../test/support/fake_views.js';
+import { DispatchFleet, watch } from '../../../test/support/fleet_fixture.js';
+import type { FixtureHost } from '../../../test/support/fleet_fixture.js';
 
 const ANSWERED = { outcome: SlotOutcome.Answered, firstByteMs: 20, totalMs: 500, outputTokens: 25 };
 
--- a/src/application/dispatcher/dispatcher_service_test.ts
+++ b/src/application/dispatcher/dispatcher_service_test.ts
@@ -6,9 +6,9 @@
 import { PeerMessageType, SlotOutcome } from '../../ports/mod.js';
 import { settle } from '../../../test/support/virtual_clock.js';
 import type { Slot } from '../views/mod.js';
-import { buildService } from './_fake_views.js';
-import { DispatchFleet, watch } from './_fleet_fixture.js';
-import type { FixtureHost } from './_fleet_fixture.js';
+import { buildService } from '../../../test/support/fake_views.js';
+import { DispatchFleet, watch } from '../../../test/support/fleet_fixture.js';
+import type { FixtureHost } from '../../../test/support/fleet_fixture.js';
 
 const USE = { firstByteMs: 20, totalMs: 500, outputTokens: 25 };
 
--- a/src/application/dispatcher/slot_client_test.ts
+++ b/src/application/dispatcher/slot_client_test.ts
@@ -4,8 +4,8 @@
 import { createStrategy, StrategyName, Tier } from '../../domain/scheduling/mod.js';
 import { PeerMessageType, SlotOutcome } from '../../ports/mod.js';
 import { settle } from '../../../test/support/virtual_clock.js';
-import { buildService } from './_fake_views.js';
-import { DispatchFleet, watch } from './_fleet_fixture.js';
+import { buildService } from '../../../test/support/fake_views.js';
+import { DispatchFleet, watch } from '../../../test/support/fleet_fixture.js';
 
 const ANSWERED = { outcome: SlotOutcome.Answered, firstByteMs: 20, totalMs: 500, outputTokens: 25 };
 
--- a/src/domain/scheduling/_fair_tier.ts
+++ b/src/domain/scheduling/_fair_tier.ts
@@ -88,15 +88,20 @@
    * each, and so on.
    *
    * @param most - how many at most
+   * @param leadMs - only of accounts this near their turn, in milliseconds of
+   *   work for a weight of 1; by default of all
    * @returns them
    */
-  list(most: number): WaitingDemand[] {
+  list(most: number, leadMs = Infinity): WaitingDemand[] {
     const flows = [...this.#flows.values()]
       .filter((flow) => flow.items.length > 0)
       .sort(compareFlows);
+    const limit = (flows[0]?.startTag ?? 0) + leadMs;
+    const near = flows.filter((flow) => flow.startTag <= limit);
+    const count = near.reduce((sum, flow) => sum + flow.items.length, 0);
     const listed: WaitingDemand[] = [];
-    for (let rank = 0; listed.length < Math.min(most, this.#size); rank += 1)
-      listed.push(...flows.flatMap((flow) => flow.items[rank] ?? []));
+    for (let rank = 0; listed.length < Math.min(most, count); rank += 1)
+      listed.push(...near.flatMap((flow) => flow.items[rank] ?? []));
     return listed.slice(0, most);
   }
 
--- a/src/domain/scheduling/_refuser_test.ts
+++ b/src/domain/scheduling/_refuser_test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import { ErrorKind } from '../errors/mod.js';
-import { buildDemand, buildSpecs, createGroup } from './_group_fixture.js';
+import { buildDemand, buildSpecs, createGroup } from '../../../test/support/group_fixture.js';
 import { createStrategy, REOPEN_HOLD_MS, StrategyName, Tier } from './mod.js';
 
 t.test('GroupScheduler reopens a closed tier only after a calm spell', async (t) => {
--- a/src/domain/scheduling/_server_fit.ts
+++ b/src/domain/scheduling/_server_fit.ts
@@ -9,14 +9,6 @@
 /** Part of a predicted time that is surely needed; predictions err on both sides. */
 export const SURE_PART = 0.8;
 
-/**
- * Multiple of its predicted time that a request must have left for which it is
- * worth waiting. With less, most of those that waited long run in vain, and
- * their prefill is wasted; a request that comes with less is still let run at
- * once.
- */
-export const WAIT_FACTOR = 2;
-
 /**
  * Multiple of its predicted wait that a request must have time for. Requests of
  * higher tiers that come later go ahead of it, and lengthen the wait.
@@ -27,16 +19,13 @@
 const WORTH_WAITING_FACTOR = 2;
 
 /**
- * A request is risky on a backend server when its predicted time there, times
- * this, is more than is left: outputs are often twice as long as expected.
+ * Multiple of its predicted time that a request which has waited must have left
+ * to be started even where it is risky.
  */
-const RISK_FACTOR = 2;
-
-/** Part of its whole time that a request waits for a backend server that is less risky. */
-const PATIENCE_PART = 0.3;
+const WAITED_FACTOR = 1.5;
 
-/** The same as {@link RISK_FACTOR}, for a request that has waited so long. */
-const LATE_RISK_FACTOR = 1.5;
+/** A request that has been in the queue for less has not waited, in milliseconds. */
+const AT_ONCE_MS = 5;
 
 /** A backend server and a request's predicted work there as it runs now. */
 export interface ServerWorkNow {
@@ -46,17 +35,15 @@
 
 /**
  * Computes the longest predicted work with which a request probably makes its
- * deadline. Having waited for a part of its time, it takes what may just make it.
+ * deadline.
  *
  * @param demand - the request
+ * @param margin - multiple of its predicted time within which it probably ends
  * @param nowMs - monotonic time in milliseconds
  * @returns work in milliseconds
  */
-export function computeSafeWork(demand: SlotDemand, nowMs: number): number {
-  const remainingMs = Math.max(0, demand.deadlineAtMs - nowMs);
-  const wholeMs = demand.deadlineAtMs - demand.waitingSinceMs;
-  const isPatient = nowMs - demand.waitingSinceMs < wholeMs * PATIENCE_PART;
-  return remainingMs / (isPatient ? RISK_FACTOR : LATE_RISK_FACTOR);
+export function computeSafeWork(demand: SlotDemand, margin: number, nowMs: number): number {
+  return Math.max(0, demand.deadlineAtMs - nowMs) / margin;
 }
 
 /**
@@ -91,19 +78,48 @@
   nowMs: number,
 ): ServerWorkNow[] {
   const bestMs = Math.min(...usable.map((server) => predictWorkNow(server, demand, nowMs)));
-  if (bestMs * SURE_PART > demand.deadlineAtMs - nowMs) return [];
-  return free.filter(({ workMs }) => workMs <= bestMs * WORTH_WAITING_FACTOR);
+  const remainingMs = demand.deadlineAtMs - nowMs;
+  if (bestMs * SURE_PART > remainingMs) return [];
+  const hasWaited = nowMs - demand.waitingSinceMs >= AT_ONCE_MS;
+  const limitMs = hasWaited ? remainingMs / WAITED_FACTOR : Infinity;
+  return free.filter(({ workMs }) => workMs <= Math.min(limitMs, bestMs * WORTH_WAITING_FACTOR));
+}
+
+/**
+ * Tells whether a request that has waited would be started nowhere any more, on
+ * a backend server with room or without.
+ *
+ * @param usable - all that may serve it
+ * @param demand - the request
+ * @param nowMs - monotonic time in milliseconds
+ */
+export function isTooLate(
+  usable: readonly ServerState[],
+  demand: SlotDemand,
+  nowMs: number,
+): boolean {
+  if (nowMs - demand.waitingSinceMs < AT_ONCE_MS) return false;
+  const limitMs = (demand.deadlineAtMs - nowMs) / WAITED_FACTOR;
+  return usable.every((server) => predictWorkNow(server, demand, nowMs) > limitMs);
 }
 
 /**
- * Computes when a request that waits is too late.
+ * Computes when a request that waits is too late. With less time left than the
+ * margin, most of those that waited long run in vain, and their prefill is
+ * wasted; a request that comes with less is still let run at once.
  *
  * @param demand - the request
  * @param leastMs - its predicted work on the backend server that suits it best, in milliseconds
+ * @param margin - multiple of its predicted time within which it probably ends
  * @param nowMs - when it comes, on the monotonic clock, in milliseconds
  * @returns the time on the monotonic clock, in milliseconds
  */
-export function computeLateAt(demand: SlotDemand, leastMs: number, nowMs: number): number {
-  const isTight = demand.deadlineAtMs - nowMs <= leastMs * WAIT_FACTOR;
-  return demand.deadlineAtMs - leastMs * (isTight ? SURE_PART : WAIT_FACTOR);
+export function computeLateAt(
+  demand: SlotDemand,
+  leastMs: number,
+  margin: number,
+  nowMs: number,
+): number {
+  const isTight = demand.deadlineAtMs - nowMs <= leastMs * margin;
+  return demand.deadlineAtMs - leastMs * (isTight ? SURE_PART : margin);
 }
--- a/src/domain/scheduling/backend_servers_test.ts
+++ b/src/domain/scheduling/backend_servers_test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import t from 'tap';
-import { buildDemand, buildSpecs, createGroup } from './_group_fixture.js';
+import { buildDemand, buildSpecs, createGroup } from '../../../test/support/group_fixture.js';
 import {
   ConcurrencyWindow,
   createStrategy,
--- a/src/domain/scheduling/cache_hints.ts
+++ b/src/domain/scheduling/cache_hints.ts
@@ -19,6 +19,9 @@
   /** Block hash → when it was last seen, in order of that. */
   readonly #seenAtMs = new Map<string, number>();
 
+  /** Block hash → when a prefill that is under way will probably have stored it. */
+  readonly #readyAtMs = new Map<string, number>();
+
   /**
    * @param blockHash - a block that the cache now holds
    * @param nowMs - monotonic time in milliseconds
@@ -28,17 +31,53 @@
     this.#seenAtMs.set(blockHash, nowMs);
     if (this.#seenAtMs.size <= MAX_HINTS) return;
     const [oldest] = this.#seenAtMs.keys();
-    if (oldest !== undefined) this.#seenAtMs.delete(oldest);
+    if (oldest !== undefined) this.noteRemoved(oldest);
+  }
+
+  /**
+   * Takes in a prompt whose prefill begins.
+   *
+   * @param blockHashes - the prompt's blocks
+   * @param readyAtMs - when the prefill has probably ended, in milliseconds
+   * @param nowMs - monotonic time in milliseconds
+   */
+  noteStarted(blockHashes: readonly string[], readyAtMs: number, nowMs: number): void {
+    blockHashes.forEach((hash) => {
+      if (!this.#seenAtMs.has(hash)) this.#readyAtMs.set(hash, readyAtMs);
+      this.noteStored(hash, nowMs);
+    });
+  }
+
+  /**
+   * Counts the tokens of a prompt that the cache holds by now, unless evicted. A
+   * hint counts in full here until half its age.
+   *
+   * @param blockHashes - the prompt's blocks, first one first
+   * @param nowMs - monotonic time in milliseconds
+   * @param isPendingHeld - whether a prefill under way counts as well
+   * @returns tokens
+   */
+  countHeldTokens(blockHashes: readonly string[], nowMs: number, isPendingHeld: boolean): number {
+    let count = 0;
+    for (; count < blockHashes.length; count += 1) {
+      const hash = blockHashes[count] ?? '';
+      const seenAtMs = this.#seenAtMs.get(hash);
+      if (seenAtMs === undefined || nowMs - seenAtMs > HINT_AGE_MS / 2) break;
+      if (!isPendingHeld && (this.#readyAtMs.get(hash) ?? 0) > nowMs) break;
+    }
+    return count * BLOCK_TOKENS;
   }
 
   /** @param blockHash - a block that the cache no longer holds */
   noteRemoved(blockHash: string): void {
+    this.#readyAtMs.delete(blockHash);
     this.#seenAtMs.delete(blockHash);
   }
 
   /** Forgets everything, as after a restart of the backend server. */
   expireAll(): void {
     this.#seenAtMs.clear();
+    this.#readyAtMs.clear();
   }
 
   /**
--- a/src/domain/scheduling/fair_queue.ts
+++ b/src/domain/scheduling/fair_queue.ts
@@ -10,6 +10,7 @@
 import type { SlotDemand, WaitingDemand } from './slot_demand.js';
 import { WaitingQueue } from './waiting_queue.js';
 import type { Placement, Placer } from './waiting_queue.js';
+import { findPlacement, MAX_LOOKED_AT, ON_HOLD, WarmSearch } from './_warm_search.js';
 
 /** A demand that has waited for this long is aged. */
 export const STARVATION_BOUND_MS = 30_000;
@@ -17,13 +18,6 @@
 /** Of this many grants in a row, at most one goes to an aged demand out of its turn. */
 export const AGED_GRANT_INTERVAL = 8;
 
-/**
- * Most demands of one tier that are looked at for one slot, when those before
- * them can't use it. It bounds the time of a grant; a slot is left unused by it
- * only where as many demands in a row exclude the same backend servers.
- */
-const MAX_LOOKED_AT = 16;
-
 /**
  * Part of the granted work that goes to aged demands out of their turn while
  * there are any. Counted in grants alone, one audit in eight would take most of
@@ -33,7 +27,8 @@
 
 /**
  * Orders by tier, then start-time fair queuing over predicted work between
- * accounts, then deadline inside an account.
+ * accounts, then deadline inside an account. Of the first few of a tier, one
+ * whose prompt prefix the free place holds may go ahead of the others.
  *
  * Bound on starvation: of the demands that have waited for more than
  * {@link STARVATION_BOUND_MS}, the one that has waited longest is granted as
@@ -48,6 +43,8 @@
 
   readonly #byKey = new Map<string, WaitingDemand>();
 
+  readonly #search = new WarmSearch();
+
   /** No demand is aged before this time, on the monotonic clock. */
   #nextAgedAtMs = Infinity;
 
@@ -71,7 +68,9 @@
     const waiting = this.#byKey.get(key);
     if (!waiting) return undefined;
     this.#byKey.delete(key);
-    this.#getTier(waiting.demand.tier).remove(waiting);
+    const queue = this.#getTier(waiting.demand.tier);
+    queue.remove(waiting);
+    if (queue.size === 0) this.#search.release(queue);
     return waiting;
   }
 
@@ -85,10 +84,12 @@
 
   override takeFirst<P>(nowMs: number, placer: Placer<P>): Placement<P> | undefined {
     const aged = this.#findAged(nowMs, placer);
-    const placement = aged ?? this.#findInTurn(placer);
+    const placement = aged ?? this.#findInTurn(nowMs, placer);
     if (!placement) return undefined;
     this.#byKey.delete(placement.waiting.demand.key);
-    this.#getTier(placement.waiting.demand.tier).grant(placement.waiting);
+    const queue = this.#getTier(placement.waiting.demand.tier);
+    queue.grant(placement.waiting);
+    this.#search.release(queue);
     const { workMs } = placement.waiting;
     this.#grantsSinceAged = aged ? 1 : this.#grantsSinceAged + 1;
     if (aged) this.#agedDebtMs = workMs / AGED_WORK_PART - workMs;
@@ -120,14 +121,12 @@
     return found;
   }
 
-  #findInTurn<P>(placer: Placer<P>): Placement<P> | undefined {
+  #findInTurn<P>(nowMs: number, placer: Placer<P>): Placement<P> | undefined {
     for (const tier of TIERS) {
       const queue = this.#getTier(tier);
       if (queue.size > 0 && placer.hasRoom(tier, false)) {
-        const first = queue.findFirst();
-        const found =
-          (first && findPlacement([first], placer, false)) ??
-          findPlacement(queue.list(MAX_LOOKED_AT), placer, false);
+        const found = this.#search.find(queue, nowMs, placer);
+        if (found === ON_HOLD) return undefined;
         if (found) return found;
       }
     }
@@ -146,15 +145,3 @@
     return findPlacement(aged, placer, true);
   }
 }
-
-function findPlacement<P>(
-  inOrder: readonly WaitingDemand[],
-  placer: Placer<P>,
-  isAged: boolean,
-): Placement<P> | undefined {
-  for (const waiting of inOrder) {
-    const place = placer.pickPlace(waiting, isAged);
-    if (place !== undefined) return { waiting, place };
-  }
-  return undefined;
-}
--- a/src/domain/scheduling/group_scheduler.ts
+++ b/src/domain/scheduling/group_scheduler.ts
@@ -13,9 +13,10 @@
 import { ServerPool } from './server_pool.js';
 import { ServerVerdict } from './server_state.js';
 import type { HeldSlot, ServerSpec, SlotResult } from './server_state.js';
+import { SlotPlacer } from './_slot_placer.js';
 import type { SlotDemand, WaitingDemand } from './slot_demand.js';
 import type { SchedulingStrategy } from './strategy.js';
-import { Tier } from './tier.js';
+import type { Tier } from './tier.js';
 import { WaitPredictor } from './_wait_predictor.js';
 import type { Placement, WaitingQueue } from './waiting_queue.js';
 
@@ -39,7 +40,9 @@
  * - No refusal of a tier for lack of room, or for a deadline that the queue
  *   makes unreachable, while a lower tier's request waits; and no lower tier is
  *   admitted within `REOPEN_HOLD_MS` after it.
- * - No slot that a waiting request may use stays free after a call of `run`.
+ * - No slot that a waiting request may use stays free after a call of `run`, but
+ *   for at most `MAX_HOLD_MS` where a prefix that another cache holds would be
+ *   computed again.
  */
 export class GroupScheduler {
   readonly pool: ServerPool;
@@ -124,7 +127,7 @@
       return [this.#refuser.refuse(demand, ErrorKind.DeadlineUnreachable, 0)];
     this.#offered.observe(demand.tier, work.meanMs, nowMs);
     const leastMs = predictsWaits ? work.leastMs : 0;
-    const lateAtMs = computeLateAt(demand, leastMs, nowMs);
+    const lateAtMs = computeLateAt(demand, leastMs, this.pool.getMargin(demand.tier), nowMs);
     const waiting = { demand, workMs: work.meanMs, lateAtMs };
     return predictsWaits ? this.#admitInTime(waiting, nowMs) : this.#admit(waiting, nowMs);
   }
@@ -247,30 +250,25 @@
 
   #grantAll(nowMs: number): Decision[] {
     const decisions: Decision[] = [];
-    const placer = {
-      hasRoom: (tier: Tier, isAged: boolean) =>
-        (isAged || this.#mayHoldMore(tier, nowMs)) && this.pool.hasRoom(tier, isAged, nowMs),
-      pickPlace: ({ demand }: WaitingDemand, isAged: boolean) =>
-        this.pool.pickServer(demand, isAged, nowMs, this.#options.nextFraction),
-    };
+    const { nextFraction } = this.#options;
+    const { pool } = this;
+    const placer = new SlotPlacer({ pool, offered: this.#offered, nowMs, nextFraction });
     for (
       let next = this.#queue.takeFirst(nowMs, placer);
       next;
       next = this.#queue.takeFirst(nowMs, placer)
     )
       decisions.push(this.#grant(next, nowMs));
-    return decisions;
+    return [...decisions, ...this.#refuseLate(placer.listLate(), nowMs)];
   }
 
-  /**
-   * Keeps lower tiers to what higher ones don't need. Their long requests would
-   * else hold the slots that come free for a minute, and the urgent ones of that
-   * minute would wait or run too late.
-   */
-  #mayHoldMore(tier: Tier, nowMs: number): boolean {
-    if (!this.#strategy.reservesByDemand || tier === Tier.Urgent) return true;
-    const kept = this.#offered.predictSlotsAbove(tier, nowMs);
-    return this.pool.countHeldFrom(tier) < Math.max(1, this.pool.computeWindow(nowMs) - kept);
+  /** Refuses what came to its turn and would run in vain wherever it ran. */
+  #refuseLate(demands: readonly SlotDemand[], nowMs: number): RefusalDecision[] {
+    return demands.flatMap((demand) =>
+      this.#queue.remove(demand.key)
+        ? this.#refuser.refuseForRoom(demand, ErrorKind.DeadlineUnreachable, nowMs)
+        : [],
+    );
   }
 
   #grant({ waiting, place }: Placement<string>, nowMs: number): Decision {
--- a/src/domain/scheduling/group_scheduler_test.ts
+++ b/src/domain/scheduling/group_scheduler_test.ts
@@ -1,7 +1,12 @@
 import fc from 'fast-check';
 import t from 'tap';
 import { ErrorKind } from '../errors/mod.js';
-import { ANSWERED, buildDemand, buildSpecs, createGroup } from './_group_fixture.js';
+import {
+  ANSWERED,
+  buildDemand,
+  buildSpecs,
+  createGroup,
+} from '../../../test/support/group_fixture.js';
 import {
   createStrategy,
   DecisionKind,
--- a/src/domain/scheduling/server_pool.ts
+++ b/src/domain/scheduling/server_pool.ts
@@ -3,11 +3,11 @@
  *
  * @module
  */
+import { buildCandidates, isWorthHolding, predictRepeated } from './_cache_cost.js';
 import { OutlierEjector } from './outlier_ejection.js';
-import type { ServerCandidate } from './server_choice.js';
-import { computeSafeWork, filterWorthwhile, predictWorkNow } from './_server_fit.js';
-import type { ServerWorkNow } from './_server_fit.js';
-import { ServerState } from './server_state.js';
+import { OverrunMeter } from './_overrun_meter.js';
+import { computeSafeWork, filterWorthwhile, isTooLate, predictWorkNow } from './_server_fit.js';
+import { ServerState, ServerVerdict } from './server_state.js';
 import type { HeldSlot, ServerSpec, SlotResult } from './server_state.js';
 import type { SlotDemand } from './slot_demand.js';
 import type { SchedulingStrategy } from './strategy.js';
@@ -35,6 +35,12 @@
     [Tier.Batch]: 0,
   };
 
+  readonly #overruns: Readonly<Record<Tier, OverrunMeter>> = {
+    [Tier.Urgent]: new OverrunMeter(),
+    [Tier.Standard]: new OverrunMeter(),
+    [Tier.Batch]: new OverrunMeter(),
+  };
+
   #heldWorkMs = 0;
 
   #share = 1;
@@ -63,6 +69,11 @@
     return TIERS.reduce((sum, other) => sum + (other >= tier ? this.#heldByTier[other] : 0), 0);
   }
 
+  /** @param tier - a tier. @returns multiple of its predicted time within which a request of it probably ends */
+  getMargin(tier: Tier): number {
+    return this.#overruns[tier].margin;
+  }
+
   /** @param share - part of each window that may be used, above 0 to 1 */
   setShare(share: number): void {
     this.#share = Math.min(1, Math.max(0, share));
@@ -184,14 +195,51 @@
       .filter((server) => this.#hasServerRoom(server, demand.tier, isAged, nowMs))
       .map((server) => ({ server, workMs: predictWorkNow(server, demand, nowMs) }));
     if (free.length === 0) return undefined;
-    const safeMs = this.strategy.weighsDeadlines ? computeSafeWork(demand, nowMs) : Infinity;
+    const safeMs = this.strategy.weighsDeadlines
+      ? computeSafeWork(demand, this.getMargin(demand.tier), nowMs)
+      : Infinity;
     const safe = free.filter(({ workMs }) => workMs <= safeMs);
     const chosen = safe.length > 0 ? safe : filterWorthwhile(free, usable, demand, nowMs);
-    const candidates = chosen.map((each) => toCandidate(each, demand, nowMs));
-    if (candidates.length === 0) return undefined;
+    const warm = this.strategy.seeksWarmCache ? usable : [];
+    const candidates = buildCandidates(chosen, warm, demand, nowMs);
     return this.strategy.pickServer(candidates, nextFraction)?.id;
   }
 
+  /**
+   * @param demand - a request
+   * @param serverId - where it would run
+   * @param nowMs - monotonic time in milliseconds
+   * @returns prompt tokens computed again there, which another one's cache holds
+   */
+  predictRepeated(demand: SlotDemand, serverId: string, nowMs: number): number {
+    const server = this.#servers.get(serverId);
+    if (!server || !this.strategy.seeksWarmCache) return 0;
+    return predictRepeated(server, this.listUsable(demand, nowMs), demand, nowMs);
+  }
+
+  /**
+   * @param demand - a request
+   * @param serverId - where it would run
+   * @param nowMs - monotonic time in milliseconds
+   * @returns whether to keep the slot free for a moment instead
+   */
+  isWorthHolding(demand: SlotDemand, serverId: string, nowMs: number): boolean {
+    const server = this.#servers.get(serverId);
+    if (!server || !this.strategy.seeksWarmCache) return false;
+    return isWorthHolding(server, this.listUsable(demand, nowMs), demand, nowMs);
+  }
+
+  /**
+   * Tells whether a request that waits would be started nowhere any more.
+   *
+   * @param demand - the request
+   * @param nowMs - monotonic time in milliseconds
+   */
+  isTooLate(demand: SlotDemand, nowMs: number): boolean {
+    if (!this.strategy.weighsDeadlines) return false;
+    return isTooLate(this.listUsable(demand, nowMs), demand, nowMs);
+  }
+
   /** @param slot - a slot that is held from now on */
   acquire(slot: HeldSlot): void {
     this.#held.set(slot.grantId, slot);
@@ -215,6 +263,8 @@
     this.#heldByTier[slot.demand.tier] -= 1;
     this.#heldWorkMs -= slot.meanWorkMs;
     this.#servers.get(slot.serverId)?.release(slot, result, nowMs);
+    const isWhole = result.verdict === ServerVerdict.Healthy;
+    this.#overruns[slot.demand.tier].observe(slot.workMs, result.totalMs, isWhole);
     return slot;
   }
 
@@ -248,18 +298,3 @@
     return server.held.size < Math.max(1, limit - reserved);
   }
 }
-
-function toCandidate(
-  { server, workMs }: ServerWorkNow,
-  demand: SlotDemand,
-  nowMs: number,
-): ServerCandidate {
-  const window = server.window.getSize(nowMs);
-  return {
-    id: server.spec.id,
-    finishMs: workMs + server.outstandingMs / window,
-    cachedTokens: server.hints.predictCachedTokens(demand.blockHashes, nowMs),
-    utilization: server.held.size / window,
-    reportedLoad: server.reportedLoad,
-  };
-}
--- a/src/domain/scheduling/server_state.ts
+++ b/src/domain/scheduling/server_state.ts
@@ -203,7 +203,9 @@
     this.held.set(slot.grantId, slot);
     this.#outstandingMs += slot.workMs;
     this.#peak.observe(this.held.size, slot.grantedAtMs);
-    slot.demand.blockHashes.forEach((hash) => this.hints.noteStored(hash, slot.grantedAtMs));
+    const firstByteMs = this.speed.predictFirstByteMs(slot.work.prefillTokens);
+    const readyAtMs = slot.grantedAtMs + firstByteMs;
+    this.hints.noteStarted(slot.demand.blockHashes, readyAtMs, slot.grantedAtMs);
   }
 
   /**
--- a/src/domain/scheduling/strategy.ts
+++ b/src/domain/scheduling/strategy.ts
@@ -53,6 +53,9 @@
   /** Whether a backend server that is probably too slow for a deadline is passed over. */
   abstract readonly weighsDeadlines: boolean;
 
+  /** Whether a prefix that another backend server's cache holds is worth a change of order or a wait. */
+  abstract readonly seeksWarmCache: boolean;
+
   /** Whether load that others put on a backend server takes room away. */
   abstract readonly countsForeignLoad: boolean;
 
@@ -73,7 +76,7 @@
   abstract computeShare(entryHostCount: number, isResponsible: boolean): number;
 
   /**
-   * @param candidates - who has room; at least one
+   * @param candidates - who has room; may be none
    * @param nextFraction - gives random numbers in [0, 1)
    * @returns the choice
    */
@@ -97,6 +100,8 @@
 
   override readonly weighsDeadlines: boolean = true;
 
+  override readonly seeksWarmCache: boolean = true;
+
   override readonly countsForeignLoad: boolean = true;
 
   override readonly reserveFraction: number;
@@ -128,6 +133,8 @@
 export class TwoChoicesStrategy extends DispatcherStrategy {
   override readonly name = StrategyName.TwoChoices;
 
+  override readonly seeksWarmCache = false;
+
   override readonly isLocal = true;
 
   override readonly weighsDeadlines = false;
@@ -150,6 +157,8 @@
 export class FixedSharesStrategy extends DispatcherStrategy {
   override readonly name = StrategyName.FixedShares;
 
+  override readonly seeksWarmCache = false;
+
   override readonly isLocal = true;
 
   override readonly countsForeignLoad = false;
@@ -163,6 +172,8 @@
 export class FirstComeStrategy extends DispatcherStrategy {
   override readonly name = StrategyName.FirstCome;
 
+  override readonly seeksWarmCache = false;
+
   override readonly closesTiers = false;
 
   override readonly predictsWaits = false;
--- a/src/domain/scheduling/tier_gate.ts
+++ b/src/domain/scheduling/tier_gate.ts
@@ -1,5 +1,5 @@
 /**
- * Closing of tiers: "close before you shed".
+ * Closing of lower tiers before a higher one is refused for lack of room.
  *
  * @module
  */
--- a/src/domain/scheduling/waiting_queue.ts
+++ b/src/domain/scheduling/waiting_queue.ts
@@ -21,6 +21,23 @@
    * @returns where it can run; undefined when it must go on waiting
    */
   pickPlace(waiting: WaitingDemand, isAged: boolean): P | undefined;
+  /**
+   * Tells what is computed again when a demand runs in a place, although some
+   * other place's cache holds it.
+   *
+   * @param waiting - the demand
+   * @param place - where it would run
+   * @returns prompt tokens; 0 or nothing when no other place would do better
+   */
+  predictRepeated?(waiting: WaitingDemand, place: P): number;
+  /**
+   * Tells whether to keep a place free for a moment rather than compute so much
+   * again there.
+   *
+   * @param waiting - the demand
+   * @param place - where it would run
+   */
+  isWorthHolding?(waiting: WaitingDemand, place: P): boolean;
 }
 
 /** A demand that leaves the queue for a place. */
