Measure the wait for a slot; one list of strategies

Cause: the dispatcher's own time had no bench; the strategies' names stood twice. Ruled out: a timing assert in a test. Change: bench dispatcher-time; the settings take the domain's names.

--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -16,6 +16,7 @@
 import { runConfigurationSpread } from './configuration_spread.js';
 import { runContinueCost } from './continue_cost.js';
 import { runDeadPeer } from './dead_peer.js';
+import { runDispatcherTime } from './dispatcher_time.js';
 import { runForwardCost } from './forward_cost.js';
 import { runLeavingNotice } from './leaving_notice.js';
 import { runGroupSize, runOverload, runReserve } from './overload.js';
@@ -39,6 +40,11 @@
     description: 'a call sent to its owner against one passed on to it',
     run: runForwardCost,
   },
+  {
+    name: 'dispatcher-time',
+    description: 'what the wait for a slot adds when there is room, p50 and p99',
+    run: runDispatcherTime,
+  },
   {
     name: 'throughput-one-host',
     description: 'most requests a second through one entry host',
--- a/src/adapters/backend_http/_answer.ts
+++ b/src/adapters/backend_http/_answer.ts
@@ -64,7 +64,7 @@
   try {
     for await (const chunk of message) yield chunk as Uint8Array;
   } catch (error) {
-    throw new BackendCallError(BackendCallStage.Answering, describeError(error), { cause: error });
+    throw new BackendCallError(BackendCallStage.Answering, formatError(error), { cause: error });
   }
   if (!message.complete) {
     throw new BackendCallError(BackendCallStage.Answering, 'the connection closed too early');
@@ -75,6 +75,6 @@
  * @param error - anything that was thrown
  * @returns its message
  */
-export function describeError(error: unknown): string {
+export function formatError(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
 }
--- a/src/adapters/backend_http/_exchange.ts
+++ b/src/adapters/backend_http/_exchange.ts
@@ -9,7 +9,7 @@
 import type { IncomingMessage } from 'node:http';
 import { BackendCallError, BackendCallStage } from '../../ports/mod.js';
 import type { BackendCall } from '../../ports/mod.js';
-import { describeError } from './_answer.js';
+import { formatError } from './_answer.js';
 
 /** Where an exchange goes. */
 export interface ExchangeTarget {
@@ -83,7 +83,7 @@
     });
     request.on('error', (error) => {
       clearTimeout(timer);
-      fail(describeError(error), error);
+      fail(formatError(error), error);
     });
     request.flushHeaders();
   });
@@ -125,7 +125,7 @@
     });
     request.on('error', (error) => {
       clearTimeout(timer);
-      fail(describeError(error), error);
+      fail(formatError(error), error);
     });
     request.end(call.body);
   });
--- a/src/adapters/backend_http/http_backend_server_client.ts
+++ b/src/adapters/backend_http/http_backend_server_client.ts
@@ -15,7 +15,7 @@
   CacheEvent,
   ResumePoint,
 } from '../../ports/mod.js';
-import { describeError, hasNotRun, toBackendAnswer } from './_answer.js';
+import { formatError, hasNotRun, toBackendAnswer } from './_answer.js';
 import { exchangeDirectly, ExchangeError, exchangeWithContinue } from './_exchange.js';
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
@@ -169,7 +169,7 @@
       if (message.statusCode !== 200) throw new Error(`status ${message.statusCode}`);
       return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
     } catch (error) {
-      throw new BackendCallError(BackendCallStage.Answering, describeError(error), {
+      throw new BackendCallError(BackendCallStage.Answering, formatError(error), {
         cause: error,
       });
     }
@@ -181,7 +181,7 @@
       const request = http.get(url, { agent: false, signal }, resolve);
       request.on('error', (error) => {
         reject(
-          new BackendCallError(BackendCallStage.Answering, describeError(error), { cause: error }),
+          new BackendCallError(BackendCallStage.Answering, formatError(error), { cause: error }),
         );
       });
     });
--- a/src/commands/_entry_setting_table.ts
+++ b/src/commands/_entry_setting_table.ts
@@ -6,6 +6,7 @@
  */
 import type { z } from 'zod';
 import { LogLevel } from '../domain/errors/mod.js';
+import { StrategyName } from '../domain/scheduling/mod.js';
 import {
   createAddressSchema,
   createChoiceSchema,
@@ -30,14 +31,6 @@
 const MAX_BODY_BYTES = 256 * MEBIBYTE;
 const MAX_CONNECTIONS = 100_000;
 
-/** How the entry host schedules; the others are baselines for measurements. */
-export enum StrategyName {
-  Dispatcher = 'dispatcher',
-  TwoChoices = 'two-choices',
-  FixedShares = 'fixed-shares',
-  FirstCome = 'first-come',
-}
-
 /** One row of the table. */
 export interface SettingRow<T> {
   readonly schema: z.ZodType<T, string>;
--- a/src/commands/settings.ts
+++ b/src/commands/settings.ts
@@ -12,7 +12,6 @@
 import { ENTRY_SETTING_TABLE } from './_entry_setting_table.js';
 import type { EntrySettingName, SettingRow } from './_entry_setting_table.js';
 
-export { StrategyName } from './_entry_setting_table.js';
 export type { EntrySettingName } from './_entry_setting_table.js';
 export type { ListenAddress } from './_setting_schemas.js';
 
--- a/src/commands/settings_test.ts
+++ b/src/commands/settings_test.ts
@@ -2,16 +2,11 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import t from 'tap';
+import { StrategyName } from '../domain/scheduling/mod.js';
 import { LogLevel } from '../domain/errors/mod.js';
 import { ENTRY_SETTING_TABLE } from './_entry_setting_table.js';
 import type { SettingRow } from './_entry_setting_table.js';
-import {
-  formatFlag,
-  formatVariable,
-  parseEntrySettings,
-  SettingsError,
-  StrategyName,
-} from './settings.js';
+import { formatFlag, formatVariable, parseEntrySettings, SettingsError } from './settings.js';
 import type { EntryFlags } from './settings.js';
 
 const ADMIN_KEY = 'operators-only';
