--- a/test/faults/planned_stop_test.ts
+++ b/test/faults/planned_stop_test.ts
@@ -70,6 +70,32 @@
   t.same(findBroken(caller.outcomes, await fleet.readRuns()), []);
 });
 
+t.test('a caller that comes late, yet within its address’s life, is served', async (t) => {
+  // Symptom: connections refused in a planned stop of an idle entry host.
+  // Sequence: a caller was given its address, the host was told to stop and had
+  // nothing to do, the caller connected. Cause: it ended as soon as it was idle.
+  const fleet = await startFleet({
+    engineCount: 1,
+    entryHostFlags: ['--keep-address-ms', String(KEEP_ADDRESS_MS)],
+  });
+  t.teardown(() => fleet.stop());
+  const caller = new TestCaller(fleet.accounts[0]?.apiKey ?? '');
+  const [, host] = fleet.entryHosts;
+  if (!host) throw new Error('the fleet is too small');
+  const id = await caller.assign(fleet, host.url);
+  host.kill('SIGTERM');
+  await waitUntil(async () => host.output.includes('stop_started'), {
+    subject: 'the begin of the stop',
+    limitMs: 10_000,
+  });
+  await new Promise((resolve) => {
+    setTimeout(resolve, KEEP_ADDRESS_MS / 2);
+  });
+  t.equal((await caller.sendReport(host.url, id, 'Report on the hall.')).status, 200);
+  await host.waitExit();
+  t.equal(host.exitCode, 0);
+});
+
 t.test('a second signal ends a stop at once, with an honest answer', async (t) => {
   const fleet = await startFleet({ engineCount: 1 });
   t.teardown(() => fleet.stop());
