Recognise a copy before the room is checked; one way to format a reason

Cause: read once more: the owner checked its room before it recognised a copy. A full owner therefore refused the copy of a request that had run with too_many_connections, which says not_run: a false not_run. Ruled out: correcting the refusal afterwards; a copy takes no room at all. Change: the room is checked for new IDs only. Two places that made an owned request share one; the wait for a head has no flag that its race already tells; nine copies of the same formatting of a thrown value are one function. Red with the check first: the new test in owner_service_test. Conclusion: a refusal made before the ID is looked up is the place to search for more of this kind.

--- a/src/adapters/backend_http/_answer.ts
+++ b/src/adapters/backend_http/_answer.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
+import { formatReason } from '../../domain/errors/mod.js';
 import { BackendCallError, BackendCallStage } from '../../ports/mod.js';
 import type { BackendAnswer } from '../../ports/mod.js';
 
@@ -64,17 +65,9 @@
   try {
     for await (const chunk of message) yield chunk as Uint8Array;
   } catch (error) {
-    throw new BackendCallError(BackendCallStage.Answering, formatError(error), { cause: error });
+    throw new BackendCallError(BackendCallStage.Answering, formatReason(error), { cause: error });
   }
   if (!message.complete) {
     throw new BackendCallError(BackendCallStage.Answering, 'the connection closed too early');
   }
 }
-
-/**
- * @param error - anything that was thrown
- * @returns its message
- */
-export function formatError(error: unknown): string {
-  return error instanceof Error ? error.message : String(error);
-}
--- a/src/adapters/backend_http/_exchange.ts
+++ b/src/adapters/backend_http/_exchange.ts
@@ -7,9 +7,9 @@
 import http from 'node:http';
 import net from 'node:net';
 import type { IncomingMessage } from 'node:http';
+import { formatReason } from '../../domain/errors/mod.js';
 import { BackendCallError, BackendCallStage } from '../../ports/mod.js';
 import type { BackendCall } from '../../ports/mod.js';
-import { formatError } from './_answer.js';
 
 /** Where an exchange goes. */
 export interface ExchangeTarget {
@@ -83,7 +83,7 @@
     });
     request.on('error', (error) => {
       clearTimeout(timer);
-      fail(formatError(error), error);
+      fail(formatReason(error), error);
     });
     request.flushHeaders();
   });
@@ -125,7 +125,7 @@
     });
     request.on('error', (error) => {
       clearTimeout(timer);
-      fail(formatError(error), error);
+      fail(formatReason(error), error);
     });
     request.end(call.body);
   });
--- a/src/adapters/backend_http/http_backend_server_client.ts
+++ b/src/adapters/backend_http/http_backend_server_client.ts
@@ -6,6 +6,7 @@
 import http from 'node:http';
 import { z } from 'zod';
 import type { IncomingMessage } from 'node:http';
+import { formatReason } from '../../domain/errors/mod.js';
 import type { BackendServer } from '../../domain/contracts/types.js';
 import { BackendCallError, BackendCallStage, BackendServerClient } from '../../ports/mod.js';
 import type {
@@ -15,7 +16,7 @@
   CacheEvent,
   ResumePoint,
 } from '../../ports/mod.js';
-import { formatError, hasNotRun, toBackendAnswer } from './_answer.js';
+import { hasNotRun, toBackendAnswer } from './_answer.js';
 import { exchangeDirectly, ExchangeError, exchangeWithContinue } from './_exchange.js';
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
@@ -169,7 +170,7 @@
       if (message.statusCode !== 200) throw new Error(`status ${message.statusCode}`);
       return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
     } catch (error) {
-      throw new BackendCallError(BackendCallStage.Answering, formatError(error), {
+      throw new BackendCallError(BackendCallStage.Answering, formatReason(error), {
         cause: error,
       });
     }
@@ -181,7 +182,7 @@
       const request = http.get(url, { agent: false, signal }, resolve);
       request.on('error', (error) => {
         reject(
-          new BackendCallError(BackendCallStage.Answering, formatError(error), { cause: error }),
+          new BackendCallError(BackendCallStage.Answering, formatReason(error), { cause: error }),
         );
       });
     });
--- a/src/adapters/peers_ws/_peer_link.ts
+++ b/src/adapters/peers_ws/_peer_link.ts
@@ -5,6 +5,7 @@
  */
 import type { Socket } from 'node:net';
 import type { RawData, WebSocket } from 'ws';
+import { formatReason } from '../../domain/errors/mod.js';
 import type { EntryHostIdentity } from '../../domain/membership/types.js';
 import type { PeerMessage } from '../../ports/mod.js';
 import { decodeFrame, encodeFrame, FrameKind } from './_frames.js';
@@ -180,7 +181,7 @@
       if (!isBinary || !Buffer.isBuffer(data)) throw new Error('Cannot decode frame: not binary');
       this.#handleFrame(decodeFrame(data));
     } catch (error) {
-      this.end(LinkEnd.Refused, error instanceof Error ? error.message : String(error));
+      this.end(LinkEnd.Refused, formatReason(error));
     }
   }
 
--- a/src/application/configuration/_platform_watch.ts
+++ b/src/application/configuration/_platform_watch.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { CONFIGURATION_PREFIX } from '../../domain/configuration/mod.js';
-import { LogLevel } from '../../domain/errors/mod.js';
+import { LogLevel, formatReason } from '../../domain/errors/mod.js';
 import type {
   Clock,
   EventLog,
@@ -127,7 +127,7 @@
     const level = this.#failures === 1 ? LogLevel.Warn : LogLevel.Debug;
     log.write(level, 'configuration_service_unreachable', {
       failures: this.#failures,
-      reason: error instanceof Error ? error.message : String(error),
+      reason: formatReason(error),
     });
   }
 
--- a/src/application/configuration/configuration_keeper.ts
+++ b/src/application/configuration/configuration_keeper.ts
@@ -22,7 +22,7 @@
   EngineKind,
   Service,
 } from '../../domain/contracts/types.js';
-import { LogLevel } from '../../domain/errors/mod.js';
+import { LogLevel, formatReason } from '../../domain/errors/mod.js';
 import type {
   Clock,
   EventLog,
@@ -270,7 +270,7 @@
       } catch (error) {
         // One part's fault must not keep the others from hearing of the change.
         this.#options.log.write(LogLevel.Error, 'configuration_handler_failed', {
-          reason: error instanceof Error ? error.message : String(error),
+          reason: formatReason(error),
         });
       }
     });
--- a/src/application/membership/_host_list_watch.ts
+++ b/src/application/membership/_host_list_watch.ts
@@ -5,7 +5,7 @@
  */
 import { HOST_LIST_PREFIX, HostListOrder, parseListedHost } from '../../domain/membership/mod.js';
 import type { HostList, ListedHost } from '../../domain/membership/mod.js';
-import { LogLevel } from '../../domain/errors/mod.js';
+import { LogLevel, formatReason } from '../../domain/errors/mod.js';
 import type {
   Clock,
   EventLog,
@@ -145,7 +145,7 @@
     } catch (error) {
       if (this.#loggedFaults.get(entry.key) === entry.modifyIndex) return undefined;
       this.#loggedFaults.set(entry.key, entry.modifyIndex);
-      const reason = error instanceof Error ? error.message : String(error);
+      const reason = formatReason(error);
       this.#options.log.write(LogLevel.Warn, 'host_list_entry_refused', { key: entry.key, reason });
       return undefined;
     }
@@ -154,7 +154,7 @@
   /** The first failure of a row is a warning; the rest would only fill the log. */
   #logFailure(error: unknown): void {
     const level = this.#failures === 1 ? LogLevel.Warn : LogLevel.Debug;
-    const reason = error instanceof Error ? error.message : String(error);
+    const reason = formatReason(error);
     this.#options.log.write(level, 'host_list_read_failed', { reason, failures: this.#failures });
   }
 
--- a/src/application/owner/owner_service.ts
+++ b/src/application/owner/owner_service.ts
@@ -5,7 +5,7 @@
  */
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { RequestLedger } from '../../domain/requests/mod.js';
-import type { RequestId } from '../../domain/requests/mod.js';
+import type { RequestId, RequestRecord } from '../../domain/requests/mod.js';
 import { OutputPredictor, RetryBudget } from '../../domain/scheduling/mod.js';
 import { Hop } from '../../ports/mod.js';
 import type {
@@ -132,20 +132,11 @@
    */
   async submit(id: RequestId, call: OwnedCall, callerGone: AbortSignal): Promise<OwnedAnswer> {
     const { clock } = this.#options;
-    this.#checkRoom();
+    // A copy takes no room, and a refusal of it for want of room would say that
+    // a request which may be running has not run.
+    if (!this.#requests.has(id.nonce)) this.#checkRoom();
     const { record, isFirst } = this.#ledger.accept(id, hashCall(call), clock.wallMs());
-    let request = this.#requests.get(id.nonce);
-    if (isFirst || !request) {
-      request = new OwnedRequest({
-        record,
-        answer: new KeptAnswer(MAX_ANSWER_BYTES),
-        clock,
-        comeBackMs: call.canComeBack ? COME_BACK_MS : 0,
-        runsToItsEnd: !call.work.repeatable,
-      });
-      this.#requests.set(id.nonce, request);
-      if (record.error) request.answer.close(record.error);
-    }
+    const request = this.#requests.get(id.nonce) ?? this.#addRequest(record, call);
     request.addCaller(callerGone);
     if (isFirst) this.#startRequest(request, call);
     return { head: await this.#waitForHead(request, call), request };
@@ -181,15 +172,7 @@
     const { clock } = this.#options;
     const error = new SchedulerError(ErrorKind.Cancelled);
     const record = this.#ledger.void(id, error, clock.wallMs());
-    const request = new OwnedRequest({
-      record,
-      answer: new KeptAnswer(0),
-      clock,
-      comeBackMs: 0,
-      runsToItsEnd: false,
-    });
-    request.answer.close(record.error);
-    this.#requests.set(id.nonce, request);
+    const request = this.#addRequest(record);
     return request.buildReport();
   }
 
@@ -198,6 +181,20 @@
     this.#ledger.listOpen().forEach((record) => this.#requests.get(record.id.nonce)?.fail(error));
   }
 
+  /** Adds what is kept of a request; one without a call was voided, and is final. */
+  #addRequest(record: RequestRecord, call?: OwnedCall): OwnedRequest {
+    const request = new OwnedRequest({
+      record,
+      answer: new KeptAnswer(MAX_ANSWER_BYTES),
+      clock: this.#options.clock,
+      comeBackMs: call?.canComeBack ? COME_BACK_MS : 0,
+      runsToItsEnd: call !== undefined && !call.work.repeatable,
+    });
+    if (record.error) request.answer.close(record.error);
+    this.#requests.set(record.id.nonce, request);
+    return request;
+  }
+
   #checkRoom(): void {
     if (this.#ledger.size < this.#options.maxRecords) return;
     throw new SchedulerError(ErrorKind.TooManyConnections, {
@@ -248,24 +245,18 @@
    * goes on, and its answer can be read later.
    */
   async #waitForHead(request: OwnedRequest, call: OwnedCall): Promise<AnswerHead> {
-    let isLate = false;
+    let timer: Timer | undefined;
     const late = new Promise<undefined>((resolve) => {
-      const timer = this.#options.clock.setTimer(call.deadlineMs, () => {
-        isLate = true;
-        resolve(undefined);
-      });
-      request.answer.waitForHead().then(
-        () => timer.cancel(),
-        () => timer.cancel(),
-      );
+      timer = this.#options.clock.setTimer(call.deadlineMs, () => resolve(undefined));
     });
-    const head = await Promise.race([request.answer.waitForHead(), late]);
+    const waiting = request.answer.waitForHead().finally(() => timer?.cancel());
+    const head = await Promise.race([waiting, late]);
     if (head) return head;
     const error = new SchedulerError(ErrorKind.DeadlineExpired, {
       message: `Cannot answer within ${call.deadlineMs} ms`,
       requestId: request.record.id.text,
     });
-    if (isLate && (call.work.repeatable || !request.record.hasLeft)) {
+    if (call.work.repeatable || !request.record.hasLeft) {
       request.stop(error);
       throw request.record.error ?? error;
     }
--- a/src/application/owner/owner_service_test.ts
+++ b/src/application/owner/owner_service_test.ts
@@ -8,7 +8,12 @@
 import { ErrorKind, RunOutcome, SchedulerError } from '../../domain/errors/mod.js';
 import { buildExpectedAnswer, CallFate, FakeBackend } from '../../../test/support/fake_backend.js';
 import { buildIdentity, FakePeerHub } from '../../../test/support/fake_peer_network.js';
-import { ACCOUNT, OwnerHost, REQUEST_ID_LIFETIME_MS } from '../../../test/support/owner_hosts.js';
+import {
+  ACCOUNT,
+  MAX_RECORDS,
+  OwnerHost,
+  REQUEST_ID_LIFETIME_MS,
+} from '../../../test/support/owner_hosts.js';
 import { VirtualClock } from '../../../test/support/virtual_clock.js';
 
 const DEADLINE_MS = 3000;
@@ -222,3 +227,19 @@
   await scene.clock.advance(DEADLINE_MS);
   t.equal(again.settled, buildExpectedAnswer('body'));
 });
+
+t.test('an owner that is full refuses new calls, and answers copies of old ones', async (t) => {
+  // Symptom: `not_run` for a notice that had run. Sequence: the owner remembered
+  // as many requests as it may; a copy of one of them came. Cause: the room was
+  // checked before the copy was recognised.
+  const scene = new Scene();
+  const id = await scene.assign();
+  const first = scene.send(id);
+  for (let at = 1; at < MAX_RECORDS; at += 1) scene.send(undefined, 'lookup');
+  const copy = scene.send(id);
+  const other = scene.send(undefined, 'lookup');
+  await scene.clock.advance(DEADLINE_MS);
+  t.equal(first.settled, buildExpectedAnswer('body'));
+  t.equal(copy.settled, buildExpectedAnswer('body'));
+  t.match(other.settled, { kind: ErrorKind.TooManyConnections, run: RunOutcome.NotRun });
+});
--- a/src/caller/_answer_body.ts
+++ b/src/caller/_answer_body.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { IncomingMessage } from 'node:http';
-import { RunOutcome } from '../domain/errors/mod.js';
+import { RunOutcome, formatReason } from '../domain/errors/mod.js';
 import { buildAuthorization, MAX_TRIES, waitBetweenRounds } from './_call_context.js';
 import type { CallContext } from './_call_context.js';
 import { ErrorEvent, EventReader } from './_event_reader.js';
@@ -199,7 +199,7 @@
   }
 
   #buildLost(cause: unknown): CallerError {
-    const reason = cause instanceof Error ? cause.message : String(cause);
+    const reason = formatReason(cause);
     return new CallerError(
       this.#hasRun() ? RunOutcome.Ran : RunOutcome.MayHaveRun,
       `The answer broke off after ${this.#offset} bytes and can't be read on: ${reason}`,
--- a/src/commands/_cli.ts
+++ b/src/commands/_cli.ts
@@ -5,6 +5,7 @@
  */
 import { Builtins, Cli } from 'clipanion';
 import type { BaseContext, Command } from 'clipanion';
+import { formatReason } from '../domain/errors/mod.js';
 import { formatUsage, HelpCommand } from './_help.js';
 import { VERSION } from './_version.js';
 import { CallCommand } from './call.js';
@@ -47,8 +48,8 @@
   return cli;
 }
 
-function formatReason(error: unknown): string {
-  const message = error instanceof Error ? error.message : String(error);
+function formatLine(error: unknown): string {
+  const message = formatReason(error);
   return message.split('\n')[0]?.replace(/(; did you mean.*)?[.:]$/, '') ?? message;
 }
 
@@ -58,7 +59,7 @@
     error.faults.forEach((fault) => context.stderr.write(`${fault}\n`));
     return SETTINGS_EXIT_CODE;
   }
-  context.stderr.write(`monsoonhall: ${formatReason(error)}\n`);
+  context.stderr.write(`monsoonhall: ${formatLine(error)}\n`);
   return FAILURE_EXIT_CODE;
 }
 
@@ -90,7 +91,7 @@
   try {
     command = cli.process(argv.length === 0 ? ['--help'] : [...argv], context);
   } catch (error) {
-    context.stderr.write(`monsoonhall: ${formatReason(error)}; see monsoonhall --help\n`);
+    context.stderr.write(`monsoonhall: ${formatLine(error)}; see monsoonhall --help\n`);
     return SETTINGS_EXIT_CODE;
   }
   try {
--- a/src/commands/contract_files.ts
+++ b/src/commands/contract_files.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { readFile } from 'node:fs/promises';
+import { formatReason } from '../domain/errors/mod.js';
 import { parseContract, parseFleet } from '../domain/contracts/mod.js';
 import type { AccountContract, DocumentFault, Fleet } from '../domain/contracts/mod.js';
 
@@ -62,7 +63,7 @@
     const { contract, fleet, faults } = check(await readFile(file));
     return { file, contract, fleet, faults };
   } catch (error) {
-    const reason = error instanceof Error ? error.message : String(error);
+    const reason = formatReason(error);
     return { file, faults: [{ line: 1, field: '', message: `cannot be read: ${reason}` }] };
   }
 }
--- a/src/domain/errors/mod.ts
+++ b/src/domain/errors/mod.ts
@@ -6,6 +6,7 @@
  * @module
  */
 export { ErrorKind, RunOutcome } from './error_kind.js';
+export { formatReason } from './format_reason.js';
 export { ERROR_TABLE, LogLevel } from './error_table.js';
 export type { ErrorAnswer } from './error_table.js';
 export { buildErrorBody, SchedulerError } from './scheduler_error.js';
--- a/test/support/owner_hosts.ts
+++ b/test/support/owner_hosts.ts
@@ -35,6 +35,8 @@
 import type { VirtualClock } from './virtual_clock.js';
 
 const CLUSTER_KEY = Buffer.alloc(32, 3);
+/** Most requests that an owner of these tests remembers. */
+export const MAX_RECORDS = 40;
 const GRANT_VALID_MS = 2000;
 const WAKE_REFRESH_MS = 50;
 export const REQUEST_ID_LIFETIME_MS = 5000;
@@ -196,7 +198,7 @@
       ...shared,
       answerBytes: 1_000_000,
       answerKeepMs: 60_000,
-      maxRecords: 1000,
+      maxRecords: MAX_RECORDS,
     });
     const issuer = new IdentityIssuer({
       ...shared,
