--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,7 +20,7 @@
 }
 
 export default [
-  { ignores: ['node_modules', 'build', 'build-*', 'dist', '.tap', 'reports'] },
+  { ignores: ['node_modules', 'build', 'build-*', 'dist', '.tap', 'reports', 'target', 'journal'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -16,29 +16,13 @@
 import path from 'node:path';
 import esbuild from 'esbuild';
 import { inject } from 'postject';
+import { leaveOutNativeParts } from './leave_out_native_parts.mjs';
 
 const FOLDER = 'dist';
 const BINARY = path.join(FOLDER, 'monsoonhall');
 /** Where Node looks for the application; fixed by Node's documentation. */
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
-/**
- * Native parts of libraries, which a single executable can't load. Each library
- * catches the error and uses its own JavaScript; left to `require`, Node would
- * print a warning at every start.
- */
-const leaveOutNativeParts = {
-  name: 'leave-out-native-parts',
-  setup(build) {
-    const filter = /^(msgpackr-extract|bufferutil|utf-8-validate)$/;
-    build.onResolve({ filter }, ({ path: name }) => ({ path: name, namespace: 'native-part' }));
-    build.onLoad({ filter: /.*/, namespace: 'native-part' }, ({ path: name }) => ({
-      contents: `throw new Error('${name} is no part of the binary');`,
-      loader: 'js',
-    }));
-  },
-};
-
 async function buildBundle(file) {
   await esbuild.build({
     entryPoints: ['src/commands/main.ts'],
--- /dev/null
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -0,0 +1,188 @@
+/**
+ * One request to a backend server over Node's `http`.
+ *
+ * @module
+ */
+import { request as openRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import { BackendFailure } from '../../ports/mod.js';
+import type { BackendExchange, BackendListener, BackendRequest } from '../../ports/mod.js';
+import { BackendAgent } from './_backend_agent.js';
+import { pickRawHeaders } from './_raw_headers.js';
+import type { AnswerFacts, DirectDialect } from './direct_dialect.js';
+
+/**
+ * Longest time to open a connection, in milliseconds. Within a region it takes
+ * some; a server that has lost power never answers.
+ */
+const CONNECT_TIMEOUT_MS = 400;
+
+const NO_HEADERS: ReadonlySet<string> = new Set();
+const LENGTH_HEADERS: ReadonlySet<string> = new Set(['content-length']);
+
+/** What a call needs. */
+export interface BackendCallOptions {
+  readonly agent: BackendAgent;
+  readonly dialect: DirectDialect;
+  readonly request: BackendRequest;
+  readonly listener: BackendListener;
+}
+
+/** Sends the request and checks each part of what comes back. */
+export class BackendCall implements BackendExchange {
+  readonly #options: BackendCallOptions;
+
+  readonly #request: ClientRequest;
+
+  #response: IncomingMessage | undefined;
+
+  #isConnected = false;
+
+  #hasEnded = false;
+
+  #connectTimer: NodeJS.Timeout | undefined;
+
+  /** @param options - the request, and who is told of its answer */
+  constructor(options: BackendCallOptions) {
+    this.#options = options;
+    const { agent, request } = options;
+    const [host, port] = request.address.split(':');
+    this.#request = openRequest({
+      agent,
+      host,
+      port: Number(port),
+      method: request.request.method,
+      path: request.request.target,
+      headers: this.#buildHeaders() as never,
+      setHost: false,
+    });
+    this.#request.on('socket', (socket) => this.#watchSocket(socket));
+    this.#request.on('response', (response) => this.#handleResponse(response));
+    this.#request.on('error', (error) => this.#handleError(error));
+    this.#request.on('close', () => this.#handleClose());
+    this.#request.end(request.request.body);
+  }
+
+  cancel(): void {
+    this.#hasEnded = true;
+    this.#stop();
+  }
+
+  #buildHeaders(): string[] {
+    const { dialect, request } = this.#options;
+    const { body, headers, method } = request.request;
+    const hasBody = body.length > 0 || !['GET', 'HEAD', 'DELETE', 'OPTIONS'].includes(method);
+    const length = hasBody ? ['Content-Length', String(body.length)] : [];
+    const system = dialect.buildSystemHeaders(request);
+    return [...headers, ...system, ...length, 'Connection', 'keep-alive'];
+  }
+
+  #watchSocket(socket: Socket): void {
+    if (!socket.connecting) {
+      this.#isConnected = true;
+      return;
+    }
+    this.#connectTimer = setTimeout(() => {
+      this.#fail(BackendFailure.NotSent, `no connection within ${CONNECT_TIMEOUT_MS} ms`);
+    }, CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => {
+      clearTimeout(this.#connectTimer);
+      this.#isConnected = true;
+    });
+  }
+
+  #handleResponse(response: IncomingMessage): void {
+    this.#response = response;
+    if (this.#hasEnded) return;
+    response.on('error', () => undefined);
+    const { dialect, listener } = this.#options;
+    const status = response.statusCode ?? 0;
+    const facts = dialect.readAnswer(status, response.headers);
+    if (!this.#checkFacts(facts, status)) return;
+    this.#noteIdleTime(response);
+    const excluded = response.headers['transfer-encoding'] ? NO_HEADERS : LENGTH_HEADERS;
+    listener.onHead({
+      status,
+      headers: pickRawHeaders(response.rawHeaders, response.headers.connection, excluded),
+      isAuthentic: facts.isAuthentic,
+      isEventStream: response.headers['content-type']?.startsWith('text/event-stream') === true,
+      load: facts.load,
+    });
+    response.on('data', (bytes: Buffer) => {
+      if (!this.#hasEnded) listener.onBody(bytes);
+    });
+    response.on('end', () => this.#handleEnd());
+  }
+
+  /** An answer that belongs to another request must never reach this one's caller. */
+  #checkFacts(facts: AnswerFacts, status: number): boolean {
+    const { requestId } = this.#options.request.request;
+    if (facts.requestId !== undefined && facts.requestId !== requestId) {
+      this.#fail(BackendFailure.Broken, `answer of request ${facts.requestId}`);
+    } else if (facts.isMisdirected) {
+      this.#fail(BackendFailure.Misdirected, 'another life answers at this address');
+    } else if (facts.hasNotRun) {
+      this.#decline(status);
+    } else if (facts.requestId === undefined) {
+      this.#fail(BackendFailure.Broken, 'answer without a request ID');
+    } else if (status < 300 && !facts.isAuthentic) {
+      this.#fail(BackendFailure.Broken, 'success without the mark of its server');
+    } else return true;
+    return false;
+  }
+
+  /** Reads the rest, so that the connection can be kept: a full server declines often. */
+  #decline(status: number): void {
+    const response = this.#response as IncomingMessage;
+    this.#noteIdleTime(response);
+    response.resume();
+    this.#hasEnded = true;
+    this.#options.listener.onFailure(BackendFailure.Declined, `declined with ${status}`);
+  }
+
+  #noteIdleTime(response: IncomingMessage): void {
+    const hint = /timeout=(\d+)/.exec(String(response.headers['keep-alive'] ?? ''))?.[1];
+    const { socket } = this.#request;
+    if (hint && socket) BackendAgent.setIdle(socket, Number(hint) * 1_000);
+  }
+
+  #handleEnd(): void {
+    if (this.#hasEnded) return;
+    if (this.#response?.complete !== true) {
+      this.#fail(BackendFailure.Broken, 'answer broke off');
+      return;
+    }
+    this.#hasEnded = true;
+    // A server that answers before it has the whole request waits for the rest of it.
+    if (!this.#request.writableFinished) this.#request.destroy();
+    this.#options.listener.onWhole();
+  }
+
+  #handleError(error: Error): void {
+    // What is wrong behind a whole answer costs the connection and not the answer.
+    if (this.#response?.complete === true) return;
+    this.#fail(
+      this.#isConnected ? BackendFailure.Broken : BackendFailure.NotSent,
+      error.message || 'connection failed',
+    );
+  }
+
+  #handleClose(): void {
+    clearTimeout(this.#connectTimer);
+    if (this.#response?.complete === true) return;
+    this.#handleError(new Error('connection closed'));
+  }
+
+  #fail(failure: BackendFailure, reason: string): void {
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    this.#stop();
+    this.#options.listener.onFailure(failure, reason);
+  }
+
+  #stop(): void {
+    clearTimeout(this.#connectTimer);
+    this.#request.destroy();
+  }
+}
--- a/src/adapters/http_common/end_to_end_headers.ts
+++ b/src/adapters/http_common/end_to_end_headers.ts
@@ -6,7 +6,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
 /** Headers of one connection (RFC 9110, 7.6.1), and those that older software uses likewise. */
-const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
+export const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
   'connection',
   'http2-settings',
   'keep-alive',
--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -76,6 +76,15 @@
     type: z.literal(PeerMessageType.HeartbeatReply),
     sequence: count,
   }),
+  [PeerMessageType.HostReport]: z.object({
+    type: z.literal(PeerMessageType.HostReport),
+    isServing: z.boolean(),
+    configurationVersion: count,
+    peerUrls: names,
+    inFlight: z.record(name, count),
+    spentUnits: z.record(name, z.number()),
+    endedServers: names,
+  }),
   [PeerMessageType.ConfigurationDigest]: z.object({
     type: z.literal(PeerMessageType.ConfigurationDigest),
     revisions: z.record(name, revision),
--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -30,6 +30,15 @@
     groups: [{ groupId: 'desk/0', waitMs: [1, 2, 3], openTier: Tier.Standard }],
   },
   [PeerMessageType.HeartbeatReply]: { type: PeerMessageType.HeartbeatReply, sequence: 4 },
+  [PeerMessageType.HostReport]: {
+    type: PeerMessageType.HostReport,
+    isServing: true,
+    configurationVersion: 7,
+    peerUrls: ['ws://127.0.0.1:2'],
+    inFlight: { 'engine-1': 3 },
+    spentUnits: { 'franchise-a': 1200 },
+    endedServers: ['engine-2'],
+  },
   [PeerMessageType.ConfigurationDigest]: {
     type: PeerMessageType.ConfigurationDigest,
     revisions: { 'monsoonhall/fleet': 3 },
--- /dev/null
+++ b/src/application/direct/_call_recorder.ts
@@ -0,0 +1,80 @@
+/**
+ * Log lines and metrics of one call.
+ *
+ * @module
+ */
+import { LogLevel } from '../../domain/errors/mod.js';
+import type { ClientAccount, Route } from '../../domain/routing/mod.js';
+import type { DirectRequest, LogFields } from '../../ports/mod.js';
+import type { AttemptEnd } from './_direct_attempt.js';
+import type { DirectServices } from './direct_services.js';
+
+/** Whose call is recorded. */
+export interface CallRecorderOptions {
+  readonly services: DirectServices;
+  readonly request: DirectRequest;
+  readonly route: Route;
+  readonly account: ClientAccount | undefined;
+  readonly arrivedAtMs: number;
+}
+
+/** Writes one line a decision, with the request's ID and what decided. */
+export class CallRecorder {
+  readonly #options: CallRecorderOptions;
+
+  /** @param options - whose call */
+  constructor(options: CallRecorderOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * @param backendServer - whom it is sent to
+   * @param inputs - what decided
+   */
+  noteDispatch(backendServer: string, inputs: LogFields): void {
+    const { routing } = this.#options.services;
+    this.#write('call_dispatched', {
+      backendServer,
+      ...inputs,
+      waitedMs: this.#measureMs(),
+      configurationVersion: routing.table?.version,
+      configurationAgeMs: Math.round(routing.computeAgeMs()),
+    });
+  }
+
+  /**
+   * @param backendServer - whom it was sent to
+   * @param attempt - number of the try
+   * @param end - how it ended
+   */
+  noteFailure(backendServer: string, attempt: number, { failure, reason }: AttemptEnd): void {
+    this.#write('attempt_failed', { backendServer, failure, reason, attempt });
+    this.#options.services.metrics.count('attempts_failed_total', { failure: String(failure) });
+  }
+
+  /**
+   * @param event - how the call ended
+   * @param fields - what decided
+   */
+  noteEnd(event: string, fields: LogFields): void {
+    const { metrics } = this.#options.services;
+    const totalMs = this.#measureMs();
+    this.#write(event, { totalMs, ...fields });
+    metrics.count('calls_ended_total', { event, kind: String(fields.kind ?? 'none') });
+    metrics.record('call_duration_ms', totalMs, { event });
+  }
+
+  #measureMs(): number {
+    return Math.round(this.#options.services.clock.nowMs() - this.#options.arrivedAtMs);
+  }
+
+  #write(event: string, fields: LogFields): void {
+    const { services, request, account, route } = this.#options;
+    services.log.write(LogLevel.Info, event, {
+      requestId: request.requestId,
+      account: account?.id,
+      route: route.name,
+      ...fields,
+    });
+  }
+}
--- /dev/null
+++ b/src/application/direct/_direct_attempt.ts
@@ -0,0 +1,255 @@
+/**
+ * One try of a call at one backend server.
+ *
+ * @module
+ */
+import { ServerOutcome } from '../../domain/backend_servers/mod.js';
+import type { ServerLoad } from '../../domain/backend_servers/mod.js';
+import { formatReason } from '../../domain/errors/mod.js';
+import type { Route } from '../../domain/routing/mod.js';
+import { BackendFailure } from '../../ports/mod.js';
+import type {
+  BackendExchange,
+  BackendHead,
+  BackendListener,
+  BackendRequest,
+  Clock,
+  DirectBackendClient,
+  DirectReply,
+  Timer,
+} from '../../ports/mod.js';
+import { StreamRelay, WholeRelay } from './_answer_relay.js';
+import type { AnswerRelay } from './_answer_relay.js';
+
+/**
+ * Silence before the first byte after which another backend server takes over, as a
+ * multiple of the prediction and of the aim, whichever is longer; a queue inside the
+ * server must not pass for a dead one.
+ */
+const FIRST_BYTE_FACTOR = 3;
+const FIRST_BYTE_TARGET_FACTOR = 1.5;
+
+/** Silence between events after which another takes over, as a multiple of the accepted pause. */
+const GAP_FACTOR = 4;
+
+/** Shortest silence that counts, in milliseconds: links and batches may stall for a moment. */
+const MIN_SILENCE_MS = 600;
+
+/** Time between two looks at a quiet answer, in milliseconds. */
+const LOOK_INTERVAL_MS = 100;
+
+/** Statuses that promise that a request has not run; only a backend server's own word may say so. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** How a try ended. */
+export interface AttemptEnd {
+  /** Undefined when the caller has the whole answer. */
+  readonly failure: BackendFailure | undefined;
+  readonly reason: string;
+  readonly status: number;
+  readonly firstByteMs: number;
+  /** The stream as far as the caller has it. */
+  readonly stream: StreamRelay | undefined;
+  /** Passes on what the server answered, where no other server is tried. */
+  readonly fallback: (() => void) | undefined;
+}
+
+/** What a try needs. */
+export interface DirectAttemptOptions {
+  readonly backend: DirectBackendClient;
+  readonly clock: Clock;
+  readonly reply: DirectReply;
+  readonly route: Route;
+  readonly load: ServerLoad;
+  /** The stream that goes on, where this is not the first try. */
+  readonly stream: StreamRelay | undefined;
+  readonly request: BackendRequest;
+  /** @returns whether another backend server may take over */
+  readonly mayMove: () => boolean;
+  readonly onEnd: (end: AttemptEnd) => void;
+}
+
+/** Sends the request, passes the answer on, and notices when it stalls. */
+export class DirectAttempt implements BackendListener {
+  readonly #options: DirectAttemptOptions;
+
+  readonly #startedAtMs: number;
+
+  readonly #predictedMs: number;
+
+  #exchange: BackendExchange | undefined;
+
+  #relay: AnswerRelay | undefined;
+
+  #stream: StreamRelay | undefined;
+
+  #status = 0;
+
+  #firstByteMs = 0;
+
+  #lookTimer: Timer | undefined;
+
+  #hasEnded = false;
+
+  /** @param options - the try */
+  constructor(options: DirectAttemptOptions) {
+    this.#options = options;
+    this.#stream = options.stream;
+    this.#startedAtMs = options.clock.nowMs();
+    this.#predictedMs = options.load.predictFirstByteMs(this.#work);
+  }
+
+  /** Sends the request. */
+  start(): void {
+    const { backend, request, load } = this.#options;
+    load.begin(this.#work);
+    try {
+      this.#exchange = backend.send(request, this);
+    } catch (error) {
+      this.#end(BackendFailure.NotSent, formatReason(error));
+      return;
+    }
+    this.#scheduleLook();
+  }
+
+  /** @param outcome - how the try counts for the backend server */
+  cancel(outcome: ServerOutcome): void {
+    if (this.#hasEnded) return;
+    this.#settle(outcome);
+    this.#exchange?.cancel();
+  }
+
+  onHead(head: BackendHead): void {
+    this.#status = head.status;
+    const { reply, clock, route } = this.#options;
+    if (!head.isEventStream || head.status !== 200) {
+      this.#relay = new WholeRelay(head, reply);
+      return;
+    }
+    this.#stream ??= new StreamRelay(head, reply, () => clock.nowMs());
+    this.#stream.restart();
+    this.#relay = this.#stream;
+    if (!route.isStream) this.#noteFirstByte();
+  }
+
+  onBody(bytes: Buffer): void {
+    this.#noteFirstByte();
+    try {
+      this.#relay?.write(bytes);
+    } catch (error) {
+      this.#exchange?.cancel();
+      this.#end(BackendFailure.Broken, formatReason(error));
+    }
+  }
+
+  onWhole(): void {
+    this.#noteFirstByte();
+    const hasErred = this.#status >= 500 || PROMISING_STATUSES.has(this.#status);
+    if (hasErred && !this.#hasBegun) this.#endErred();
+    else {
+      this.#relay?.end();
+      this.#end(undefined, '');
+    }
+  }
+
+  onFailure(failure: BackendFailure, reason: string): void {
+    this.#end(failure, reason);
+  }
+
+  get #work(): BackendRequest['request']['work'] {
+    return this.#options.request.request.work;
+  }
+
+  get #hasBegun(): boolean {
+    return this.#relay?.hasBegun === true;
+  }
+
+  /**
+   * A server that ran the request and answered with an error may be followed by
+   * another one. Its answer is kept for the case that none is; one whose status
+   * would promise that nothing ran is not passed on.
+   */
+  #endErred(): void {
+    const relay = this.#relay;
+    const isPassable = !PROMISING_STATUSES.has(this.#status);
+    this.#end(
+      BackendFailure.Broken,
+      `answered with status ${this.#status}`,
+      isPassable ? () => relay?.end() : undefined,
+      ServerOutcome.Erred,
+    );
+  }
+
+  #noteFirstByte(): void {
+    if (this.#firstByteMs > 0) return;
+    const { clock, load } = this.#options;
+    this.#firstByteMs = Math.max(0.1, clock.nowMs() - this.#startedAtMs);
+    load.noteFirstByte(this.#work);
+  }
+
+  #scheduleLook(): void {
+    this.#lookTimer = this.#options.clock.setTimer(LOOK_INTERVAL_MS, () => {
+      if (this.#hasEnded) return;
+      if (this.#hasStalled() && this.#options.mayMove()) {
+        this.#exchange?.cancel();
+        this.#end(BackendFailure.Broken, 'nothing came for too long');
+      } else this.#scheduleLook();
+    });
+  }
+
+  #hasStalled(): boolean {
+    const { clock, route } = this.#options;
+    const nowMs = clock.nowMs();
+    if (this.#firstByteMs === 0) {
+      const limitMs = Math.max(
+        FIRST_BYTE_FACTOR * this.#predictedMs,
+        FIRST_BYTE_TARGET_FACTOR * route.targetMs,
+        MIN_SILENCE_MS,
+      );
+      return nowMs - this.#startedAtMs > limitMs;
+    }
+    if (!this.#stream) return false;
+    const limitMs = Math.max(GAP_FACTOR * route.targetGapMs, MIN_SILENCE_MS);
+    return nowMs - this.#stream.eventsAtMs > limitMs;
+  }
+
+  #end(
+    failure: BackendFailure | undefined,
+    reason: string,
+    fallback: (() => void) | undefined = undefined,
+    outcome = toOutcome(failure),
+  ): void {
+    if (this.#hasEnded) return;
+    this.#settle(outcome);
+    const { clock, load, onEnd } = this.#options;
+    if (failure === undefined && this.#status < 300) {
+      load.speed.observe({
+        prefillTokens: this.#work.promptTokens,
+        outputTokens: 0,
+        firstByteMs: this.#firstByteMs,
+        totalMs: clock.nowMs() - this.#startedAtMs,
+      });
+    }
+    onEnd({
+      failure,
+      reason,
+      status: this.#status,
+      firstByteMs: this.#firstByteMs,
+      stream: this.#stream,
+      fallback,
+    });
+  }
+
+  #settle(outcome: ServerOutcome): void {
+    this.#hasEnded = true;
+    this.#lookTimer?.cancel();
+    const { clock, load } = this.#options;
+    if (this.#firstByteMs === 0) load.noteFirstByte(this.#work);
+    load.end(outcome, clock.nowMs());
+  }
+}
+
+function toOutcome(failure: BackendFailure | undefined): ServerOutcome {
+  if (failure === undefined) return ServerOutcome.Answered;
+  return failure === BackendFailure.Declined ? ServerOutcome.Declined : ServerOutcome.Failed;
+}
--- /dev/null
+++ b/src/application/direct/direct_call.ts
@@ -0,0 +1,275 @@
+/**
+ * One call from its arrival to its end.
+ *
+ * @module
+ */
+import { ServerOutcome } from '../../domain/backend_servers/mod.js';
+import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
+import { computeReturnMs } from '../../domain/direct/mod.js';
+import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import type { ClientAccount, Route } from '../../domain/routing/mod.js';
+import { BackendFailure } from '../../ports/mod.js';
+import type { DirectReply, DirectRequest, LogFields, Timer } from '../../ports/mod.js';
+import { CallRecorder } from './_call_recorder.js';
+import { DirectAttempt } from './_direct_attempt.js';
+import type { AttemptEnd } from './_direct_attempt.js';
+import type { StreamRelay } from './_answer_relay.js';
+import type { DirectServices } from './direct_services.js';
+import type { LineCall, ServiceLine } from './service_line.js';
+
+/** Most backend servers that are tried where none of them has run the request. */
+const MAX_TRIES = 4;
+
+/** Part of the time left that a call may wait whose aim can't be met any more. */
+const LATE_WAIT_PART = 0.25;
+
+/** Longest such wait, in milliseconds: a caller that hears nothing should be told to come back. */
+const MAX_LATE_WAIT_MS = 1_200;
+
+/** Least time left that another backend server is worth trying for, in milliseconds. */
+const MIN_RETRY_MS = 40;
+
+/** What a call is made of. */
+export interface DirectCallOptions {
+  readonly request: DirectRequest;
+  readonly reply: DirectReply;
+  readonly route: Route;
+  readonly serviceId: string;
+  readonly account: ClientAccount | undefined;
+  readonly rank: number;
+  /** Whether the caller was refused before. */
+  readonly isReturning: boolean;
+  readonly line: ServiceLine;
+  readonly services: DirectServices;
+  /** Checks right before the request leaves whether it still may. */
+  readonly checkDispatch: () => SchedulerError | undefined;
+  /** Called once, at the end. */
+  readonly onEnd: (call: DirectCall) => void;
+}
+
+/** Waits, is sent, sent again where that is allowed, and answered once. */
+export class DirectCall implements LineCall {
+  readonly work: RequestWork;
+
+  readonly rank: number;
+
+  readonly isReturning: boolean;
+
+  readonly arrivedAtMs: number;
+
+  readonly excluded = new Set<string>();
+
+  readonly #options: DirectCallOptions;
+
+  /** When the caller or the route's timeout ends the wait. */
+  readonly #endsAtMs: number;
+
+  #startByMs: number;
+
+  #attempt: DirectAttempt | undefined;
+
+  #stream: StreamRelay | undefined;
+
+  #tries = 0;
+
+  /** Tries that may have run. */
+  #runs = 0;
+
+  #hasEnded = false;
+
+  readonly #timer: Timer;
+
+  readonly #recorder: CallRecorder;
+
+  /** @param options - the call */
+  constructor(options: DirectCallOptions) {
+    this.#options = options;
+    const { request, route, reply, services } = options;
+    this.work = request.work;
+    this.rank = options.rank;
+    this.isReturning = options.isReturning;
+    this.arrivedAtMs = services.clock.nowMs();
+    const longestMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
+    this.#endsAtMs = this.arrivedAtMs + longestMs;
+    this.#startByMs = this.#computeStartBy();
+    this.#recorder = new CallRecorder({ ...options, arrivedAtMs: this.arrivedAtMs });
+    this.#timer = services.clock.setTimer(longestMs, () => this.#handleTimeout());
+    reply.onGone(() => this.#handleGone());
+  }
+
+  get startByMs(): number {
+    return this.#startByMs;
+  }
+
+  /** Whether it is at a backend server. */
+  get isSent(): boolean {
+    return this.#attempt !== undefined;
+  }
+
+  /** Whether any backend server may have run it. */
+  get mayHaveRun(): boolean {
+    return this.#runs > 0;
+  }
+
+  /** Client account, where there is one. */
+  get account(): ClientAccount | undefined {
+    return this.#options.account;
+  }
+
+  /** The request itself. */
+  get request(): DirectRequest {
+    return this.#options.request;
+  }
+
+  /** Begins: it is sent, waits, or is refused. */
+  start(): void {
+    this.#options.line.submit(this);
+  }
+
+  grant({ id, load }: Candidate): void {
+    const refusal = this.#options.checkDispatch();
+    if (refusal) {
+      this.fail(refusal);
+      return;
+    }
+    const { services, route, request, account } = this.#options;
+    const server = services.servers.find(id);
+    if (!server) {
+      this.giveUp(0);
+      return;
+    }
+    this.#tries += 1;
+    this.#runs += 1;
+    if (this.#tries === 1) services.noteAttempt(server.serviceId);
+    this.#recorder.noteDispatch(id, { inFlight: load.inFlight, attempt: this.#tries });
+    this.#attempt = new DirectAttempt({
+      backend: services.backend,
+      clock: services.clock,
+      reply: this.#options.reply,
+      route,
+      load,
+      stream: this.#stream,
+      mayMove: () => this.#mayTryAgain(),
+      request: {
+        request,
+        address: server.address,
+        serverId: id,
+        accountId: account?.id,
+        deadlineMs: Math.max(1, Math.floor(this.#endsAtMs - services.clock.nowMs())),
+        lastEventId: this.#stream?.lastEventId ?? request.lastEventId,
+      },
+      onEnd: (end) => this.#handleAttemptEnd(id, end),
+    });
+    this.#attempt.start();
+  }
+
+  giveUp(clearMs: number): void {
+    const { services } = this.#options;
+    const timeLeftMs = this.#endsAtMs - services.clock.nowMs();
+    const fraction = services.random.nextFraction();
+    const retryAfterMs = computeReturnMs(clearMs, timeLeftMs, fraction);
+    this.fail(new SchedulerError(ErrorKind.QueueFull, { retryAfterMs }), { clearMs });
+  }
+
+  /**
+   * Ends it with an error.
+   *
+   * @param error - the answer, if nothing was answered yet
+   * @param inputs - what decided, for the log
+   */
+  fail(error: SchedulerError, inputs: Readonly<Record<string, number | string>> = {}): void {
+    if (this.#hasEnded) return;
+    const honest = this.mayHaveRun && error.status === 503 ? this.#buildLost() : error;
+    const { hasBegun } = this.#options.reply;
+    if (hasBegun) this.#options.reply.abort();
+    else this.#options.reply.refuse(honest);
+    this.#end(hasBegun ? 'call_broken_off' : 'call_refused', {
+      kind: honest.kind,
+      run: honest.run,
+      retryAfterMs: honest.retryAfterMs,
+      ...inputs,
+    });
+  }
+
+  /** Ends it because this process ends. */
+  stop(): void {
+    this.#attempt?.cancel(ServerOutcome.Cancelled);
+    this.fail(new SchedulerError(ErrorKind.EntryHostStopping));
+  }
+
+  /** A fresh call may wait while its aim can still be met, a late one for a part of its time. */
+  #computeStartBy(): number {
+    const nowMs = this.#options.services.clock.nowMs();
+    const lateMs = Math.min(MAX_LATE_WAIT_MS, (this.#endsAtMs - nowMs) * LATE_WAIT_PART);
+    const { targetMs } = this.#options.route;
+    return nowMs + (this.isReturning ? lateMs : Math.min(lateMs, targetMs / 2));
+  }
+
+  #buildLost(): SchedulerError {
+    return new SchedulerError(ErrorKind.BackendServerLost);
+  }
+
+  #mayTryAgain(): boolean {
+    const { route, services } = this.#options;
+    const { isRepeatable, isResumable, maxAttempts } = route;
+    const leftMs = this.#endsAtMs - services.clock.nowMs();
+    return (isRepeatable || isResumable) && this.#runs < maxAttempts && leftMs > MIN_RETRY_MS;
+  }
+
+  #handleAttemptEnd(serverId: string, end: AttemptEnd): void {
+    this.#attempt = undefined;
+    this.excluded.add(serverId);
+    if (end.failure === undefined) {
+      this.#end('call_answered', {
+        backendServer: serverId,
+        status: end.status,
+        firstByteMs: Math.round(end.firstByteMs),
+      });
+    } else {
+      this.#recorder.noteFailure(serverId, this.#tries, end);
+      this.#stream = end.stream ?? this.#stream;
+      this.#handleFailure(serverId, end);
+    }
+    this.#options.line.noteFreed();
+  }
+
+  #handleFailure(serverId: string, { failure, fallback }: AttemptEnd): void {
+    const { services, serviceId } = this.#options;
+    const hasRun = failure === BackendFailure.Broken;
+    if (!hasRun) this.#runs -= 1;
+    if (failure === BackendFailure.Misdirected) services.servers.noteEnded(serverId);
+    const isAllowed = hasRun ? this.#mayTryAgain() : this.#tries < MAX_TRIES;
+    // A request that was never written costs the service nothing; all others count as retries.
+    const isFree = failure === BackendFailure.NotSent;
+    if (isAllowed && (isFree || services.takeRetry(serviceId))) {
+      const leftMs = this.#endsAtMs - services.clock.nowMs();
+      this.#startByMs = services.clock.nowMs() + Math.min(MAX_LATE_WAIT_MS, leftMs / 2);
+      this.#options.line.submit(this);
+    } else if (fallback) {
+      fallback();
+      this.#end('call_answered', { backendServer: serverId, failure });
+    } else if (hasRun) this.fail(this.#buildLost());
+    else this.giveUp(0);
+  }
+
+  #handleTimeout(): void {
+    this.#attempt?.cancel(ServerOutcome.Cancelled);
+    const kind = this.mayHaveRun ? ErrorKind.AnswerTimeout : ErrorKind.DeadlineUnreachable;
+    this.fail(new SchedulerError(kind));
+  }
+
+  #handleGone(): void {
+    if (this.#hasEnded) return;
+    this.#attempt?.cancel(ServerOutcome.Cancelled);
+    this.#end('caller_gone', { wasSent: this.isSent });
+  }
+
+  #end(event: string, fields: LogFields): void {
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    this.#timer.cancel();
+    this.#options.line.remove(this);
+    this.#recorder.noteEnd(event, fields);
+    this.#options.onEnd(this);
+  }
+}
--- /dev/null
+++ b/src/application/direct/direct_gateway.ts
@@ -0,0 +1,250 @@
+/**
+ * Takes calls that bear their own request ID, and serves them at this entry host.
+ *
+ * @module
+ */
+import { RetryShare } from '../../domain/direct/mod.js';
+import type { RetryBounds } from '../../domain/direct/mod.js';
+import { ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
+import { pickService } from '../../domain/routing/mod.js';
+import type { ClientAccount, Route, RouteTable } from '../../domain/routing/mod.js';
+import type {
+  Clock,
+  DirectBackendClient,
+  DirectReply,
+  DirectRequest,
+  EventLog,
+  Metrics,
+  RandomSource,
+} from '../../ports/mod.js';
+import type { AccountSpending } from './account_spending.js';
+import { DirectCall } from './direct_call.js';
+import type { DirectServices } from './direct_services.js';
+import type { RoutingKeeper } from './routing_keeper.js';
+import type { ServerKeeper } from './server_keeper.js';
+import { ServiceLine } from './service_line.js';
+
+/**
+ * Age of the configuration above which an unknown key or route is not refused for
+ * good, in milliseconds: it may have been added meanwhile.
+ */
+const SURE_AGE_MS = 1_500;
+
+/** Advice of when to come back to callers that another entry host may serve, in milliseconds. */
+const ELSEWHERE_MS = 50;
+
+/** Part of the longest deadline seen on a route below which a caller is taken to have come back. */
+const RETURNING_PART = 0.985;
+
+/** What the gateway needs. */
+export interface DirectGatewayOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  readonly backend: DirectBackendClient;
+  readonly routing: RoutingKeeper;
+  readonly servers: ServerKeeper;
+  readonly spending: AccountSpending;
+  readonly retryBounds: RetryBounds;
+  /** Age of the configuration up to which a key may be believed, in milliseconds. */
+  readonly maxKeyAgeMs: number;
+  /** @returns entry hosts that share the bounds on retries */
+  readonly countEntryHosts: () => number;
+}
+
+/** Checks calls, admits them, and keeps those that are under way. */
+export class DirectGateway {
+  readonly #options: DirectGatewayOptions;
+
+  readonly #services: DirectServices;
+
+  readonly #lines = new Map<string, ServiceLine>();
+
+  readonly #retries = new Map<string, RetryShare>();
+
+  readonly #calls = new Set<DirectCall>();
+
+  /** Longest deadline that callers of a route gave, in milliseconds. */
+  readonly #longestMs = new Map<string, number>();
+
+  #isRefusing = false;
+
+  /** @param options - what the gateway needs */
+  constructor(options: DirectGatewayOptions) {
+    this.#options = options;
+    this.#services = {
+      ...options,
+      noteAttempt: (serviceId) => this.#takeShare(serviceId).noteAttempt(options.clock.nowMs()),
+      takeRetry: (serviceId) =>
+        this.#takeShare(serviceId).takeRetry(options.clock.nowMs(), options.countEntryHosts()),
+    };
+  }
+
+  /** Calls that are under way. */
+  get callCount(): number {
+    return this.#calls.size;
+  }
+
+  /** Whether callers may be sent to this entry host. */
+  get isServing(): boolean {
+    const { routing, maxKeyAgeMs } = this.#options;
+    return routing.table !== undefined && routing.computeAgeMs() < maxKeyAgeMs;
+  }
+
+  /** Refuses new calls from now on, as another entry host can serve them. */
+  refuseNew(): void {
+    this.#isRefusing = true;
+  }
+
+  /** Ends every call that is still under way, as honestly as can be. */
+  endAll(): void {
+    [...this.#calls].forEach((call) => call.stop());
+  }
+
+  /** Gives slots that have become free elsewhere to waiting calls. */
+  advance(): void {
+    this.#lines.forEach((line) => line.advance());
+  }
+
+  /**
+   * Takes one call.
+   *
+   * @param request - the request, read whole
+   * @param reply - the way back
+   */
+  handle(request: DirectRequest, reply: DirectReply): void {
+    try {
+      this.#start(request, reply);
+    } catch (error) {
+      const refusal =
+        error instanceof SchedulerError
+          ? error
+          : new SchedulerError(ErrorKind.Internal, { cause: error });
+      this.#logRefusal(request, refusal);
+      reply.refuse(refusal);
+    }
+  }
+
+  #start(request: DirectRequest, reply: DirectReply): void {
+    const { routing, random, spending } = this.#options;
+    const { table } = routing;
+    if (this.#isRefusing) throw buildElsewhere(ErrorKind.EntryHostStopping);
+    if (!table) throw new SchedulerError(ErrorKind.ConfigurationMissing, { retryAfterMs: 300 });
+    const route = this.#findRoute(table, request);
+    const account = route.isOpen ? undefined : this.#authenticate(table, request);
+    const serviceId = pickService(route, random.nextFraction());
+    if (serviceId === undefined) throw new SchedulerError(ErrorKind.NoBackendServer);
+    if (account) {
+      const waitMs = spending.take(account, request);
+      if (waitMs > 0) throw new SchedulerError(ErrorKind.TokensLimited, { retryAfterMs: waitMs });
+    }
+    const call = new DirectCall({
+      request,
+      reply,
+      route,
+      serviceId,
+      account,
+      rank: account?.rank ?? route.rank,
+      isReturning: this.#isReturning(route, request),
+      line: this.#takeLine(serviceId),
+      services: this.#services,
+      checkDispatch: () => this.#checkDispatch(route, request),
+      onEnd: (ended) => this.#handleEnd(ended),
+    });
+    this.#calls.add(call);
+    call.start();
+  }
+
+  #findRoute(table: RouteTable, { hostName, path }: DirectRequest): Route {
+    const route = table.findRoute(hostName, path);
+    if (route) return route;
+    throw this.#isSure() ? new SchedulerError(ErrorKind.NotFound) : this.#buildCutOff();
+  }
+
+  #authenticate(table: RouteTable, { key }: DirectRequest): ClientAccount {
+    const { routing, maxKeyAgeMs } = this.#options;
+    if (routing.computeAgeMs() >= maxKeyAgeMs) throw this.#buildCutOff();
+    const account = key === undefined ? undefined : table.findAccount(key);
+    if (account) return account;
+    throw this.#isSure() ? new SchedulerError(ErrorKind.Unauthenticated) : this.#buildCutOff();
+  }
+
+  /**
+   * Looks again right before a request leaves: while it waited, its key may have
+   * been taken away, or this process may have stood still or lost the store.
+   */
+  #checkDispatch(route: Route, request: DirectRequest): SchedulerError | undefined {
+    if (route.isOpen) return undefined;
+    const { table } = this.#options.routing;
+    try {
+      if (table) this.#authenticate(table, request);
+      return undefined;
+    } catch (error) {
+      if (error instanceof SchedulerError) return error;
+      throw error;
+    }
+  }
+
+  #isSure(): boolean {
+    return this.#options.routing.computeAgeMs() < SURE_AGE_MS;
+  }
+
+  #buildCutOff(): SchedulerError {
+    return buildElsewhere(ErrorKind.EntryHostCutOff);
+  }
+
+  /** Callers that come back tell less time than those that call for the first time. */
+  #isReturning(route: Route, { deadlineMs }: DirectRequest): boolean {
+    if (deadlineMs === undefined) return false;
+    const longestMs = Math.max(deadlineMs, this.#longestMs.get(route.name) ?? 0);
+    this.#longestMs.set(route.name, longestMs);
+    return deadlineMs < longestMs * RETURNING_PART;
+  }
+
+  #takeLine(serviceId: string): ServiceLine {
+    const found = this.#lines.get(serviceId);
+    if (found) return found;
+    const { clock, random, servers } = this.#options;
+    const listCandidates = (): ReturnType<ServerKeeper['listCandidates']> =>
+      servers.listCandidates(serviceId);
+    const line = new ServiceLine({ clock, random, listCandidates });
+    this.#lines.set(serviceId, line);
+    return line;
+  }
+
+  #takeShare(serviceId: string): RetryShare {
+    const found = this.#retries.get(serviceId);
+    if (found) return found;
+    const share = new RetryShare(this.#options.retryBounds);
+    this.#retries.set(serviceId, share);
+    return share;
+  }
+
+  #handleEnd(call: DirectCall): void {
+    this.#calls.delete(call);
+    if (call.account && !call.mayHaveRun) {
+      this.#options.spending.release(call.account, call.request);
+    }
+  }
+
+  #logRefusal(request: DirectRequest, refusal: SchedulerError): void {
+    const { log, metrics, routing } = this.#options;
+    const level = refusal.kind === ErrorKind.Internal ? LogLevel.Error : LogLevel.Info;
+    log.write(level, 'call_refused', {
+      requestId: request.requestId,
+      path: request.path,
+      kind: refusal.kind,
+      run: refusal.run,
+      retryAfterMs: refusal.retryAfterMs,
+      configurationVersion: routing.table?.version,
+      configurationAgeMs: Math.round(routing.computeAgeMs()),
+      reason: refusal.cause === undefined ? undefined : String(refusal.cause),
+    });
+    metrics.count('calls_ended_total', { event: 'call_refused', kind: refusal.kind });
+  }
+}
+
+function buildElsewhere(kind: ErrorKind): SchedulerError {
+  return new SchedulerError(kind, { retryAfterMs: ELSEWHERE_MS });
+}
--- /dev/null
+++ b/src/application/direct/mod.ts
@@ -0,0 +1,19 @@
+/**
+ * Calls that bear their own request ID and are served by the entry host that they
+ * reach: what is known of routes, backend servers and peers, and a call's way from
+ * its arrival to its end. `new DirectGateway(options).handle(request, reply)`.
+ *
+ * @module
+ */
+export { AccountSpending } from './account_spending.js';
+export { DirectGateway } from './direct_gateway.js';
+export type { DirectGatewayOptions } from './direct_gateway.js';
+export { runDirectStop } from './direct_stop.js';
+export { FeedFollower } from './feed_follower.js';
+export type { FeedContext, FeedFollowerOptions } from './feed_follower.js';
+export { HostReports } from './host_reports.js';
+export type { HostReportContent, HostReportsOptions, ReportedPeer } from './host_reports.js';
+export { RoutingKeeper } from './routing_keeper.js';
+export type { RoutingKeeperOptions } from './routing_keeper.js';
+export { ServerKeeper } from './server_keeper.js';
+export type { ServerKeeperOptions } from './server_keeper.js';
--- /dev/null
+++ b/src/application/direct/routing_keeper.ts
@@ -0,0 +1,121 @@
+/**
+ * Keeps the routes, services and client accounts in force, and how old that knowledge is.
+ *
+ * @module
+ */
+import { formatReason, LogLevel } from '../../domain/errors/mod.js';
+import { ConfirmedAge } from '../../domain/freshness/mod.js';
+import { RouteTable } from '../../domain/routing/mod.js';
+import type { RoutingDocument } from '../../domain/routing/mod.js';
+import type { ChangeFeed, Clock, EventLog, Metrics, RandomSource } from '../../ports/mod.js';
+import { FeedFollower } from './feed_follower.js';
+import type { FeedContext } from './feed_follower.js';
+
+/** What the keeper needs. */
+export interface RoutingKeeperOptions {
+  readonly feed: ChangeFeed;
+  /** Key that holds the newest configuration. */
+  readonly key: string;
+  /** Longest wait of one read, in milliseconds; the age grows by as much between two. */
+  readonly waitMs: number;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  /**
+   * Decodes a configuration.
+   *
+   * @throws Error for one that can't be used
+   */
+  readonly decode: (value: Uint8Array) => RoutingDocument;
+}
+
+/** Puts each newer configuration in force as a whole, and never an older one. */
+export class RoutingKeeper {
+  readonly #options: RoutingKeeperOptions;
+
+  readonly #follower: FeedFollower;
+
+  readonly #age = new ConfirmedAge();
+
+  readonly #changeHandlers: (() => void)[] = [];
+
+  #table: RouteTable | undefined;
+
+  /** @param options - what the keeper needs */
+  constructor(options: RoutingKeeperOptions) {
+    this.#options = options;
+    this.#follower = new FeedFollower({
+      ...options,
+      prefix: options.key,
+      onAll: (items, context) => this.#handleValues(items, context),
+      onChanges: (changes, context) => this.#handleValues(changes, context),
+    });
+  }
+
+  /** The configuration in force; undefined before the first. */
+  get table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** Begins to follow the configuration. */
+  start(): void {
+    this.#follower.start();
+  }
+
+  /** Follows it no more. */
+  stop(): void {
+    this.#follower.stop();
+  }
+
+  /** @param handler - called when another configuration has come into force */
+  onChange(handler: () => void): void {
+    this.#changeHandlers.push(handler);
+  }
+
+  /** @returns how long ago it was surely the newest, in milliseconds */
+  computeAgeMs(): number {
+    const { clock } = this.#options;
+    return this.#age.computeAgeMs({ steadyMs: clock.nowMs(), wallMs: clock.wallMs() });
+  }
+
+  #handleValues(
+    values: readonly { readonly key: string; readonly value: Uint8Array | undefined }[],
+    { askedAt }: FeedContext,
+  ): void {
+    const { clock, key } = this.#options;
+    const isUsable = values
+      .filter((item) => item.key === key && item.value !== undefined)
+      .map(({ value }) => this.#accept(value as Uint8Array))
+      .every((accepted) => accepted);
+    // A configuration that can't be read may take a key away: what is in force is
+    // confirmed no more, and keyed calls are refused once it is too old.
+    if (!isUsable) return;
+    this.#age.confirm(askedAt, { steadyMs: clock.nowMs(), wallMs: clock.wallMs() });
+  }
+
+  #accept(value: Uint8Array): boolean {
+    const { log, metrics, decode } = this.#options;
+    let document: RoutingDocument;
+    try {
+      document = decode(value);
+    } catch (error) {
+      log.write(LogLevel.Error, 'configuration_refused', {
+        reason: formatReason(error),
+        versionInForce: this.#table?.version,
+      });
+      metrics.count('configurations_refused_total');
+      return false;
+    }
+    if (this.#table && document.version <= this.#table.version) return true;
+    this.#table = new RouteTable(document);
+    log.write(LogLevel.Info, 'configuration_in_force', {
+      version: document.version,
+      routes: document.routes.length,
+      accounts: document.accounts.length,
+    });
+    metrics.set('configuration_version', document.version);
+    this.#changeHandlers.forEach((handler) => handler());
+    return true;
+  }
+}
--- /dev/null
+++ b/src/application/direct/server_keeper.ts
@@ -0,0 +1,206 @@
+/**
+ * Keeps the backend servers that may be given work, and their load.
+ *
+ * @module
+ */
+import { ServerDirectory, ServerLoad } from '../../domain/backend_servers/mod.js';
+import type { BackendServerEntry, Candidate } from '../../domain/backend_servers/mod.js';
+import { formatReason, LogLevel } from '../../domain/errors/mod.js';
+import type {
+  ChangeFeed,
+  Clock,
+  EventLog,
+  FeedChange,
+  FeedItem,
+  Metrics,
+  RandomSource,
+} from '../../ports/mod.js';
+import { FeedFollower } from './feed_follower.js';
+import type { FeedContext } from './feed_follower.js';
+
+/** What the keeper needs. */
+export interface ServerKeeperOptions {
+  readonly feed: ChangeFeed;
+  /** Start of the keys under which backend servers are registered. */
+  readonly prefix: string;
+  /** Longest wait of one read, in milliseconds. */
+  readonly waitMs: number;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  /**
+   * Decodes a registration.
+   *
+   * @throws Error for one that can't be used
+   */
+  readonly decode: (key: string, value: Uint8Array) => BackendServerEntry;
+  /** @returns whether a service's backend servers are model engines */
+  readonly isEngine: (serviceId: string) => boolean;
+}
+
+/** Joins registrations, what peers tell, and what requests have shown. */
+export class ServerKeeper {
+  readonly #options: ServerKeeperOptions;
+
+  readonly #directory = new ServerDirectory();
+
+  readonly #loads = new Map<string, ServerLoad>();
+
+  /** In flight at each backend server, by peer. */
+  readonly #peersInFlight = new Map<string, Readonly<Record<string, number>>>();
+
+  /** Lives that this entry host's own requests have shown to be over. */
+  readonly #endedIds = new Set<string>();
+
+  readonly #follower: FeedFollower;
+
+  readonly #changeHandlers: (() => void)[] = [];
+
+  /** @param options - what the keeper needs */
+  constructor(options: ServerKeeperOptions) {
+    this.#options = options;
+    this.#follower = new FeedFollower({
+      ...options,
+      onAll: (items, context) => this.#handleAll(items, context),
+      onChanges: (changes, context) => this.#handleChanges(changes, context),
+    });
+  }
+
+  /** Begins to follow the registrations. */
+  start(): void {
+    this.#follower.start();
+  }
+
+  /** Follows them no more. */
+  stop(): void {
+    this.#follower.stop();
+  }
+
+  /** @param handler - called when another set of backend servers may be given work */
+  onChange(handler: () => void): void {
+    this.#changeHandlers.push(handler);
+  }
+
+  /** @param serviceId - which service. @returns who may be given work */
+  listCandidates(serviceId: string): readonly Candidate[] {
+    return this.#directory
+      .listUsable(serviceId, this.#options.clock.nowMs())
+      .map(({ id }) => ({ id, load: this.#takeLoad(id) }));
+  }
+
+  /** @param id - a life. @returns whether it may be given work at this moment */
+  isUsable(id: string): boolean {
+    return this.#directory.isUsable(id, this.#options.clock.nowMs());
+  }
+
+  /** @param id - a life. @returns its entry */
+  find(id: string): BackendServerEntry | undefined {
+    return this.#directory.find(id);
+  }
+
+  /** @returns this entry host's requests in flight, by backend server */
+  countInFlight(): Record<string, number> {
+    const busy = [...this.#loads].filter(([, { ownInFlight }]) => ownInFlight > 0);
+    return Object.fromEntries(busy.map(([id, { ownInFlight }]) => [id, ownInFlight]));
+  }
+
+  /** @returns lives that this entry host's own requests have shown to be over */
+  listEnded(): readonly string[] {
+    return [...this.#endedIds];
+  }
+
+  /**
+   * Takes a peer's report.
+   *
+   * @param peerId - the peer
+   * @param inFlight - its requests in flight, by backend server; undefined when it is gone
+   * @param endedServers - lives that it has seen to be over
+   */
+  applyPeer(
+    peerId: string,
+    inFlight: Readonly<Record<string, number>> | undefined,
+    endedServers: readonly string[] = [],
+  ): void {
+    if (inFlight) this.#peersInFlight.set(peerId, inFlight);
+    else this.#peersInFlight.delete(peerId);
+    const sums = new Map<string, number>();
+    this.#peersInFlight.forEach((counts) => {
+      Object.entries(counts).forEach(([id, count]) => sums.set(id, (sums.get(id) ?? 0) + count));
+    });
+    this.#loads.forEach((load, id) => load.setPeersInFlight(sums.get(id) ?? 0));
+    endedServers.filter((id) => this.#directory.noteEnded(id)).forEach((id) => this.#logEnded(id));
+  }
+
+  /** @param id - a life whose address has answered as another */
+  noteEnded(id: string): void {
+    this.#endedIds.add(id);
+    if (this.#directory.noteEnded(id)) this.#logEnded(id);
+  }
+
+  #logEnded(id: string): void {
+    this.#options.log.write(LogLevel.Info, 'backend_server_ended', { backendServer: id });
+  }
+
+  #takeLoad(id: string): ServerLoad {
+    const found = this.#loads.get(id);
+    if (found) return found;
+    const entry = this.#directory.find(id);
+    const isEngine = entry !== undefined && this.#options.isEngine(entry.serviceId);
+    const load = new ServerLoad(entry?.slots ?? 1, isEngine);
+    this.#loads.set(id, load);
+    return load;
+  }
+
+  #handleAll(items: readonly FeedItem[], { wasAway }: FeedContext): void {
+    const entries = items.flatMap((item) => this.#decode(item.key, item.value) ?? []);
+    this.#directory.applyAll(entries, this.#options.clock.nowMs(), wasAway);
+    this.#options.log.write(LogLevel.Info, 'backend_servers_read', { count: entries.length });
+    this.#update();
+  }
+
+  #handleChanges(changes: readonly FeedChange[], { wasAway }: FeedContext): void {
+    const nowMs = this.#options.clock.nowMs();
+    changes.forEach(({ key, value }) => {
+      if (value === undefined) {
+        const id = key.slice(this.#options.prefix.length);
+        this.#directory.applyRemoval(id, nowMs, wasAway);
+        this.#options.log.write(LogLevel.Info, 'backend_server_removed', {
+          backendServer: id,
+          mayHaveLapsed: wasAway,
+        });
+        return;
+      }
+      const entry = this.#decode(key, value);
+      if (entry && this.#directory.applyEntry(entry)) this.#logEntry(entry);
+    });
+    this.#update();
+  }
+
+  #logEntry({ id, serviceId, isLeaving }: BackendServerEntry): void {
+    const event = isLeaving ? 'backend_server_leaving' : 'backend_server_ready';
+    this.#options.log.write(LogLevel.Info, event, { backendServer: id, service: serviceId });
+  }
+
+  /** An entry that can't be read changes nothing: the last good one stays. */
+  #decode(key: string, value: Uint8Array): BackendServerEntry | undefined {
+    try {
+      return this.#options.decode(key, value);
+    } catch (error) {
+      this.#options.log.write(LogLevel.Error, 'backend_server_entry_refused', {
+        entry: key,
+        reason: formatReason(error),
+      });
+      return undefined;
+    }
+  }
+
+  #update(): void {
+    const expired = this.#directory.expire(this.#options.clock.nowMs());
+    expired.forEach((id) => {
+      this.#loads.delete(id);
+      this.#endedIds.delete(id);
+    });
+    this.#changeHandlers.forEach((handler) => handler());
+  }
+}
--- /dev/null
+++ b/src/application/direct/service_line.ts
@@ -0,0 +1,135 @@
+/**
+ * Gives calls of one service to its backend servers, or has them wait.
+ *
+ * @module
+ */
+import { pickServer } from '../../domain/backend_servers/mod.js';
+import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
+import { WaitingLine } from '../../domain/direct/mod.js';
+import type { WaitingCall } from '../../domain/direct/mod.js';
+import type { Clock, RandomSource, Timer } from '../../ports/mod.js';
+
+/** Time between two looks at the waiting calls, in milliseconds; fine against aims of 100 ms and more. */
+const LOOK_INTERVAL_MS = 15;
+
+/** Time over which freed slots are counted, in milliseconds. */
+const RATE_WINDOW_MS = 2_000;
+
+/** Slots taken to get free in that time where fewer were seen. */
+const MIN_FREED = 2;
+
+/** A call as the line sees it. */
+export interface LineCall extends WaitingCall {
+  readonly work: RequestWork;
+  /** Backend servers that it was sent to already. */
+  readonly excluded: ReadonlySet<string>;
+  /** @param candidate - the backend server that it is to be sent to now */
+  grant(candidate: Candidate): void;
+  /** It can't be started in time. @param clearMs - predicted wait for a slot, in milliseconds */
+  giveUp(clearMs: number): void;
+}
+
+/** What a line needs. */
+export interface ServiceLineOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** @returns backend servers that may be given work */
+  readonly listCandidates: () => readonly Candidate[];
+}
+
+/** The waiting calls of one service at this entry host. */
+export class ServiceLine {
+  readonly #options: ServiceLineOptions;
+
+  readonly #line = new WaitingLine<LineCall>();
+
+  /** When slots got free, oldest first. */
+  readonly #freedAtMs: number[] = [];
+
+  #timer: Timer | undefined;
+
+  /** @param options - what the line needs */
+  constructor(options: ServiceLineOptions) {
+    this.#options = options;
+  }
+
+  /** Calls that wait. */
+  get size(): number {
+    return this.#line.size;
+  }
+
+  /** @param call - granted at once, made to wait, or given up */
+  submit(call: LineCall): void {
+    if (this.#line.countAhead(call.rank) === 0 && this.#grant(call)) return;
+    const clearMs = this.predictWaitMs(call.rank);
+    if (this.#options.clock.nowMs() + clearMs > call.startByMs) {
+      call.giveUp(clearMs);
+      return;
+    }
+    this.#line.add(call);
+    this.#schedule();
+  }
+
+  /** @param call - waits no more */
+  remove(call: LineCall): void {
+    this.#line.remove(call);
+  }
+
+  /** Takes note that one of this entry host's requests has given its slot back. */
+  noteFreed(): void {
+    this.#freedAtMs.push(this.#options.clock.nowMs());
+    this.advance();
+  }
+
+  /** Gives free slots to waiting calls. */
+  advance(): void {
+    if (this.#line.size === 0) return;
+    this.#line
+      .takeExpired(this.#options.clock.nowMs())
+      .forEach((call) => call.giveUp(this.predictWaitMs(call.rank)));
+    [...this.#line.list()].forEach((call) => {
+      // A grant may end calls, and with them others' turns, before this loop is through.
+      if (this.#line.list().includes(call)) this.#grantWaiting(call);
+    });
+  }
+
+  /** @param rank - a rank. @returns predicted wait of a new call of that rank, in milliseconds */
+  predictWaitMs(rank: number): number {
+    const oldestMs = this.#options.clock.nowMs() - RATE_WINDOW_MS;
+    while ((this.#freedAtMs[0] ?? Infinity) < oldestMs) this.#freedAtMs.shift();
+    const perFreedMs = RATE_WINDOW_MS / Math.max(MIN_FREED, this.#freedAtMs.length);
+    return (this.#line.countAhead(rank) + 1) * perFreedMs;
+  }
+
+  #grantWaiting(call: LineCall): void {
+    const candidate = this.#pick(call);
+    if (!candidate) return;
+    this.#line.remove(call);
+    call.grant(candidate);
+  }
+
+  #grant(call: LineCall): boolean {
+    const candidate = this.#pick(call);
+    if (candidate) call.grant(candidate);
+    return candidate !== undefined;
+  }
+
+  #pick({ work, excluded }: LineCall): Candidate | undefined {
+    const { clock, random, listCandidates } = this.#options;
+    return pickServer(listCandidates(), {
+      work,
+      excluded,
+      nowMs: clock.nowMs(),
+      fraction: random.nextFraction(),
+    });
+  }
+
+  #schedule(): void {
+    if (this.#timer) return;
+    this.#timer = this.#options.clock.setTimer(LOOK_INTERVAL_MS, () => {
+      this.#timer = undefined;
+      this.advance();
+      if (this.#line.size > 0) this.#schedule();
+    });
+  }
+}
--- /dev/null
+++ b/src/domain/direct/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Decisions about calls that bear their own request ID and are served by the
+ * entry host that they reach: who waits, when refused callers return, how many
+ * retries a service is given. `new WaitingLine().add(call)`.
+ *
+ * @module
+ */
+export { RetryShare } from './retry_share.js';
+export type { RetryBounds } from './retry_share.js';
+export { computeReturnMs } from './return_time.js';
+export { WaitingLine } from './waiting_line.js';
+export type { WaitingCall } from './waiting_line.js';
--- a/src/domain/errors/error_kind.ts
+++ b/src/domain/errors/error_kind.ts
@@ -51,6 +51,7 @@
   OwnerUnreachable = 'owner_unreachable',
   OwnerGone = 'owner_gone',
   BackendServerLost = 'backend_server_lost',
+  AnswerTimeout = 'answer_timeout',
   // The request ran, and its answer can't be given (again, or whole).
   BackendServerFailed = 'backend_server_failed',
   AnswerCut = 'answer_cut',
--- a/src/domain/errors/error_table.ts
+++ b/src/domain/errors/error_table.ts
@@ -79,6 +79,7 @@
   [ErrorKind.OwnerUnreachable]: answer(502, SERVER, RunOutcome.MayHaveRun, 1000, LogLevel.Warn),
   [ErrorKind.OwnerGone]: answer(502, SERVER, RunOutcome.MayHaveRun, 0, LogLevel.Warn),
   [ErrorKind.BackendServerLost]: answer(502, SERVER, RunOutcome.MayHaveRun, 0, LogLevel.Warn),
+  [ErrorKind.AnswerTimeout]: answer(504, SERVER, RunOutcome.MayHaveRun, 0, LogLevel.Info),
   [ErrorKind.BackendServerFailed]: answer(502, SERVER, RunOutcome.Ran, 0, LogLevel.Warn),
   [ErrorKind.AnswerCut]: answer(502, SERVER, RunOutcome.Ran, 0, LogLevel.Warn),
   [ErrorKind.AnswerNoLongerKept]: answer(410, INVALID, RunOutcome.Ran, 0, LogLevel.Info),
--- /dev/null
+++ b/src/domain/routing/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Routes, services and client accounts of calls that bear their own request ID:
+ * `new RouteTable(document).findRoute('api.example', '/surveys/1')`.
+ *
+ * @module
+ */
+export { pickService, RouteTable } from './route_table.js';
+export { LimitUnit } from './types.js';
+export type {
+  AccountLimit,
+  CallerLimits,
+  ClientAccount,
+  Route,
+  RoutingDocument,
+  ServiceInfo,
+  WeightedService,
+} from './types.js';
--- /dev/null
+++ b/src/domain/streams/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Streams of events that may go on at another backend server:
+ * `new EventSplitter().split(chunk).bytes` holds whole events only.
+ *
+ * @module
+ */
+export { EventSplitter } from './event_splitter.js';
+export type { WholeEvents } from './event_splitter.js';
--- a/src/ports/mod.ts
+++ b/src/ports/mod.ts
@@ -27,6 +27,19 @@
   CacheEvent,
   ResumePoint,
 } from './backend_server_client.js';
+export { ChangeFeed, HistoryLostError } from './change_feed.js';
+export type { FeedChange, FeedChanges, FeedItem, FeedSnapshot } from './change_feed.js';
+export { BackendFailure, DirectBackendClient, DirectReply } from './direct_calls.js';
+export type {
+  BackendExchange,
+  BackendHead,
+  BackendListener,
+  BackendRequest,
+  DirectHead,
+  DirectRequest,
+  RawHeaders,
+  ReportedLoad,
+} from './direct_calls.js';
 export { PeerNetwork } from './peer_network.js';
 export type { LinkEvent, PeerMessageHandler, PeerMessageOf } from './peer_network.js';
 export * from './forward_messages.js';
--- a/src/ports/peer_message_type.ts
+++ b/src/ports/peer_message_type.ts
@@ -8,6 +8,7 @@
   Hello = 'hello',
   Heartbeat = 'heartbeat',
   HeartbeatReply = 'heartbeat_reply',
+  HostReport = 'host_report',
   ConfigurationDigest = 'configuration_digest',
   ConfigurationEntries = 'configuration_entries',
   SlotRequest = 'slot_request',
--- a/src/ports/peer_messages.ts
+++ b/src/ports/peer_messages.ts
@@ -55,6 +55,26 @@
   readonly sequence: number;
 }
 
+/**
+ * What an entry host of calls that bear their own ID tells of itself, again and
+ * again: each report makes up for those that were lost.
+ */
+export interface HostReportMessage {
+  readonly type: PeerMessageType.HostReport;
+  /** Whether callers may be sent to it. */
+  readonly isServing: boolean;
+  /** Version of its configuration; 0: none yet. */
+  readonly configurationVersion: number;
+  /** Peers' addresses that it knows, so that all find each other from a few seeds. */
+  readonly peerUrls: readonly string[];
+  /** Its requests in flight, by backend server. */
+  readonly inFlight: Readonly<Record<string, number>>;
+  /** Units spent since its start, by client account. */
+  readonly spentUnits: Readonly<Record<string, number>>;
+  /** Backend servers that it knows to have ended, from its own requests. */
+  readonly endedServers: readonly string[];
+}
+
 /** Asks for what the receiver has beyond these revisions. */
 export interface ConfigurationDigestMessage {
   readonly type: PeerMessageType.ConfigurationDigest;
@@ -183,6 +203,7 @@
   | HelloMessage
   | HeartbeatMessage
   | HeartbeatReplyMessage
+  | HostReportMessage
   | ConfigurationDigestMessage
   | ConfigurationEntriesMessage
   | SlotRequestMessage
