Tell a reset from the end of an answer without a length

The event loop reports a hang-up behind a partial read as a plain end, so a reset that arrives with the last bytes is lost. Ruled out: the order of Node's error and end events (a delayed reset is seen). Change: a write at the end of an unframed answer fails on a reset connection.

--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -41,6 +41,9 @@
 
   #hasEnded = false;
 
+  /** Whether an answer that ends with its connection ended by a reset; asked once that is known. */
+  #endProbe: Promise<boolean> | undefined;
+
   #connectTimer: NodeJS.Timeout | undefined;
 
   /** @param options - the request, and who is told of its answer */
@@ -112,9 +115,28 @@
     response.on('data', (bytes: Buffer) => {
       if (!this.#hasEnded) listener.onBody(bytes);
     });
+    if (isUnframed(response)) this.#watchUnframedEnd();
     response.on('end', () => this.#handleEnd());
   }
 
+  /**
+   * An answer without a length is whole when its connection was closed, and not when
+   * it was reset. A reset that arrives together with the last bytes is reported as a
+   * plain end by the event loop; a write tells the two apart, since it fails on a
+   * connection that was reset. An empty line before a request means nothing to a
+   * server, which by then reads no more anyway. The write has to come before Node
+   * closes its own side, so this listener goes first.
+   */
+  #watchUnframedEnd(): void {
+    const { socket } = this.#request;
+    if (!socket) return;
+    socket.prependOnceListener('end', () => {
+      this.#endProbe = new Promise((resolve) => {
+        socket.write('\r\n', (error) => resolve(error instanceof Error));
+      });
+    });
+  }
+
   /** An answer that belongs to another request must never reach this one's caller. */
   #checkFacts(facts: AnswerFacts, status: number): boolean {
     const { requestId } = this.#options.request.request;
@@ -153,12 +175,29 @@
       this.#fail(BackendFailure.Broken, 'answer broke off');
       return;
     }
+    if (this.#endProbe) {
+      this.#endProbe.then(
+        (wasReset) => this.#endUnframed(wasReset),
+        () => this.#endUnframed(true),
+      );
+      return;
+    }
     this.#hasEnded = true;
     // A server that answers before it has the whole request waits for the rest of it.
     if (!this.#request.writableFinished) this.#request.destroy();
     this.#options.listener.onWhole();
   }
 
+  #endUnframed(wasReset: boolean): void {
+    if (this.#hasEnded) return;
+    if (wasReset) {
+      this.#fail(BackendFailure.Broken, 'answer without a length was reset');
+      return;
+    }
+    this.#hasEnded = true;
+    this.#options.listener.onWhole();
+  }
+
   #handleError(error: Error): void {
     // What is wrong behind a whole answer costs the connection and not the answer.
     if (this.#response?.complete === true) return;
@@ -186,3 +225,7 @@
     this.#request.destroy();
   }
 }
+
+function isUnframed({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
