--- a/scripts/bundle_platform.mjs
+++ b/scripts/bundle_platform.mjs
@@ -14,5 +14,8 @@
   banner: {
     js: "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);",
   },
+  // A restarted process is ready sooner the less there is to parse; names stay for stack traces.
+  minifyWhitespace: true,
+  minifySyntax: true,
   logLevel: 'warning',
 });
--- a/src/adapters/backend_http/http_backend_server_client.ts
+++ b/src/adapters/backend_http/http_backend_server_client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import http from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { IncomingMessage } from 'node:http';
 import { formatReason } from '../../domain/errors/mod.js';
 import type { BackendServer } from '../../domain/contracts/types.js';
--- a/src/adapters/callers_http/_chat_completion_body.ts
+++ b/src/adapters/callers_http/_chat_completion_body.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { TextDecoder } from 'node:util';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 
 const chatCompletionSchema = z.looseObject({
--- a/src/adapters/direct_http/_test_servers.ts
+++ b/src/adapters/direct_http/_test_servers.ts
@@ -6,8 +6,8 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { IncomingHttpHeaders } from 'node:http';
-import { BackendFailure } from '../../ports/mod.js';
 import type {
+  BackendFailure,
   BackendHead,
   BackendListener,
   BackendRequest,
--- a/src/adapters/peers_ws/_frames.ts
+++ b/src/adapters/peers_ws/_frames.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Packr } from 'msgpackr';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { EntryHostIdentity } from '../../domain/membership/types.js';
 import type { PeerMessage } from '../../ports/mod.js';
 import { identitySchema, parseMessage } from './_message_schema.js';
--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { ErrorKind, RunOutcome } from '../../domain/errors/mod.js';
 import { Tier } from '../../domain/scheduling/tier.js';
 import { ForwardOperation, PeerMessageType, SlotOutcome } from '../../ports/mod.js';
--- a/src/adapters/platform_http/_snapshot.ts
+++ b/src/adapters/platform_http/_snapshot.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PlatformSnapshot } from '../../ports/mod.js';
 
 const indexSchema = z
--- a/src/caller/_refusal.ts
+++ b/src/caller/_refusal.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { IncomingMessage } from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ErrorKind, RunOutcome } from '../domain/errors/mod.js';
 
 const MAX_ERROR_BYTES = 1_048_576;
--- a/src/caller/_silence_watch.ts
+++ b/src/caller/_silence_watch.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { RequestState } from '../domain/requests/request_state.js';
 import type { CallContext } from './_call_context.js';
 import { sendControlCall } from './_control_call.js';
--- a/src/caller/caller_client.ts
+++ b/src/caller/caller_client.ts
@@ -5,7 +5,7 @@
  */
 import http from 'node:http';
 import https from 'node:https';
-import { z } from 'zod';
+import * as z from 'zod';
 import { SystemClock } from '../adapters/clock/mod.js';
 import type { Assignment } from '../application/views/mod.js';
 import { RunOutcome } from '../domain/errors/mod.js';
--- a/src/commands/_event_text_reader.ts
+++ b/src/commands/_event_text_reader.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const DATA_FIELD = 'data: ';
 const EVENT_END = '\n\n';
--- a/src/commands/_setting_schemas.ts
+++ b/src/commands/_setting_schemas.ts
@@ -7,7 +7,7 @@
 import { accessSync, constants, readFileSync } from 'node:fs';
 import { isIP } from 'node:net';
 import path from 'node:path';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const MAX_PORT = 65_535;
 const MAX_LISTED_VALUE_LENGTH = 80;
--- a/src/commands/_status_report.ts
+++ b/src/commands/_status_report.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { formatTable } from './_table.js';
 import type { TableRow } from './_table.js';
 
--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { readFileSync } from 'node:fs';
-import { z } from 'zod';
+import * as z from 'zod';
 import { formatReason } from '../domain/errors/mod.js';
-import { SettingsError } from './settings.js';
+import { SettingsError } from './settings_error.js';
 
 /** Environment variable that names the settings file. */
 export const DIRECT_SETTINGS_VARIABLE = 'MONSOONHALL_CONFIG';
--- a/src/commands/settings.ts
+++ b/src/commands/settings.ts
@@ -11,13 +11,12 @@
 import type { z } from 'zod';
 import { ENTRY_SETTING_TABLE } from './_entry_setting_table.js';
 import type { EntrySettingName, SettingRow } from './_entry_setting_table.js';
+import { SettingsError } from './settings_error.js';
 
 export type { EntrySettingName } from './_entry_setting_table.js';
+export { SETTINGS_EXIT_CODE, SettingsError } from './settings_error.js';
 export type { ListenAddress } from './_setting_schemas.js';
 
-/** Exit code of a command that was given settings it cannot use. */
-export const SETTINGS_EXIT_CODE = 2;
-
 const ENVIRONMENT_PREFIX = 'MONSOONHALL_';
 
 type Table = typeof ENTRY_SETTING_TABLE;
@@ -37,16 +36,6 @@
 /** Texts of the flags as they were given. */
 export type EntryFlags = Readonly<Partial<Record<EntrySettingName, string | undefined>>>;
 
-/** Settings that cannot be used, with every fault that was found. */
-export class SettingsError extends Error {
-  override readonly name = 'SettingsError';
-
-  /** @param faults - one line a fault; none of them shows a key */
-  constructor(readonly faults: readonly string[]) {
-    super(`Cannot use these settings: ${faults.join('; ')}`);
-  }
-}
-
 /**
  * Formats a setting's name as its flag.
  *
--- a/src/domain/contracts/_fields.ts
+++ b/src/domain/contracts/_fields.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { MAX_ID_LENGTH } from './document_bounds.js';
 import type { FieldPath } from './_json_lines.js';
 import type { RuleFault } from './_document.js';
--- a/src/domain/contracts/_fleet_rules.ts
+++ b/src/domain/contracts/_fleet_rules.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { ServiceKind } from './types.js';
 import { buildLenientList, findRepeated, lenientText } from './_fields.js';
 import type { NamedPath } from './_fields.js';
--- a/src/domain/contracts/contract.ts
+++ b/src/domain/contracts/contract.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Tier, TIERS, TIER_NAMES } from '../scheduling/tier.js';
 import {
   DEFAULT_EXPECTED_OUTPUT_TOKENS,
--- a/src/domain/contracts/fleet.ts
+++ b/src/domain/contracts/fleet.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   DEFAULT_DISPATCH_GROUP_SIZE,
   MAX_BACKEND_SERVERS,
--- a/src/domain/membership/host_list.ts
+++ b/src/domain/membership/host_list.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Prefix of the host list's keys. */
 export const HOST_LIST_PREFIX = 'hosts/';
--- a/src/load/_client.ts
+++ b/src/load/_client.ts
@@ -6,7 +6,7 @@
  */
 import type http from 'node:http';
 import { performance } from 'node:perf_hooks';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Arrival } from './arrivals.js';
 import { sendExchange } from './_exchange.js';
 import type { ExchangeCall, ExchangeResult } from './_exchange.js';
--- a/src/load/plan.ts
+++ b/src/load/plan.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { TIER_NAMES } from '../domain/scheduling/tier.js';
 import type { Tier } from '../domain/scheduling/tier.js';
 
--- a/src/load/run_record.ts
+++ b/src/load/run_record.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const recordSchema = z.looseObject({
   requestId: z.string().nullish(),
