Keep connections without gathering listeners; renew peers' addresses only when new

Cause: a warning of 11 error listeners on kept connections in a trial against our stand-ins: the agent's own hand-over was replaced instead of extended.

--- a/src/adapters/direct_http/_backend_agent.ts
+++ b/src/adapters/direct_http/_backend_agent.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Agent } from 'node:http';
+import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
 /** How long a quiet connection is kept where the server says nothing of it, in milliseconds. */
@@ -41,8 +42,7 @@
   /** Called by Node when an answer is whole. */
   override keepSocketAlive(socket: KeptSocket): boolean {
     const kept = socket;
-    kept.setKeepAlive(true, 1_000);
-    kept.unref();
+    super.keepSocketAlive(kept);
     kept.dirtyListener = () => kept.destroy();
     kept.on('data', kept.dirtyListener);
     kept.setTimeout(kept.idleMs ?? DEFAULT_IDLE_MS);
@@ -50,9 +50,9 @@
   }
 
   /** Called by Node when a kept connection is given to the next request. */
-  override reuseSocket(socket: KeptSocket): void {
+  override reuseSocket(socket: KeptSocket, request: ClientRequest): void {
     if (socket.dirtyListener) socket.off('data', socket.dirtyListener);
     socket.setTimeout(0);
-    socket.ref();
+    super.reuseSocket(socket, request);
   }
 }
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -66,6 +66,9 @@
 
   readonly #known = new Map<string, KnownPeer>();
 
+  /** Addresses that links are kept to, with this entry host's own. */
+  #dialled: ReadonlySet<string> = new Set();
+
   #timer: Timer | undefined;
 
   /** @param options - what the reports need */
@@ -128,7 +131,7 @@
     }
     this.#known.set(identity.id, { identity, report, heardAtMs, isSilent: false });
     if (before?.identity.incarnation !== identity.incarnation) this.#logSeen(identity);
-    this.#updateAddresses();
+    if (!report.peerUrls.every((url) => this.#dialled.has(url))) this.#updateAddresses();
     this.#options.onReport({ identity, report });
   }
 
@@ -136,8 +139,10 @@
     const nowMs = this.#options.clock.nowMs();
     this.#known.forEach((peer, id) => {
       const silentMs = nowMs - peer.heardAtMs;
-      if (silentMs > FORGET_AFTER_MS) this.#known.delete(id);
-      else if (silentMs > SILENT_AFTER_MS && !peer.isSilent) {
+      if (silentMs > FORGET_AFTER_MS) {
+        this.#known.delete(id);
+        this.#updateAddresses();
+      } else if (silentMs > SILENT_AFTER_MS && !peer.isSilent) {
         this.#known.set(id, { ...peer, isSilent: true });
         this.#options.log.write(LogLevel.Warn, 'entry_host_silent', { entryHost: id, silentMs });
         this.#options.onSilent(peer.identity);
@@ -162,6 +167,7 @@
   #updateAddresses(): void {
     const told = this.listHeard().flatMap(({ report }) => report.peerUrls);
     const urls = new Set([...this.#options.seedPeerUrls, ...this.#listPeerUrls(), ...told]);
+    this.#dialled = new Set(urls);
     urls.delete(this.#options.self.peerUrl);
     this.#options.peers.setAddresses([...urls]);
   }
