Prove the way of a call: admission, keys, retries, resumption, ends

Change besides: few freed slots no longer predict a wait of a second (a call that had to wait for a moment was refused at once; a test shows it).

--- /dev/null
+++ b/src/application/direct/direct_call_test.ts
@@ -0,0 +1,133 @@
+import t from 'tap';
+import type { Test } from 'tap';
+import { DirectHost } from '../../../test/support/direct_host.js';
+import type { DocumentChanges } from '../../../test/support/direct_host.js';
+import { ErrorKind, RunOutcome } from '../../domain/errors/mod.js';
+import { BackendFailure } from '../../ports/mod.js';
+
+const STREAM: DocumentChanges = { route: { isStream: true, isResumable: true } };
+
+async function startHost(
+  t: Test,
+  changes: DocumentChanges = {},
+  servers: readonly string[] = ['s-1', 's-2'],
+): Promise<DirectHost> {
+  const host = new DirectHost();
+  t.teardown(() => host.stop());
+  await host.start(changes, servers);
+  return host;
+}
+
+t.test('what was never written goes to another backend server', async (t) => {
+  const host = await startHost(t);
+  const reply = host.call();
+  host.sent(0).fail(BackendFailure.NotSent);
+  t.not(host.sent(1).request.serverId, host.sent(0).request.serverId);
+  host.sent(1).answer();
+  t.equal(reply.body, 'ok');
+});
+
+t.test('a call that must not be repeated is not sent again once it may have run', async (t) => {
+  const host = await startHost(t);
+  const reply = host.call();
+  host.sent(0).fail(BackendFailure.Broken);
+  t.equal(host.backend.sent.length, 1);
+  t.equal(reply.error?.status, 502);
+  t.equal(reply.error?.run, RunOutcome.MayHaveRun);
+});
+
+t.test('a repeatable call is sent again, to another backend server', async (t) => {
+  const host = await startHost(t, { route: { isRepeatable: true } });
+  const reply = host.call();
+  host.sent(0).fail(BackendFailure.Broken);
+  host.sent(1).answer(200, 'second');
+  t.equal(reply.body, 'second');
+});
+
+t.test("a server's own error is passed on where nobody else can take over", async (t) => {
+  const host = await startHost(t);
+  const reply = host.call();
+  host.sent(0).answer(500, 'failed');
+  t.match(reply, { head: { status: 500 }, body: 'failed' });
+});
+
+t.test('a status that promises that nothing ran is not passed on from a run', async (t) => {
+  // Symptom: a caller repeats a notice that was sent already.
+  // Sequence: a backend server answers 503 without saying that it did not run it.
+  // Cause: a proxy's status means "not run" to callers, whoever wrote it.
+  const host = await startHost(t);
+  const reply = host.call();
+  host.sent(0).answer(503, 'busy');
+  t.equal(reply.error?.status, 502);
+});
+
+t.test('a declined call is refused as not run, with when to come back', async (t) => {
+  const host = await startHost(t, {}, ['s-1']);
+  const reply = host.call();
+  host.sent(0).fail(BackendFailure.Declined);
+  await host.clock.advance(1_500);
+  t.equal(reply.error?.run, RunOutcome.NotRun);
+  t.ok((reply.error?.retryAfterMs ?? 0) > 0);
+});
+
+t.test('a stream goes on elsewhere behind its last whole event', async (t) => {
+  // Symptom: pieces of a report are missing or come twice.
+  // Sequence: a stream breaks in the middle of an event; another server goes on.
+  // Cause: half an event had been passed on, or the wrong one was asked for next.
+  const host = await startHost(t, STREAM);
+  const reply = host.call();
+  host.sent(0).head({ isEventStream: true });
+  host.sent(0).events(1, 3);
+  host.sent(0).listener.onBody(Buffer.from('id: 4\ndata: ha'));
+  host.sent(0).fail(BackendFailure.Broken);
+  t.equal(host.sent(1).request.lastEventId, '3');
+  host.sent(1).head({ isEventStream: true });
+  host.sent(1).events(4, 5);
+  host.sent(1).listener.onWhole();
+  t.equal(reply.body, [1, 2, 3, 4, 5].map((id) => `id: ${id}\ndata: ${id}\n\n`).join(''));
+  t.same(reply.head?.headers, ['X-Mark', host.sent(0).request.serverId]);
+  t.ok(reply.hasEnded);
+});
+
+t.test('a stream that may not go on elsewhere is broken off, not ended', async (t) => {
+  const host = await startHost(t, { route: { isStream: true, isResumable: false } });
+  const reply = host.call();
+  host.sent(0).head({ isEventStream: true });
+  host.sent(0).events(1, 1);
+  host.sent(0).fail(BackendFailure.Broken);
+  t.match(reply, { isAborted: true, hasEnded: false });
+});
+
+t.test('a silent stream is cancelled before another server goes on', async (t) => {
+  const host = await startHost(t, STREAM);
+  host.call();
+  host.sent(0).head({ isEventStream: true });
+  host.sent(0).events(1, 1);
+  await host.clock.advance(1_000);
+  t.ok(host.sent(0).isCancelled);
+  t.equal(host.sent(1).request.lastEventId, '1');
+});
+
+t.test('a caller that leaves ends the run', async (t) => {
+  const host = await startHost(t);
+  const reply = host.call();
+  reply.leave();
+  t.ok(host.sent(0).isCancelled);
+  t.equal(host.gateway.callCount, 0);
+});
+
+t.test('a call ends with its time, and says whether it may have run', async (t) => {
+  const host = await startHost(t, {}, ['s-1']);
+  const sent = host.call();
+  await host.clock.advance(2_000);
+  t.equal(sent.error?.kind, ErrorKind.AnswerTimeout);
+  t.ok(host.sent(0).isCancelled);
+});
+
+t.test("the route's timeout ends a call whose caller would wait longer", async (t) => {
+  const host = await startHost(t, { route: { timeoutMs: 500 } });
+  const reply = host.call({ deadlineMs: 9_000 });
+  t.equal(host.sent(0).request.deadlineMs, 500);
+  await host.clock.advance(500);
+  t.equal(reply.error?.status, 504);
+});
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -24,12 +24,6 @@
 import type { ServerKeeper } from './server_keeper.js';
 import { ServiceLine } from './service_line.js';
 
-/**
- * Age of the configuration above which an unknown key or route is not refused for
- * good, in milliseconds: it may have been added meanwhile.
- */
-const SURE_AGE_MS = 1_500;
-
 /** Advice of when to come back to callers that another entry host may serve, in milliseconds. */
 const ELSEWHERE_MS = 50;
 
@@ -49,6 +43,11 @@
   readonly retryBounds: RetryBounds;
   /** Age of the configuration up to which a key may be believed, in milliseconds. */
   readonly maxKeyAgeMs: number;
+  /**
+   * Age of the configuration from which on an unknown key or route isn't refused for
+   * good, in milliseconds: it may have been added meanwhile.
+   */
+  readonly sureAgeMs: number;
   /** @returns entry hosts that share the bounds on retries */
   readonly countEntryHosts: () => number;
 }
@@ -187,7 +186,7 @@
   }
 
   #isSure(): boolean {
-    return this.#options.routing.computeAgeMs() < SURE_AGE_MS;
+    return this.#options.routing.computeAgeMs() < this.#options.sureAgeMs;
   }
 
   #buildCutOff(): SchedulerError {
--- a/src/application/direct/service_line.ts
+++ b/src/application/direct/service_line.ts
@@ -15,8 +15,12 @@
 /** Time over which freed slots are counted, in milliseconds. */
 const RATE_WINDOW_MS = 2_000;
 
-/** Slots taken to get free in that time where fewer were seen. */
-const MIN_FREED = 2;
+/**
+ * Slots taken to get free in that time where fewer were seen. With too few seen, a
+ * call would be refused that only had to wait for a moment; one that waits in vain
+ * is refused in time to be in time elsewhere.
+ */
+const MIN_FREED = 20;
 
 /** A call as the line sees it. */
 export interface LineCall extends WaitingCall {
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -255,6 +255,7 @@
         windowMs: settings.retryWindowS * MS_PER_SECOND,
       },
       maxKeyAgeMs: settings.keyRevocationMs * KEY_AGE_PART,
+      sureAgeMs: settings.configurationApplyMs,
       countEntryHosts: () => this.#reports.knownCount,
     });
   }
--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -35,6 +35,8 @@
   stopLimitS: positive,
   /** Time after which a key that was taken away must not be served anywhere, in milliseconds. */
   keyRevocationMs: positive,
+  /** Time after which a published configuration must be in force, in milliseconds. */
+  configurationApplyMs: positive,
   /** Longest time for which callers may keep addresses, in seconds. */
   maxAddressLifeS: positive,
   /** Retries that a service may be given for each first attempt, over all entry hosts. */
--- /dev/null
+++ b/test/support/direct_host.ts
@@ -0,0 +1,194 @@
+/**
+ * One entry host of calls that bear their own ID, over fakes.
+ *
+ * @module
+ */
+import {
+  AccountSpending,
+  DirectGateway,
+  RoutingKeeper,
+  ServerKeeper,
+} from '../../src/application/direct/mod.js';
+import type { BackendServerEntry } from '../../src/domain/backend_servers/mod.js';
+import type {
+  AccountLimit,
+  ClientAccount,
+  Route,
+  RoutingDocument,
+} from '../../src/domain/routing/mod.js';
+import type { DirectRequest } from '../../src/ports/mod.js';
+import { FakeBackend, FakeReply } from './direct_ends.js';
+import type { FakeExchange } from './direct_ends.js';
+import { FakeFeed } from './fake_feed.js';
+import { FakeLog, FakeMetrics, SeededRandom } from './fakes.js';
+import { settle, VirtualClock } from './virtual_clock.js';
+
+/** What {@link buildDocument} may be told. */
+export interface DocumentChanges {
+  readonly keys?: readonly string[];
+  readonly limit?: AccountLimit;
+  readonly route?: Partial<Route>;
+}
+
+const ROUTE: Route = {
+  name: 'r',
+  hostName: 'api.example',
+  prefix: '/a/',
+  services: [{ serviceId: 'engines', weight: 1 }],
+  isRepeatable: false,
+  isStream: false,
+  isResumable: false,
+  timeoutMs: 2_000,
+  targetMs: 200,
+  targetGapMs: 100,
+  rank: 0,
+  maxAttempts: 2,
+  isOpen: false,
+};
+
+/** @returns a configuration with one route, one service and one account */
+export function buildDocument(version: number, changes: DocumentChanges = {}): RoutingDocument {
+  const account: ClientAccount = {
+    id: 'firm-a',
+    keys: changes.keys ?? ['key-a'],
+    rank: undefined,
+    limit: changes.limit,
+  };
+  return {
+    version,
+    routes: [{ ...ROUTE, ...changes.route }],
+    services: [{ id: 'engines', maxConnections: 10, isEngine: true }],
+    accounts: [account],
+    callerLimits: {
+      maxHeaderBytes: 1_000,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 1_000,
+      idleTimeoutMs: 1_000,
+    },
+  };
+}
+
+/** @returns an entry of a backend server as the fake feed holds it */
+export function buildServer(id: string, changes: Partial<BackendServerEntry> = {}): object {
+  return {
+    id,
+    serviceId: 'engines',
+    address: '10.0.0.1:80',
+    availabilityZone: 'hall-a',
+    slots: 2,
+    isLeaving: false,
+    warmupLeftMs: 0,
+    ...changes,
+  };
+}
+
+/** Age up to which a key is believed in tests, in milliseconds. */
+export const MAX_KEY_AGE_MS = 4_000;
+
+/** A gateway with its keepers. */
+export class DirectHost {
+  readonly clock = new VirtualClock();
+
+  readonly feed = new FakeFeed(this.clock);
+
+  readonly log = new FakeLog();
+
+  readonly metrics = new FakeMetrics();
+
+  readonly backend = new FakeBackend();
+
+  readonly spending = new AccountSpending(this.clock);
+
+  readonly routing: RoutingKeeper;
+
+  readonly servers: ServerKeeper;
+
+  readonly gateway: DirectGateway;
+
+  #nextId = 0;
+
+  constructor() {
+    const { clock, feed, log, metrics } = this;
+    const random = new SeededRandom();
+    const shared = { clock, feed, log, metrics, random };
+    this.routing = new RoutingKeeper({
+      ...shared,
+      key: 'configuration',
+      waitMs: 1_000,
+      decode: (value) => JSON.parse(Buffer.from(value).toString()) as RoutingDocument,
+    });
+    this.servers = new ServerKeeper({
+      ...shared,
+      prefix: 'servers/',
+      waitMs: 1_000,
+      decode: (_key, value) => JSON.parse(Buffer.from(value).toString()) as BackendServerEntry,
+      isEngine: () => true,
+    });
+    this.gateway = new DirectGateway({
+      ...shared,
+      backend: this.backend,
+      routing: this.routing,
+      servers: this.servers,
+      spending: this.spending,
+      retryBounds: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+      maxKeyAgeMs: MAX_KEY_AGE_MS,
+      sureAgeMs: 2_000,
+      countEntryHosts: () => 1,
+    });
+    this.routing.onChange(() => {
+      this.spending.applyAccounts(this.routing.table?.document.accounts ?? []);
+    });
+    this.servers.onChange(() => this.gateway.advance());
+  }
+
+  /** Begins with a configuration and backend servers. */
+  async start(
+    changes: DocumentChanges = {},
+    serverIds: readonly string[] = ['s-1'],
+  ): Promise<void> {
+    this.feed.put('configuration', buildDocument(1, changes));
+    serverIds.forEach((id) => this.feed.put(`servers/${id}`, buildServer(id)));
+    this.routing.start();
+    this.servers.start();
+    await settle();
+  }
+
+  /** Ends the keepers, so that the test's process can end. */
+  stop(): void {
+    this.routing.stop();
+    this.servers.stop();
+  }
+
+  /** Sends one call. */
+  call(changes: Partial<DirectRequest> = {}): FakeReply {
+    this.#nextId += 1;
+    const reply = new FakeReply();
+    this.gateway.handle(
+      {
+        requestId: `r-${this.#nextId}`,
+        method: 'POST',
+        target: '/a/1',
+        path: '/a/1',
+        hostName: 'api.example',
+        headers: [],
+        body: Buffer.alloc(0),
+        key: 'key-a',
+        deadlineMs: 2_000,
+        lastEventId: undefined,
+        work: { promptTokens: 100, outputTokens: 10 },
+        isSized: true,
+        ...changes,
+      },
+      reply,
+    );
+    return reply;
+  }
+
+  /** The n-th request that was sent to a backend server, from 0. */
+  sent(index: number): FakeExchange {
+    const exchange = this.backend.sent[index];
+    if (!exchange)
+      throw new Error(`Cannot find request ${index}: ${this.backend.sent.length} sent`);
+    return exchange;
+  }
+}
--- /dev/null
+++ b/test/support/fake_feed.ts
@@ -0,0 +1,103 @@
+/**
+ * A change feed in memory, on the tests' clock.
+ *
+ * @module
+ */
+import { ChangeFeed, HistoryLostError } from '../../src/ports/mod.js';
+import type { Clock, FeedChange, FeedChanges, FeedSnapshot } from '../../src/ports/mod.js';
+
+/** Keys with revisions; reads fail while it is down. */
+export class FakeFeed extends ChangeFeed {
+  isDown = false;
+
+  /** Reads are never answered. */
+  isSilent = false;
+
+  readCount = 0;
+
+  readonly #clock: Clock;
+
+  readonly #items = new Map<string, FeedChange>();
+
+  #history: FeedChange[] = [];
+
+  #forgottenTo = 0;
+
+  #revision = 0;
+
+  readonly #waiting = new Set<() => void>();
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+  }
+
+  /** Writes one key. */
+  put(key: string, value: unknown): void {
+    this.#write(key, Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)));
+  }
+
+  remove(key: string): void {
+    this.#write(key, undefined);
+  }
+
+  /** Forgets all changes so far. */
+  forgetHistory(): void {
+    this.#forgottenTo = this.#revision;
+    this.#history = [];
+  }
+
+  override readAll(prefix: string): Promise<FeedSnapshot> {
+    return this.#read(() => ({
+      items: [...this.#items.values()]
+        .filter(({ key }) => key.startsWith(prefix))
+        .flatMap(({ key, value, revision }) => (value ? [{ key, value, revision }] : [])),
+      revision: this.#revision,
+    }));
+  }
+
+  override async readChanges(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+  ): Promise<FeedChanges> {
+    if (afterRevision < this.#forgottenTo) throw new HistoryLostError('Cannot follow: forgotten');
+    await this.#read(() => undefined);
+    if (this.#listChanges(prefix, afterRevision).length === 0) await this.#wait(waitMs);
+    return this.#read(() => ({
+      changes: this.#listChanges(prefix, afterRevision),
+      revision: this.#revision,
+    }));
+  }
+
+  #write(key: string, value: Uint8Array | undefined): void {
+    this.#revision += 1;
+    const change = { key, value, revision: this.#revision };
+    if (value) this.#items.set(key, change);
+    else this.#items.delete(key);
+    this.#history.push(change);
+    [...this.#waiting].forEach((wake) => wake());
+  }
+
+  #listChanges(prefix: string, after: number): FeedChange[] {
+    return this.#history.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
+  }
+
+  #read<T>(build: () => T): Promise<T> {
+    this.readCount += 1;
+    if (this.isSilent) return new Promise(() => {});
+    if (this.isDown) return Promise.reject(new Error('Cannot read: the feed is down'));
+    return Promise.resolve(build());
+  }
+
+  #wait(waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      this.#clock.setTimer(waitMs, wake);
+      this.#waiting.add(wake);
+    });
+  }
+}
