--- a/src/application/direct/feed_follower.ts
+++ b/src/application/direct/feed_follower.ts
@@ -24,6 +24,9 @@
 /** Longest pause after failed reads, in milliseconds: the store's return must not be noticed late. */
 const MAX_PAUSE_MS = 400;
 
+/** Wait of the first read after a failure, in milliseconds: it only asks whether the store is back. */
+const PROBE_WAIT_MS = 1;
+
 /**
  * Time after an outage in which missing entries may only have lapsed, in
  * milliseconds: they are written again within about two seconds of the return.
@@ -112,7 +115,9 @@
   *#readChanges(after: number): Step<void> {
     const { feed, prefix, waitMs, onChanges } = this.#options;
     const askedAt = this.#readMoment();
-    const { changes, revision } = yield* settle(feed.readChanges(prefix, after, waitMs));
+    // After a failure the first read doesn't wait: the store's return is known at once.
+    const longestMs = this.#failures > 0 ? PROBE_WAIT_MS : waitMs;
+    const { changes, revision } = yield* settle(feed.readChanges(prefix, after, longestMs));
     this.#revision = Math.max(after, revision);
     onChanges(changes, { askedAt, wasAway: this.#wasAway() });
   }
--- /dev/null
+++ b/src/application/direct/feed_follower_test.ts
@@ -0,0 +1,131 @@
+import t from 'tap';
+import type { Test } from 'tap';
+import { FakeFeed } from '../../../test/support/fake_feed.js';
+import { FakeLog, FakeMetrics, SeededRandom } from '../../../test/support/fakes.js';
+import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
+import { FeedFollower } from './mod.js';
+import type { FeedContext } from './mod.js';
+
+/** What a follower was told, in order. */
+class Told {
+  readonly clock = new VirtualClock();
+
+  readonly feed = new FakeFeed(this.clock);
+
+  readonly log = new FakeLog();
+
+  readonly lines: string[] = [];
+
+  readonly contexts: FeedContext[] = [];
+
+  readonly follower: FeedFollower;
+
+  constructor(t: Test) {
+    const { clock, feed, log } = this;
+    this.follower = new FeedFollower({
+      clock,
+      feed,
+      log,
+      prefix: 'p/',
+      waitMs: 1_000,
+      random: new SeededRandom(),
+      metrics: new FakeMetrics(),
+      onAll: (items, context) => {
+        this.lines.push(`all ${items.map(({ key }) => key).join()}`);
+        this.contexts.push(context);
+      },
+      onChanges: (changes, context) => {
+        const parts = changes.map(({ key, value }) => (value ? key : `-${key}`));
+        this.lines.push(`changes ${parts.join()}`);
+        this.contexts.push(context);
+      },
+    });
+    t.teardown(() => this.follower.stop());
+  }
+
+  countEvents(event: string): number {
+    return this.log.lines.filter((line) => line.event === event).length;
+  }
+}
+
+t.test('FeedFollower reads everything, then each change as it comes', async (t) => {
+  const told = new Told(t);
+  told.feed.put('p/a', 1);
+  told.feed.put('q/b', 1);
+  told.follower.start();
+  await settle();
+  told.feed.put('p/c', 1);
+  await settle();
+  told.feed.remove('p/a');
+  await settle();
+  t.same(told.lines, ['all p/a', 'changes p/c', 'changes -p/a']);
+});
+
+t.test('FeedFollower tells that nothing changed, and when it asked', async (t) => {
+  const told = new Told(t);
+  told.follower.start();
+  await settle();
+  const askedAtMs = told.clock.nowMs();
+  await told.clock.advance(1_000);
+  t.equal(told.lines.at(-1), 'changes ');
+  t.equal(told.contexts.at(-1)?.askedAt.steadyMs, askedAtMs);
+});
+
+t.test('FeedFollower reads everything anew when changes were forgotten', async (t) => {
+  // Symptom: a backend server that left is used for good.
+  // Sequence: the store drops its history while a watch is cut; a server leaves in between.
+  // Cause: the watch went on from the next change, and the one in the gap was never seen.
+  const told = new Told(t);
+  told.feed.put('p/a', 1);
+  told.follower.start();
+  await settle();
+  told.feed.isDown = true;
+  await told.clock.advance(1_000);
+  told.feed.remove('p/a');
+  told.feed.forgetHistory();
+  told.feed.isDown = false;
+  await told.clock.advance(1_000);
+  t.match(
+    told.lines.filter((line) => line.startsWith('all')),
+    ['all p/a', 'all '],
+  );
+  t.equal(told.countEvents('feed_history_lost'), 1);
+});
+
+t.test('FeedFollower says once that the store is lost, and once that it is back', async (t) => {
+  const told = new Told(t);
+  told.follower.start();
+  await settle();
+  told.feed.isDown = true;
+  await told.clock.advance(5_000);
+  told.feed.isDown = false;
+  await told.clock.advance(1_000);
+  t.equal(told.countEvents('dependency_lost'), 1);
+  t.equal(told.countEvents('dependency_regained'), 1);
+});
+
+t.test('FeedFollower asks a store that is down a few times a second, and not more', async (t) => {
+  const told = new Told(t);
+  told.feed.isDown = true;
+  told.follower.start();
+  await told.clock.advance(10_000);
+  t.ok(told.feed.readCount >= 20 && told.feed.readCount <= 60, String(told.feed.readCount));
+});
+
+t.test('FeedFollower tells for a while after an outage that entries may have lapsed', async (t) => {
+  const told = new Told(t);
+  told.follower.start();
+  await settle();
+  t.equal(told.contexts.at(-1)?.wasAway, false);
+  told.feed.isDown = true;
+  await told.clock.advance(2_000);
+  told.feed.isDown = false;
+  await told.clock.advance(500);
+  told.feed.put('p/a', 1);
+  await settle();
+  t.equal(told.contexts.at(-1)?.wasAway, true);
+  await told.clock.advance(2_500);
+  told.feed.put('p/b', 1);
+  await settle();
+  t.equal(told.contexts.at(-1)?.wasAway, false);
+});
--- /dev/null
+++ b/src/application/direct/host_reports_test.ts
@@ -0,0 +1,127 @@
+import t from 'tap';
+import type { Test } from 'tap';
+import {
+  buildIdentity,
+  FakePeerHub,
+  FakePeerNetwork,
+} from '../../../test/support/fake_peer_network.js';
+import { FakeLog, FakeMetrics } from '../../../test/support/fakes.js';
+import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
+import type { EntryHostIdentity } from '../../domain/membership/mod.js';
+import { HostReports } from './mod.js';
+
+class Host {
+  readonly network: FakePeerNetwork;
+
+  readonly log = new FakeLog();
+
+  readonly reports: HostReports;
+
+  readonly silent: string[] = [];
+
+  reach = 0;
+
+  isServing = true;
+
+  constructor(
+    readonly hub: FakePeerHub,
+    readonly clock: VirtualClock,
+    readonly identity: EntryHostIdentity,
+    seeds: readonly string[],
+  ) {
+    this.network = new FakePeerNetwork(hub, identity);
+    this.reports = new HostReports({
+      self: identity,
+      peers: this.network,
+      seedPeerUrls: seeds,
+      clock,
+      log: this.log,
+      metrics: new FakeMetrics(),
+      buildContent: () => ({
+        isServing: this.isServing,
+        configurationVersion: 1,
+        inFlight: {},
+        spentUnits: {},
+        endedServers: [],
+      }),
+      onReport: () => undefined,
+      onSilent: ({ incarnation }) => this.silent.push(incarnation),
+      onReach: (reach) => {
+        this.reach = reach;
+      },
+    });
+  }
+
+  listServing(): string[] {
+    return this.reports
+      .listHeard()
+      .filter(({ report }) => report.isServing)
+      .map(({ identity }) => identity.id);
+  }
+}
+
+async function startHosts(
+  t: Test,
+  ids: readonly string[],
+): Promise<{
+  readonly hub: FakePeerHub;
+  readonly clock: VirtualClock;
+  readonly hosts: readonly Host[];
+}> {
+  const hub = new FakePeerHub();
+  const clock = new VirtualClock();
+  const hosts = ids.map((id) => new Host(hub, clock, buildIdentity(id), ['ws://a.test']));
+  hosts.forEach(({ reports }) => reports.start());
+  t.teardown(() => hosts.forEach(({ reports }) => reports.stop()));
+  await settle();
+  await clock.advance(500);
+  return { hub, clock, hosts };
+}
+
+t.test('HostReports find each other through one seed', async (t) => {
+  const { hosts } = await startHosts(t, ['a', 'b', 'c']);
+  const [, b] = hosts;
+  t.same(b?.listServing(), ['a', 'c']);
+  t.same([...(b?.network.addresses ?? [])].sort(), ['ws://a.test', 'ws://c.test']);
+  t.equal(b?.reports.knownCount, 3);
+});
+
+t.test('HostReports name nobody that says it does not serve', async (t) => {
+  const { hosts, clock } = await startHosts(t, ['a', 'b']);
+  const [a, b] = hosts as [Host, Host];
+  b.isServing = false;
+  b.reports.sendNow();
+  await clock.advance(1);
+  t.same(a.listServing(), []);
+});
+
+t.test('HostReports notice a silent peer, and know how many are within reach', async (t) => {
+  // Symptom: callers are sent to a machine without power for as long as TCP takes.
+  // Sequence: a peer loses power; its connections stay open and silent.
+  // Cause: a link was taken for a sign of life.
+  const { hub, hosts, clock } = await startHosts(t, ['a', 'b', 'c', 'd']);
+  const [a, b] = hosts as [Host, Host];
+  hub.silence('a', 'b');
+  await clock.advance(1_200);
+  t.same(a.listServing(), ['c', 'd']);
+  t.same(a.silent, [b.identity.incarnation]);
+  t.equal(a.reach, 0.75);
+  hub.heal('a', 'b');
+  await clock.advance(300);
+  t.same(a.listServing(), ['b', 'c', 'd']);
+  t.equal(a.reach, 1);
+});
+
+t.test('HostReports take a restarted peer for the same host with nothing in flight', async (t) => {
+  const { hub, hosts, clock } = await startHosts(t, ['a', 'b']);
+  const [a, b] = hosts as [Host, Host];
+  b.reports.stop();
+  await b.network.close();
+  const again = new Host(hub, clock, buildIdentity('b', 'b-2'), ['ws://a.test']);
+  t.teardown(() => again.reports.stop());
+  again.reports.start();
+  await clock.advance(500);
+  t.same(a.silent, ['b-1']);
+  t.equal(a.reports.knownCount, 2);
+  t.same(a.listServing(), ['b']);
+});
--- /dev/null
+++ b/src/application/direct/routing_keeper_test.ts
@@ -0,0 +1,43 @@
+import t from 'tap';
+import { buildDocument, DirectHost } from '../../../test/support/direct_host.js';
+import { settle } from '../../../test/support/virtual_clock.js';
+
+t.test('RoutingKeeper puts a newer configuration in force, and never an older one', async (t) => {
+  const host = new DirectHost();
+  t.teardown(() => host.stop());
+  await host.start();
+  host.feed.put('configuration', buildDocument(7));
+  await settle();
+  host.feed.put('configuration', buildDocument(5));
+  await settle();
+  t.equal(host.routing.table?.version, 7);
+});
+
+t.test('RoutingKeeper keeps the last good configuration, and trusts its keys less', async (t) => {
+  // Symptom: a configuration that can't be read ends the service, or hides a revocation.
+  // Sequence: operators publish something malformed.
+  // Cause: either it replaced what was in force, or what is in force was confirmed by it.
+  const host = new DirectHost();
+  t.teardown(() => host.stop());
+  await host.start();
+  await host.clock.advance(100);
+  host.feed.put('configuration', 'no configuration');
+  await settle();
+  t.equal(host.routing.table?.version, 1);
+  t.equal(host.routing.computeAgeMs(), 100);
+  t.ok(host.log.lines.some(({ event }) => event === 'configuration_refused'));
+});
+
+t.test('RoutingKeeper gets older while the store is silent, and young again after', async (t) => {
+  const host = new DirectHost();
+  t.teardown(() => host.stop());
+  await host.start();
+  await host.clock.advance(1_000);
+  t.equal(host.routing.computeAgeMs(), 1_000);
+  host.feed.isDown = true;
+  await host.clock.advance(3_000);
+  t.ok(host.routing.computeAgeMs() >= 3_000);
+  host.feed.isDown = false;
+  await host.clock.advance(1_500);
+  t.ok(host.routing.computeAgeMs() <= 1_500, String(host.routing.computeAgeMs()));
+});
