--- /dev/null
+++ b/src/adapters/logging/limited_event_log_test.ts
@@ -0,0 +1,28 @@
+import t from 'tap';
+import { FakeLog } from '../../../test/support/fakes.js';
+import { VirtualClock } from '../../../test/support/virtual_clock.js';
+import { LogLevel } from '../../domain/errors/mod.js';
+import { LimitedEventLog } from './mod.js';
+
+t.test('LimitedEventLog leaves out lines beyond its bound and tells how many', async (t) => {
+  // Symptom: under a flood of refused calls an entry host answers late.
+  // Sequence: each call writes lines; formatting them takes the processor.
+  // Cause: the volume of the log followed the load.
+  const clock = new VirtualClock();
+  const log = new FakeLog();
+  const limited = new LimitedEventLog({ log, clock, maxLinesPerSecond: 2 });
+  ['a', 'b', 'c', 'd'].forEach((event) => limited.write(LogLevel.Info, event));
+  limited.write(LogLevel.Error, 'fault');
+  await clock.advance(1_000);
+  limited.write(LogLevel.Info, 'e');
+  t.same(
+    log.lines.map(({ event, fields }) => [event, fields.count]),
+    [
+      ['a', undefined],
+      ['b', undefined],
+      ['fault', undefined],
+      ['log_lines_left_out', 2],
+      ['e', undefined],
+    ],
+  );
+});
--- a/src/adapters/logging/mod.ts
+++ b/src/adapters/logging/mod.ts
@@ -15,3 +15,5 @@
 export type { LogDestination } from './bounded_output.js';
 export { formatLogLine, formatLogValue } from './log_line.js';
 export type { LogLine } from './log_line.js';
+export { LimitedEventLog } from './limited_event_log.js';
+export type { LimitedEventLogOptions } from './limited_event_log.js';
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -85,6 +85,11 @@
     return this.#calls.size;
   }
 
+  /** Calls that wait for a slot. */
+  get waitingCount(): number {
+    return [...this.#lines.values()].reduce((sum, { size }) => sum + size, 0);
+  }
+
   /** Whether callers may be sent to this entry host. */
   get isServing(): boolean {
     const { routing, maxKeyAgeMs } = this.#options;
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -79,6 +79,8 @@
   /** Addresses that links are kept to, with this entry host's own. */
   #dialled: ReadonlySet<string> = new Set();
 
+  #seeds: readonly string[];
+
   #sequence = 0;
 
   readonly #sentAt = new Map<number, Moment>();
@@ -88,6 +90,7 @@
   /** @param options - what the reports need */
   constructor(options: HostReportsOptions) {
     this.#options = options;
+    this.#seeds = options.seedPeerUrls;
     options.peers.handle(PeerMessageType.HostReport, (from, report) => this.#handle(from, report));
     options.peers.onLink(({ peer, up }) => {
       options.log.write(LogLevel.Info, up ? 'dependency_regained' : 'dependency_lost', {
@@ -109,6 +112,12 @@
     this.#timer?.cancel();
   }
 
+  /** @param peerUrls - addresses that peers are looked for at, from now on */
+  setSeeds(peerUrls: readonly string[]): void {
+    this.#seeds = peerUrls;
+    this.#updateAddresses();
+  }
+
   /** Reports now, without waiting for the next round. */
   sendNow(): void {
     const { peers, buildContent } = this.#options;
@@ -207,7 +216,7 @@
   /** Everybody dials whomever anybody within reach knows. */
   #updateAddresses(): void {
     const told = this.listHeard().flatMap(({ report }) => report.peerUrls);
-    const urls = new Set([...this.#options.seedPeerUrls, ...this.#listPeerUrls(), ...told]);
+    const urls = new Set([...this.#seeds, ...this.#listPeerUrls(), ...told]);
     this.#dialled = new Set(urls);
     urls.delete(this.#options.self.peerUrl);
     this.#options.peers.setAddresses([...urls]);
--- a/src/commands/_direct_peers.ts
+++ b/src/commands/_direct_peers.ts
@@ -33,11 +33,16 @@
     id: settings.hostId,
     incarnation: Buffer.from(random.nextBytes(INCARNATION_BYTES)).toString('hex'),
     url: settings.callersAddress,
-    peerUrl: `ws://${settings.peersAddress}`,
+    peerUrl: formatPeerUrl(settings.peersAddress),
     availabilityZone: settings.availabilityZone,
   };
 }
 
+/** @param address - IP number and port of a peer. @returns the URL that it is dialled by */
+export function formatPeerUrl(address: string): string {
+  return `ws://${address}`;
+}
+
 /** What the links need. */
 export interface DirectPeersOptions {
   readonly self: EntryHostIdentity;
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -6,7 +6,7 @@
 import { SystemClock } from '../adapters/clock/mod.js';
 import { DirectListener, HttpDirectBackend } from '../adapters/direct_http/mod.js';
 import type { DirectDialect } from '../adapters/direct_http/mod.js';
-import { PinoEventLog } from '../adapters/logging/mod.js';
+import { LimitedEventLog, PinoEventLog } from '../adapters/logging/mod.js';
 import { HdrMetrics } from '../adapters/metrics/mod.js';
 import type { WsPeerNetwork } from '../adapters/peers_ws/mod.js';
 import { SystemRandom } from '../adapters/random/mod.js';
@@ -26,7 +26,12 @@
 import type { EntryHostIdentity } from '../domain/membership/mod.js';
 import type { CallerLimits, RoutingDocument } from '../domain/routing/mod.js';
 import type { ChangeFeed, Clock, EventLog } from '../ports/mod.js';
-import { buildDirectIdentity, createDirectPeers, splitAddress } from './_direct_peers.js';
+import {
+  buildDirectIdentity,
+  createDirectPeers,
+  formatPeerUrl,
+  splitAddress,
+} from './_direct_peers.js';
 import type { DirectSettings } from './direct_settings.js';
 
 export { splitAddress } from './_direct_peers.js';
@@ -62,10 +67,10 @@
 
 /** One running entry host. */
 export class DirectEntry {
-  readonly log: EventLog = new PinoEventLog();
-
   readonly clock = new SystemClock();
 
+  readonly log: EventLog = new LimitedEventLog({ log: new PinoEventLog(), clock: this.clock });
+
   readonly metrics = new HdrMetrics({ clock: this.clock });
 
   readonly #adapters: DirectEntryAdapters;
@@ -152,6 +157,30 @@
     return this.isServing ? [this.#self.url, ...peers] : peers;
   }
 
+  /** @returns counters, gauges and histograms as text */
+  exportMetrics(): string {
+    const { metrics } = this;
+    metrics.set('configuration_age_ms', Math.round(this.#routing.computeAgeMs()));
+    metrics.set('calls_under_way', this.#gateway.callCount);
+    metrics.set('calls_waiting', this.#gateway.waitingCount);
+    metrics.set('entry_hosts_known', this.#reports.knownCount);
+    metrics.set('entry_hosts_heard', this.#reports.listHeard().length + 1);
+    metrics.set('serving', this.isServing ? 1 : 0);
+    return metrics.exportPrometheus();
+  }
+
+  /**
+   * Takes in settings that have changed. Addresses of its own stay those of the start.
+   *
+   * @param settings - checked settings
+   */
+  reload(settings: DirectSettings): void {
+    this.#reports.setSeeds(settings.seedPeerAddresses.map(formatPeerUrl));
+    this.log.write(LogLevel.Info, 'settings_reloaded', {
+      seeds: settings.seedPeerAddresses.join(),
+    });
+  }
+
   /** Starts everything. */
   async start(): Promise<void> {
     await this.#peers.start();
@@ -189,7 +218,7 @@
     return new HostReports({
       self: this.#self,
       peers: this.#peers,
-      seedPeerUrls: this.#adapters.settings.seedPeerAddresses.map((seed) => `ws://${seed}`),
+      seedPeerUrls: this.#adapters.settings.seedPeerAddresses.map(formatPeerUrl),
       clock: this.clock,
       log: this.log,
       metrics: this.metrics,
