--- a/src/adapters/platform_http/http_platform_reader.ts
+++ b/src/adapters/platform_http/http_platform_reader.ts
@@ -4,10 +4,11 @@
  *
  * @module
  */
-import { Agent, request } from 'node:http';
-import type { ClientRequest, IncomingMessage } from 'node:http';
+import { Agent } from 'node:http';
+import { formatReason } from '../../domain/errors/mod.js';
 import { PlatformReader } from '../../ports/mod.js';
-import type { Clock, PlatformReadOptions, PlatformSnapshot, Timer } from '../../ports/mod.js';
+import type { Clock, PlatformReadOptions, PlatformSnapshot } from '../../ports/mod.js';
+import { readAnswer } from '../http_common/mod.js';
 import { decodeSnapshot } from './_snapshot.js';
 
 /** Default time for a connection to come up, in milliseconds. */
@@ -71,22 +72,28 @@
    * @throws Error when the service can't be read, in time and within the limits
    */
   override async read(prefix: string, options: PlatformReadOptions): Promise<PlatformSnapshot> {
-    const call = request(this.#buildUrl(prefix, options), {
+    const { clock, connectTimeoutMs, answerMarginMs, maxAnswerBytes } = this.#options;
+    const { afterIndex, waitMs, signal } = options;
+    const longestWaitMs = afterIndex > 0 ? waitMs * (1 + WAIT_SPREAD) : 0;
+    const answer = readAnswer({
+      url: this.#buildUrl(prefix, options),
       agent: this.#agent,
-      headers: { accept: 'application/json' },
+      clock,
+      connectTimeoutMs,
+      answerTimeoutMs: longestWaitMs + answerMarginMs,
+      maxBytes: maxAnswerBytes,
+      signal,
     });
-    const timers = [this.#watchConnect(call), this.#watchAnswer(call, options)];
-    const onAbort = (): void => {
-      call.destroy(new Error('Cannot read the platform service: the read was ended'));
-    };
-    options.signal.addEventListener('abort', onAbort);
-    if (options.signal.aborted) onAbort();
-    try {
-      return await this.#readAnswer(call);
-    } finally {
-      options.signal.removeEventListener('abort', onAbort);
-      timers.forEach((timer) => timer.cancel());
+    const { status, headers, body } = await answer.catch((error: unknown) => {
+      throw new Error(`Cannot read the platform service: ${formatReason(error)}`, { cause: error });
+    });
+    if (status !== STATUS_OK && status !== STATUS_NOT_FOUND) {
+      throw new Error(`Cannot read the platform service: it answered with status ${status}`);
     }
+    return decodeSnapshot(
+      String(headers['x-consul-index'] ?? ''),
+      status === STATUS_NOT_FOUND ? '[]' : body.toString('utf8'),
+    );
   }
 
   /** Closes the connections that wait for their next use. */
@@ -94,25 +101,6 @@
     this.#agent.destroy();
   }
 
-  async #readAnswer(call: ClientRequest): Promise<PlatformSnapshot> {
-    const answer = await waitForAnswer(call);
-    try {
-      const { statusCode = 0 } = answer;
-      if (statusCode !== STATUS_OK && statusCode !== STATUS_NOT_FOUND) {
-        throw new Error(`Cannot read the platform service: it answered with status ${statusCode}`);
-      }
-      const body = await readBody(answer, this.#options.maxAnswerBytes);
-      return decodeSnapshot(
-        String(answer.headers['x-consul-index'] ?? ''),
-        statusCode === STATUS_NOT_FOUND ? '[]' : body.toString('utf8'),
-      );
-    } catch (error) {
-      // What is left of a bad answer would be taken for the next one's start.
-      answer.destroy();
-      throw error;
-    }
-  }
-
   #buildUrl(prefix: string, { afterIndex, waitMs }: PlatformReadOptions): URL {
     const path = prefix.split('/').map(encodeURIComponent).join('/');
     const url = new URL(`${this.#options.baseUrl.replace(/\/$/, '')}/v1/kv/${path}`);
@@ -123,46 +111,4 @@
     }
     return url;
   }
-
-  #watchConnect(call: ClientRequest): Timer {
-    const { clock, connectTimeoutMs } = this.#options;
-    const timer = clock.setTimer(connectTimeoutMs, () => {
-      call.destroy(new Error(`Cannot connect to the platform service in ${connectTimeoutMs} ms`));
-    });
-    call.on('socket', (socket) => {
-      if (socket.connecting) socket.once('connect', () => timer.cancel());
-      else timer.cancel();
-    });
-    return timer;
-  }
-
-  #watchAnswer(call: ClientRequest, { afterIndex, waitMs }: PlatformReadOptions): Timer {
-    const { clock, answerMarginMs } = this.#options;
-    const longestWaitMs = afterIndex > 0 ? waitMs * (1 + WAIT_SPREAD) : 0;
-    return clock.setTimer(longestWaitMs + answerMarginMs, () => {
-      call.destroy(new Error('Cannot read the platform service: it has gone silent'));
-    });
-  }
-}
-
-function waitForAnswer(call: ClientRequest): Promise<IncomingMessage> {
-  return new Promise((resolve, reject) => {
-    call.once('response', resolve);
-    // Stays for good: an error may come after the answer's head, and again.
-    call.on('error', reject);
-    call.end();
-  });
-}
-
-async function readBody(answer: IncomingMessage, maxBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of answer as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > maxBytes) {
-      throw new Error(`Cannot read the platform service: its answer is over ${maxBytes} bytes`);
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
 }
--- a/src/application/direct/direct_call_test.ts
+++ b/src/application/direct/direct_call_test.ts
@@ -1,25 +1,13 @@
 import t from 'tap';
-import type { Test } from 'tap';
-import { DirectHost } from '../../../test/support/direct_host.js';
+import { startDirectHost } from '../../../test/support/direct_host.js';
 import type { DocumentChanges } from '../../../test/support/direct_host.js';
 import { ErrorKind, RunOutcome } from '../../domain/errors/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
 
 const STREAM: DocumentChanges = { route: { isStream: true, isResumable: true } };
 
-async function startHost(
-  t: Test,
-  changes: DocumentChanges = {},
-  servers: readonly string[] = ['s-1', 's-2'],
-): Promise<DirectHost> {
-  const host = new DirectHost();
-  t.teardown(() => host.stop());
-  await host.start(changes, servers);
-  return host;
-}
-
 t.test('what was never written goes to another backend server', async (t) => {
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   const reply = host.call();
   host.sent(0).fail(BackendFailure.NotSent);
   t.not(host.sent(1).request.serverId, host.sent(0).request.serverId);
@@ -28,7 +16,7 @@
 });
 
 t.test('a call that must not be repeated is not sent again once it may have run', async (t) => {
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   const reply = host.call();
   host.sent(0).fail(BackendFailure.Broken);
   t.equal(host.backend.sent.length, 1);
@@ -37,7 +25,7 @@
 });
 
 t.test('a repeatable call is sent again, to another backend server', async (t) => {
-  const host = await startHost(t, { route: { isRepeatable: true } });
+  const host = await startDirectHost(t, { route: { isRepeatable: true } });
   const reply = host.call();
   host.sent(0).fail(BackendFailure.Broken);
   host.sent(1).answer(200, 'second');
@@ -45,7 +33,7 @@
 });
 
 t.test("a server's own error is passed on where nobody else can take over", async (t) => {
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   const reply = host.call();
   host.sent(0).answer(500, 'failed');
   t.match(reply, { head: { status: 500 }, body: 'failed' });
@@ -55,14 +43,14 @@
   // Symptom: a caller repeats a notice that was sent already.
   // Sequence: a backend server answers 503 without saying that it did not run it.
   // Cause: a proxy's status means "not run" to callers, whoever wrote it.
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   const reply = host.call();
   host.sent(0).answer(503, 'busy');
   t.equal(reply.error?.status, 502);
 });
 
 t.test('a declined call is refused as not run, with when to come back', async (t) => {
-  const host = await startHost(t, {}, ['s-1']);
+  const host = await startDirectHost(t, {}, ['s-1']);
   const reply = host.call();
   host.sent(0).fail(BackendFailure.Declined);
   await host.clock.advance(1_500);
@@ -74,7 +62,7 @@
   // Symptom: pieces of a report are missing or come twice.
   // Sequence: a stream breaks in the middle of an event; another server goes on.
   // Cause: half an event had been passed on, or the wrong one was asked for next.
-  const host = await startHost(t, STREAM);
+  const host = await startDirectHost(t, STREAM);
   const reply = host.call();
   host.sent(0).head({ isEventStream: true });
   host.sent(0).events(1, 3);
@@ -90,7 +78,7 @@
 });
 
 t.test('a stream that may not go on elsewhere is broken off, not ended', async (t) => {
-  const host = await startHost(t, { route: { isStream: true, isResumable: false } });
+  const host = await startDirectHost(t, { route: { isStream: true, isResumable: false } });
   const reply = host.call();
   host.sent(0).head({ isEventStream: true });
   host.sent(0).events(1, 1);
@@ -99,7 +87,7 @@
 });
 
 t.test('a silent stream is cancelled before another server goes on', async (t) => {
-  const host = await startHost(t, STREAM);
+  const host = await startDirectHost(t, STREAM);
   host.call();
   host.sent(0).head({ isEventStream: true });
   host.sent(0).events(1, 1);
@@ -109,7 +97,7 @@
 });
 
 t.test('a caller that leaves ends the run', async (t) => {
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   const reply = host.call();
   reply.leave();
   t.ok(host.sent(0).isCancelled);
@@ -117,7 +105,7 @@
 });
 
 t.test('a call ends with its time, and says whether it may have run', async (t) => {
-  const host = await startHost(t, {}, ['s-1']);
+  const host = await startDirectHost(t, {}, ['s-1']);
   const sent = host.call();
   await host.clock.advance(2_000);
   t.equal(sent.error?.kind, ErrorKind.AnswerTimeout);
@@ -125,7 +113,7 @@
 });
 
 t.test("the route's timeout ends a call whose caller would wait longer", async (t) => {
-  const host = await startHost(t, { route: { timeoutMs: 500 } });
+  const host = await startDirectHost(t, { route: { timeoutMs: 500 } });
   const reply = host.call({ deadlineMs: 9_000 });
   t.equal(host.sent(0).request.deadlineMs, 500);
   await host.clock.advance(500);
--- a/src/application/direct/direct_gateway_test.ts
+++ b/src/application/direct/direct_gateway_test.ts
@@ -1,30 +1,18 @@
 import t from 'tap';
-import type { Test } from 'tap';
 import {
   DirectHost,
   MAX_KEY_AGE_MS,
   buildDocument,
   buildServer,
+  startDirectHost,
 } from '../../../test/support/direct_host.js';
-import type { DocumentChanges } from '../../../test/support/direct_host.js';
 import { settle } from '../../../test/support/virtual_clock.js';
 import { ErrorKind, RunOutcome } from '../../domain/errors/mod.js';
 import { LimitUnit } from '../../domain/routing/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
 
-async function startHost(
-  t: Test,
-  changes: DocumentChanges = {},
-  servers: readonly string[] = ['s-1', 's-2'],
-): Promise<DirectHost> {
-  const host = new DirectHost();
-  t.teardown(() => host.stop());
-  await host.start(changes, servers);
-  return host;
-}
-
 t.test('a call is sent with the rest of its time and answered', async (t) => {
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   const reply = host.call();
   t.match(host.sent(0).request, { accountId: 'firm-a', deadlineMs: 2_000 });
   host.sent(0).answer();
@@ -43,7 +31,7 @@
   // Symptom: a caller with a new key is refused for good.
   // Sequence: a key is added while this entry host can't reach the store.
   // Cause: what isn't in an old configuration was taken for what is in none.
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   t.equal(host.call({ key: 'other' }).error?.kind, ErrorKind.Unauthenticated);
   t.equal(host.call({ path: '/none/' }).error?.kind, ErrorKind.NotFound);
   host.feed.isDown = true;
@@ -57,7 +45,7 @@
   // Symptom: a key that was taken away is served for as long as an outage lasts.
   // Sequence: the store is out of reach of one entry host; a key is taken away.
   // Cause: what was known last was taken for what is true.
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   host.feed.isSilent = true;
   await host.clock.advance(MAX_KEY_AGE_MS + 1_000);
   t.equal(host.call().error?.kind, ErrorKind.EntryHostCutOff);
@@ -65,7 +53,7 @@
 });
 
 t.test('a key that is taken away while its call waits ends the call unsent', async (t) => {
-  const host = await startHost(t, {}, ['s-1']);
+  const host = await startDirectHost(t, {}, ['s-1']);
   host.call();
   host.call();
   const waiting = host.call();
@@ -80,7 +68,7 @@
   // Symptom: a revoked key's request runs after a machine was suspended.
   // Sequence: a call waits for a slot; the machine is suspended; the slot gets free.
   // Cause: the check of the key was made before the suspension.
-  const host = await startHost(t, {}, ['s-1']);
+  const host = await startDirectHost(t, {}, ['s-1']);
   host.call();
   host.call();
   const waiting = host.call();
@@ -92,7 +80,7 @@
 
 t.test('a call over the limit is refused; one that never ran costs nothing', async (t) => {
   const limit = { unit: LimitUnit.Tokens, ratePerSecond: 100, burst: 1_000, unitsOfUnsized: 50 };
-  const host = await startHost(t, { limit });
+  const host = await startDirectHost(t, { limit });
   const work = { promptTokens: 150, outputTokens: 10 };
   const first = host.call({ work });
   host.sent(0).fail(BackendFailure.NotSent);
@@ -105,7 +93,7 @@
 });
 
 t.test('an address that another life answers at is not used again', async (t) => {
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   host.call();
   const gone = host.sent(0).request.serverId;
   host.sent(0).fail(BackendFailure.Misdirected);
@@ -115,7 +103,7 @@
 });
 
 t.test('a server that leaves gets no new work', async (t) => {
-  const host = await startHost(t, {}, ['s-1']);
+  const host = await startDirectHost(t, {}, ['s-1']);
   host.feed.put('servers/s-1', buildServer('s-1', { isLeaving: true }));
   await settle();
   const reply = host.call();
@@ -125,7 +113,7 @@
 });
 
 t.test('after the stop has begun in earnest, new calls are refused as not run', async (t) => {
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   const running = host.call();
   host.gateway.refuseNew();
   t.equal(host.call().error?.kind, ErrorKind.EntryHostStopping);
@@ -134,7 +122,7 @@
 });
 
 t.test('each decision on a call is logged with its request ID', async (t) => {
-  const host = await startHost(t);
+  const host = await startDirectHost(t);
   host.call();
   host.sent(0).answer();
   host.call({ key: 'other' });
--- a/src/application/direct/routing_keeper_test.ts
+++ b/src/application/direct/routing_keeper_test.ts
@@ -1,11 +1,9 @@
 import t from 'tap';
-import { buildDocument, DirectHost } from '../../../test/support/direct_host.js';
+import { buildDocument, startDirectHost } from '../../../test/support/direct_host.js';
 import { settle } from '../../../test/support/virtual_clock.js';
 
 t.test('RoutingKeeper puts a newer configuration in force, and never an older one', async (t) => {
-  const host = new DirectHost();
-  t.teardown(() => host.stop());
-  await host.start();
+  const host = await startDirectHost(t, {}, ['s-1']);
   host.feed.put('configuration', buildDocument(7));
   await settle();
   host.feed.put('configuration', buildDocument(5));
@@ -17,9 +15,7 @@
   // Symptom: a configuration that can't be read ends the service, or hides a revocation.
   // Sequence: operators publish something malformed.
   // Cause: either it replaced what was in force, or what is in force was confirmed by it.
-  const host = new DirectHost();
-  t.teardown(() => host.stop());
-  await host.start();
+  const host = await startDirectHost(t, {}, ['s-1']);
   await host.clock.advance(100);
   host.feed.put('configuration', 'no configuration');
   await settle();
@@ -29,9 +25,7 @@
 });
 
 t.test('RoutingKeeper gets older while the store is silent, and young again after', async (t) => {
-  const host = new DirectHost();
-  t.teardown(() => host.stop());
-  await host.start();
+  const host = await startDirectHost(t, {}, ['s-1']);
   await host.clock.advance(1_000);
   t.equal(host.routing.computeAgeMs(), 1_000);
   host.feed.isDown = true;
--- a/src/application/direct/server_keeper_test.ts
+++ b/src/application/direct/server_keeper_test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
-import { buildServer, DirectHost } from '../../../test/support/direct_host.js';
+import { buildServer, startDirectHost } from '../../../test/support/direct_host.js';
+import type { DirectHost } from '../../../test/support/direct_host.js';
 import { settle } from '../../../test/support/virtual_clock.js';
 
 function listIds(host: DirectHost): string[] {
@@ -7,9 +8,7 @@
 }
 
 t.test('ServerKeeper lists who may be given work, as of now', async (t) => {
-  const host = new DirectHost();
-  t.teardown(() => host.stop());
-  await host.start({}, ['s-1', 's-2']);
+  const host = await startDirectHost(t, {}, ['s-1', 's-2']);
   t.same(listIds(host), ['s-1', 's-2']);
   host.feed.put('servers/s-1', buildServer('s-1', { isLeaving: true }));
   await settle();
@@ -19,9 +18,7 @@
 });
 
 t.test('ServerKeeper leaves out an entry that can not be read, and keeps the others', async (t) => {
-  const host = new DirectHost();
-  t.teardown(() => host.stop());
-  await host.start({}, ['s-1']);
+  const host = await startDirectHost(t, {}, ['s-1']);
   host.feed.put('servers/s-2', 'no entry');
   await settle();
   t.same(listIds(host), ['s-1']);
@@ -29,9 +26,7 @@
 });
 
 t.test('ServerKeeper adds up what peers have in flight, and forgets a silent one', async (t) => {
-  const host = new DirectHost();
-  t.teardown(() => host.stop());
-  await host.start({}, ['s-1']);
+  const host = await startDirectHost(t, {}, ['s-1']);
   const [candidate] = host.servers.listCandidates('engines');
   host.servers.applyPeer('peer-1', { 's-1': 2 });
   host.servers.applyPeer('peer-2', { 's-1': 1 });
@@ -41,9 +36,7 @@
 });
 
 t.test('ServerKeeper believes peers that a backend server has ended', async (t) => {
-  const host = new DirectHost();
-  t.teardown(() => host.stop());
-  await host.start({}, ['s-1', 's-2']);
+  const host = await startDirectHost(t, {}, ['s-1', 's-2']);
   host.servers.applyPeer('peer-1', {}, ['s-1']);
   t.same(listIds(host), ['s-2']);
   t.same(host.servers.listEnded(), []);
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Test } from 'tap';
 import {
   AccountSpending,
   DirectGateway,
@@ -205,3 +206,22 @@
     return exchange;
   }
 }
+
+/**
+ * Starts a host for one test.
+ *
+ * @param t - the test that it ends with
+ * @param changes - its configuration
+ * @param servers - backend servers that it knows
+ * @returns the host
+ */
+export async function startDirectHost(
+  t: Test,
+  changes: DocumentChanges = {},
+  servers: readonly string[] = ['s-1', 's-2'],
+): Promise<DirectHost> {
+  const host = new DirectHost();
+  t.teardown(() => host.stop());
+  await host.start(changes, servers);
+  return host;
+}
