Join nothing to a begun answer but the rest of its stream

Cause: found on reading the code: a stream that broke before its first event kept the head of the server that sent none of it; a begun answer without event IDs, or a long plain one, was sent again; an error in place of the rest was written behind it, which left the call without an end. Three tests, red before.

--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -123,7 +123,8 @@
     this.#status = head.status;
     const { reply, clock, route } = this.#options;
     if (!head.isEventStream || head.status !== 200) {
-      this.#relay = new WholeRelay(head, reply);
+      if (reply.hasBegun) this.#abandon(`status ${head.status} is not the rest of a stream`);
+      else this.#relay = new WholeRelay(head, reply);
       return;
     }
     this.#stream ??= new StreamRelay(head, reply, () => clock.nowMs());
@@ -133,16 +134,17 @@
   }
 
   onBody(bytes: Buffer): void {
+    if (this.#hasEnded) return;
     this.#noteFirstByte();
     try {
       this.#relay?.write(bytes);
     } catch (error) {
-      this.#exchange?.cancel();
-      this.#end(BackendFailure.Broken, formatReason(error));
+      this.#abandon(formatReason(error));
     }
   }
 
   onWhole(): void {
+    if (this.#hasEnded) return;
     this.#noteFirstByte();
     const hasErred = this.#status >= 500 || PROMISING_STATUSES.has(this.#status);
     if (hasErred && !this.#hasBegun) this.#endErred();
@@ -180,6 +182,12 @@
     );
   }
 
+  /** Ends the run at the server before anything goes on elsewhere. */
+  #abandon(reason: string): void {
+    this.#exchange?.cancel();
+    this.#end(BackendFailure.Broken, reason);
+  }
+
   #noteFirstByte(): void {
     if (this.#firstByteMs > 0) return;
     const { clock, load } = this.#options;
@@ -190,10 +198,8 @@
   #scheduleLook(): void {
     this.#lookTimer = this.#options.clock.setTimer(LOOK_INTERVAL_MS, () => {
       if (this.#hasEnded) return;
-      if (this.#hasStalled() && this.#options.mayMove()) {
-        this.#exchange?.cancel();
-        this.#end(BackendFailure.Broken, 'nothing came for too long');
-      } else this.#scheduleLook();
+      if (this.#hasStalled() && this.#options.mayMove()) this.#abandon('nothing came for too long');
+      else this.#scheduleLook();
     });
   }
 
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -235,7 +235,7 @@
       });
     } else {
       this.#recorder.noteFailure(serverId, this.#tries, end);
-      this.#stream = end.stream ?? this.#stream;
+      this.#stream = end.stream?.hasBegun ? end.stream : undefined;
       this.#handleFailure(serverId, end);
     }
     this.#options.line.noteFreed();
@@ -247,13 +247,14 @@
     if (!hasRun) this.#runs -= 1;
     if (failure === BackendFailure.Misdirected) services.servers.noteEnded(serverId);
     const isAllowed = hasRun ? this.#mayTryAgain() : this.#tries < MAX_TRIES;
+    const canGoOn = !this.#options.reply.hasBegun || this.#stream?.lastEventId !== undefined;
     // A request that was never written costs the service nothing; all others count as retries.
     const isFree = failure === BackendFailure.NotSent;
-    if (isAllowed && (isFree || services.takeRetry(serviceId))) {
+    if (isAllowed && canGoOn && (isFree || services.takeRetry(serviceId))) {
       const leftMs = this.#endsAtMs - services.clock.nowMs();
       this.#startByMs = services.clock.nowMs() + Math.min(MAX_LATE_WAIT_MS, leftMs / 2);
       this.#options.line.submit(this);
-    } else if (fallback) {
+    } else if (fallback && !this.#options.reply.hasBegun) {
       fallback();
       this.#end('call_answered', { backendServer: serverId, failure });
     } else if (hasRun) this.fail(this.#buildLost());
--- a/src/application/direct/direct_call_test.ts
+++ b/src/application/direct/direct_call_test.ts
@@ -119,3 +119,59 @@
   await host.clock.advance(500);
   t.equal(reply.error?.status, 504);
 });
+
+t.test(
+  'a stream that broke before its first event begins anew, with the head of who answers',
+  async (t) => {
+    // Symptom: an answer bears the mark of a backend server that sent none of it.
+    // Sequence: a stream breaks behind its head; another server runs the request from its start.
+    // Cause: the first head was kept although nothing had been passed on.
+    const host = await startDirectHost(t, STREAM);
+    const reply = host.call();
+    host.sent(0).head({ isEventStream: true });
+    host.sent(0).fail(BackendFailure.Broken);
+    t.equal(host.sent(1).request.lastEventId, undefined);
+    host.sent(1).head({ isEventStream: true });
+    host.sent(1).events(1, 1);
+    t.same(reply.head?.headers, ['X-Mark', host.sent(1).request.serverId]);
+  },
+);
+
+t.test('an answer that was begun and can not be joined is broken off', async (t) => {
+  // Symptom: a caller gets the start of one answer and the whole of another.
+  // Sequence: a repeatable call's long answer is passed on as it comes and breaks; or a
+  // stream whose events have no IDs does.
+  // Cause: the call was sent again although there was nothing to go on from.
+  const long = await startDirectHost(t, { route: { isRepeatable: true } });
+  const plain = long.call();
+  long.sent(0).head();
+  long.sent(0).listener.onBody(Buffer.alloc(300_000));
+  long.sent(0).fail(BackendFailure.Broken);
+  t.equal(long.backend.sent.length, 1);
+  t.ok(plain.isAborted);
+  const nameless = await startDirectHost(t, STREAM);
+  const stream = nameless.call();
+  nameless.sent(0).head({ isEventStream: true });
+  nameless.sent(0).listener.onBody(Buffer.from('data: a\n\n'));
+  nameless.sent(0).fail(BackendFailure.Broken);
+  t.equal(nameless.backend.sent.length, 1);
+  t.ok(stream.isAborted);
+});
+
+t.test('what is not the rest of a begun stream is never joined to it', async (t) => {
+  // Symptom: an error's body stands in the middle of a report, or the call never ends.
+  // Sequence: a stream breaks; the server that is to go on answers with an error, or
+  // with a plain answer.
+  // Cause: any answer was passed on, whatever had been passed on before.
+  for (const status of [500, 200, 404]) {
+    const host = await startDirectHost(t, STREAM);
+    const reply = host.call();
+    host.sent(0).head({ isEventStream: true });
+    host.sent(0).events(1, 2);
+    host.sent(0).fail(BackendFailure.Broken);
+    host.sent(1).answer(status, 'other');
+    t.match(reply, { isAborted: true, hasEnded: false }, String(status));
+    t.notMatch(reply.body, 'other');
+    t.equal(host.gateway.callCount, 0);
+  }
+});
