--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -13,8 +13,8 @@
 import type { AnswerFacts, DirectDialect } from './direct_dialect.js';
 
 /**
- * Longest time to open a connection, in milliseconds. Within a region it takes
- * some; a server that has lost power never answers.
+ * Longest time to open a connection, in milliseconds. Within a region it takes a
+ * few; a server that has lost power never answers.
  */
 const CONNECT_TIMEOUT_MS = 400;
 
--- a/src/adapters/logging/limited_event_log.ts
+++ b/src/adapters/logging/limited_event_log.ts
@@ -9,8 +9,8 @@
 
 /**
  * Most lines a second at the level of single requests. An entry host of today's size
- * serves some 20 requests a second, with two lines each; writing a line takes some
- * ten microseconds, so that even the bound costs less than a hundredth of a core.
+ * serves some 20 requests a second, with two lines each: ten times that is left for
+ * bursts and retries.
  */
 const DEFAULT_MAX_LINES_PER_SECOND = 500;
 
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -24,7 +24,7 @@
 /**
  * Silence before the first byte after which another backend server takes over, as a
  * multiple of the prediction and of the aim, whichever is longer; a queue inside the
- * server must not pass for a dead one.
+ * server must not pass for a dead one. Both factors are chosen, not measured.
  */
 const FIRST_BYTE_FACTOR = 3;
 const FIRST_BYTE_TARGET_FACTOR = 1.5;
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -20,13 +20,16 @@
 /** Most backend servers that are tried where none of them has run the request. */
 const MAX_TRIES = 4;
 
-/** Part of the time left that a call may wait whose aim can't be met any more. */
+/** Part of the time left that a call may wait whose aim can't be met any more; chosen, not measured. */
 const LATE_WAIT_PART = 0.25;
 
 /** Longest such wait, in milliseconds: a caller that hears nothing should be told to come back. */
 const MAX_LATE_WAIT_MS = 1_200;
 
-/** Part of its aim that a call may wait; the rest is for the backend server to begin its answer. */
+/**
+ * Part of its aim that a call may wait. The rest is for the backend server to begin its
+ * answer: with all slots taken, three in four did so within 0.15 s, of aims of 0.4 s.
+ */
 const AIM_WAIT_PART = 0.55;
 
 /** Least time left that another backend server is worth trying for, in milliseconds. */
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -18,8 +18,9 @@
 
 /**
  * Time between two reports, in milliseconds. Requests hold a slot for some hundred
- * milliseconds and more, so counts of this age are still mostly right; each report
- * costs some ten microseconds a peer at either end.
+ * milliseconds and more, so counts of this age are still mostly right. A report costs
+ * about half a millisecond of processor a peer, sending and receiving together
+ * (0.023 cores at six peers).
  */
 const REPORT_INTERVAL_MS = 150;
 
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -14,8 +14,8 @@
 
 /**
  * How long a backend server is left alone for each failure in a row, in
- * milliseconds. In trials of 0.3 to 2 s, 0.7 s lost the fewest requests to crashed
- * servers while those that came back were used again within a second.
+ * milliseconds: one that came back is used again within a second. It is the figure
+ * that the design began with; others were not measured against it.
  */
 const PAUSE_PER_FAILURE_MS = 700;
 
