Forget freed slots as time goes on, also where nobody waits

Cause: found on reading: the moments at which slots got free were only dropped when a call had to wait, so a quiet entry host kept all of them for its life. An unused method goes.

--- a/src/application/direct/service_line.ts
+++ b/src/application/direct/service_line.ts
@@ -82,6 +82,7 @@
   /** Takes note that one of this entry host's requests has given its slot back. */
   noteFreed(): void {
     this.#freedAtMs.push(this.#options.clock.nowMs());
+    this.#dropOldFreed();
     this.advance();
   }
 
@@ -110,12 +111,16 @@
 
   /** Predicted wait of a call that doesn't wait yet, in milliseconds. */
   #predictWaitMs(call: LineCall): number {
-    const oldestMs = this.#options.clock.nowMs() - RATE_WINDOW_MS;
-    while ((this.#freedAtMs[0] ?? Infinity) < oldestMs) this.#freedAtMs.shift();
+    this.#dropOldFreed();
     const perFreedMs = RATE_WINDOW_MS / Math.max(MIN_FREED, this.#freedAtMs.length);
     return (this.#line.countAhead(call) + 1) * perFreedMs;
   }
 
+  #dropOldFreed(): void {
+    const oldestMs = this.#options.clock.nowMs() - RATE_WINDOW_MS;
+    while ((this.#freedAtMs[0] ?? Infinity) < oldestMs) this.#freedAtMs.shift();
+  }
+
   #countFreeSlots(): number {
     return this.#options
       .listCandidates()
--- a/src/domain/limits/shared_bucket.ts
+++ b/src/domain/limits/shared_bucket.ts
@@ -163,11 +163,6 @@
     this.#peers.set(incarnation, { totalUnits, heardAtMs: nowMs });
   }
 
-  /** @param incarnation - a process that has ended for good */
-  removePeer(incarnation: string): void {
-    this.#peers.delete(incarnation);
-  }
-
   #computeNews(known: PeerSpend | undefined, totalUnits: number, nowMs: number): number {
     if (known) {
       const wasSilent = nowMs - known.heardAtMs > this.#silentAfterMs;
