--- a/src/application/direct/feed_sharing.ts
+++ b/src/application/direct/feed_sharing.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { computeElapsedMs } from '../../domain/freshness/mod.js';
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type { Clock, FeedUpdateMessage, Metrics, PeerNetwork } from '../../ports/mod.js';
@@ -82,7 +83,7 @@
     const message: FeedUpdateMessage = {
       type: PeerMessageType.FeedUpdate,
       ...update,
-      ageMs: Math.max(0, clock.nowMs() - askedAt.steadyMs, clock.wallMs() - askedAt.wallMs),
+      ageMs: computeElapsedMs(askedAt, { steadyMs: clock.nowMs(), wallMs: clock.wallMs() }),
       wasAway,
       heardReports: reports.listHeardSequences(),
     };
