Keep what is known of a backend server by its life

Cause: a server may start again under its ID, and nothing here told its lives apart. One that had said it leaves, or whose address had answered as another, got no work again under that ID; load, failures and peers' counts of the former life were held against the next one; calls that waited at the former life's silent connection waited until their time was over; connections were kept by address alone.

Change: a life is an ID and the moment of its start. The newest start wins, late entries of older lives change nothing, calls at a life that was followed end at once. An unreadable entry names nobody; the one that it overwrites lapses. Lives that are over though their entries stand are told to peers.

--- a/src/adapters/direct_http/_backend_agent.ts
+++ b/src/adapters/direct_http/_backend_agent.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Agent } from 'node:http';
-import type { ClientRequest } from 'node:http';
+import type { ClientRequest, RequestOptions } from 'node:http';
 import type { Socket } from 'node:net';
 
 /** How long a quiet connection is kept where the server says nothing of it, in milliseconds. */
@@ -22,6 +22,11 @@
   dirtyListener?: () => void;
 }
 
+/** Options of a request, with the life of the backend server that it is for. */
+export interface LifeOptions extends RequestOptions {
+  readonly lifeId?: string;
+}
+
 /**
  * Reuses the connection that was quiet for the shortest time, and none on which
  * anything came while no request was under way: those bytes would be taken for the
@@ -39,6 +44,15 @@
     kept.idleMs = idleMs * USED_IDLE_PART;
   }
 
+  /**
+   * Called by Node for each request: connections with the same name serve the same
+   * requests. Those to a former life of a server at the same address may be dead without
+   * a sign, and a request that is written there may be taken for one that has run.
+   */
+  override getName(options: LifeOptions = {}): string {
+    return `${super.getName(options)}:${options.lifeId ?? ''}`;
+  }
+
   /** Called by Node when an answer is whole. */
   override keepSocketAlive(socket: KeptSocket): boolean {
     const kept = socket;
--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -9,6 +9,7 @@
 import { BackendFailure } from '../../ports/mod.js';
 import type { BackendExchange, BackendListener, BackendRequest } from '../../ports/mod.js';
 import { BackendAgent } from './_backend_agent.js';
+import type { LifeOptions } from './_backend_agent.js';
 import { pickRawHeaders } from './_raw_headers.js';
 import type { AnswerFacts, DirectDialect } from './direct_dialect.js';
 
@@ -51,15 +52,17 @@
     this.#options = options;
     const { agent, request } = options;
     const [host, port] = request.address.split(':');
-    this.#request = openRequest({
+    const target: LifeOptions = {
       agent,
       host,
       port: Number(port),
       method: request.request.method,
       path: request.request.target,
-      headers: this.#buildHeaders() as never,
+      headers: this.#buildHeaders(),
       setHost: false,
-    });
+      lifeId: request.lifeId,
+    };
+    this.#request = openRequest(target);
     this.#request.on('socket', (socket) => this.#watchSocket(socket));
     this.#request.on('response', (response) => this.#handleResponse(response));
     this.#request.on('error', (error) => this.#handleError(error));
--- a/src/adapters/direct_http/direct_backend_http_test.ts
+++ b/src/adapters/direct_http/direct_backend_http_test.ts
@@ -10,6 +10,7 @@
   backend: HttpDirectBackend,
   server: RawServer,
   requestId = 'r-1',
+  lifeId = 'engine-1@1',
 ): (listener: BackendListener) => unknown {
   return (listener) =>
     backend.send(
@@ -17,6 +18,7 @@
         request: buildRequest(requestId),
         address: server.address,
         serverId: 'engine-1',
+        lifeId,
         accountId: 'firm-a',
         deadlineMs: 900,
         lastEventId: undefined,
@@ -136,3 +138,24 @@
   backend.close();
   server.close();
 });
+
+t.test('HttpDirectBackend uses no connection of a former life', async (t) => {
+  // Symptom: the first requests after a backend server's restart fail, and nobody can
+  // tell whether they have run.
+  // Sequence: the server loses power and starts again at its address under its name;
+  // requests are written to connections that it knows nothing of.
+  // Cause: connections were kept by address alone.
+  const server = await startRawServer((socket, request) =>
+    socket.write(
+      `HTTP/1.1 200 OK\r\nX-Id: r-${request}\r\nX-Mark: m\r\nContent-Length: 2\r\n\r\nok`,
+    ),
+  );
+  const backend = new HttpDirectBackend(new TestDialect());
+  await collect(send(backend, server, 'r-1'));
+  await collect(send(backend, server, 'r-2'));
+  t.equal(server.connectionCount(), 1);
+  await collect(send(backend, server, 'r-3', 'engine-1@2'));
+  t.equal(server.connectionCount(), 2);
+  backend.close();
+  server.close();
+});
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -121,6 +121,20 @@
     this.#exchange?.cancel();
   }
 
+  /** Life of the backend server that it is at. */
+  get lifeId(): string {
+    return this.#options.request.lifeId;
+  }
+
+  /**
+   * Ends it because its server has started anew. The former life's connection may stay
+   * silent until the caller's time is over: the requests of a server that lost power
+   * would wait for an answer that nobody works on.
+   */
+  abandonEnded(): void {
+    if (!this.#hasEnded) this.#abandon('its server has started anew');
+  }
+
   onHead(head: BackendHead): void {
     this.#status = head.status;
     const { reply, clock, route } = this.#options;
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -159,7 +159,8 @@
       request: {
         request,
         address: server.address,
-        serverId: id,
+        serverId: server.serverId,
+        lifeId: id,
         accountId: account?.id,
         deadlineMs: Math.max(1, Math.floor(this.#endsAtMs - services.clock.nowMs())),
         lastEventId: this.#stream?.lastEventId ?? request.lastEventId,
@@ -202,6 +203,15 @@
     });
   }
 
+  /**
+   * Takes note that a life of a backend server has ended.
+   *
+   * @param lifeId - which one
+   */
+  noteServerEnded(lifeId: string): void {
+    if (this.#attempt?.lifeId === lifeId) this.#attempt.abandonEnded();
+  }
+
   /** Ends it because this process ends. */
   stop(): void {
     this.#attempt?.cancel(ServerOutcome.Cancelled);
--- a/src/application/direct/direct_call_test.ts
+++ b/src/application/direct/direct_call_test.ts
@@ -1,6 +1,8 @@
 import t from 'tap';
-import { startDirectHost } from '../../../test/support/direct_host.js';
+import { buildServer, startDirectHost } from '../../../test/support/direct_host.js';
 import type { DocumentChanges } from '../../../test/support/direct_host.js';
+import { settle } from '../../../test/support/virtual_clock.js';
+import { formatLife } from '../../domain/backend_servers/mod.js';
 import { ErrorKind, RunOutcome } from '../../domain/errors/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
 
@@ -32,6 +34,34 @@
   t.equal(reply.body, 'second');
 });
 
+t.test("a call that may have run isn't sent to its server's next life", async (t) => {
+  // Symptom: a notice is sent twice.
+  // Sequence: a backend server loses power while it works on it, and starts again under
+  // its name; the connection to its former life stays silent.
+  // Cause: by its name the new life is the one that the request is meant for.
+  const host = await startDirectHost(t, {}, ['s-1']);
+  const reply = host.call();
+  const changes = { serverId: 's-1', bornAtMs: 5 };
+  host.feed.put('servers/s-1', buildServer(formatLife('s-1', 5), changes));
+  await settle();
+  t.equal(reply.error?.run, RunOutcome.MayHaveRun);
+  t.ok(host.sent(0).isCancelled);
+  t.equal(host.backend.sent.length, 1);
+});
+
+t.test('a resumable stream goes on at once when its server has started anew', async (t) => {
+  const host = await startDirectHost(t, STREAM, ['s-1']);
+  const reply = host.call();
+  host.sent(0).head({ isEventStream: true });
+  host.sent(0).events(1, 2);
+  const changes = { serverId: 's-1', bornAtMs: 5 };
+  host.feed.put('servers/s-1', buildServer(formatLife('s-1', 5), changes));
+  host.feed.put('servers/s-2', buildServer('s-2'));
+  await settle();
+  t.match(host.sent(1).request, { lastEventId: '2', serverId: /s-1|s-2/ });
+  t.notOk(reply.isAborted);
+});
+
 t.test("a server's own error is passed on where nobody else can take over", async (t) => {
   const host = await startDirectHost(t);
   const reply = host.call();
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -78,6 +78,9 @@
       takeRetry: (serviceId) =>
         this.#takeShare(serviceId).takeRetry(options.clock.nowMs(), options.countEntryHosts()),
     };
+    options.servers.onRestart((endedId) => {
+      [...this.#calls].forEach((call) => call.noteServerEnded(endedId));
+    });
   }
 
   /** Calls that are under way. */
--- a/src/application/direct/server_keeper.ts
+++ b/src/application/direct/server_keeper.ts
@@ -3,11 +3,14 @@
  *
  * @module
  */
-import { ServerDirectory, ServerLoad } from '../../domain/backend_servers/mod.js';
+import { EntryEffect, ServerDirectory, ServerLoad } from '../../domain/backend_servers/mod.js';
 import type { BackendServerEntry, Candidate } from '../../domain/backend_servers/mod.js';
 import { formatReason, LogLevel } from '../../domain/errors/mod.js';
-import type { Clock, EventLog, FeedChange, FeedItem, HostReportMessage } from '../../ports/mod.js';
+import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
 import type { FeedContext } from './feed_follower.js';
+import { EndedLives } from './_ended_lives.js';
+import { PeerFigureTable } from './_peer_figures.js';
+import type { PeerFigures } from './_peer_figures.js';
 
 /**
  * How long a list of candidates is kept, in milliseconds. A list is asked for several
@@ -21,18 +24,13 @@
   readonly listedAtMs: number;
 }
 
-/** What a peer reports of backend servers. */
-export type PeerFigures = Pick<
-  HostReportMessage,
-  'inFlight' | 'waitingCalls' | 'avoidedBy' | 'endedServers'
->;
-
 /** What the keeper needs. */
 export interface ServerKeeperOptions {
   /** Start of the keys under which backend servers are registered. */
   readonly prefix: string;
   readonly clock: Clock;
   readonly log: EventLog;
+  readonly metrics: Metrics;
   /**
    * Decodes a registration.
    *
@@ -53,19 +51,19 @@
 
   readonly #loads = new Map<string, ServerLoad>();
 
-  /** What peers' processes report. */
-  readonly #peers = new Map<string, PeerFigures>();
+  readonly #peers = new PeerFigureTable();
 
   #waitingElsewhere: Readonly<Record<string, number>> = {};
 
-  /** Lives that requests, of this entry host or of its peers, have shown to be over. */
-  readonly #endedIds = new Set<string>();
+  readonly #ended = new EndedLives();
 
   /** Lists that were made a moment ago; dropped when anything changes. */
   readonly #candidates = new Map<string, CandidateList>();
 
   readonly #changeHandlers: (() => void)[] = [];
 
+  readonly #restartHandlers: ((endedId: string) => void)[] = [];
+
   /** @param options - what the keeper needs */
   constructor(options: ServerKeeperOptions) {
     this.#options = options;
@@ -76,6 +74,11 @@
     this.#changeHandlers.push(handler);
   }
 
+  /** @param handler - called with each life that a restart under its name has ended */
+  onRestart(handler: (endedId: string) => void): void {
+    this.#restartHandlers.push(handler);
+  }
+
   /** @param serviceId - which service. @returns who may be given work */
   listCandidates(serviceId: string): readonly Candidate[] {
     const nowMs = this.#options.clock.nowMs();
@@ -105,12 +108,9 @@
    * @returns the counts, by backend server
    */
   countInFlight(sources: readonly string[] = []): Record<string, number> {
-    const counts: Record<string, number> = {};
-    this.#loads.forEach(({ ownInFlight }, id) => {
-      if (ownInFlight > 0) counts[id] = ownInFlight;
-    });
-    this.#addPeers(counts, 'inFlight', sources);
-    return counts;
+    const busy = [...this.#loads].filter(([, { ownInFlight }]) => ownInFlight > 0);
+    const counts = Object.fromEntries(busy.map(([id, { ownInFlight }]) => [id, ownInFlight]));
+    return this.#peers.sum('inFlight', counts, sources);
   }
 
   /**
@@ -120,13 +120,10 @@
    * @returns the counts, by backend server
    */
   countAvoiding(sources: readonly string[] = []): Record<string, number> {
-    const counts: Record<string, number> = {};
     const nowMs = this.#options.clock.nowMs();
-    this.#loads.forEach((load, id) => {
-      if (load.hasFailed(nowMs)) counts[id] = 1;
-    });
-    this.#addPeers(counts, 'avoidedBy', sources);
-    return counts;
+    const avoided = [...this.#loads].filter(([, load]) => load.hasFailed(nowMs));
+    const counts = Object.fromEntries(avoided.map(([id]) => [id, 1]));
+    return this.#peers.sum('avoidedBy', counts, sources);
   }
 
   /**
@@ -140,9 +137,7 @@
     sources: readonly string[],
     own: Readonly<Record<string, number>> = {},
   ): Record<string, number> {
-    const counts = { ...own };
-    this.#addPeers(counts, 'waitingCalls', sources);
-    return counts;
+    return this.#peers.sum('waitingCalls', own, sources);
   }
 
   /** @param serviceId - which service. @returns calls that wait for its slots at peers */
@@ -150,9 +145,9 @@
     return this.#waitingElsewhere[serviceId] ?? 0;
   }
 
-  /** @returns lives that requests have shown to be over */
+  /** @returns lives that are over though entries may not say so */
   listEnded(): readonly string[] {
-    return [...this.#endedIds];
+    return this.#ended.list();
   }
 
   /**
@@ -162,14 +157,10 @@
    * @param figures - what it reports; undefined when it is gone
    */
   applyPeer(source: string, figures: PeerFigures | undefined): void {
-    if (figures) this.#peers.set(source, figures);
-    else this.#peers.delete(source);
-    const sources = [...this.#peers.keys()];
-    const inFlight: Record<string, number> = {};
-    const avoidedBy: Record<string, number> = {};
-    this.#addPeers(inFlight, 'inFlight', sources);
-    this.#addPeers(avoidedBy, 'avoidedBy', sources);
-    this.#waitingElsewhere = this.countWaiting(sources);
+    this.#peers.put(source, figures);
+    const inFlight = this.#peers.sum('inFlight');
+    const avoidedBy = this.#peers.sum('avoidedBy');
+    this.#waitingElsewhere = this.#peers.sum('waitingCalls');
     const hostCount = this.#options.countServing();
     this.#loads.forEach((load, id) => {
       load.setPeersInFlight(inFlight[id] ?? 0);
@@ -178,23 +169,9 @@
     figures?.endedServers.forEach((id) => this.noteEnded(id));
   }
 
-  /** Adds peers' counts to others. */
-  #addPeers(
-    counts: Record<string, number>,
-    kind: 'avoidedBy' | 'inFlight' | 'waitingCalls',
-    sources: readonly string[],
-  ): void {
-    sources.forEach((source) => {
-      Object.entries(this.#peers.get(source)?.[kind] ?? {}).forEach(([id, count]) => {
-        // eslint-disable-next-line no-param-reassign -- the counts are the result
-        counts[id] = (counts[id] ?? 0) + count;
-      });
-    });
-  }
-
   /** @param id - a life whose address has answered as another */
   noteEnded(id: string): void {
-    if (this.#directory.find(id)) this.#endedIds.add(id);
+    if (this.#directory.find(id)) this.#ended.add(id);
     if (this.#directory.noteEnded(id)) this.#logEnded(id);
   }
 
@@ -220,11 +197,17 @@
    * @param context - under which circumstances
    */
   applyAll(items: readonly FeedItem[], { wasAway }: FeedContext): void {
-    const entries = items
-      .filter(({ key }) => key.startsWith(this.#options.prefix))
-      .flatMap((item) => this.#decode(item.key, item.value) ?? []);
-    this.#directory.applyAll(entries, this.#options.clock.nowMs(), wasAway);
+    const own = items.filter(({ key }) => key.startsWith(this.#options.prefix));
+    const entries = own.flatMap(({ key, value }) => this.#decode(key, value) ?? []);
+    const names = new Set(own.map(({ key }) => this.#readName(key)));
+    const nowMs = this.#options.clock.nowMs();
+    // A name that stands there without an entry that can be read was overwritten.
+    const mayBeBack = (serverId: string): boolean => wasAway || names.has(serverId);
+    const endedIds = this.#directory.applyAll(entries, nowMs, mayBeBack);
     this.#options.log.write(LogLevel.Info, 'backend_servers_read', { count: entries.length });
+    this.#ended.clearListed();
+    entries.forEach((entry) => this.#ended.noteListed(entry, this.isUsable(entry.id)));
+    endedIds.forEach((id) => this.#noteRestart(id));
     this.#update();
   }
 
@@ -235,38 +218,72 @@
    * @param context - under which circumstances
    */
   applyChanges(changes: readonly FeedChange[], { wasAway }: FeedContext): void {
-    const nowMs = this.#options.clock.nowMs();
-    const own = changes.filter(({ key }) => key.startsWith(this.#options.prefix));
-    own.forEach(({ key, value }) => {
-      if (value === undefined) {
-        const id = key.slice(this.#options.prefix.length);
-        this.#directory.applyRemoval(id, nowMs, wasAway);
-        this.#options.log.write(LogLevel.Info, 'backend_server_removed', {
-          backendServer: id,
-          mayHaveLapsed: wasAway,
-        });
-        return;
-      }
-      const entry = this.#decode(key, value);
-      if (entry && this.#directory.applyEntry(entry)) this.#logEntry(entry);
-    });
+    changes
+      .filter(({ key }) => key.startsWith(this.#options.prefix))
+      .forEach(({ key, value }) => {
+        if (value === undefined) this.#applyRemoval(this.#readName(key), wasAway);
+        else this.#applyValue(key, value);
+      });
     this.#update();
   }
 
-  #logEntry({ id, serviceId, isLeaving }: BackendServerEntry): void {
-    const event = isLeaving ? 'backend_server_leaving' : 'backend_server_ready';
+  #applyRemoval(serverId: string, wasAway: boolean): void {
+    this.#ended.noteUnlisted(serverId);
+    this.#directory.applyRemoval(serverId, this.#options.clock.nowMs(), wasAway);
+    this.#options.log.write(LogLevel.Info, 'backend_server_removed', {
+      backendServer: serverId,
+      mayHaveLapsed: wasAway,
+    });
+  }
+
+  /**
+   * An entry that can't be read names nobody. The server that stood there before is used
+   * for as long as a live one may need to write its own entry again; dropping it at once
+   * would let any writer take servers out of service, and keeping it for good would leave
+   * hosts that have started since with another belief than the rest.
+   */
+  #applyValue(key: string, value: Uint8Array): void {
+    const nowMs = this.#options.clock.nowMs();
+    const entry = this.#decode(key, value);
+    if (!entry) {
+      this.#ended.noteUnlisted(this.#readName(key));
+      this.#directory.applyRemoval(this.#readName(key), nowMs, true);
+      return;
+    }
+    const { effect, endedId } = this.#directory.applyEntry(entry, nowMs);
+    if (effect !== EntryEffect.None) this.#logEntry(entry, effect);
+    this.#ended.noteListed(entry, this.isUsable(entry.id));
+    if (endedId !== undefined) this.#noteRestart(endedId);
+  }
+
+  #logEntry({ id, serviceId, isLeaving }: BackendServerEntry, effect: EntryEffect): void {
+    const word = isLeaving ? 'backend_server_leaving' : 'backend_server_ready';
+    const event = effect === EntryEffect.Outdated ? 'backend_server_entry_outdated' : word;
     this.#options.log.write(LogLevel.Info, event, { backendServer: id, service: serviceId });
   }
 
-  /** An entry that can't be read changes nothing: the last good one stays. */
+  /**
+   * Whatever a former life was given ended with it. Its connections may stay silent for
+   * long, so the requests that wait there are told.
+   */
+  #noteRestart(endedId: string): void {
+    this.#ended.add(endedId);
+    this.#logEnded(endedId);
+    this.#restartHandlers.forEach((handler) => handler(endedId));
+  }
+
+  #readName(key: string): string {
+    return key.slice(this.#options.prefix.length);
+  }
+
   #decode(key: string, value: Uint8Array): BackendServerEntry | undefined {
+    const { decode, log, metrics } = this.#options;
     try {
-      return this.#options.decode(key, value);
+      return decode(key, value);
     } catch (error) {
-      this.#options.log.write(LogLevel.Error, 'backend_server_entry_refused', {
-        entry: key,
-        reason: formatReason(error),
-      });
+      const reason = formatReason(error);
+      log.write(LogLevel.Error, 'backend_server_entry_refused', { entry: key, reason });
+      metrics.count('backend_server_entries_refused_total');
       return undefined;
     }
   }
@@ -274,10 +291,8 @@
   #update(): void {
     this.#candidates.clear();
     const expired = this.#directory.expire(this.#options.clock.nowMs());
-    expired.forEach((id) => {
-      this.#loads.delete(id);
-      this.#endedIds.delete(id);
-    });
+    expired.forEach((id) => this.#loads.delete(id));
+    this.#ended.forget(expired);
     this.#changeHandlers.forEach((handler) => handler());
   }
 }
--- a/src/application/direct/server_keeper_test.ts
+++ b/src/application/direct/server_keeper_test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import { buildServer, startDirectHost } from '../../../test/support/direct_host.js';
 import type { DirectHost } from '../../../test/support/direct_host.js';
-import { ServerOutcome } from '../../domain/backend_servers/mod.js';
+import { formatLife, LAPSED_GRACE_MS, ServerOutcome } from '../../domain/backend_servers/mod.js';
 import { settle } from '../../../test/support/virtual_clock.js';
 
 const NOTHING = { inFlight: {}, waitingCalls: {}, avoidedBy: {}, endedServers: [] };
@@ -28,6 +28,44 @@
   t.ok(host.log.lines.some(({ event }) => event === 'backend_server_entry_refused'));
 });
 
+t.test('ServerKeeper uses a server for a moment whose entry was overwritten', async (t) => {
+  const host = await startDirectHost(t, {}, ['s-1', 's-2']);
+  host.feed.put('servers/s-1', 'no entry');
+  await settle();
+  t.same(listIds(host), ['s-1', 's-2']);
+  await host.clock.advance(LAPSED_GRACE_MS);
+  t.same(listIds(host), ['s-2']);
+  host.feed.put('servers/s-1', buildServer('s-1'));
+  await settle();
+  t.same(listIds(host), ['s-1', 's-2']);
+});
+
+t.test('ServerKeeper begins a new life with nothing of the former one', async (t) => {
+  const host = await startDirectHost(t, {}, []);
+  const putLife = async (bornAtMs: number): Promise<void> => {
+    const id = formatLife('s-1', bornAtMs);
+    host.feed.put('servers/s-1', buildServer(id, { serverId: 's-1', bornAtMs }));
+    await settle();
+  };
+  await putLife(1);
+  const [former] = host.servers.listCandidates('engines');
+  former?.load.begin({ promptTokens: 1, outputTokens: 1 });
+  former?.load.end(ServerOutcome.Failed, host.clock.nowMs());
+  former?.load.begin({ promptTokens: 1, outputTokens: 1 });
+  host.servers.applyPeer('peer-1', { ...NOTHING, inFlight: { 's-1@1': 5 } });
+  await putLife(2);
+  const [next] = host.servers.listCandidates('engines');
+  t.equal(next?.id, 's-1@2');
+  t.equal(next?.load.inFlight, 0);
+  t.notOk(next?.load.isPaused(host.clock.nowMs()));
+  // A peer that has not heard of the restart still counts what ended with it.
+  host.servers.applyPeer('peer-1', { ...NOTHING, inFlight: { 's-1@1': 5 } });
+  t.equal(next?.load.inFlight, 0);
+  t.same(host.servers.listEnded(), ['s-1@1']);
+  await putLife(1);
+  t.same(listIds(host), ['s-1@2']);
+});
+
 t.test('ServerKeeper adds up what peers have in flight, and forgets a silent one', async (t) => {
   const host = await startDirectHost(t, {}, ['s-1']);
   const [candidate] = host.servers.listCandidates('engines');
--- /dev/null
+++ b/src/application/direct/server_lives_test.ts
@@ -0,0 +1,180 @@
+import { deepEqual, ok } from 'node:assert/strict';
+import fc from 'fast-check';
+import t from 'tap';
+import { buildServer } from '../../../test/support/direct_host.js';
+import { FakeLog, FakeMetrics } from '../../../test/support/fakes.js';
+import { VirtualClock } from '../../../test/support/virtual_clock.js';
+import { formatLife, LAPSED_GRACE_MS } from '../../domain/backend_servers/mod.js';
+import type { BackendServerEntry } from '../../domain/backend_servers/mod.js';
+import type { FeedChange } from '../../ports/mod.js';
+import { ServerKeeper } from './server_keeper.js';
+
+const SEED = 31;
+const NAMES = ['a', 'b'];
+const HOSTS = 3;
+const KNOWN = { wasAway: false, ageMs: 0, askedAt: { steadyMs: 0, wallMs: 0 } };
+const NOTHING = { inFlight: {}, waitingCalls: {}, avoidedBy: {}, endedServers: [] };
+
+/** A store, and entry hosts that read it at different moments. */
+class Fleet {
+  readonly clock = new VirtualClock();
+
+  readonly #changes: FeedChange[] = [];
+
+  /** Newest life that each live server has written; each writes its own entry again and again. */
+  readonly #live = new Map<string, { readonly life: number; readonly entry: object }>();
+
+  #hosts = Array.from({ length: HOSTS }, () => this.#startHost());
+
+  write(name: string, value: object | string | undefined): void {
+    const bytes = value === undefined ? undefined : Buffer.from(JSON.stringify(value));
+    this.#changes.push({ key: `servers/${name}`, value: bytes, revision: this.#changes.length });
+  }
+
+  /** A server writes its entry, or a former life's entry arrives late. */
+  register(name: string, life: number, isLeaving: boolean): void {
+    const id = formatLife(name, life);
+    const entry = buildServer(id, { serverId: name, bornAtMs: life, isLeaving });
+    if (life >= (this.#live.get(name)?.life ?? 0)) this.#live.set(name, { life, entry });
+    this.write(name, entry);
+  }
+
+  remove(name: string): void {
+    this.#live.delete(name);
+    this.write(name, undefined);
+  }
+
+  /** Each live server writes once more. */
+  writeLive(): void {
+    this.#live.forEach(({ entry }, name) => this.write(name, entry));
+  }
+
+  /** A host reads what has changed since it read last. */
+  follow(index: number): void {
+    const host = this.#take(index);
+    host.keeper.applyChanges(this.#changes.slice(host.read), KNOWN);
+    host.read = this.#changes.length;
+  }
+
+  /** A host starts anew, or has lost the history: it reads what stands now. */
+  readAll(index: number, isNew: boolean): void {
+    if (isNew) this.#hosts[index] = this.#startHost();
+    const { keeper } = this.#take(index);
+    const standing = new Map(this.#changes.map((change) => [change.key, change]));
+    const items = [...standing.values()].flatMap(({ key, value, revision }) =>
+      value === undefined ? [] : [{ key, value, revision }],
+    );
+    keeper.applyAll(items, KNOWN);
+    this.#take(index).read = this.#changes.length;
+  }
+
+  /** A host hears another one's report. */
+  report(from: number, to: number): void {
+    const endedServers = this.#take(from).keeper.listEnded();
+    this.#take(to).keeper.applyPeer(`peer-${from}`, { ...NOTHING, endedServers });
+  }
+
+  listUsable(index: number): string[] {
+    const candidates = this.#take(index).keeper.listCandidates('engines');
+    return candidates.map(({ id }) => id).sort();
+  }
+
+  #take(index: number): { readonly keeper: ServerKeeper; read: number } {
+    return this.#hosts[index] as { readonly keeper: ServerKeeper; read: number };
+  }
+
+  #startHost(): { readonly keeper: ServerKeeper; read: number } {
+    const keeper = new ServerKeeper({
+      clock: this.clock,
+      log: new FakeLog(),
+      metrics: new FakeMetrics(),
+      prefix: 'servers/',
+      decode: (_key, value) => {
+        const entry = JSON.parse(Buffer.from(value).toString()) as BackendServerEntry;
+        if (typeof entry !== 'object') throw new Error('Cannot read it');
+        return entry;
+      },
+      isEngine: () => true,
+      countServing: () => HOSTS,
+    });
+    return { keeper, read: 0 };
+  }
+}
+
+const name = fc.constantFrom(...NAMES);
+const host = fc.nat(HOSTS - 1);
+const step = fc.oneof(
+  fc.record({ kind: fc.constant('write'), name, life: fc.nat(3), isLeaving: fc.boolean() }),
+  fc.record({ kind: fc.constantFrom('remove', 'spoil'), name }),
+  fc.record({ kind: fc.constantFrom('follow', 'read', 'restart'), host }),
+  fc.record({ kind: fc.constant('report'), host, to: host }),
+  fc.record({ kind: fc.constant('wait'), ms: fc.integer({ min: 1, max: 2_000 }) }),
+) as fc.Arbitrary<Partial<StepFields> & { readonly kind: string }>;
+
+/** Long enough for a restart, a late entry and a host that starts in between. */
+const history = fc.array(step, { minLength: 10, maxLength: 60, size: 'max' });
+
+interface StepFields {
+  readonly name: string;
+  readonly life: number;
+  readonly isLeaving: boolean;
+  readonly host: number;
+  readonly to: number;
+  readonly ms: number;
+}
+
+async function play(fleet: Fleet, { kind, ...fields }: Partial<StepFields> & { kind: string }) {
+  const { name: serverId = 'a', life = 0, isLeaving = false, host: index = 0, to = 0 } = fields;
+  if (kind === 'write') fleet.register(serverId, life, isLeaving);
+  else if (kind === 'remove') fleet.remove(serverId);
+  else if (kind === 'spoil') fleet.write(serverId, 'no entry');
+  else if (kind === 'follow') fleet.follow(index);
+  else if (kind === 'read' || kind === 'restart') fleet.readAll(index, kind === 'restart');
+  else if (kind === 'report') fleet.report(index, to);
+  else await fleet.clock.advance(fields.ms ?? 0);
+}
+
+async function settleAll(fleet: Fleet): Promise<void> {
+  const hosts = Array.from({ length: HOSTS }, (_value, index) => index);
+  fleet.writeLive();
+  hosts.forEach((index) => fleet.follow(index));
+  hosts.forEach((from) => hosts.forEach((to) => fleet.report(from, to)));
+  hosts.forEach((from) => hosts.forEach((to) => fleet.report(from, to)));
+  await fleet.clock.advance(2 * LAPSED_GRACE_MS);
+}
+
+t.test('all entry hosts end with the same usable lives, in whatever order they hear', async () => {
+  // Symptom: some entry hosts send requests to a server that others know to be gone.
+  // Sequence: restarts under one name, late and unreadable entries, removals, and hosts
+  // that start while an entry stands that tells of an older life.
+  // Cause: what contradicts a standing entry is known only to those that saw it happen.
+  await fc.assert(
+    fc.asyncProperty(history, async (steps) => {
+      const fleet = new Fleet();
+      for (const one of steps) await play(fleet, one);
+      await settleAll(fleet);
+      deepEqual(fleet.listUsable(1), fleet.listUsable(0));
+      deepEqual(fleet.listUsable(2), fleet.listUsable(0));
+    }),
+    { numRuns: 400, seed: SEED },
+  );
+});
+
+t.test('no life is usable at a host that has seen a newer one', async () => {
+  await fc.assert(
+    fc.asyncProperty(history, async (steps) => {
+      const fleet = new Fleet();
+      const newest = new Map<string, number>();
+      for (const one of steps) {
+        await play(fleet, one);
+        if (one.kind === 'restart' && one.host === 0) newest.clear();
+        fleet.listUsable(0).forEach((id) => {
+          const [serverId = '', bornAtMs = '0'] = id.split('@');
+          ok(Number(bornAtMs) >= (newest.get(serverId) ?? 0), id);
+          newest.set(serverId, Number(bornAtMs));
+        });
+      }
+    }),
+    { numRuns: 400, seed: SEED },
+  );
+});
--- a/src/domain/backend_servers/types.ts
+++ b/src/domain/backend_servers/types.ts
@@ -4,10 +4,14 @@
  * @module
  */
 
-/** One life of a backend server: a restart gives it another ID. */
+/** One life of a backend server, from a start to its end. */
 export interface BackendServerEntry {
-  /** Names this life of the backend server. */
+  /** Names this life of the backend server; see {@link formatLife}. */
   readonly id: string;
+  /** Name under which it is registered; a restart may keep it. */
+  readonly serverId: string;
+  /** When this life began, in milliseconds of Unix time; 0 where the registry doesn't say. */
+  readonly bornAtMs: number;
   readonly serviceId: string;
   /** IP number and port. */
   readonly address: string;
@@ -19,3 +23,15 @@
   /** How much longer it stays slow after its start, in milliseconds. */
   readonly warmupLeftMs: number;
 }
+
+/**
+ * Names one life of a backend server. One that is started again under its former name
+ * knows nothing of before; whatever is kept by life ends with the former one.
+ *
+ * @param serverId - name under which it is registered
+ * @param bornAtMs - when the life began, in milliseconds of Unix time; 0: unknown
+ * @returns the name of the life
+ */
+export function formatLife(serverId: string, bornAtMs: number): string {
+  return bornAtMs === 0 ? serverId : `${serverId}@${bornAtMs}`;
+}
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -73,8 +73,10 @@
   readonly request: DirectRequest;
   /** IP number and port. */
   readonly address: string;
-  /** Life of the backend server that is meant; any other must not run the request. */
+  /** Name of the backend server that is meant; any other must not run the request. */
   readonly serverId: string;
+  /** Its life that is meant. Connections of another life aren't used: its requests ended with it. */
+  readonly lifeId: string;
   readonly accountId: string | undefined;
   /** Time that is left, in milliseconds. */
   readonly deadlineMs: number;
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -74,6 +74,8 @@
 export function buildServer(id: string, changes: Partial<BackendServerEntry> = {}): object {
   return {
     id,
+    serverId: id,
+    bornAtMs: 0,
     serviceId: 'engines',
     address: '10.0.0.1:80',
     availabilityZone: 'hall-a',
