Choose engines by when the whole answer will be there

Hypothesis: engines of one service differ fivefold in what they generate, and the choice went by the first byte alone, so long answers sat on slow engines: 13 to 14 s of a slot, and the deadline in the end.

Change: score = first byte + expected output at the learnt pace. Expected output is the caller's hint (route's median error learnt), else a learnt part of the most that is allowed. Pace is learnt from events, of which the configuration says how many tokens each has. Log lines tell both.

--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -52,6 +52,8 @@
   readonly predictedMs: number;
   /** Time from its start to its end, in milliseconds. */
   readonly totalMs: number;
+  /** Output that it had, in tokens; 0 where it isn't a stream. */
+  readonly outputTokens: number;
   /** The stream as far as the caller has it. */
   readonly stream: StreamRelay | undefined;
   /** Passes on what the server answered, where no other server is tried. */
@@ -68,6 +70,8 @@
   /** The stream that goes on, where this is not the first try. */
   readonly stream: StreamRelay | undefined;
   readonly request: BackendRequest;
+  /** Output tokens in one event of a stream. */
+  readonly tokensPerEvent: number;
   /** @returns whether another backend server may take over */
   readonly mayMove: () => boolean;
   readonly onEnd: (end: AttemptEnd) => void;
@@ -81,6 +85,9 @@
 
   readonly #predictedMs: number;
 
+  /** Events that the caller had before this try. */
+  readonly #eventsBefore: number;
+
   #exchange: BackendExchange | undefined;
 
   #relay: AnswerRelay | undefined;
@@ -99,6 +106,7 @@
   constructor(options: DirectAttemptOptions) {
     this.#options = options;
     this.#stream = options.stream;
+    this.#eventsBefore = options.stream?.eventCount ?? 0;
     this.#startedAtMs = options.clock.nowMs();
     this.#predictedMs = options.load.predictFirstByteMs(this.#work);
   }
@@ -248,10 +256,11 @@
     this.#settle(outcome);
     const { clock, load, onEnd } = this.#options;
     const totalMs = clock.nowMs() - this.#startedAtMs;
+    const outputTokens = this.#countTokens();
     if (failure === undefined && this.#status < 300) {
       load.speed.observe({
         prefillTokens: this.#work.promptTokens,
-        outputTokens: 0,
+        outputTokens,
         firstByteMs: this.#firstByteMs,
         totalMs,
       });
@@ -263,11 +272,18 @@
       firstByteMs: this.#firstByteMs,
       predictedMs: this.#predictedMs,
       totalMs,
+      outputTokens,
       stream: this.#stream,
       fallback,
     });
   }
 
+  /** What earlier backend servers have generated of a stream isn't this one's work. */
+  #countTokens(): number {
+    const events = (this.#stream?.eventCount ?? 0) - this.#eventsBefore;
+    return events * this.#options.tokensPerEvent;
+  }
+
   #settle(outcome: ServerOutcome): void {
     this.#hasEnded = true;
     this.#lookTimer?.cancel();
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -5,7 +5,13 @@
  */
 import { ServerOutcome } from '../../domain/backend_servers/mod.js';
 import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
-import { computeReturnMs } from '../../domain/direct/mod.js';
+import {
+  AIM_WAIT_PART,
+  computeMoveWaitMs,
+  computeReturnMs,
+  computeWaitMs,
+} from '../../domain/direct/mod.js';
+import type { OutputForecast } from '../../domain/direct/mod.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { ClientAccount, Route } from '../../domain/routing/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
@@ -20,18 +26,6 @@
 /** Most backend servers that are tried where none of them has run the request. */
 const MAX_TRIES = 4;
 
-/** Part of the time left that a call may wait whose aim can't be met any more; chosen, not measured. */
-const LATE_WAIT_PART = 0.25;
-
-/** Longest such wait, in milliseconds: a caller that hears nothing should be told to come back. */
-const MAX_LATE_WAIT_MS = 1_200;
-
-/**
- * Part of its aim that a call may wait. The rest is for the backend server to begin its
- * answer: with all slots taken, three in four did so within 0.15 s, of aims of 0.4 s.
- */
-const AIM_WAIT_PART = 0.55;
-
 /** Least time left that another backend server is worth trying for, in milliseconds. */
 const MIN_RETRY_MS = 40;
 
@@ -46,6 +40,9 @@
   /** Whether the caller was refused before. */
   readonly isReturning: boolean;
   readonly line: ServiceLine;
+  readonly forecast: OutputForecast;
+  /** Output tokens in one event of a stream. */
+  readonly tokensPerEvent: number;
   readonly services: DirectServices;
   /** Checks right before the request leaves whether it still may. */
   readonly checkDispatch: () => SchedulerError | undefined;
@@ -57,6 +54,8 @@
 export class DirectCall implements LineCall {
   readonly work: RequestWork;
 
+  readonly expectedTokens: number;
+
   readonly rank: number;
 
   readonly isLate: boolean;
@@ -92,12 +91,15 @@
     this.#options = options;
     const { request, route, reply, services } = options;
     this.work = request.work;
+    this.expectedTokens = options.forecast.predict(this.work);
     this.rank = options.rank;
     this.isLate = options.isReturning;
     this.arrivedAtMs = services.clock.nowMs();
     const longestMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     this.#endsAtMs = this.arrivedAtMs + longestMs;
-    this.#startByMs = this.#computeStartBy();
+    this.#startByMs =
+      this.arrivedAtMs +
+      computeWaitMs({ isLate: this.isLate, timeLeftMs: longestMs, targetMs: route.targetMs });
     this.#recorder = new CallRecorder({ ...options, arrivedAtMs: this.arrivedAtMs });
     this.#timer = services.clock.setTimer(longestMs, () => this.#handleTimeout());
     reply.onGone(() => this.#handleGone());
@@ -152,7 +154,7 @@
       attempt: this.#tries,
       isReturning: this.isLate,
       promptTokens: this.work.promptTokens,
-      mostTokens: this.work.outputTokens,
+      expectedTokens: Math.round(this.expectedTokens),
     });
     this.#attempt = new DirectAttempt({
       backend: services.backend,
@@ -161,6 +163,7 @@
       route,
       load,
       stream: this.#stream,
+      tokensPerEvent: this.#options.tokensPerEvent,
       mayMove: () => this.#mayTryAgain(),
       request: {
         request,
@@ -224,14 +227,6 @@
     this.fail(new SchedulerError(ErrorKind.EntryHostStopping));
   }
 
-  /** A fresh call may wait while its aim can still be met, a late one for a part of its time. */
-  #computeStartBy(): number {
-    const nowMs = this.#options.services.clock.nowMs();
-    const lateMs = Math.min(MAX_LATE_WAIT_MS, (this.#endsAtMs - nowMs) * LATE_WAIT_PART);
-    const { targetMs } = this.#options.route;
-    return nowMs + (this.isLate ? lateMs : Math.min(lateMs, targetMs * AIM_WAIT_PART));
-  }
-
   #buildLost(): SchedulerError {
     return new SchedulerError(ErrorKind.BackendServerLost);
   }
@@ -247,12 +242,14 @@
     this.#attempt = undefined;
     this.excluded.add(serverId);
     if (end.failure === undefined) {
+      if (end.outputTokens > 0 && this.#tries === 1)
+        this.#options.forecast.learn(this.work, end.outputTokens);
       this.#end('call_answered', {
         backendServer: serverId,
         status: end.status,
         firstByteMs: Math.round(end.firstByteMs),
         predictedFirstByteMs: Math.round(end.predictedMs),
-        events: end.stream?.eventCount,
+        outputTokens: end.outputTokens,
         longestPauseMs: end.stream && Math.round(end.stream.longestPauseMs),
       });
     } else {
@@ -274,7 +271,7 @@
     const isFree = failure === BackendFailure.NotSent;
     if (isAllowed && canGoOn && (isFree || services.takeRetry(serviceId))) {
       const leftMs = this.#endsAtMs - services.clock.nowMs();
-      this.#startByMs = services.clock.nowMs() + Math.min(MAX_LATE_WAIT_MS, leftMs / 2);
+      this.#startByMs = services.clock.nowMs() + computeMoveWaitMs(leftMs);
       this.#options.line.submit(this);
     } else if (fallback && !this.#options.reply.hasBegun) {
       fallback();
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { computeReturnedTimeMs, RetryShare } from '../../domain/direct/mod.js';
+import { computeReturnedTimeMs, OutputForecast, RetryShare } from '../../domain/direct/mod.js';
 import type { RetryBounds } from '../../domain/direct/mod.js';
 import { ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
 import { computeRank, pickService } from '../../domain/routing/mod.js';
@@ -61,6 +61,9 @@
 
   readonly #calls = new Set<DirectCall>();
 
+  /** By route. */
+  readonly #forecasts = new Map<string, OutputForecast>();
+
   /** Longest deadline that callers of a route gave, in milliseconds. */
   readonly #longestMs = new Map<string, number>();
 
@@ -158,6 +161,8 @@
       rank: computeRank(route, account),
       isReturning: this.#isReturning(route, request),
       line: this.#takeLine(serviceId),
+      forecast: this.#takeForecast(route),
+      tokensPerEvent: table.findService(serviceId)?.tokensPerEvent ?? 1,
       services: this.#services,
       checkDispatch: () => this.#checkDispatch(route, request),
       onEnd: (ended) => this.#handleEnd(ended),
@@ -212,6 +217,14 @@
     return deadlineMs <= computeReturnedTimeMs(longestMs);
   }
 
+  #takeForecast({ name }: Route): OutputForecast {
+    const found = this.#forecasts.get(name);
+    if (found) return found;
+    const forecast = new OutputForecast();
+    this.#forecasts.set(name, forecast);
+    return forecast;
+  }
+
   #takeLine(serviceId: string): ServiceLine {
     const found = this.#lines.get(serviceId);
     if (found) return found;
--- a/src/application/direct/service_line.ts
+++ b/src/application/direct/service_line.ts
@@ -31,6 +31,8 @@
 /** A call as the line sees it. */
 export interface LineCall extends WaitingCall {
   readonly work: RequestWork;
+  /** Output tokens that it is expected to have. */
+  readonly expectedTokens: number;
   /** Backend servers that it was sent to already. */
   readonly excluded: ReadonlySet<string>;
   /** @param candidate - the backend server that it is to be sent to now */
@@ -148,11 +150,12 @@
     return candidate !== undefined;
   }
 
-  #pick({ work, excluded }: LineCall, ownWaiting: number): Candidate | undefined {
+  #pick({ work, expectedTokens, excluded }: LineCall, ownWaiting: number): Candidate | undefined {
     const { clock, random, listCandidates, countWaitingElsewhere } = this.#options;
     const nowMs = clock.nowMs();
     return pickServer(listCandidates(), {
       work,
+      expectedTokens,
       excluded,
       nowMs,
       nextFraction: () => random.nextFraction(),
--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -24,6 +24,8 @@
 /** What the choice depends on. */
 export interface PickOptions {
   readonly work: RequestWork;
+  /** Output tokens that it is expected to have. */
+  readonly expectedTokens: number;
   readonly nowMs: number;
   /** Servers that this request was sent to already. */
   readonly excluded: ReadonlySet<string>;
@@ -40,7 +42,10 @@
 const EQUAL_FACTOR = 1.15;
 
 /**
- * Picks a server with a free slot and the shortest predicted time to the first byte.
+ * Picks a server with a free slot and the shortest predicted time until the answer is
+ * whole. Engines that begin alike may differ fivefold in what they generate, and where all
+ * slots are taken most of the time, the time for which a request holds one is what it costs
+ * everybody else.
  * Where calls wait here and elsewhere, all entry hosts see the same slots get free: each
  * takes its own part of them.
  *
@@ -52,11 +57,11 @@
   candidates: readonly Candidate[],
   options: PickOptions,
 ): Candidate | undefined {
-  const { work, excluded, nextFraction } = options;
+  const { work, expectedTokens, excluded, nextFraction } = options;
   const free = candidates.filter(({ id, load }) => load.freeSlots > 0 && !excluded.has(id));
   const pool = pickOwn(pickSound(candidates, free, options.nowMs), options);
   if (pool.length === 0) return undefined;
-  const scores = pool.map(({ load }) => load.predictFirstByteMs(work));
+  const scores = pool.map(({ load }) => load.predictHoldMs(work, expectedTokens));
   const limit = Math.min(...scores) * EQUAL_FACTOR;
   const near = pool.filter((_candidate, index) => (scores[index] as number) <= limit);
   return near[Math.floor(nextFraction() * near.length)];
--- a/src/domain/backend_servers/pick_server_test.ts
+++ b/src/domain/backend_servers/pick_server_test.ts
@@ -17,6 +17,7 @@
 ): string | undefined {
   const options = {
     work: WORK,
+    expectedTokens: WORK.outputTokens,
     nowMs: 0,
     excluded: new Set<string>(),
     nextFraction: () => 0,
@@ -61,6 +62,24 @@
   t.equal(pick([slow, fast], { nextFraction: () => 0.99 }), 'fast');
 });
 
+t.test('pickServer() gives a long answer to the engine that generates it sooner', async (t) => {
+  // Symptom: long answers run into their deadline while quick engines have free slots.
+  // Sequence: engines that differ fivefold in speed begin their answers alike, as small
+  // prompts take the same fixed time everywhere.
+  // Cause: the choice went by the first byte alone.
+  const slow = buildCandidate('slow');
+  const fast = buildCandidate('fast');
+  const sample = { prefillTokens: 10, outputTokens: 300, firstByteMs: 50 };
+  for (let answer = 0; answer < 20; answer += 1) {
+    slow.load.speed.observe({ ...sample, totalMs: 2_200 });
+    fast.load.speed.observe({ ...sample, firstByteMs: 55, totalMs: 500 });
+  }
+  const work = { promptTokens: 10, outputTokens: 3_000 };
+  t.equal(pick([slow, fast], { work, expectedTokens: 300 }), 'fast');
+  // Where next to nothing is generated, the first byte decides.
+  t.equal(pick([slow, fast], { work, expectedTokens: 0 }), 'slow');
+});
+
 t.test('pickServer() counts prompts that are still to be read', async (t) => {
   // Symptom: short requests wait behind long prompts while other servers read nothing.
   // Sequence: a prompt of 50,000 tokens is sent to a server; so is the next request.
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -34,6 +34,8 @@
 /** Time for which an answer of its own counts more than others' word, in milliseconds. */
 const OWN_WORD_MS = 1_000;
 
+const MS_PER_SECOND = 1_000;
+
 /** Part of each outcome in the average of errors. */
 const ERROR_ALPHA = 0.15;
 
@@ -46,6 +48,8 @@
   readonly promptTokens: number;
   /** Most output tokens; 0 for a plain service. */
   readonly outputTokens: number;
+  /** Output tokens that the caller expects; undefined when it didn't say. */
+  readonly hintedTokens?: number | undefined;
 }
 
 /** How a request at a backend server ended. */
@@ -207,4 +211,17 @@
     const crowding = 1 + this.inFlight / this.slots;
     return prefillMs * crowding * (1 + ERROR_PENALTY * this.#errorPart);
   }
+
+  /**
+   * Predicts the time that one more request holds a slot.
+   *
+   * @param work - the request
+   * @param expectedTokens - output that it is expected to have
+   * @returns milliseconds
+   */
+  predictHoldMs(work: RequestWork, expectedTokens: number): number {
+    const firstByteMs = this.predictFirstByteMs(work);
+    if (this.speed.isPlain) return firstByteMs;
+    return firstByteMs + (expectedTokens / this.speed.decodeTokensPerSecond) * MS_PER_SECOND;
+  }
 }
--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -5,8 +5,11 @@
  *
  * @module
  */
+export { OutputForecast } from './output_forecast.js';
 export { RetryShare } from './retry_share.js';
 export type { RetryBounds } from './retry_share.js';
 export { computeReturnedTimeMs, computeReturnMs } from './return_time.js';
+export { AIM_WAIT_PART, computeMoveWaitMs, computeWaitMs } from './wait_time.js';
+export type { WaitOptions } from './wait_time.js';
 export { WaitingLine } from './waiting_line.js';
 export type { WaitingCall } from './waiting_line.js';
--- a/src/domain/routing/route_table_test.ts
+++ b/src/domain/routing/route_table_test.ts
@@ -29,7 +29,7 @@
   return {
     version: 3,
     routes,
-    services: [{ id: 'engines', maxConnections: 10, isEngine: true }],
+    services: [{ id: 'engines', maxConnections: 10, isEngine: true, tokensPerEvent: 1 }],
     accounts: [buildAccount('firm-a')],
     callerLimits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
   };
--- a/src/domain/routing/types.ts
+++ b/src/domain/routing/types.ts
@@ -47,6 +47,8 @@
   readonly maxConnections: number;
   /** Whether its backend servers are model engines. */
   readonly isEngine: boolean;
+  /** Output tokens in one event of a stream. */
+  readonly tokensPerEvent: number;
 }
 
 /** What an account's limit counts. */
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -59,7 +59,7 @@
   return {
     version,
     routes: [{ ...ROUTE, ...changes.route }],
-    services: [{ id: 'engines', maxConnections: 10, isEngine: true }],
+    services: [{ id: 'engines', maxConnections: 10, isEngine: true, tokensPerEvent: 1 }],
     accounts: [account],
     callerLimits: {
       maxHeaderBytes: 1_000,
