Hand a freed slot to the host whose waiting call comes first

Hypothesis: every host fills the slots that its own requests give back, and hears of others' 75 ms later on average.

Change: reports tell how urgent the first waiting call is; a host that has nothing as urgent sends the slot there in one message. Counts are moved at both ends until the next report. Passed on three times at most.

--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -98,6 +98,7 @@
     hostCount: count,
     inFlight: z.record(name, count),
     waitingCalls: z.record(name, count),
+    firstWaiting: z.record(name, z.number()),
     avoidedBy: z.record(name, count),
     spentUnits: z.record(name, z.number()),
     endedServers: names,
@@ -106,6 +107,11 @@
     heardRosterRevision: count,
     heardScope: z.enum(ReportScope).optional(),
   }) as z.ZodType<PeerMessageOf<PeerMessageType.HostReport>>,
+  [PeerMessageType.FreedSlot]: z.object({
+    type: z.literal(PeerMessageType.FreedSlot),
+    serverId: name,
+    hops: count,
+  }),
   [PeerMessageType.FeedUpdate]: z.object({
     type: z.literal(PeerMessageType.FeedUpdate),
     fromRevision: revision,
--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -41,6 +41,7 @@
     hostCount: 2,
     inFlight: { 'engine-1': 3 },
     waitingCalls: { engines: 4 },
+    firstWaiting: { engines: 1 },
     avoidedBy: { 'engine-3': 1 },
     spentUnits: { 'franchise-a': 1200 },
     endedServers: ['engine-2'],
@@ -62,6 +63,11 @@
     heardRosterRevision: 3,
     heardScope: ReportScope.Group,
   },
+  [PeerMessageType.FreedSlot]: {
+    type: PeerMessageType.FreedSlot,
+    serverId: 'engine-1@5',
+    hops: 1,
+  },
   [PeerMessageType.FeedUpdate]: {
     type: PeerMessageType.FeedUpdate,
     fromRevision: 3,
--- a/src/application/direct/_peer_figures.ts
+++ b/src/application/direct/_peer_figures.ts
@@ -8,7 +8,7 @@
 /** What a peer reports of backend servers. */
 export type PeerFigures = Pick<
   HostReportMessage,
-  'inFlight' | 'waitingCalls' | 'avoidedBy' | 'endedServers'
+  'inFlight' | 'waitingCalls' | 'firstWaiting' | 'avoidedBy' | 'endedServers'
 >;
 
 /** Figures that are added up. */
@@ -16,6 +16,14 @@
 
 type Counts = Readonly<Record<string, number>>;
 
+/** A peer whose call goes before those of all others. */
+export interface FirstWaiting {
+  /** Incarnation of the peer's process. */
+  readonly source: string;
+  /** 0 is the most urgent. */
+  readonly urgency: number;
+}
+
 /** Keeps the newest figures of each peer's process. */
 export class PeerFigureTable {
   readonly #figures = new Map<string, PeerFigures>();
@@ -46,4 +54,67 @@
     });
     return counts;
   }
+
+  /**
+   * Lists how urgent the first waiting calls are.
+   *
+   * @param sources - peers' processes that are counted
+   * @param own - urgency of the first that waits here, by service
+   * @returns urgency by service
+   */
+  listFirstWaiting(sources: readonly string[], own: Counts): Record<string, number> {
+    const first = { ...own };
+    sources.forEach((source) => {
+      Object.entries(this.#figures.get(source)?.firstWaiting ?? {}).forEach(([id, urgency]) => {
+        first[id] = Math.min(first[id] ?? Infinity, urgency);
+      });
+    });
+    return first;
+  }
+
+  /**
+   * Finds the peer with the most urgent waiting call.
+   *
+   * @param serviceId - which service it waits for
+   * @param excluded - incarnation of a peer that is left out
+   * @returns the peer; undefined when nobody waits
+   */
+  findFirstWaiting(serviceId: string, excluded?: string): FirstWaiting | undefined {
+    let first: FirstWaiting | undefined;
+    this.#figures.forEach(({ firstWaiting, waitingCalls }, source) => {
+      const urgency = firstWaiting[serviceId];
+      const isWaiting = (waitingCalls[serviceId] ?? 0) > 0 && source !== excluded;
+      if (urgency === undefined || !isWaiting) return;
+      if (!first || urgency < first.urgency) first = { source, urgency };
+    });
+    return first;
+  }
+
+  /**
+   * Takes note, until a peer's next report, that it has taken a slot or given one back.
+   *
+   * @param source - incarnation of the peer's process
+   * @param serverId - life of the backend server
+   * @param change - slots that it has taken
+   */
+  adjust(source: string, serverId: string, change: number): void {
+    const figures = this.#figures.get(source);
+    if (!figures) return;
+    const slots = Math.max(0, (figures.inFlight[serverId] ?? 0) + change);
+    this.#figures.set(source, { ...figures, inFlight: { ...figures.inFlight, [serverId]: slots } });
+  }
+
+  /**
+   * Takes note, until a peer's next report, that one of its calls waits no more.
+   *
+   * @param source - incarnation of the peer's process
+   * @param serviceId - service that it waited for
+   */
+  noteServed(source: string, serviceId: string): void {
+    const figures = this.#figures.get(source);
+    const waiting = figures?.waitingCalls[serviceId];
+    if (!figures || waiting === undefined) return;
+    const waitingCalls = { ...figures.waitingCalls, [serviceId]: Math.max(0, waiting - 1) };
+    this.#figures.set(source, { ...figures, waitingCalls });
+  }
 }
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -11,17 +11,16 @@
   computeReturnMs,
   computeWaitMs,
 } from '../../domain/direct/mod.js';
-import type { OutputForecast } from '../../domain/direct/mod.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
-import type { ClientAccount, Route } from '../../domain/routing/mod.js';
+import type { ClientAccount } from '../../domain/routing/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
-import type { DirectReply, DirectRequest, LogFields, Timer } from '../../ports/mod.js';
+import type { DirectRequest, LogFields, Timer } from '../../ports/mod.js';
 import { CallRecorder } from './_call_recorder.js';
 import { DirectAttempt } from './_direct_attempt.js';
 import type { AttemptEnd } from './_direct_attempt.js';
 import type { StreamRelay } from './_answer_relay.js';
-import type { DirectServices } from './direct_services.js';
-import type { LineCall, ServiceLine } from './service_line.js';
+import type { DirectCallOptions } from './direct_call_options.js';
+import type { LineCall } from './service_line.js';
 
 /** Most backend servers that are tried where none of them has run the request. */
 const MAX_TRIES = 4;
@@ -29,27 +28,6 @@
 /** Least time left that another backend server is worth trying for, in milliseconds. */
 const MIN_RETRY_MS = 40;
 
-/** What a call is made of. */
-export interface DirectCallOptions {
-  readonly request: DirectRequest;
-  readonly reply: DirectReply;
-  readonly route: Route;
-  readonly serviceId: string;
-  readonly account: ClientAccount | undefined;
-  readonly rank: number;
-  /** Whether the caller was refused before. */
-  readonly isReturning: boolean;
-  readonly line: ServiceLine;
-  readonly forecast: OutputForecast;
-  /** Output tokens in one event of a stream. */
-  readonly tokensPerEvent: number;
-  readonly services: DirectServices;
-  /** Checks right before the request leaves whether it still may. */
-  readonly checkDispatch: () => SchedulerError | undefined;
-  /** Called once, at the end. */
-  readonly onEnd: (call: DirectCall) => void;
-}
-
 /** Waits, is sent, sent again where that is allowed, and answered once. */
 export class DirectCall implements LineCall {
   readonly work: RequestWork;
@@ -257,7 +235,7 @@
       this.#stream = end.stream?.hasBegun ? end.stream : undefined;
       this.#handleFailure(serverId, end);
     }
-    this.#options.line.noteFreed(end.totalMs);
+    this.#options.line.noteFreed(serverId, end.totalMs);
   }
 
   #handleFailure(serverId: string, { failure, fallback }: AttemptEnd): void {
@@ -298,6 +276,6 @@
     this.#timer.cancel();
     this.#options.line.remove(this);
     this.#recorder.noteEnd(event, fields);
-    this.#options.onEnd(this);
+    this.#options.onEnd();
   }
 }
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -15,9 +15,11 @@
   DirectRequest,
   EventLog,
   Metrics,
+  PeerNetwork,
   RandomSource,
 } from '../../ports/mod.js';
 import type { AccountSpending } from './account_spending.js';
+import { FreedSlots } from './freed_slots.js';
 import { DirectCall } from './direct_call.js';
 import type { DirectServices } from './direct_services.js';
 import type { RoutingKeeper } from './routing_keeper.js';
@@ -34,6 +36,7 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly backend: DirectBackendClient;
+  readonly peers: PeerNetwork;
   readonly routing: RoutingKeeper;
   readonly servers: ServerKeeper;
   readonly spending: AccountSpending;
@@ -57,6 +60,8 @@
 
   readonly #lines = new Map<string, ServiceLine>();
 
+  readonly #freedSlots: FreedSlots;
+
   readonly #retries = new Map<string, RetryShare>();
 
   readonly #calls = new Set<DirectCall>();
@@ -78,6 +83,11 @@
       takeRetry: (serviceId) =>
         this.#takeShare(serviceId).takeRetry(options.clock.nowMs(), options.countEntryHosts()),
     };
+    this.#freedSlots = new FreedSlots({
+      ...options,
+      getUrgency: (serviceId) => this.#lines.get(serviceId)?.firstUrgency ?? Infinity,
+      advance: (serviceId) => this.#lines.get(serviceId)?.advance(),
+    });
     options.servers.onRestart((endedId) => {
       [...this.#calls].forEach((call) => call.noteServerEnded(endedId));
     });
@@ -99,6 +109,12 @@
     return Object.fromEntries(waiting.map(([id, { size }]) => [id, size]));
   }
 
+  /** @returns urgency of the first call that waits, by service */
+  listFirstWaiting(): Record<string, number> {
+    const waiting = [...this.#lines].filter(([, { size }]) => size > 0);
+    return Object.fromEntries(waiting.map(([id, { firstUrgency }]) => [id, firstUrgency]));
+  }
+
   /** Whether callers may be sent to this entry host. */
   get isServing(): boolean {
     const { routing, maxKeyAgeMs } = this.#options;
@@ -152,7 +168,7 @@
       const waitMs = spending.take(account, request);
       if (waitMs > 0) throw new SchedulerError(ErrorKind.TokensLimited, { retryAfterMs: waitMs });
     }
-    const call = new DirectCall({
+    const call: DirectCall = new DirectCall({
       request,
       reply,
       route,
@@ -165,7 +181,7 @@
       tokensPerEvent: table.findService(serviceId)?.tokensPerEvent ?? 1,
       services: this.#services,
       checkDispatch: () => this.#checkDispatch(route, request),
-      onEnd: (ended) => this.#handleEnd(ended),
+      onEnd: () => this.#handleEnd(call),
     });
     this.#calls.add(call);
     call.start();
@@ -235,6 +251,7 @@
       clock,
       random,
       listCandidates,
+      passFreed: (serverId) => this.#freedSlots.pass(serverId),
       countWaitingElsewhere: () => servers.countWaitingAt(serviceId),
     });
     this.#lines.set(serviceId, line);
--- a/src/application/direct/feed_sharing_test.ts
+++ b/src/application/direct/feed_sharing_test.ts
@@ -47,6 +47,7 @@
       buildFigures: () => ({
         inFlight: {},
         waitingCalls: {},
+        firstWaiting: {},
         avoidedBy: {},
         spentUnits: {},
         endedServers: [],
--- /dev/null
+++ b/src/application/direct/freed_slots.ts
@@ -0,0 +1,85 @@
+/**
+ * Hands freed slots on to the entry host whose waiting call goes before all others.
+ *
+ * @module
+ */
+import type { Clock, FreedSlotMessage, Metrics, PeerNetwork } from '../../ports/mod.js';
+import { PeerMessageType } from '../../ports/mod.js';
+import type { ServerKeeper } from './server_keeper.js';
+
+/** Most times that one slot is handed on: from a host to its relay, to another relay, to that one's host. */
+const MAX_HOPS = 3;
+
+/** What the handing on needs. */
+export interface FreedSlotsOptions {
+  readonly peers: PeerNetwork;
+  readonly clock: Clock;
+  readonly servers: ServerKeeper;
+  readonly metrics: Metrics;
+  /** @param serviceId - which service. @returns urgency of the first call that waits here; Infinity: none */
+  readonly getUrgency: (serviceId: string) => number;
+  /** @param serviceId - service whose free slots are to be given to calls that wait here */
+  readonly advance: (serviceId: string) => void;
+}
+
+/**
+ * Each entry host hears of others' requests with their next report. A slot that one of its
+ * own requests gives back is known here at once and elsewhere 75 ms later on average; where
+ * nothing waits here it would stand empty for so long, and where something less urgent
+ * waits here it would be taken before what should go first. So it is handed to the host that
+ * has the most urgent call, by what the hosts have reported last. A host that has nothing
+ * waiting any more keeps the slot for its next call; everybody hears of it with its reports.
+ */
+export class FreedSlots {
+  readonly #options: FreedSlotsOptions;
+
+  /** @param options - what the handing on needs */
+  constructor(options: FreedSlotsOptions) {
+    this.#options = options;
+    options.peers.handle(PeerMessageType.FreedSlot, ({ incarnation }, message) =>
+      this.#handle(incarnation, message),
+    );
+  }
+
+  /** @param serverId - life of a backend server whose slot an own request has given back */
+  pass(serverId: string): void {
+    this.#give(serverId, 0);
+  }
+
+  #handle(from: string, { serverId, hops }: FreedSlotMessage): void {
+    this.#moveSlot(from, serverId, -1);
+    this.#give(serverId, hops, from);
+  }
+
+  #give(serverId: string, hops: number, from?: string): void {
+    const { clock, servers, getUrgency, advance } = this.#options;
+    const serviceId = servers.find(serverId)?.serviceId;
+    if (serviceId === undefined) return;
+    const first = hops < MAX_HOPS ? servers.peers.findFirstWaiting(serviceId, from) : undefined;
+    const mustPass = first !== undefined && first.urgency < getUrgency(serviceId);
+    if (mustPass && this.#isFree(serverId)) this.#send(first.source, serverId, hops + 1);
+    else if (from !== undefined) servers.findLoad(serverId)?.share.noteFreed(clock.nowMs());
+    advance(serviceId);
+  }
+
+  #isFree(serverId: string): boolean {
+    const { servers } = this.#options;
+    return servers.isUsable(serverId) && (servers.findLoad(serverId)?.freeSlots ?? 0) > 0;
+  }
+
+  /** A peer has taken a slot, or given one back, and will only report that later. */
+  #moveSlot(source: string, serverId: string, change: number): void {
+    const { servers } = this.#options;
+    servers.peers.adjust(source, serverId, change);
+    servers.findLoad(serverId)?.addPeersInFlight(change);
+  }
+
+  #send(to: string, serverId: string, hops: number): void {
+    const { peers, servers, metrics } = this.#options;
+    if (!peers.send(to, { type: PeerMessageType.FreedSlot, serverId, hops })) return;
+    this.#moveSlot(to, serverId, 1);
+    servers.findLoad(serverId)?.share.noteTaken();
+    servers.peers.noteServed(to, servers.find(serverId)?.serviceId ?? '');
+    metrics.count('freed_slots_passed_total', { hops: String(hops) });
+  }
+}
--- /dev/null
+++ b/src/application/direct/freed_slots_test.ts
@@ -0,0 +1,151 @@
+import t from 'tap';
+import { FakePeerHub, FakePeerNetwork } from '../../../test/support/fake_peer_network.js';
+import { FakeLog, FakeMetrics } from '../../../test/support/fakes.js';
+import { buildServer } from '../../../test/support/direct_host.js';
+import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
+import type { BackendServerEntry } from '../../domain/backend_servers/mod.js';
+import { ServerOutcome } from '../../domain/backend_servers/mod.js';
+import { PeerMessageType } from '../../ports/mod.js';
+import { FreedSlots } from './freed_slots.js';
+import { ServerKeeper } from './server_keeper.js';
+
+const WORK = { promptTokens: 1, outputTokens: 1 };
+const FIGURES = {
+  inFlight: {},
+  waitingCalls: {},
+  firstWaiting: {},
+  avoidedBy: {},
+  endedServers: [],
+};
+const CONTEXT = { wasAway: false, ageMs: 0, askedAt: { steadyMs: 0, wallMs: 0 } };
+
+/** A host before one engine with one slot, which a call of its own has taken. */
+class SlotHost {
+  readonly servers: ServerKeeper;
+
+  readonly slots: FreedSlots;
+
+  readonly incarnation: string;
+
+  urgency = Infinity;
+
+  advanced = 0;
+
+  constructor(
+    hub: FakePeerHub,
+    readonly clock: VirtualClock,
+    id: string,
+  ) {
+    this.incarnation = `${id}/1`;
+    const peers = new FakePeerNetwork(hub, {
+      id,
+      incarnation: this.incarnation,
+      url: `http://${id}.test`,
+      peerUrl: `ws://${id}.test`,
+      availabilityZone: 'hall-a',
+    });
+    const shared = { clock, log: new FakeLog(), metrics: new FakeMetrics() };
+    this.servers = new ServerKeeper({
+      ...shared,
+      prefix: 'servers/',
+      decode: (_key, value) => JSON.parse(Buffer.from(value).toString()) as BackendServerEntry,
+      isEngine: () => true,
+      countServing: () => 2,
+    });
+    const value = Buffer.from(JSON.stringify(buildServer('s-1', { slots: 1 })));
+    this.servers.applyAll([{ key: 'servers/s-1', value, revision: 1 }], CONTEXT);
+    this.servers.listCandidates('engines');
+    this.slots = new FreedSlots({
+      ...shared,
+      peers,
+      servers: this.servers,
+      getUrgency: () => this.urgency,
+      advance: () => {
+        this.advanced += 1;
+      },
+    });
+  }
+
+  get freeSlots(): number {
+    return this.servers.findLoad('s-1')?.freeSlots ?? 0;
+  }
+
+  /** An own call takes the slot and gives it back. */
+  use(): void {
+    const load = this.servers.findLoad('s-1');
+    load?.begin(WORK);
+    load?.end(ServerOutcome.Answered, this.clock.nowMs());
+    this.slots.pass('s-1');
+  }
+
+  /** Hears that calls wait at a peer. */
+  hearWaiting(peer: SlotHost, urgency: number, inFlight = 0): void {
+    this.servers.applyPeer(peer.incarnation, {
+      ...FIGURES,
+      inFlight: { 's-1': inFlight },
+      waitingCalls: { engines: 1 },
+      firstWaiting: { engines: urgency },
+    });
+  }
+}
+
+function startHosts(): { readonly hub: FakePeerHub; readonly hosts: SlotHost[] } {
+  const hub = new FakePeerHub();
+  const clock = new VirtualClock();
+  return { hub, hosts: ['a', 'b', 'c'].map((id) => new SlotHost(hub, clock, id)) };
+}
+
+function countHandedOn(hub: FakePeerHub): number {
+  return hub.delivered.filter(({ message }) => message.type === PeerMessageType.FreedSlot).length;
+}
+
+t.test('a freed slot goes at once to the host whose call comes first', async (t) => {
+  // Symptom: under overload, urgent calls are refused while less urgent ones are served.
+  // Sequence: each of several hosts has a few calls waiting; a request ends at a host that
+  // has a less urgent one waiting, or none.
+  // Cause: whoever's request had ended filled the slot, and others heard of it too late.
+  const { hosts } = startHosts();
+  const [a, b] = hosts as [SlotHost, SlotHost];
+  a.urgency = 3;
+  a.hearWaiting(b, 0);
+  b.hearWaiting(a, 3, 1);
+  t.equal(b.freeSlots, 0);
+  a.use();
+  t.equal(a.freeSlots, 0, 'the slot counts as taken by the other host');
+  await settle();
+  t.equal(b.freeSlots, 1);
+  t.equal(b.advanced, 1);
+});
+
+t.test('a host keeps a slot for a call of its own that is as urgent', async (t) => {
+  const { hub, hosts } = startHosts();
+  const [a, b] = hosts as [SlotHost, SlotHost];
+  a.urgency = 0;
+  a.hearWaiting(b, 0);
+  a.use();
+  await settle();
+  t.equal(countHandedOn(hub), 0);
+  t.equal(a.freeSlots, 1);
+});
+
+t.test('one waiting call is handed one slot until its host reports again', async (t) => {
+  const { hub, hosts } = startHosts();
+  const [a, b] = hosts as [SlotHost, SlotHost];
+  a.hearWaiting(b, 0);
+  a.use();
+  a.servers.findLoad('s-1')?.setPeersInFlight(0);
+  a.use();
+  await settle();
+  t.equal(countHandedOn(hub), 1);
+});
+
+t.test('a slot is handed on a bounded number of times', async (t) => {
+  // Each host believes that another one has a more urgent call.
+  const { hub, hosts } = startHosts();
+  hosts.forEach((host) => {
+    hosts.filter((other) => other !== host).forEach((other) => host.hearWaiting(other, 0));
+  });
+  (hosts[0] as SlotHost).use();
+  await settle();
+  t.ok(countHandedOn(hub) <= 3, String(countHandedOn(hub)));
+});
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -30,6 +30,7 @@
 const NO_FIGURES: ReportFigures = {
   inFlight: {},
   waitingCalls: {},
+  firstWaiting: {},
   avoidedBy: {},
   spentUnits: {},
   endedServers: [],
--- a/src/application/direct/report_figures.ts
+++ b/src/application/direct/report_figures.ts
@@ -10,7 +10,7 @@
 /** Figures of this entry host, or of several together. */
 export type ReportFigures = Pick<
   HostReportMessage,
-  'inFlight' | 'waitingCalls' | 'avoidedBy' | 'spentUnits' | 'endedServers'
+  'inFlight' | 'waitingCalls' | 'firstWaiting' | 'avoidedBy' | 'spentUnits' | 'endedServers'
 >;
 
 /** Whose figures a report contains beside this entry host's own. */
--- a/src/application/direct/server_keeper.ts
+++ b/src/application/direct/server_keeper.ts
@@ -5,10 +5,12 @@
  */
 import { EntryEffect, ServerDirectory, ServerLoad } from '../../domain/backend_servers/mod.js';
 import type { BackendServerEntry, Candidate } from '../../domain/backend_servers/mod.js';
-import { formatReason, LogLevel } from '../../domain/errors/mod.js';
-import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
+import { LogLevel } from '../../domain/errors/mod.js';
+import type { Clock, FeedChange, FeedItem } from '../../ports/mod.js';
 import type { FeedContext } from './feed_follower.js';
 import { EndedLives } from './_ended_lives.js';
+import { EntryReader } from './_entry_reader.js';
+import type { EntryReaderOptions } from './_entry_reader.js';
 import { PeerFigureTable } from './_peer_figures.js';
 import type { PeerFigures } from './_peer_figures.js';
 
@@ -25,18 +27,8 @@
 }
 
 /** What the keeper needs. */
-export interface ServerKeeperOptions {
-  /** Start of the keys under which backend servers are registered. */
-  readonly prefix: string;
+export interface ServerKeeperOptions extends EntryReaderOptions {
   readonly clock: Clock;
-  readonly log: EventLog;
-  readonly metrics: Metrics;
-  /**
-   * Decodes a registration.
-   *
-   * @throws Error for one that can't be used
-   */
-  readonly decode: (key: string, value: Uint8Array) => BackendServerEntry;
   /** @returns entry hosts that serve callers, this one included */
   readonly countServing: () => number;
   /** @returns whether a service's backend servers are model engines */
@@ -47,11 +39,14 @@
 export class ServerKeeper {
   readonly #options: ServerKeeperOptions;
 
+  readonly #reader: EntryReader;
+
   readonly #directory = new ServerDirectory();
 
   readonly #loads = new Map<string, ServerLoad>();
 
-  readonly #peers = new PeerFigureTable();
+  /** What peers report. */
+  readonly peers = new PeerFigureTable();
 
   #waitingElsewhere: Readonly<Record<string, number>> = {};
 
@@ -67,6 +62,7 @@
   /** @param options - what the keeper needs */
   constructor(options: ServerKeeperOptions) {
     this.#options = options;
+    this.#reader = new EntryReader(options);
   }
 
   /** @param handler - called when another set of backend servers may be given work */
@@ -110,7 +106,7 @@
   countInFlight(sources: readonly string[] = []): Record<string, number> {
     const busy = [...this.#loads].filter(([, { ownInFlight }]) => ownInFlight > 0);
     const counts = Object.fromEntries(busy.map(([id, { ownInFlight }]) => [id, ownInFlight]));
-    return this.#peers.sum('inFlight', counts, sources);
+    return this.peers.sum('inFlight', counts, sources);
   }
 
   /**
@@ -123,7 +119,7 @@
     const nowMs = this.#options.clock.nowMs();
     const avoided = [...this.#loads].filter(([, load]) => load.hasFailed(nowMs));
     const counts = Object.fromEntries(avoided.map(([id]) => [id, 1]));
-    return this.#peers.sum('avoidedBy', counts, sources);
+    return this.peers.sum('avoidedBy', counts, sources);
   }
 
   /**
@@ -137,7 +133,7 @@
     sources: readonly string[],
     own: Readonly<Record<string, number>> = {},
   ): Record<string, number> {
-    return this.#peers.sum('waitingCalls', own, sources);
+    return this.peers.sum('waitingCalls', own, sources);
   }
 
   /** @param serviceId - which service. @returns calls that wait for its slots at peers */
@@ -157,10 +153,10 @@
    * @param figures - what it reports; undefined when it is gone
    */
   applyPeer(source: string, figures: PeerFigures | undefined): void {
-    this.#peers.put(source, figures);
-    const inFlight = this.#peers.sum('inFlight');
-    const avoidedBy = this.#peers.sum('avoidedBy');
-    this.#waitingElsewhere = this.#peers.sum('waitingCalls');
+    this.peers.put(source, figures);
+    const inFlight = this.peers.sum('inFlight');
+    const avoidedBy = this.peers.sum('avoidedBy');
+    this.#waitingElsewhere = this.peers.sum('waitingCalls');
     const hostCount = this.#options.countServing();
     this.#loads.forEach((load, id) => {
       load.setPeersInFlight(inFlight[id] ?? 0);
@@ -169,6 +165,11 @@
     figures?.endedServers.forEach((id) => this.noteEnded(id));
   }
 
+  /** @param id - a life. @returns its load, where it was ever listed for work */
+  findLoad(id: string): ServerLoad | undefined {
+    return this.#loads.get(id);
+  }
+
   /** @param id - a life whose address has answered as another */
   noteEnded(id: string): void {
     if (this.#directory.find(id)) this.#ended.add(id);
@@ -198,8 +199,8 @@
    */
   applyAll(items: readonly FeedItem[], { wasAway }: FeedContext): void {
     const own = items.filter(({ key }) => key.startsWith(this.#options.prefix));
-    const entries = own.flatMap(({ key, value }) => this.#decode(key, value) ?? []);
-    const names = new Set(own.map(({ key }) => this.#readName(key)));
+    const entries = own.flatMap(({ key, value }) => this.#reader.read(key, value) ?? []);
+    const names = new Set(own.map(({ key }) => this.#reader.readName(key)));
     const nowMs = this.#options.clock.nowMs();
     // A name that stands there without an entry that can be read was overwritten.
     const mayBeBack = (serverId: string): boolean => wasAway || names.has(serverId);
@@ -221,7 +222,7 @@
     changes
       .filter(({ key }) => key.startsWith(this.#options.prefix))
       .forEach(({ key, value }) => {
-        if (value === undefined) this.#applyRemoval(this.#readName(key), wasAway);
+        if (value === undefined) this.#applyRemoval(this.#reader.readName(key), wasAway);
         else this.#applyValue(key, value);
       });
     this.#update();
@@ -244,10 +245,10 @@
    */
   #applyValue(key: string, value: Uint8Array): void {
     const nowMs = this.#options.clock.nowMs();
-    const entry = this.#decode(key, value);
+    const entry = this.#reader.read(key, value);
     if (!entry) {
-      this.#ended.noteUnlisted(this.#readName(key));
-      this.#directory.applyRemoval(this.#readName(key), nowMs, true);
+      this.#ended.noteUnlisted(this.#reader.readName(key));
+      this.#directory.applyRemoval(this.#reader.readName(key), nowMs, true);
       return;
     }
     const { effect, endedId } = this.#directory.applyEntry(entry, nowMs);
@@ -272,22 +273,6 @@
     this.#restartHandlers.forEach((handler) => handler(endedId));
   }
 
-  #readName(key: string): string {
-    return key.slice(this.#options.prefix.length);
-  }
-
-  #decode(key: string, value: Uint8Array): BackendServerEntry | undefined {
-    const { decode, log, metrics } = this.#options;
-    try {
-      return decode(key, value);
-    } catch (error) {
-      const reason = formatReason(error);
-      log.write(LogLevel.Error, 'backend_server_entry_refused', { entry: key, reason });
-      metrics.count('backend_server_entries_refused_total');
-      return undefined;
-    }
-  }
-
   #update(): void {
     this.#candidates.clear();
     const expired = this.#directory.expire(this.#options.clock.nowMs());
--- a/src/application/direct/server_keeper_test.ts
+++ b/src/application/direct/server_keeper_test.ts
@@ -4,7 +4,13 @@
 import { formatLife, LAPSED_GRACE_MS, ServerOutcome } from '../../domain/backend_servers/mod.js';
 import { settle } from '../../../test/support/virtual_clock.js';
 
-const NOTHING = { inFlight: {}, waitingCalls: {}, avoidedBy: {}, endedServers: [] };
+const NOTHING = {
+  inFlight: {},
+  waitingCalls: {},
+  firstWaiting: {},
+  avoidedBy: {},
+  endedServers: [],
+};
 
 function listIds(host: DirectHost): string[] {
   return host.servers.listCandidates('engines').map(({ id }) => id);
--- a/src/application/direct/server_lives_test.ts
+++ b/src/application/direct/server_lives_test.ts
@@ -13,7 +13,13 @@
 const NAMES = ['a', 'b'];
 const HOSTS = 3;
 const KNOWN = { wasAway: false, ageMs: 0, askedAt: { steadyMs: 0, wallMs: 0 } };
-const NOTHING = { inFlight: {}, waitingCalls: {}, avoidedBy: {}, endedServers: [] };
+const NOTHING = {
+  inFlight: {},
+  waitingCalls: {},
+  firstWaiting: {},
+  avoidedBy: {},
+  endedServers: [],
+};
 
 /** A store, and entry hosts that read it at different moments. */
 class Fleet {
--- a/src/application/direct/service_line.ts
+++ b/src/application/direct/service_line.ts
@@ -47,6 +47,8 @@
   readonly random: RandomSource;
   /** @returns backend servers that may be given work */
   readonly listCandidates: () => readonly Candidate[];
+  /** Gives a freed slot to the entry host whose call goes first; ends in {@link ServiceLine.advance} here. */
+  readonly passFreed: (serverId: string) => void;
   /** @returns calls that wait for the same slots at peers */
   readonly countWaitingElsewhere: () => number;
 }
@@ -74,6 +76,11 @@
     return this.#line.size;
   }
 
+  /** Urgency of the first call that waits; Infinity when none does. */
+  get firstUrgency(): number {
+    return this.#line.firstUrgency;
+  }
+
   /** @param call - granted at once, made to wait, or given up */
   submit(call: LineCall): void {
     if (this.#line.countAhead(call) === 0 && this.#grant(call)) return;
@@ -94,13 +101,14 @@
   /**
    * Takes note that one of this entry host's requests has given its slot back.
    *
+   * @param serverId - life of the backend server
    * @param heldMs - how long it held the slot, in milliseconds
    */
-  noteFreed(heldMs: number): void {
+  noteFreed(serverId: string, heldMs: number): void {
     this.#holdMs += HOLD_ALPHA * (heldMs - this.#holdMs);
     this.#freedAtMs.push(this.#options.clock.nowMs());
     this.#dropOldFreed();
-    this.advance();
+    this.#options.passFreed(serverId);
   }
 
   /** Gives free slots to waiting calls. */
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -259,6 +259,7 @@
       random: this.#random,
       log: this.log,
       metrics: this.metrics,
+      peers: this.#peers,
       backend: new HttpDirectBackend(this.#adapters.dialect),
       routing: this.#routing,
       servers: this.#servers,
@@ -275,9 +276,11 @@
   }
 
   #buildFigures({ scope, incarnations, receiver }: FigureSources): ReportFigures {
+    const gateway = this.#gateway;
     return {
       inFlight: this.#servers.countInFlight(incarnations),
-      waitingCalls: this.#servers.countWaiting(incarnations, this.#gateway.countWaiting()),
+      waitingCalls: this.#servers.countWaiting(incarnations, gateway.countWaiting()),
+      firstWaiting: this.#servers.peers.listFirstWaiting(incarnations, gateway.listFirstWaiting()),
       avoidedBy: this.#servers.countAvoiding(incarnations),
       spentUnits: this.#spending.listTotals(scope, receiver),
       endedServers: this.#servers.listEnded(),
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -129,6 +129,11 @@
     this.#peersInFlight = inFlight;
   }
 
+  /** @param change - slots that peers have taken since they reported last */
+  addPeersInFlight(change: number): void {
+    this.#peersInFlight = Math.max(0, this.#peersInFlight + change);
+  }
+
   /** @param work - a request that is being sent there */
   begin(work: RequestWork): void {
     this.#ownInFlight += 1;
--- a/src/domain/direct/waiting_line.ts
+++ b/src/domain/direct/waiting_line.ts
@@ -48,6 +48,12 @@
     return true;
   }
 
+  /** Urgency of the first call; Infinity when none waits. */
+  get firstUrgency(): number {
+    const [first] = this.#calls;
+    return first ? computeUrgency(first) : Infinity;
+  }
+
   /** @returns the calls in their order */
   list(): readonly T[] {
     return this.#calls;
@@ -68,8 +74,13 @@
   }
 }
 
+/** Order of calls of unlike rank or lateness, as one number; 0 is the most urgent. */
+function computeUrgency({ rank, isLate }: WaitingCall): number {
+  return 2 * rank + (isLate ? 1 : 0);
+}
+
 function compareCalls(a: WaitingCall, b: WaitingCall): number {
-  if (a.rank !== b.rank) return a.rank - b.rank;
-  if (a.isLate !== b.isLate) return a.isLate ? 1 : -1;
+  const difference = computeUrgency(a) - computeUrgency(b);
+  if (difference !== 0) return difference;
   return a.arrivedAtMs - b.arrivedAtMs;
 }
--- a/src/ports/peer_message_type.ts
+++ b/src/ports/peer_message_type.ts
@@ -9,6 +9,7 @@
   Heartbeat = 'heartbeat',
   HeartbeatReply = 'heartbeat_reply',
   HostReport = 'host_report',
+  FreedSlot = 'freed_slot',
   FeedUpdate = 'feed_update',
   ConfigurationDigest = 'configuration_digest',
   ConfigurationEntries = 'configuration_entries',
--- a/src/ports/peer_messages.ts
+++ b/src/ports/peer_messages.ts
@@ -78,6 +78,8 @@
   readonly spentUnits: Readonly<Record<string, number>>;
   /** Calls that wait for a slot, by service. */
   readonly waitingCalls: Readonly<Record<string, number>>;
+  /** Urgency of the first of them, by service; 0 is the most urgent. */
+  readonly firstWaiting: Readonly<Record<string, number>>;
   /** Entry hosts that leave a backend server alone after failures of their own, by backend server. */
   readonly avoidedBy: Readonly<Record<string, number>>;
   /** Backend servers that requests have shown to have ended. */
@@ -91,6 +93,18 @@
   readonly heardScope: ReportScope | undefined;
 }
 
+/**
+ * Hands a slot on that a request of the sender has just given back: the receiver has a
+ * more urgent call waiting.
+ */
+export interface FreedSlotMessage {
+  readonly type: PeerMessageType.FreedSlot;
+  /** Life of the backend server. */
+  readonly serverId: string;
+  /** How often it was handed on before. */
+  readonly hops: number;
+}
+
 /** What one entry host has read from the shared store. */
 export interface FeedUpdateMessage {
   readonly type: PeerMessageType.FeedUpdate;
@@ -236,6 +250,7 @@
   | HeartbeatMessage
   | HeartbeatReplyMessage
   | HostReportMessage
+  | FreedSlotMessage
   | FeedUpdateMessage
   | ConfigurationDigestMessage
   | ConfigurationEntriesMessage
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -21,6 +21,7 @@
 import type { DirectRequest } from '../../src/ports/mod.js';
 import { FakeBackend, FakeReply } from './direct_ends.js';
 import type { FakeExchange } from './direct_ends.js';
+import { FakePeerHub, FakePeerNetwork } from './fake_peer_network.js';
 import { FakeFeed } from './fake_feed.js';
 import { FakeLog, FakeMetrics, SeededRandom } from './fakes.js';
 import { settle, VirtualClock } from './virtual_clock.js';
@@ -101,6 +102,14 @@
 
   readonly backend = new FakeBackend();
 
+  readonly peers = new FakePeerNetwork(new FakePeerHub(), {
+    id: 'entry-1',
+    incarnation: 'entry-1/1',
+    url: 'http://entry-1.test',
+    peerUrl: 'ws://entry-1.test',
+    availabilityZone: 'hall-a',
+  });
+
   readonly spending = new AccountSpending(this.clock);
 
   readonly routing: RoutingKeeper;
@@ -132,6 +141,7 @@
     this.gateway = new DirectGateway({
       ...shared,
       backend: this.backend,
+      peers: this.peers,
       routing: this.routing,
       servers: this.servers,
       spending: this.spending,
--- a/test/support/report_host.ts
+++ b/test/support/report_host.ts
@@ -51,6 +51,7 @@
       buildFigures: ({ incarnations }) => ({
         inFlight: { engine: 1 + this.#sum(incarnations) },
         waitingCalls: {},
+        firstWaiting: {},
         avoidedBy: {},
         spentUnits: {},
         endedServers: [],
