Tell calls at once that would wait in vain

Change: the line follows how waits of each urgency ended, with a half-life of a second; where fewer than one in four are given a slot, calls are refused at once, one in ten still tries, and the advice is the one of a long wait.

--- a/src/application/direct/service_line.ts
+++ b/src/application/direct/service_line.ts
@@ -5,7 +5,7 @@
  */
 import { pickServer } from '../../domain/backend_servers/mod.js';
 import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
-import { WaitingLine } from '../../domain/direct/mod.js';
+import { computeUrgency, WaitingLine, WaitOutlook } from '../../domain/direct/mod.js';
 import type { WaitingCall } from '../../domain/direct/mod.js';
 import type { Clock, RandomSource, Timer } from '../../ports/mod.js';
 
@@ -63,6 +63,8 @@
 
   readonly #line = new WaitingLine<LineCall>();
 
+  readonly #outlook = new WaitOutlook();
+
   /** When slots got free, oldest first. */
   readonly #freedAtMs: number[] = [];
 
@@ -89,7 +91,13 @@
   submit(call: LineCall): void {
     if (this.#line.countAhead(call) === 0 && this.#grant(call)) return;
     const clearMs = this.#predictWaitMs(call);
-    if (this.#options.clock.nowMs() + clearMs > call.startByMs) {
+    const nowMs = this.#options.clock.nowMs();
+    if (!this.#isWorthwhile(call)) {
+      // There will be no room for as long as it could wait, whatever the line here looks like.
+      call.giveUp(Math.max(clearMs, call.startByMs - nowMs));
+      return;
+    }
+    if (nowMs + clearMs > call.startByMs) {
       call.giveUp(clearMs);
       return;
     }
@@ -125,6 +133,7 @@
       const candidate = this.#pick(call, this.#line.size);
       // A grant may end other calls: each is asked for again when its turn comes.
       if (candidate && this.#line.remove(call)) {
+        this.#outlook.note(computeUrgency(call), true, this.#options.clock.nowMs());
         call.grant(candidate);
         freeSlots -= 1;
       }
@@ -134,9 +143,16 @@
 
   /** Gives up calls that can't be started in time any more. */
   expire(): void {
-    this.#line
-      .takeExpired(this.#options.clock.nowMs())
-      .forEach((call) => call.giveUp(this.#predictWaitMs(call)));
+    const nowMs = this.#options.clock.nowMs();
+    this.#line.takeExpired(nowMs).forEach((call) => {
+      this.#outlook.note(computeUrgency(call), false, nowMs);
+      call.giveUp(this.#predictWaitMs(call));
+    });
+  }
+
+  #isWorthwhile(call: LineCall): boolean {
+    const { clock, random } = this.#options;
+    return this.#outlook.isWorthwhile(computeUrgency(call), clock.nowMs(), random.nextFraction());
   }
 
   /** Predicted wait of a call that doesn't wait yet, in milliseconds. */
--- a/src/domain/direct/waiting_line.ts
+++ b/src/domain/direct/waiting_line.ts
@@ -74,8 +74,13 @@
   }
 }
 
-/** Order of calls of unlike rank or lateness, as one number; 0 is the most urgent. */
-function computeUrgency({ rank, isLate }: WaitingCall): number {
+/**
+ * Computes the order of calls of unlike rank or lateness, as one number.
+ *
+ * @param call - a call
+ * @returns its urgency; 0 is the most urgent
+ */
+export function computeUrgency({ rank, isLate }: Pick<WaitingCall, 'isLate' | 'rank'>): number {
   return 2 * rank + (isLate ? 1 : 0);
 }
 
