End strangers' questions once answered, and tell strangers the relays

Cause: two members that met at a seed each took the other's question (a report of scope Group without figures) for one that was still open and answered it with a question of their own, each round, for good. The tests did not show it, as their seeds were relays. Second fault, found by the test for the first: what a stranger is told first may date from a moment when the sender knew nobody, and later reports name only changes among members. Two of 60 hosts then stayed relays of a fleet of four for good. Ruled out: feed updates (1.5 a second), changes of the store. Change: a question counts as answered once the asker has heard this process; a report to somebody who is no relay names the relays. Reports are built in a module of their own. New bench wide-fleet.

--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -22,6 +22,7 @@
 import { runGroupSize, runOverload, runReserve } from './overload.js';
 import { runSilentLink } from './silent_link.js';
 import { runThroughputOneHost } from './throughput_one_host.js';
+import { runWideFleet } from './wide_fleet.js';
 
 /** All benches, in the order of the pages. */
 export const BENCHES: readonly Bench[] = [
@@ -115,6 +116,11 @@
     description: 'control against the number of backend servers',
     run: runCapacityBackends,
   },
+  {
+    name: 'wide-fleet',
+    description: 'what an entry host costs as one of many, at rest, by its role',
+    run: runWideFleet,
+  },
   {
     name: 'capacity-answers',
     description: 'memory against kept answers of one size',
--- /dev/null
+++ b/bench/wide_fleet.ts
@@ -0,0 +1,202 @@
+/**
+ * Bench: what it costs an entry host to be one of many, without any calls.
+ *
+ * @module
+ */
+import { buildConfiguration } from '../platform/test/documents.js';
+import { PlatformFleet, exchange } from '../platform/test/fleet.js';
+import type { EntryProcess } from '../platform/test/fleet.js';
+import { readNumber } from './bench.js';
+import type { BenchOptions, BenchResult } from './bench.js';
+import { computeRates, readProcessUse, waitMs } from './_entry_host_probe.js';
+import type { ProcessRate } from './_entry_host_probe.js';
+import { computeMean } from './_statistics.js';
+
+/** Availability zones that the entry hosts are spread over. */
+const ZONES = 5;
+
+/** One entry host of so many has three times the processor of the others, as in mixed fleets. */
+const STRONG_EVERY = 12;
+
+/** Time between two changes of some backend server's entry, in milliseconds: a rolling release. */
+const CHANGE_MS = 1_000;
+
+const MS_PER_SECOND = 1_000;
+
+/** What an entry host does for the others. */
+enum FleetRole {
+  Member = 'member',
+  Relay = 'relay',
+}
+
+interface HostFigures {
+  readonly role: FleetRole;
+  readonly rate: ProcessRate;
+  readonly messagesPerSecond: number;
+}
+
+/** The size that is measured. */
+interface FleetSize {
+  readonly hosts: number;
+  readonly servers: number;
+  readonly accounts: number;
+}
+
+/**
+ * Starts entry hosts as processes, lets them find each other, and reads what each uses.
+ *
+ * @param options - `--hosts`, `--servers`, `--accounts`, `--settle` and `--seconds`;
+ *   `--profile DIR` has every entry host write a profile of its processor time there
+ * @returns a row a role
+ */
+export async function runWideFleet(options: BenchOptions): Promise<BenchResult> {
+  const size: FleetSize = {
+    hosts: readNumber(options, 'hosts', 66),
+    servers: readNumber(options, 'servers', 60),
+    accounts: readNumber(options, 'accounts', 19),
+  };
+  const settleS = readNumber(options, 'settle', 20);
+  const seconds = readNumber(options, 'seconds', 10);
+  const profileFolder = options.flags.get('profile');
+  const fleet = new PlatformFleet();
+  if (profileFolder !== undefined) {
+    fleet.nodeArguments = ['--cpu-prof', `--cpu-prof-dir=${profileFolder}`];
+  }
+  try {
+    await fleet.start(0, []);
+    fleet.store.put('op/config', buildWideConfiguration(size.accounts));
+    const stopChanges = startChanges(fleet, size.servers);
+    await startHosts(fleet, size.hosts);
+    options.note(`${size.hosts} entry hosts started; ${settleS} s to find each other`);
+    await waitMs(settleS * MS_PER_SECOND);
+    const figures = await measureHosts(fleet, seconds);
+    stopChanges();
+    if (profileFolder !== undefined) await endByItself(fleet);
+    return buildResult({ ...size, settleS, seconds }, figures);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** A process that is killed writes no profile. */
+async function endByItself({ entries }: PlatformFleet): Promise<void> {
+  entries.forEach(({ process }) => process.kill('SIGTERM'));
+  await Promise.all(entries.map(({ exited }) => exited));
+}
+
+function buildWideConfiguration(accounts: number): object {
+  const tenants = Array.from({ length: accounts }, (_, index) => ({
+    name: `firm-${index}`,
+    apiKeys: [`key-${index}`],
+    unit: 'token_count',
+    uncachedTokens: 100,
+    ratePerS: 10_000,
+    burst: 20_000,
+  }));
+  return { ...buildConfiguration(1), tenants };
+}
+
+/** Entries change one after the other; each change travels to all entry hosts. */
+function startChanges({ store }: PlatformFleet, servers: number): () => void {
+  let changes = 0;
+  const write = (index: number): void => {
+    store.put(`servers/i-${index}`, {
+      service: 'engines',
+      address: `127.0.0.2:${10_000 + index}`,
+      zone: 'hall-a',
+      version: 1,
+      slots: 8,
+      state: 'ready',
+      warmupLeftMs: changes,
+      sequence: changes,
+      born: 1_700_000_000_000,
+    });
+  };
+  for (let index = 0; index < servers; index += 1) write(index);
+  const timer = setInterval(() => {
+    changes += 1;
+    write(changes % servers);
+  }, CHANGE_MS);
+  return () => clearInterval(timer);
+}
+
+async function startHosts(fleet: PlatformFleet, hosts: number): Promise<void> {
+  const settings = [];
+  for (let index = 0; index < hosts; index += 1) {
+    const built = await fleet.buildSettings(`entry-${String(index).padStart(3, '0')}`);
+    const isStrong = index % STRONG_EVERY === 0;
+    settings.push({
+      ...built,
+      availabilityZone: `hall-${index % ZONES}`,
+      coreShare: isStrong ? 1 : 0.324,
+    });
+  }
+  const seedPeerAddresses = settings.slice(0, 3).map(({ peersAddress }) => peersAddress);
+  settings.forEach((each) => fleet.startEntry({ ...each, seedPeerAddresses }));
+}
+
+async function measureHosts(fleet: PlatformFleet, seconds: number): Promise<HostFigures[]> {
+  const entries = fleet.entries.filter(({ process }) => process.exitCode === null);
+  const before = await Promise.all(entries.map(readMessages));
+  const usedBefore = entries.map(({ process }) => readProcessUse(process.pid ?? 0));
+  await waitMs(seconds * MS_PER_SECOND);
+  const usedAfter = entries.map(({ process }) => readProcessUse(process.pid ?? 0));
+  const after = await Promise.all(entries.map(readMessages));
+  return entries.map((_, index) => {
+    const from = usedBefore[index];
+    const to = usedAfter[index];
+    if (!from || !to) throw new Error('Cannot compare readings: one is missing');
+    const messages = (after[index]?.messages ?? 0) - (before[index]?.messages ?? 0);
+    return {
+      role: after[index]?.isRelay ? FleetRole.Relay : FleetRole.Member,
+      rate: computeRates(from, to),
+      messagesPerSecond: messages / seconds,
+    };
+  });
+}
+
+async function readMessages({
+  settings,
+}: EntryProcess): Promise<{ readonly isRelay: boolean; readonly messages: number }> {
+  const { body } = await exchange(`${settings.ip}:9464`, '/metrics', {}, 'GET');
+  const sent = [...body.matchAll(/peer_messages_sent_total\S* (\d+)/g)];
+  return {
+    isRelay: /_passes_reports_on 1$/m.test(body),
+    messages: sent.reduce((sum, [, value]) => sum + Number(value), 0),
+  };
+}
+
+function buildResult(settings: object, figures: readonly HostFigures[]): BenchResult {
+  const rows = Object.values(FleetRole).flatMap((role) => {
+    const own = figures.filter((figure) => figure.role === role);
+    if (own.length === 0) return [];
+    const average = (read: (figure: HostFigures) => number): number => computeMean(own.map(read));
+    return [
+      [
+        role,
+        own.length,
+        average(({ rate }) => rate.cpuShare).toFixed(4),
+        Math.max(...own.map(({ rate }) => rate.cpuShare)).toFixed(4),
+        average(({ messagesPerSecond }) => messagesPerSecond).toFixed(1),
+        Math.round(average(({ rate }) => rate.readBytesPerSecond)),
+        Math.round(average(({ rate }) => rate.writtenBytesPerSecond)),
+        (average(({ rate }) => rate.residentBytes) / 1e6).toFixed(1),
+      ],
+    ];
+  });
+  return {
+    settings: { ...settings },
+    head: [
+      'role',
+      'hosts',
+      'cores',
+      'most cores',
+      'messages sent/s',
+      'bytes in/s',
+      'bytes out/s',
+      'resident MB',
+    ],
+    rows,
+    figures,
+  };
+}
--- a/src/application/direct/_report_role.ts
+++ b/src/application/direct/_report_role.ts
@@ -105,11 +105,36 @@
     if (!this.isRelay && peer.id === this.relayId) return ReportScope.Member;
     const isRelay = this.#relays.has(peer.id);
     const isStranger = !this.#roster.isHeard(peer.id);
-    const isAsking = this.#sources.find(peer.incarnation)?.report.scope === ReportScope.Group;
-    // A member leaves it to its own relay to answer other relays, or it would count twice.
-    const mustAnswer = isAsking && (this.isRelay || !isRelay);
     const isFellow = this.isRelay && isRelay;
-    return isFellow || isStranger || mustAnswer ? ReportScope.Group : undefined;
+    return isFellow || isStranger || this.#mustAnswer(peer) ? ReportScope.Group : undefined;
+  }
+
+  /**
+   * A stranger's question is a report like its answer. Two members that met at a seed would
+   * answer each other's answers for good, so a question counts as answered once the asker
+   * has heard this process. Relays, and who takes itself for one, need the figures of each
+   * round.
+   */
+  #mustAnswer({ id, incarnation }: EntryHostIdentity): boolean {
+    const asked = this.#sources.find(incarnation)?.report;
+    if (asked?.scope !== ReportScope.Group) return false;
+    // A member leaves it to its own relay to answer other relays, or it would count twice.
+    if (!this.isRelay && this.#relays.has(id)) return false;
+    return asked.hostCount > 0 || asked.heardSequence === 0;
+  }
+
+  /**
+   * Lists the relays that a stranger is told of with each report. What it was told first
+   * may date from a moment when this process knew hardly anybody, and later reports name
+   * only what has changed among members: two entry hosts of sixty stayed apart for good,
+   * each a relay by what it knew.
+   *
+   * @param peer - who is told
+   * @returns the relays' states; none for a relay of the plan, which links to all others
+   */
+  listRelaysFor({ id }: EntryHostIdentity): HostState[] {
+    if (this.#relays.has(id)) return [];
+    return this.#roster.listPresumed().filter(({ identity }) => this.#relays.has(identity.id));
   }
 
   /**
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -12,6 +12,7 @@
 import { PeerMessageType } from '../../ports/mod.js';
 import type { Clock, EventLog, HostReportMessage, PeerNetwork, Timer } from '../../ports/mod.js';
 import { PeerLinks } from './_peer_links.js';
+import { ReportBuilder } from './_report_builder.js';
 import type { CountedReport, FigureSources, ReportFigures } from './report_figures.js';
 import { ReportRole } from './_report_role.js';
 import { isCounted, ReportSources } from './_report_sources.js';
@@ -27,15 +28,6 @@
 /** Reports whose sending is remembered: what answers an older one is too old to be of use. */
 const REMEMBERED_REPORTS = 64;
 
-const NO_FIGURES: ReportFigures = {
-  inFlight: {},
-  waitingCalls: {},
-  firstWaiting: {},
-  avoidedBy: {},
-  spentUnits: {},
-  endedServers: [],
-};
-
 /** What the reports need, and what they call. */
 export interface HostReportsOptions {
   readonly self: EntryHostIdentity;
@@ -68,6 +60,8 @@
 
   readonly #links: PeerLinks;
 
+  readonly #builder: ReportBuilder;
+
   /** Peers whose reports counted when last looked at, by incarnation. */
   readonly #counted = new Map<string, EntryHostIdentity>();
 
@@ -91,6 +85,12 @@
       isLeaving: false,
     });
     this.#role = new ReportRole({ roster: this.#roster, sources: this.#sources });
+    this.#builder = new ReportBuilder({
+      roster: this.#roster,
+      role: this.#role,
+      sources: this.#sources,
+      buildFigures: options.buildFigures,
+    });
     this.#links = new PeerLinks({ peers, clock, log, selfUrl: self.peerUrl, seeds: seedPeerUrls });
     peers.handle(PeerMessageType.HostReport, (from, report) => this.#handle(from, report));
   }
@@ -240,33 +240,8 @@
   #send(peer: EntryHostIdentity): void {
     const scope = this.#role.pickScope(peer);
     if (scope === undefined) return;
-    this.#options.peers.send(peer.incarnation, this.#buildReport(peer, scope));
-  }
-
-  #buildReport({ incarnation }: EntryHostIdentity, scope: ReportScope): HostReportMessage {
-    const last = this.#sources.find(incarnation)?.report;
-    const sources = this.#role.listFigureSources(scope, incarnation);
-    const incarnations = sources.map(({ identity }) => identity.incarnation);
-    const hostCount = sources.reduce((sum, { report }) => sum + report.hostCount, 1);
-    // A member that strangers take for a relay only helps them to find one.
-    const hasFigures = scope === ReportScope.Member || this.isRelay;
-    const figures = hasFigures
-      ? this.#options.buildFigures({ incarnations, scope, receiver: incarnation })
-      : NO_FIGURES;
-    // What another scope left out was never told.
-    const seenRevision = last?.heardScope === scope ? last.heardRosterRevision : 0;
-    return {
-      type: PeerMessageType.HostReport,
-      sequence: this.#sequence,
-      heardSequence: last?.sequence ?? 0,
-      scope,
-      hostCount: hasFigures ? hostCount : 0,
-      ...figures,
-      roster: this.#roster.listChanges(seenRevision, scope === ReportScope.Fleet),
-      rosterRevision: this.#roster.revision,
-      heardRosterRevision: last?.rosterRevision ?? 0,
-      heardScope: last?.scope,
-    };
+    const report = this.#builder.build(peer, scope, this.#sequence);
+    this.#options.peers.send(peer.incarnation, report);
   }
 
   #beginRound(): void {
--- a/src/application/direct/report_figures.ts
+++ b/src/application/direct/report_figures.ts
@@ -6,6 +6,9 @@
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
 import type { ReportScope } from '../../domain/overlay/mod.js';
 import type { HostReportMessage } from '../../ports/mod.js';
+import type { AccountSpending } from './account_spending.js';
+import type { DirectGateway } from './direct_gateway.js';
+import type { ServerKeeper } from './server_keeper.js';
 
 /** Figures of this entry host, or of several together. */
 export type ReportFigures = Pick<
@@ -29,3 +32,31 @@
   /** Whether its process alone spent all that it reports, and wasn't known before. */
   readonly isNewProcess: boolean;
 }
+
+/** Parts of an entry host that know its figures. */
+export interface FigureParts {
+  readonly servers: ServerKeeper;
+  readonly gateway: DirectGateway;
+  readonly spending: AccountSpending;
+}
+
+/**
+ * Adds this entry host's figures and those of others up.
+ *
+ * @param parts - what knows them
+ * @param sources - whose figures are added
+ * @returns the sums
+ */
+export function buildReportFigures(
+  { servers, gateway, spending }: FigureParts,
+  { scope, incarnations, receiver }: FigureSources,
+): ReportFigures {
+  return {
+    inFlight: servers.countInFlight(incarnations),
+    waitingCalls: servers.peers.sum('waitingCalls', gateway.countWaiting(), incarnations),
+    firstWaiting: servers.peers.listFirstWaiting(incarnations, gateway.listFirstWaiting()),
+    avoidedBy: servers.countAvoiding(incarnations),
+    spentUnits: spending.listTotals(scope, receiver),
+    endedServers: servers.listEnded(),
+  };
+}
--- a/src/application/direct/report_relays_test.ts
+++ b/src/application/direct/report_relays_test.ts
@@ -17,10 +17,10 @@
 }
 
 /** Starts entry hosts in three availability zones, two strong ones in each. */
-async function startFleet(t: Test, perZone: number): Promise<Fleet> {
+async function startFleet(t: Test, perZone: number, seedIndex = 1): Promise<Fleet> {
   const hub = new FakePeerHub(true);
   const clock = new VirtualClock();
-  const seeds = ZONES.map((zone) => `ws://${zone}-1.test`);
+  const seeds = ZONES.map((zone) => `ws://${zone}-${seedIndex}.test`);
   const hosts = ZONES.flatMap((zone) =>
     Array.from({ length: perZone }, (_, index) => {
       const identity = { ...buildIdentity(`${zone}-${index + 1}`), availabilityZone: zone };
@@ -82,6 +82,28 @@
   });
 });
 
+t.test('members that met as strangers stop asking each other', async (t) => {
+  // Symptom: an entry host that is named as a seed sends 150 reports a second for good,
+  // more than a relay, and all its links stay.
+  // Sequence: all entry hosts begin at three seeds that are members; each is a stranger to
+  // the other, so both ask.
+  // Cause: each took the other's question for one that was still open, and answered it with
+  // its own question, again and again.
+  const { hub, clock, members } = await startFleet(t, 20, 5);
+  await clock.advance(9_000);
+  const before = hub.delivered.length;
+  await clock.advance(3_000);
+  const counts = new Map<string, number>();
+  hub.delivered
+    .slice(before)
+    .filter(({ message }) => message.type === PeerMessageType.HostReport)
+    .forEach(({ from }) => counts.set(from, (counts.get(from) ?? 0) + 1));
+  members.forEach(({ identity, network }) => {
+    t.equal(counts.get(identity.id), 20, identity.id);
+    t.equal(network.listLinked().length, 1, identity.id);
+  });
+});
+
 t.test('reports grow with the entry hosts, not with their square', async (t) => {
   const perHost: number[] = [];
   for (const perZone of [7, 20]) {
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -12,6 +12,7 @@
 import { SystemRandom } from '../adapters/random/mod.js';
 import {
   AccountSpending,
+  buildReportFigures,
   DirectGateway,
   FeedFollower,
   FeedSharing,
@@ -20,7 +21,7 @@
   runDirectStop,
   ServerKeeper,
 } from '../application/direct/mod.js';
-import type { CountedReport, FigureSources, ReportFigures } from '../application/direct/mod.js';
+import type { CountedReport } from '../application/direct/mod.js';
 import type { BackendServerEntry } from '../domain/backend_servers/mod.js';
 import { LogLevel } from '../domain/errors/mod.js';
 import { pickAddresses } from '../domain/overlay/mod.js';
@@ -164,6 +165,7 @@
     metrics.set('entry_hosts_known', this.#reports.knownCount);
     metrics.set('entry_hosts_heard', this.#reports.listHeard().length + 1);
     metrics.set('serving', this.isServing ? 1 : 0);
+    metrics.set('passes_reports_on', this.#reports.isRelay ? 1 : 0);
     return metrics.exportPrometheus();
   }
 
@@ -225,7 +227,11 @@
         isInTouch: this.#follower.isInTouch,
         isLeaving: this.#isStopping,
       }),
-      buildFigures: (sources) => this.#buildFigures(sources),
+      buildFigures: (sources) =>
+        buildReportFigures(
+          { servers: this.#servers, gateway: this.#gateway, spending: this.#spending },
+          sources,
+        ),
       onReport: (report) => this.#handleReport(report),
       onSilent: ({ incarnation }) => this.#servers.applyPeer(incarnation, undefined),
       onReach: (reach) => this.#spending.setReach(reach),
@@ -275,18 +281,6 @@
     });
   }
 
-  #buildFigures({ scope, incarnations, receiver }: FigureSources): ReportFigures {
-    const { peers } = this.#servers;
-    return {
-      inFlight: this.#servers.countInFlight(incarnations),
-      waitingCalls: peers.sum('waitingCalls', this.#gateway.countWaiting(), incarnations),
-      firstWaiting: peers.listFirstWaiting(incarnations, this.#gateway.listFirstWaiting()),
-      avoidedBy: this.#servers.countAvoiding(incarnations),
-      spentUnits: this.#spending.listTotals(scope, receiver),
-      endedServers: this.#servers.listEnded(),
-    };
-  }
-
   #handleReport(counted: CountedReport): void {
     const { identity, report } = counted;
     this.#spending.applyReport(counted);
