Check records of figures by a loop

A report holds the figures of some sixty backend servers and twenty accounts, and is checked at both ends.

--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -9,8 +9,8 @@
 import { Tier } from '../../domain/scheduling/tier.js';
 import { ForwardOperation, PeerMessageType, SlotOutcome } from '../../ports/mod.js';
 import type { PeerMessage, PeerMessageOf } from '../../ports/mod.js';
+import { countsSchema, MAX_NAME_LENGTH, numbersSchema } from './_record_checks.js';
 
-const MAX_NAME_LENGTH = 512;
 const MAX_TEXT_LENGTH = 65_536;
 const MAX_LIST_LENGTH = 65_536;
 const MAX_HEADERS = 1_000;
@@ -96,11 +96,11 @@
     heardSequence: count,
     scope: z.enum(ReportScope),
     hostCount: count,
-    inFlight: z.record(name, count),
-    waitingCalls: z.record(name, count),
-    firstWaiting: z.record(name, z.number()),
-    avoidedBy: z.record(name, count),
-    spentUnits: z.record(name, z.number()),
+    inFlight: countsSchema,
+    waitingCalls: countsSchema,
+    firstWaiting: numbersSchema,
+    avoidedBy: countsSchema,
+    spentUnits: numbersSchema,
     endedServers: names,
     roster: z.array(rosterEntrySchema).max(MAX_LIST_LENGTH),
     rosterRevision: count,
