Take over from silent readers one after the other, and ask a silent store less

Cause: after 1.2 s without word all relays, and after 1.6 s all members, read the store at the same moment; when it then cut them off, all asked again within 50 ms and went on every 0.4 s. Change: hosts take over spread by their place (relays 0.4 s, members 0.8 s) with a read that doesn't wait, so that the others hear at once; for a second after the start nobody but the heard readers reads again; only the first four hosts ask a store that doesn't answer every 0.4 s, the others every 2 s. Tests: 40 hosts, a store that keeps its answers back, and one that is down.

--- a/src/application/direct/feed_follower.ts
+++ b/src/application/direct/feed_follower.ts
@@ -18,11 +18,16 @@
 import { settle, startProcess } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
 
-/** First pause after a failed read, in milliseconds; each further one is twice as long. */
-const MIN_PAUSE_MS = 50;
+/** Pauses after failed reads: each is twice as long as the one before it. */
+export interface RetryPauses {
+  /** The first, in milliseconds. */
+  readonly minMs: number;
+  /** The longest, in milliseconds. */
+  readonly maxMs: number;
+}
 
-/** Longest pause after failed reads, in milliseconds: the store's return must not be noticed late. */
-const MAX_PAUSE_MS = 400;
+/** Pauses of those that the others hear from: the store's return must not be noticed late. */
+export const LEADING_PAUSES: RetryPauses = { minMs: 50, maxMs: 400 };
 
 /** Wait of the first read after a failure, in milliseconds: it only asks whether the store is back. */
 const PROBE_WAIT_MS = 1;
@@ -62,6 +67,8 @@
   readonly metrics: Metrics;
   /** @returns longest wait of the next read in milliseconds; undefined: peers read */
   readonly getWaitMs: () => number | undefined;
+  /** @returns pauses after failed reads */
+  readonly getRetryPauses: () => RetryPauses;
   /** Called with everything there is, at the start and after a gap. */
   readonly onAll: (items: readonly FeedItem[], context: FeedContext) => void;
   /** Called with changes; with none when the store says that nothing changed. */
@@ -101,6 +108,11 @@
     return this.#failures === 0;
   }
 
+  /** Whether it has ever read everything. */
+  get hasRead(): boolean {
+    return this.#revision !== undefined;
+  }
+
   /** Begins to follow. */
   start(): void {
     this.#isRunning = true;
@@ -236,7 +248,8 @@
       const reason = formatReason(error);
       log.write(LogLevel.Warn, 'dependency_lost', { dependency: 'store', reason });
     }
-    const longestMs = Math.min(MAX_PAUSE_MS, MIN_PAUSE_MS * 2 ** (this.#failures - 1));
+    const { minMs, maxMs } = this.#options.getRetryPauses();
+    const longestMs = Math.min(maxMs, minMs * 2 ** (this.#failures - 1));
     yield* settle(this.#wait(longestMs * (0.5 + this.#options.random.nextFraction() / 2)));
   }
 
--- a/src/application/direct/feed_follower_test.ts
+++ b/src/application/direct/feed_follower_test.ts
@@ -3,7 +3,7 @@
 import { FakeFeed } from '../../../test/support/fake_feed.js';
 import { FakeLog, FakeMetrics, SeededRandom } from '../../../test/support/fakes.js';
 import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
-import { FeedFollower } from './mod.js';
+import { FeedFollower, LEADING_PAUSES } from './mod.js';
 import type { FeedContext, FeedUpdate } from './mod.js';
 
 /** What a follower was told, in order. */
@@ -32,6 +32,7 @@
       feed,
       log,
       getWaitMs: () => this.waitMs,
+      getRetryPauses: () => LEADING_PAUSES,
       onRead: (update) => this.updates.push(update),
       random: new SeededRandom(),
       metrics: new FakeMetrics(),
--- a/src/application/direct/feed_sharing.ts
+++ b/src/application/direct/feed_sharing.ts
@@ -6,9 +6,11 @@
 import { computeElapsedMs, ConfirmedAge } from '../../domain/freshness/mod.js';
 import type { Moment } from '../../domain/freshness/mod.js';
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
+import type { HostState } from '../../domain/overlay/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type { Clock, FeedUpdateMessage, Metrics, PeerNetwork } from '../../ports/mod.js';
-import type { FeedContext, FeedFollower, FeedUpdate } from './feed_follower.js';
+import { LEADING_PAUSES } from './feed_follower.js';
+import type { FeedContext, FeedFollower, FeedUpdate, RetryPauses } from './feed_follower.js';
 import type { HostReports } from './host_reports.js';
 
 /**
@@ -26,6 +28,29 @@
  */
 const TAKE_OVER_MS = 1_200;
 
+/**
+ * Time over which the relays, and after them the members, take over one after the other, in
+ * milliseconds. Whoever is first tells the others, some milliseconds later at sixteen relays;
+ * all at once were 200 calls, and 200 more for each time that the store doesn't answer.
+ */
+const RELAY_SPREAD_MS = 400;
+const MEMBER_SPREAD_MS = 800;
+
+/** Longest wait of the first read after taking over, in milliseconds: all others wait for word. */
+const TAKE_OVER_WAIT_MS = 1;
+
+/**
+ * Time after the start in which an entry host that has read everything reads no more unless
+ * nothing is heard, in milliseconds. At first each knows nobody and takes itself for the reader.
+ */
+const SETTLE_MS = 1_000;
+
+/** Entry hosts that ask a store that doesn't answer often; the others hear from them. */
+const LEADING_HOSTS = 4;
+
+/** Shortest and longest pause of the others between two tries, in milliseconds. */
+const FOLLOWING_PAUSES: RetryPauses = { minMs: 400, maxMs: 2_000 };
+
 /** Time between two tries of an entry host that can't reach the store itself while peers can, in milliseconds. */
 const PROBE_INTERVAL_MS = 2_000;
 
@@ -38,6 +63,14 @@
  */
 const MEMBER_PATIENCE_MS = 400;
 
+/** Where an entry host stands among those that may read. */
+interface ReaderOrder {
+  /** 0: it reads first. */
+  readonly place: number;
+  /** Part of its fellow relays, or fellow members, that go before it. */
+  readonly part: number;
+}
+
 /** What the sharing needs. */
 export interface FeedSharingOptions {
   readonly clock: Clock;
@@ -66,6 +99,11 @@
 
   #heardAtMs = Number.NEGATIVE_INFINITY;
 
+  /** When it had read everything for the first time. */
+  #startedAtMs = Number.POSITIVE_INFINITY;
+
+  #readAtMs = Number.NEGATIVE_INFINITY;
+
   #probedAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param options - what the sharing needs */
@@ -78,16 +116,28 @@
 
   /** @returns longest wait of the next read in milliseconds; undefined: peers read */
   getWaitMs(): number | undefined {
-    const { clock, follower, reports } = this.#options;
+    const { clock, follower } = this.#options;
     const nowMs = clock.nowMs();
-    const patienceMs = TAKE_OVER_MS + (reports.isRelay ? 0 : MEMBER_PATIENCE_MS);
-    if (nowMs - this.#heardAtMs > patienceMs) return READER_WAITS_MS[0];
-    if (follower.isInTouch) return READER_WAITS_MS[this.#computePlace()];
+    if (follower.hasRead) this.#startedAtMs = Math.min(this.#startedAtMs, nowMs);
+    const order = this.#rankReaders();
+    if (nowMs - Math.max(this.#heardAtMs, this.#startedAtMs) > this.#computePatienceMs(order)) {
+      return nowMs - this.#readAtMs > TAKE_OVER_MS ? TAKE_OVER_WAIT_MS : READER_WAITS_MS[0];
+    }
+    if (follower.isInTouch) {
+      const isSettled = nowMs - this.#startedAtMs >= SETTLE_MS;
+      return isSettled ? READER_WAITS_MS[order.place] : undefined;
+    }
     if (nowMs - this.#probedAtMs < PROBE_INTERVAL_MS) return undefined;
     this.#probedAtMs = nowMs;
     return READER_WAITS_MS[0];
   }
 
+  /** @returns pauses between two tries while the store doesn't answer */
+  getRetryPauses(): RetryPauses {
+    const { place } = this.#rank(this.#options.reports.listHeard());
+    return place < LEADING_HOSTS ? LEADING_PAUSES : FOLLOWING_PAUSES;
+  }
+
   /**
    * Passes on what this entry host has read.
    *
@@ -95,7 +145,8 @@
    * @param context - when they were asked for
    */
   sendUpdate(update: FeedUpdate, context: FeedContext): void {
-    const { reports } = this.#options;
+    const { reports, clock } = this.#options;
+    this.#readAtMs = clock.nowMs();
     this.#noteTold(update, context);
     this.#sendTo(reports.listTargets(), update, context);
   }
@@ -120,14 +171,29 @@
     });
   }
 
-  /** Place among those that are to read; the lowest names do. Relays go first: their word goes furthest. */
-  #computePlace(): number {
+  /** Its place among those that reach the store. */
+  #rankReaders(): ReaderOrder {
+    const heard = this.#options.reports.listHeard();
+    return this.#rank(heard.filter(({ isInTouch }) => isInTouch));
+  }
+
+  /** Relays go first: their word goes furthest. Among relays, and among members, names decide. */
+  #rank(peers: readonly HostState[]): ReaderOrder {
     const { reports } = this.#options;
-    const inTouch = reports.listHeard().filter(({ isInTouch }) => isInTouch);
-    const relays = inTouch.filter(({ identity }) => reports.isPlannedRelay(identity.id));
-    if (!reports.isRelay && relays.length > 0) return Infinity;
     const { id } = reports.self.identity;
-    return (reports.isRelay ? relays : inTouch).filter(({ identity }) => identity.id < id).length;
+    const isRelay = (peer: HostState): boolean => reports.isPlannedRelay(peer.identity.id);
+    const relays = peers.filter(isRelay);
+    const fellows = reports.isRelay ? relays : peers.filter((peer) => !isRelay(peer));
+    const before = fellows.filter(({ identity }) => identity.id < id).length;
+    return {
+      place: reports.isRelay ? before : relays.length + before,
+      part: before / (fellows.length + 1),
+    };
+  }
+
+  #computePatienceMs({ part }: ReaderOrder): number {
+    if (this.#options.reports.isRelay) return TAKE_OVER_MS + part * RELAY_SPREAD_MS;
+    return TAKE_OVER_MS + MEMBER_PATIENCE_MS + part * MEMBER_SPREAD_MS;
   }
 
   #handleUpdate(from: EntryHostIdentity, message: FeedUpdateMessage): void {
--- a/src/application/direct/feed_sharing_test.ts
+++ b/src/application/direct/feed_sharing_test.ts
@@ -61,6 +61,7 @@
       feed,
       random: new SeededRandom(),
       getWaitMs: () => this.sharing.getWaitMs(),
+      getRetryPauses: () => this.sharing.getRetryPauses(),
       onAll: (items, context) => {
         this.keys.clear();
         items.forEach(({ key }) => this.keys.add(key));
@@ -161,6 +162,42 @@
   t.ok(feed.readCount - before <= 12, String(feed.readCount - before));
 });
 
+t.test('entry hosts take over from silent readers one after the other', async (t) => {
+  // Symptom: a store that keeps its answers back for a second gets a question from each of 195
+  // entry hosts, and another one when it cuts them off.
+  // Sequence: the readers' questions stay open; after 1.2 s without word all take over.
+  // Cause: nothing told one that the others had taken over at the same moment.
+  const { clock, feed } = await startFleet(t, 40);
+  await clock.advance(20_000);
+  feed.isSilent = true;
+  await clock.advance(1_700);
+  feed.isSilent = false;
+  const before = feed.readCount;
+  await clock.advance(2_000);
+  // Two readers that come back and some that took over, with two reads of the fake a call.
+  t.ok(feed.readCount - before <= 40, String(feed.readCount - before));
+});
+
+t.test('a store that is down is asked often by a few entry hosts alone', async (t) => {
+  // Symptom: 195 entry hosts send 500 calls a second to a store that is down.
+  // Sequence: the store is down for five seconds.
+  // Cause: each asked as often as if nobody else would tell it of the store's return.
+  const counts: number[] = [];
+  for (const count of [4, 40]) {
+    const { clock, feed, hosts } = await startFleet(t, count);
+    feed.isDown = true;
+    const before = feed.readCount;
+    await clock.advance(5_000);
+    counts.push(feed.readCount - before);
+    feed.isDown = false;
+    feed.put('b', 1);
+    await clock.advance(600);
+    hosts.forEach(({ keys }, index) => t.ok(keys.has('b'), `${count}: ${index}`));
+  }
+  const [few = 0, many = Infinity] = counts;
+  t.ok(many <= few + 36 * 4, counts.join());
+});
+
 t.test('everybody hears of a change at once, and knows it to be fresh', async (t) => {
   const { clock, feed, hosts } = await startFleet(t, 6);
   feed.put('b', 1);
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -8,6 +8,7 @@
   AccountSpending,
   DirectGateway,
   FeedFollower,
+  LEADING_PAUSES,
   RoutingKeeper,
   ServerKeeper,
 } from '../../src/application/direct/mod.js';
@@ -154,6 +155,7 @@
       ...shared,
       feed,
       getWaitMs: () => 1_000,
+      getRetryPauses: () => LEADING_PAUSES,
       onAll: (items, context) => {
         this.routing.applyValues(items, context);
         this.servers.applyAll(items, context);
