Order the processes of one host by who reports itself, not by the wall clock alone

Cause: the later start by the wall clock counted as the newer process. On a host whose clock is set back before a restart the new process was rejected while anybody still heard the former one, and was told again by nobody, since nothing changed: unknown to all but its relay for good; and word of the former process could take its place at the relay itself. Change: a process that reports itself is believed, and isn't replaced on others' word while it is heard; the other of two processes is kept until the present one is silent, and takes its place then. One test is replaced by a stricter one: the process that was rejected had to be told of again after the former one's silence; now it has to be there without that.

--- a/src/domain/overlay/_known_host.ts
+++ b/src/domain/overlay/_known_host.ts
@@ -43,6 +43,11 @@
     return this.#state;
   }
 
+  /** Its process. */
+  get incarnation(): string {
+    return this.#state.identity.incarnation;
+  }
+
   /** Roster's revision with which it last changed. */
   get revision(): number {
     return this.#revision;
@@ -58,6 +63,11 @@
     return this.#liveCount > 0;
   }
 
+  /** Whether it reports here itself, and is heard. */
+  get reportsItself(): boolean {
+    return this.findVoucher(this.incarnation) === true;
+  }
+
   /** Whether it was ever heard; one that was only told of may well be there. */
   get wasHeard(): boolean {
     return this.#wasHeard;
@@ -100,6 +110,13 @@
     this.#noteSilence(wasHeard, nowMs);
   }
 
+  /** @param stale - incarnations that are silent now. @param nowMs - monotonic time */
+  dropStale(stale: readonly string[], nowMs: number): void {
+    stale
+      .filter((source) => this.findVoucher(source) === true)
+      .forEach((source) => this.setVoucher(source, false, nowMs));
+  }
+
   /** Has it told again to those that were told of it before. */
   noteChange(): void {
     this.#revision = this.#nextRevision();
--- a/src/domain/overlay/roster.ts
+++ b/src/domain/overlay/roster.ts
@@ -23,6 +23,13 @@
   readonly forgotten: readonly HostState[];
 }
 
+/** Whom an entry is about. */
+interface EntryTarget {
+  readonly known: KnownHost;
+  /** Whether it is another process than the one that was known. */
+  readonly isNew: boolean;
+}
+
 /**
  * Who is there, by whose word, and what has changed since when.
  *
@@ -34,6 +41,9 @@
 export class Roster {
   readonly #known = new Map<string, KnownHost>();
 
+  /** Other processes of known hosts, by the hosts' names. */
+  readonly #rivals = new Map<string, KnownHost>();
+
   readonly #heardAtMs = new Map<string, number>();
 
   /** Those of them that weren't silent when last looked at. */
@@ -90,7 +100,7 @@
     if (this.#live.has(source)) return;
     this.#live.add(source);
     // Only changes are told: whom it vouched for before its silence isn't named again.
-    this.#known.forEach((known) => {
+    [...this.#known.values(), ...this.#rivals.values()].forEach((known) => {
       if (known.findVoucher(source) === false) known.setVoucher(source, true, nowMs);
     });
   }
@@ -104,19 +114,18 @@
    * @returns whether the entry host's process wasn't known before
    */
   apply(source: string, entry: RosterEntry, nowMs: number): boolean {
-    const { state, isHeard } = entry;
-    const { id, incarnation } = state.identity;
+    const { id } = entry.state.identity;
     if (id === this.#self.identity.id) return false;
-    const known = this.#known.get(id);
-    const isSame = known?.state.identity.incarnation === incarnation;
-    if (known && !isSame && !known.isReplacedBy(entry)) return false;
-    const target = known && isSame ? known : this.#add(state, nowMs);
-    target.updateState(state);
-    if (isHeard) {
+    const target = this.#pickTarget(source, entry, nowMs);
+    if (!target) return false;
+    const { known, isNew } = target;
+    known.updateState(entry.state);
+    if (entry.isHeard) {
       this.#live.add(source);
-      target.setVoucher(source, true, nowMs);
-    } else target.removeVoucher(source, nowMs);
-    return !isSame;
+      known.setVoucher(source, true, nowMs);
+    } else known.removeVoucher(source, nowMs);
+    this.#settleRival(id);
+    return isNew && this.#known.get(id) === known;
   }
 
   /**
@@ -131,13 +140,12 @@
     const stale = this.#takeStale(nowMs);
     this.#known.forEach((known, id) => {
       const wasHeard = known.isHeard;
-      stale
-        .filter((source) => known.findVoucher(source) === true)
-        .forEach((source) => known.setVoucher(source, false, nowMs));
-      if (known.isHeard) return;
+      [known, this.#rivals.get(id)].forEach((each) => each?.dropStale(stale, nowMs));
+      if (known.isHeard || this.#settleRival(id)) return;
       if (wasHeard) silent.push(known.state);
       if (nowMs - known.silentSinceMs <= FORGET_AFTER_MS) return;
       this.#known.delete(id);
+      this.#rivals.delete(id);
       this.#members.delete(known.state.identity.incarnation);
       this.#revision += 1;
       forgotten.push(known.state);
@@ -223,13 +231,47 @@
       : changed;
   }
 
-  #add(state: HostState, nowMs: number): KnownHost {
-    const known = new KnownHost(state, nowMs, () => {
+  /**
+   * Finds whom an entry is about. Of two processes of one host one is over. The wall clock says
+   * which only as long as nobody sets it back, so the later start decides among those that are
+   * only told of; whoever reports itself is there; and the other one is kept as a rival until
+   * the present one is silent, since nobody tells of it again while nothing changes.
+   */
+  #pickTarget(source: string, entry: RosterEntry, nowMs: number): EntryTarget | undefined {
+    const { id, incarnation } = entry.state.identity;
+    const present = this.#known.get(id);
+    if (present?.incarnation === incarnation) return { known: present, isNew: false };
+    const rival = this.#rivals.get(id);
+    const isRival = rival?.incarnation === incarnation;
+    const isPresent =
+      !present || source === incarnation || (!present.reportsItself && present.isReplacedBy(entry));
+    if (isRival && !isPresent) return { known: rival, isNew: true };
+    if (!isPresent && !entry.isHeard) return undefined;
+    const known = isRival ? rival : this.#create(entry.state, nowMs);
+    if (!isPresent) this.#rivals.set(id, known);
+    else {
+      this.#known.set(id, known);
+      if (present?.isHeard) this.#rivals.set(id, present);
+      else this.#rivals.delete(id);
+    }
+    return { known, isNew: true };
+  }
+
+  /** Puts a rival that is heard in the place of a process that isn't. @returns whether it did */
+  #settleRival(id: string): boolean {
+    const rival = this.#rivals.get(id);
+    if (!rival?.isHeard || this.#known.get(id)?.isHeard) return false;
+    this.#rivals.delete(id);
+    this.#known.set(id, rival);
+    rival.noteChange();
+    return true;
+  }
+
+  #create(state: HostState, nowMs: number): KnownHost {
+    return new KnownHost(state, nowMs, () => {
       this.#revision += 1;
       return this.#revision;
     });
-    this.#known.set(state.identity.id, known);
-    return known;
   }
 
   /** Processes that were heard when last looked at, and have been silent for too long since. */
