--- a/src/adapters/direct_http/_node_reply.ts
+++ b/src/adapters/direct_http/_node_reply.ts
@@ -79,7 +79,7 @@
   override write(bytes: Buffer): void {
     const { response } = this.#options;
     if (this.#isGone || bytes.length === 0) return;
-    response.write(this.#isFraming ? frameChunk(bytes) : bytes);
+    response.write(this.#isFraming ? encodeChunk(bytes) : bytes);
     if (response.writableLength > MAX_WAITING_BYTES) this.abort();
   }
 
@@ -129,7 +129,7 @@
  * Node writes the length, the bytes and the line ends of a chunk one by one. A stream has some
  * forty small chunks, and their writes were the largest part of a call's processor time.
  */
-function frameChunk(bytes: Buffer): Buffer {
+function encodeChunk(bytes: Buffer): Buffer {
   return Buffer.concat([
     Buffer.from(`${bytes.length.toString(16)}\r\n`, 'latin1'),
     bytes,
--- a/src/application/direct/_report_rounds.ts
+++ b/src/application/direct/_report_rounds.ts
@@ -15,9 +15,8 @@
 
 /**
  * Time for which a member waits for its relay's report beyond the interval, in milliseconds,
- * before it reports unasked. Its report is an answer to its relay's otherwise: a process that
- * rests wakes once for both, and with hundreds of hosts what a wake-up costs is most of what a
- * host costs at rest. At twenty hosts the processor time of start and rest fell by a
+ * before it reports unasked. Its report is an answer to its relay's otherwise, so that a process
+ * at rest wakes once for both. At twenty hosts the processor time of start and rest fell by a
  * twentieth (two runs each, together with fewer looks at whether to read the store).
  */
 const ANSWER_GRACE_MS = 60;
--- a/src/application/direct/feed_sharing.ts
+++ b/src/application/direct/feed_sharing.ts
@@ -127,7 +127,7 @@
     const { clock, follower } = this.#options;
     const nowMs = clock.nowMs();
     if (follower.hasRead) this.#startedAtMs = Math.min(this.#startedAtMs, nowMs);
-    const order = this.#rankReaders();
+    const order = this.#computeReaderOrder();
     if (nowMs - this.#lastWordMs > this.#computePatienceMs(order)) {
       return nowMs - this.#readAtMs > TAKE_OVER_MS ? TAKE_OVER_WAIT_MS : READER_WAITS_MS[0];
     }
@@ -142,7 +142,7 @@
 
   /** @returns time until it may have to read, in milliseconds */
   getIdleMs(): number {
-    const order = this.#rankReaders();
+    const order = this.#computeReaderOrder();
     const patienceMs = this.#computePatienceMs(order);
     const leftMs = this.#lastWordMs + patienceMs - this.#options.clock.nowMs();
     return Math.min(MAX_IDLE_MS, Math.max(MIN_IDLE_MS, leftMs));
@@ -150,7 +150,7 @@
 
   /** @returns pauses between two tries while the store doesn't answer */
   getRetryPauses(): RetryPauses {
-    const { place } = this.#rank(this.#options.reports.listHeard());
+    const { place } = this.#computeOrder(this.#options.reports.listHeard());
     return place < LEADING_HOSTS ? LEADING_PAUSES : FOLLOWING_PAUSES;
   }
 
@@ -193,13 +193,13 @@
   }
 
   /** Its place among those that reach the store. */
-  #rankReaders(): ReaderOrder {
+  #computeReaderOrder(): ReaderOrder {
     const heard = this.#options.reports.listHeard();
-    return this.#rank(heard.filter(({ isInTouch }) => isInTouch));
+    return this.#computeOrder(heard.filter(({ isInTouch }) => isInTouch));
   }
 
   /** Relays go first: their word goes furthest. Among relays, and among members, names decide. */
-  #rank(peers: readonly HostState[]): ReaderOrder {
+  #computeOrder(peers: readonly HostState[]): ReaderOrder {
     const { reports } = this.#options;
     const { id } = reports.self.identity;
     const isRelay = (peer: HostState): boolean => reports.isPlannedRelay(peer.identity.id);
