Take two changes out again that earn nothing

Both stood in profiles (16 and 14 in 100) and buy nothing that shows. The files are those from before.

--- a/scripts/bundle_platform.mjs
+++ b/scripts/bundle_platform.mjs
@@ -1,6 +1,6 @@
 /** Builds `target/monsoonhall.mjs`: the entry host as the platform runs it, in one file. */
 import esbuild from 'esbuild';
-import { leaveOutHistogramLogs, leaveOutNativeParts } from './leave_out_native_parts.mjs';
+import { leaveOutNativeParts } from './leave_out_native_parts.mjs';
 
 await esbuild.build({
   entryPoints: ['platform/main.ts'],
@@ -9,7 +9,7 @@
   format: 'esm',
   platform: 'node',
   target: 'node20',
-  plugins: [leaveOutNativeParts, leaveOutHistogramLogs],
+  plugins: [leaveOutNativeParts],
   // Libraries in CommonJS call `require` for Node's own modules.
   banner: {
     js: "import { createRequire as createRequireOfBundle } from 'node:module'; const require = createRequireOfBundle(import.meta.url);",
--- a/scripts/leave_out_native_parts.mjs
+++ b/scripts/leave_out_native_parts.mjs
@@ -14,22 +14,3 @@
     }));
   },
 };
-
-/**
- * The part of the histograms' library that writes log files. It makes a number format of the
- * locale when it is loaded, which took a seventh of the processor time of a start; nothing
- * here writes such files.
- */
-export const leaveOutHistogramLogs = {
-  name: 'leave-out-histogram-logs',
-  setup(build) {
-    build.onResolve({ filter: /^\.\/HistogramLogWriter$/ }, ({ path: name }) => ({
-      path: name,
-      namespace: 'histogram-logs',
-    }));
-    build.onLoad({ filter: /.*/, namespace: 'histogram-logs' }, () => ({
-      contents: 'exports.default = undefined;',
-      loader: 'js',
-    }));
-  },
-};
--- a/src/adapters/direct_http/_node_reply.ts
+++ b/src/adapters/direct_http/_node_reply.ts
@@ -16,11 +16,6 @@
  */
 const MAX_WAITING_BYTES = 4_194_304;
 
-const LINE_END = Buffer.from('\r\n');
-
-/** Ends a body of chunks. */
-const LAST_CHUNK = Buffer.from('0\r\n\r\n');
-
 /** What a reply needs. */
 export interface NodeReplyOptions {
   readonly response: ServerResponse;
@@ -38,9 +33,6 @@
 
   #hasEnded = false;
 
-  /** Whether the body's chunks are framed here. */
-  #isFraming = false;
-
   #handler: (() => void) | undefined;
 
   /** @param options - what the reply needs */
@@ -71,22 +63,20 @@
     // `Date` is set by the backend server, or by nobody.
     response.sendDate = false;
     response.writeHead(status, this.#buildHeaders(headers));
-    // The head leaves with the first bytes of the body, which always follow at once.
-    this.#isFraming = response.chunkedEncoding;
-    response.chunkedEncoding = false;
+    response.flushHeaders();
   }
 
   override write(bytes: Buffer): void {
     const { response } = this.#options;
     if (this.#isGone || bytes.length === 0) return;
-    response.write(this.#isFraming ? encodeChunk(bytes) : bytes);
+    response.write(bytes);
     if (response.writableLength > MAX_WAITING_BYTES) this.abort();
   }
 
   override end(): void {
     if (this.#isGone) return;
     this.#hasEnded = true;
-    this.#options.response.end(this.#isFraming ? LAST_CHUNK : undefined);
+    this.#options.response.end();
   }
 
   override sendWhole({ status, headers }: DirectHead, body: Buffer): void {
@@ -124,15 +114,3 @@
     if (!this.#hasEnded) this.#handler?.();
   }
 }
-
-/**
- * Node writes the length, the bytes and the line ends of a chunk one by one. A stream has some
- * forty small chunks, and `writev` was the largest entry of a profile under load (16 in 100).
- */
-function encodeChunk(bytes: Buffer): Buffer {
-  return Buffer.concat([
-    Buffer.from(`${bytes.length.toString(16)}\r\n`, 'latin1'),
-    bytes,
-    LINE_END,
-  ]);
-}
