--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -10,12 +10,16 @@
 import type { FakeExchange, FakeReply } from './direct_ends.js';
 import { buildDocument, buildServer, DirectHost } from './direct_host.js';
 import type { DocumentChanges } from './direct_host.js';
+import { SeededRandom } from './fakes.js';
 import { buildIdentity, FakePeerHub } from './fake_peer_network.js';
 import { settle, VirtualClock } from './virtual_clock.js';
 
 /** Time from a request's arrival at a server to the server's end, in milliseconds. */
 const CRASH_AFTER_MS = 60;
 
+/** Time from a request's arrival to an answer with an error, in milliseconds. */
+const ERR_AFTER_MS = 40;
+
 /** Time from a server's end until it is back, and until its entry is removed, in milliseconds. */
 const DOWN_MS = 4_000;
 const LAPSE_MS = 1_500;
@@ -27,6 +31,10 @@
   readonly slots?: number;
   /** How long a sound request runs, in milliseconds. Default: 200. */
   readonly runMs?: number;
+  /** Part of all requests that servers answer with status 500 instead of running them. Default: 0. */
+  readonly errorShare?: number;
+  /** Seed of what is answered so. */
+  readonly seed?: number;
 }
 
 /** A request that reached a server. */
@@ -61,8 +69,11 @@
 
   #lifeCount = 0;
 
+  readonly #random: SeededRandom;
+
   constructor(t: Test, options: CrashFleetOptions) {
     this.#options = options;
+    this.#random = new SeededRandom(options.seed);
     for (let index = 1; index <= options.hosts; index += 1) this.addHost(t, index);
     t.teardown(() => this.hosts.forEach((host) => host.stop()));
   }
@@ -172,6 +183,10 @@
     const body = request.body.toString();
     this.arrivals.push({ atMs: this.clock.nowMs(), body, lifeId });
     this.#running.set(exchange, serverId);
+    if (this.#random.nextFraction() < (this.#options.errorShare ?? 0)) {
+      this.clock.setTimer(ERR_AFTER_MS, () => this.#finish(exchange, () => exchange.answer(500)));
+      return;
+    }
     if (body.startsWith('ends')) {
       this.clock.setTimer(CRASH_AFTER_MS, () => {
         const isSame = this.#lives.get(serverId) === lifeId;
