--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -20,6 +20,7 @@
 const MAX_TEXT_LENGTH = 65_536;
 const MAX_LIST_LENGTH = 65_536;
 const MAX_HEADERS = 1_000;
+const MAX_TRIALS = 64;
 
 const name = z.string().max(MAX_NAME_LENGTH);
 const text = z.string().max(MAX_TEXT_LENGTH);
@@ -59,14 +60,22 @@
   isHeard: z.boolean(),
 });
 
+const trialSchema = z.object({
+  id: name.min(1),
+  startedAgoMs: amount,
+  isVoid: z.boolean().optional(),
+});
+
 const crashNoteSchema = z.object({
   contentId: name.min(1),
   crashId: name.min(1),
   state: z.enum(CrashState),
+  isVouched: z.boolean().optional(),
   isHeld: z.boolean(),
   startedAgoMs: amount,
   endedAgoMs: amount,
   seenAgoMs: amount,
+  trials: z.array(trialSchema).max(MAX_TRIALS).optional(),
 });
 
 const groupLoadSchema = z.object({
--- a/src/application/crashes/_crash_sharing.ts
+++ b/src/application/crashes/_crash_sharing.ts
@@ -29,6 +29,8 @@
   readonly peers: PeerNetwork;
   readonly paths: CrashPaths;
   readonly ledger: CrashLedger;
+  /** Judges anew what time has decided. */
+  readonly review: () => void;
   /** Takes notes of a peer in. Returns what is to be passed on. */
   readonly apply: (notes: readonly CrashNote[]) => readonly CrashNote[];
 }
@@ -74,6 +76,7 @@
   #tick(): void {
     const { ledger, paths, clock } = this.#options;
     ledger.expire(clock.nowMs());
+    this.#options.review();
     if (ledger.size > 0) {
       const digest = this.#computeDigest();
       paths.listTargets().forEach((peer) => this.#send(peer, CrashUpdateKind.Digest, [], digest));
@@ -125,11 +128,13 @@
   #computeDigest(): string {
     const { ledger, clock } = this.#options;
     if (this.#digest.revision === ledger.revision) return this.#digest.text;
-    const lines = ledger
-      .list(clock.nowMs())
-      .map(
-        ({ contentId, crashId, state, isHeld }) => `${contentId} ${crashId} ${state} ${isHeld}\n`,
-      );
+    const lines = ledger.list(clock.nowMs()).map(
+      ({ contentId, crashId, state, isVouched = false, isHeld, trials = [] }) =>
+        `${contentId} ${crashId} ${state} ${isVouched} ${isHeld} ${trials
+          .map(({ id, isVoid = false }) => `${id}${isVoid}`)
+          .sort()
+          .join()}\n`,
+    );
     const text = createHash('sha256').update(lines.sort().join('')).digest('base64url');
     this.#digest = { revision: ledger.revision, text };
     return text;
--- a/src/application/crashes/crash_keeper.ts
+++ b/src/application/crashes/crash_keeper.ts
@@ -3,22 +3,28 @@
  *
  * @module
  */
-import { RecentKeys } from '../../domain/collections/mod.js';
-import { CrashLedger, CrashState } from '../../domain/crashes/mod.js';
+import { CrashLedger, CrashState, SuspectState } from '../../domain/crashes/mod.js';
 import type { CrashNote } from '../../domain/crashes/mod.js';
 import { ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
-import type { Clock, EventLog, Metrics, PeerNetwork, ServerProbe } from '../../ports/mod.js';
+import type {
+  Clock,
+  EventLog,
+  Metrics,
+  PeerNetwork,
+  RandomSource,
+  ServerProbe,
+  Timer,
+} from '../../ports/mod.js';
+import { AnsweredContents } from './_answered_contents.js';
 import { CrashSharing } from './_crash_sharing.js';
+import { TrialQueue } from './_trial_queue.js';
+import type { Pass } from './_trial_queue.js';
 import type { CrashPaths } from './crash_paths.js';
 import { CrashWatch } from './crash_watch.js';
 import type { LostRun, ServerCrash } from './crash_watch.js';
 
-/**
- * How long an answer speaks for a content, in milliseconds. A popular one runs at many servers
- * at any moment, also at those that a failing rack takes along; that it was answered a moment
- * ago tells it from one that ends its servers.
- */
-const VOUCHED_MS = 60_000;
+/** Time in which word of what else ran at an end comes from peers, in milliseconds. */
+const SETTLE_MS = 50;
 
 /**
  * Age up to which an end says anything of who is at the server's address now, in milliseconds.
@@ -26,14 +32,19 @@
  */
 const FRESH_MS = 500;
 
-/** Most contents whose answers are remembered. */
-const MAX_ANSWERED = 4_096;
+/** Log events and metrics of verdicts. */
+const VERDICT_EVENTS: Readonly<Record<SuspectState, string>> = {
+  [SuspectState.Free]: 'request_released',
+  [SuspectState.Doubted]: 'request_doubted',
+  [SuspectState.Held]: 'request_held',
+};
 
 /** What the keeper needs. */
 export interface CrashKeeperOptions {
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
+  readonly random: RandomSource;
   readonly probe: ServerProbe;
   readonly peers: PeerNetwork;
   readonly paths: CrashPaths;
@@ -58,14 +69,17 @@
 export class CrashKeeper {
   readonly #options: CrashKeeperOptions;
 
-  readonly #ledger = new CrashLedger();
+  readonly #ledger: CrashLedger;
 
   readonly #watch: CrashWatch;
 
   readonly #sharing: CrashSharing;
 
-  /** When contents were answered here last. */
-  readonly #answeredAtMs = new RecentKeys<number>(MAX_ANSWERED);
+  readonly #trials: TrialQueue;
+
+  #settleTimer: Timer | undefined;
+
+  readonly #answered = new AnsweredContents();
 
   readonly #heldHandlers: ((contentId: string) => void)[] = [];
 
@@ -73,6 +87,16 @@
   constructor(options: CrashKeeperOptions) {
     this.#options = options;
     const { paths } = options;
+    this.#ledger = new CrashLedger({
+      getSettleMs: () => (paths.listTargets().length > 0 ? SETTLE_MS : 0),
+    });
+    this.#trials = new TrialQueue({
+      ...options,
+      ledger: this.#ledger,
+      notify: (notes) => this.#sharing.notify(notes),
+      review: () => this.#review(),
+      refuse: (contentId) => this.#refuse(contentId),
+    });
     this.#watch = new CrashWatch({
       ...options,
       createCrashId: (serverId) => paths.createCrashId(serverId),
@@ -82,6 +106,7 @@
       ...options,
       ledger: this.#ledger,
       apply: (notes) => this.#applyOfPeer(notes),
+      review: () => this.#review(),
     });
   }
 
@@ -93,9 +118,11 @@
   /** Tells peers no more. */
   stop(): void {
     this.#sharing.stop();
+    this.#trials.stop();
+    this.#settleTimer?.cancel();
   }
 
-  /** @param handler - called with each content that is held from now on */
+  /** @param handler - called with each content whose calls are refused from now on */
   onHeld(handler: (contentId: string) => void): void {
     this.#heldHandlers.push(handler);
   }
@@ -112,13 +139,38 @@
    * @returns why not; undefined when it may
    */
   findRefusal(contentId: string): SchedulerError | undefined {
-    if (!this.#ledger.isHeld(contentId)) return undefined;
+    const delayMs = this.#trials.findDelayMs(contentId);
+    if (delayMs === undefined && !this.#ledger.isHeld(contentId)) return undefined;
     this.#sharing.notify(this.#ledger.noteSeen(contentId, this.#options.clock.nowMs()));
     return new SchedulerError(ErrorKind.RequestHeld, {
       message: `Cannot send the call: backend servers ended under content ${contentId}`,
+      ...(delayMs === undefined ? {} : { retryAfterMs: delayMs }),
     });
   }
 
+  /**
+   * Asks for leave to send a request right now. One whose content is in doubt is sent singly, and
+   * its leave is used up.
+   *
+   * @param contentId - its content
+   * @param hasTime - whether its caller waits long enough for a trial to show something
+   * @returns whether it may be sent, and as what
+   */
+  takePass(contentId: string, hasTime = true): Pass {
+    return this.#trials.takePass(contentId, hasTime);
+  }
+
+  /**
+   * Waits until a request may ask for leave again.
+   *
+   * @param contentId - its content
+   * @param resume - called once, when it may; not where its content is held
+   * @returns ends the wait
+   */
+  waitForPass(contentId: string, resume: () => void): () => void {
+    return this.#trials.wait(contentId, resume);
+  }
+
   /** @param run - a run whose connection its server has closed */
   noteLost(run: LostRun): void {
     this.#watch.noteLost(run);
@@ -137,7 +189,7 @@
 
   #clearContent(contentId: string): void {
     const nowMs = this.#options.clock.nowMs();
-    this.#answeredAtMs.set(contentId, nowMs);
+    this.#answered.note(contentId, nowMs);
     const notes = this.#ledger.clearContent(contentId, nowMs);
     this.#noteVerdicts();
     this.#sharing.notify(notes);
@@ -190,18 +242,33 @@
   /** @returns what is news of it, with what this entry host knows better */
   #apply(notes: readonly CrashNote[]): CrashNote[] {
     const nowMs = this.#options.clock.nowMs();
-    const known = notes.map((note) => (this.#isVouched(note, nowMs) ? toCleared(note) : note));
+    const known = notes.map((note) => this.#answered.vouch(note, nowMs));
     const news = this.#ledger.apply(known, nowMs);
     listFresh(news).forEach((crashId) => {
       this.#watch.noteCrash(this.#options.paths.readServerId(crashId), crashId);
     });
     this.#noteVerdicts();
+    if (news.length > 0) this.#scheduleReview();
     return news;
   }
 
-  #isVouched({ contentId, endedAgoMs }: CrashNote, nowMs: number): boolean {
-    const answeredAtMs = this.#answeredAtMs.get(contentId);
-    return answeredAtMs !== undefined && nowMs - endedAgoMs - answeredAtMs < VOUCHED_MS;
+  #refuse(contentId: string): void {
+    this.#heldHandlers.forEach((handler) => handler(contentId));
+  }
+
+  /** Judges anew once word of what else ran at an end must have come. */
+  #scheduleReview(): void {
+    if (this.#settleTimer) return;
+    const { clock } = this.#options;
+    this.#settleTimer = clock.setTimer(SETTLE_MS, () => {
+      this.#settleTimer = undefined;
+      this.#review();
+    });
+  }
+
+  #review(): void {
+    this.#ledger.review(this.#options.clock.nowMs());
+    this.#noteVerdicts();
   }
 
   #noteVerdicts(): void {
@@ -209,14 +276,15 @@
     const verdicts = this.#ledger.takeVerdicts();
     if (verdicts.length === 0) return;
     metrics.set('requests_held', this.#ledger.heldCount);
-    verdicts.forEach(({ contentId, isHeld, crashIds }) => {
-      const event = isHeld ? 'request_held' : 'request_released';
+    verdicts.forEach(({ contentId, state, isHeld, crashIds }) => {
+      const event = VERDICT_EVENTS[state];
       log.write(LogLevel.Warn, event, { contentId, crashes: crashIds.join() });
       metrics.count(`${event}_total`);
       if (!isHeld) return;
       this.#sharing.notify(this.#ledger.listContent(contentId, clock.nowMs()));
-      this.#heldHandlers.forEach((handler) => handler(contentId));
+      this.#refuse(contentId);
     });
+    this.#trials.update();
   }
 }
 
@@ -227,7 +295,3 @@
   );
   return [...new Set(fresh.map(({ crashId }) => crashId))];
 }
-
-function toCleared(note: CrashNote): CrashNote {
-  return { ...note, state: CrashState.Cleared };
-}
--- a/src/application/crashes/crash_keeper_test.ts
+++ b/src/application/crashes/crash_keeper_test.ts
@@ -6,7 +6,7 @@
   FakePeerHub,
   FakePeerNetwork,
 } from '../../../test/support/fake_peer_network.js';
-import { FakeLog, FakeMetrics } from '../../../test/support/fakes.js';
+import { FakeLog, FakeMetrics, SeededRandom } from '../../../test/support/fakes.js';
 import { VirtualClock } from '../../../test/support/virtual_clock.js';
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
 import { ErrorKind } from '../../domain/errors/mod.js';
@@ -24,6 +24,14 @@
     super();
   }
 
+  override get selfId(): string {
+    return this.peers.identity.id;
+  }
+
+  override listHostIds(): readonly string[] {
+    return this.peers.listLinked().map(({ id }) => id);
+  }
+
   override listTargets(): readonly EntryHostIdentity[] {
     return this.peers.listLinked();
   }
@@ -66,10 +74,11 @@
     names.forEach((name, index) => {
       names.slice(0, Math.max(0, index - 1)).forEach((far) => this.hub.cut(far, name));
     });
-    names.forEach((name, index) => this.#add(name, index > 0 && index < names.length - 1));
+    names.forEach((name, index) => this.#add(name, index, names.length));
   }
 
-  #add(name: string, isRelay: boolean): void {
+  #add(name: string, index: number, count: number): void {
+    const isRelay = index > 0 && index < count - 1;
     const { clock, hub, ended, t } = this;
     const peers = new FakePeerNetwork(hub, buildIdentity(name));
     const probe = new FakeProbe(ended);
@@ -77,6 +86,7 @@
       clock,
       log: new FakeLog(),
       metrics: new FakeMetrics(),
+      random: new SeededRandom(index + 1),
       probe,
       peers,
       paths: new LinePaths(peers, isRelay),
--- a/src/application/crashes/crash_paths.ts
+++ b/src/application/crashes/crash_paths.ts
@@ -7,6 +7,12 @@
 
 /** Whom word of crashes goes to, and how crashes are named. */
 export abstract class CrashPaths {
+  /** Name of this entry host. */
+  abstract get selfId(): string;
+
+  /** @returns names of all entry hosts that take calls, as far as this one knows */
+  abstract listHostIds(): readonly string[];
+
   /** @returns peers that this entry host tells what happens here */
   abstract listTargets(): readonly EntryHostIdentity[];
 
--- a/src/application/crashes/mesh_crash_paths.ts
+++ b/src/application/crashes/mesh_crash_paths.ts
@@ -17,6 +17,8 @@
   /** Links to all other entry hosts. */
   readonly peers: PeerNetwork;
   readonly random: RandomSource;
+  /** Name of this entry host. */
+  readonly selfId: string;
   /** @param serverId - a server. @returns its address, unless it is gone or leaves */
   readonly findAddress: (serverId: string) => string | undefined;
 }
@@ -34,6 +36,14 @@
     this.#options = options;
   }
 
+  override get selfId(): string {
+    return this.#options.selfId;
+  }
+
+  override listHostIds(): readonly string[] {
+    return this.#options.peers.listLinked().map(({ id }) => id);
+  }
+
   override listTargets(): readonly EntryHostIdentity[] {
     return this.#options.peers.listLinked();
   }
--- a/src/application/crashes/mod.ts
+++ b/src/application/crashes/mod.ts
@@ -10,4 +10,6 @@
 export { formatAddress } from './format_address.js';
 export { isSuccess } from './is_success.js';
 export { MeshCrashPaths } from './mesh_crash_paths.js';
+export { PassKind } from './_trial_queue.js';
+export type { Pass } from './_trial_queue.js';
 export type { LostRun } from './crash_watch.js';
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -80,3 +80,19 @@
     });
   }
 }
+
+/**
+ * @param serverId - life of the backend server that has answered
+ * @param end - how the try ended
+ * @returns fields of the call's last log line
+ */
+export function describeAnswer(serverId: string, end: AttemptEnd): LogFields {
+  return {
+    backendServer: serverId,
+    status: end.status,
+    firstByteMs: Math.round(end.firstByteMs),
+    predictedFirstByteMs: Math.round(end.predictedMs),
+    outputTokens: end.outputTokens,
+    longestPauseMs: end.stream && Math.round(end.stream.longestPauseMs),
+  };
+}
--- a/src/application/direct/_run_evidence.ts
+++ b/src/application/direct/_run_evidence.ts
@@ -8,6 +8,12 @@
 import type { AttemptEnd } from './_direct_attempt.js';
 import type { DirectServices } from './direct_services.js';
 
+const NOT_RUN: ReadonlySet<BackendFailure> = new Set([
+  BackendFailure.NotSent,
+  BackendFailure.Declined,
+  BackendFailure.Misdirected,
+]);
+
 /** Tells of runs under which their server may have ended, and of those that were answered. */
 export class RunEvidence {
   readonly #services: DirectServices;
@@ -48,3 +54,11 @@
     crashes.noteLost({ serverId, address, contentId, startedAtMs, endedAtMs });
   }
 }
+
+/**
+ * @param end - how a try ended
+ * @returns whether its server may have run the request
+ */
+export function hasRun({ failure }: Pick<AttemptEnd, 'failure'>): boolean {
+  return failure === undefined || !NOT_RUN.has(failure);
+}
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -15,20 +15,18 @@
 import type { ClientAccount } from '../../domain/routing/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
 import type { DirectRequest, LogFields, Timer } from '../../ports/mod.js';
-import { CallRecorder } from './_call_recorder.js';
+import { PassKind } from '../crashes/mod.js';
+import type { Pass } from '../crashes/mod.js';
+import { CallRecorder, describeAnswer } from './_call_recorder.js';
+import { CallTries } from './_call_tries.js';
 import { DirectAttempt } from './_direct_attempt.js';
 import type { AttemptEnd } from './_direct_attempt.js';
-import { RunEvidence } from './_run_evidence.js';
+import { DoubtWait } from './_doubt_wait.js';
+import { hasRun, RunEvidence } from './_run_evidence.js';
 import type { StreamRelay } from './_answer_relay.js';
 import type { DirectCallOptions } from './direct_call_options.js';
 import type { LineCall } from './service_line.js';
 
-/** Most backend servers that are tried where none of them has run the request. */
-const MAX_TRIES = 4;
-
-/** Least time left that another backend server is worth trying for, in milliseconds. */
-const MIN_RETRY_MS = 40;
-
 /** Waits, is sent, sent again where that is allowed, and answered once. */
 export class DirectCall implements LineCall {
   readonly work: RequestWork;
@@ -54,13 +52,12 @@
 
   #stream: StreamRelay | undefined;
 
-  #tries = 0;
-
-  /** Tries that may have run. */
-  #runs = 0;
+  readonly #tries: CallTries;
 
   #hasEnded = false;
 
+  #wait: DoubtWait | undefined;
+
   readonly #timer: Timer;
 
   readonly #recorder: CallRecorder;
@@ -78,6 +75,7 @@
     this.arrivedAtMs = services.clock.nowMs();
     const longestMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     this.endsAtMs = this.arrivedAtMs + longestMs;
+    this.#tries = new CallTries(this, route, services.clock);
     this.#startByMs =
       this.arrivedAtMs +
       computeWaitMs({ isLate: this.isLate, timeLeftMs: longestMs, targetMs: route.targetMs });
@@ -98,7 +96,7 @@
 
   /** Whether any backend server may have run it. */
   get mayHaveRun(): boolean {
-    return this.#runs > 0;
+    return this.#tries.mayHaveRun;
   }
 
   /** Client account, where there is one. */
@@ -128,12 +126,16 @@
       this.giveUp(0);
       return;
     }
-    this.#tries += 1;
-    this.#runs += 1;
-    if (this.#tries === 1) services.noteAttempt(server.serviceId);
+    const pass = services.crashes.takePass(this.#options.contentId, this.#tries.hasTimeForTrial);
+    if (pass.kind === PassKind.Wait) {
+      this.#waitForPass();
+      return;
+    }
+    this.#tries.noteSent();
+    if (this.#tries.count === 1) services.noteAttempt(server.serviceId);
     this.#recorder.noteDispatch(id, {
       inFlight: load.inFlight,
-      attempt: this.#tries,
+      attempt: this.#tries.count,
       isReturning: this.isLate,
       promptTokens: this.work.promptTokens,
       expectedTokens: Math.round(this.expectedTokens),
@@ -146,28 +148,43 @@
       load,
       stream: this.#stream,
       tokensPerEvent: this.#options.tokensPerEvent,
-      mayMove: () => this.#mayTryAgain(),
+      // What a trial shows is worth more than a server that may be faster.
+      mayMove: () => pass.kind !== PassKind.Trial && this.#tries.mayRunAgain(),
       request: {
         request,
         address: server.address,
         serverId: server.serverId,
         lifeId: id,
         accountId: account?.id,
-        deadlineMs: Math.max(1, Math.floor(this.endsAtMs - services.clock.nowMs())),
+        deadlineMs: Math.max(1, Math.floor(this.#tries.leftMs)),
         lastEventId: this.#stream?.lastEventId ?? request.lastEventId,
       },
-      onEnd: (end) => this.#handleAttemptEnd(id, end),
+      onEnd: (end) => this.#handleAttemptEnd(id, end, pass),
     });
     this.#attempt.start();
   }
 
+  /** Waits while another request of its content shows whether that ends servers. */
+  #waitForPass(): void {
+    this.#wait = new DoubtWait(this.#options, this.endsAtMs, {
+      onResume: () => this.#submitAgain(),
+      onExpired: (error) => this.fail(error, { reason: 'its content is in doubt' }),
+    });
+  }
+
+  #submitAgain(): void {
+    const { line, services } = this.#options;
+    this.#startByMs = services.clock.nowMs() + computeMoveWaitMs(this.#tries.leftMs);
+    line.submit(this);
+  }
+
   giveUp(clearMs: number): void {
     const { services, route } = this.#options;
     const nowMs = services.clock.nowMs();
     const aimEndsAtMs = this.isLate ? nowMs : this.arrivedAtMs + route.targetMs * AIM_WAIT_PART;
     const retryAfterMs = computeReturnMs({
       clearMs,
-      timeLeftMs: this.endsAtMs - nowMs,
+      timeLeftMs: this.#tries.leftMs,
       aimLeftMs: aimEndsAtMs - nowMs,
       fraction: services.random.nextFraction(),
     });
@@ -182,7 +199,10 @@
    */
   fail(error: SchedulerError, inputs: Readonly<Record<string, number | string>> = {}): void {
     if (this.#hasEnded) return;
-    const honest = this.mayHaveRun && error.status === 503 ? this.#buildLost() : error;
+    const honest =
+      this.mayHaveRun && error.status === 503
+        ? new SchedulerError(ErrorKind.BackendServerLost)
+        : error;
     const { hasBegun } = this.#options.reply;
     if (hasBegun) this.#options.reply.abort();
     else this.#options.reply.refuse(honest);
@@ -220,34 +240,17 @@
     this.fail(new SchedulerError(ErrorKind.EntryHostStopping));
   }
 
-  #buildLost(): SchedulerError {
-    return new SchedulerError(ErrorKind.BackendServerLost);
-  }
-
-  #mayTryAgain(): boolean {
-    const { route, services } = this.#options;
-    const { isRepeatable, isResumable, maxAttempts } = route;
-    const leftMs = this.endsAtMs - services.clock.nowMs();
-    return (isRepeatable || isResumable) && this.#runs < maxAttempts && leftMs > MIN_RETRY_MS;
-  }
-
-  #handleAttemptEnd(serverId: string, end: AttemptEnd): void {
+  #handleAttemptEnd(serverId: string, end: AttemptEnd, pass: Pass): void {
+    if (!hasRun(end)) pass.handBack();
     this.#attempt = undefined;
     this.excluded.add(serverId);
     this.#evidence.note(serverId, end);
     if (end.failure === undefined) {
-      if (end.outputTokens > 0 && this.#tries === 1)
+      if (end.outputTokens > 0 && this.#tries.count === 1)
         this.#options.forecast.learn(this.work, end.outputTokens);
-      this.#end('call_answered', {
-        backendServer: serverId,
-        status: end.status,
-        firstByteMs: Math.round(end.firstByteMs),
-        predictedFirstByteMs: Math.round(end.predictedMs),
-        outputTokens: end.outputTokens,
-        longestPauseMs: end.stream && Math.round(end.stream.longestPauseMs),
-      });
+      this.#end('call_answered', describeAnswer(serverId, end));
     } else {
-      this.#recorder.noteFailure(serverId, this.#tries, end);
+      this.#recorder.noteFailure(serverId, this.#tries.count, end);
       this.#stream = end.stream?.hasBegun ? end.stream : undefined;
       this.#handleFailure(serverId, end);
     }
@@ -256,21 +259,19 @@
 
   #handleFailure(serverId: string, { failure, fallback }: AttemptEnd): void {
     const { services, serviceId } = this.#options;
-    const hasRun = failure === BackendFailure.Broken || failure === BackendFailure.Lost;
-    if (!hasRun) this.#runs -= 1;
+    const mayHaveRun = hasRun({ failure });
+    if (!mayHaveRun) this.#tries.noteNotRun();
     if (failure === BackendFailure.Misdirected) services.servers.noteEnded(serverId);
-    const isAllowed = hasRun ? this.#mayTryAgain() : this.#tries < MAX_TRIES;
+    const isAllowed = mayHaveRun ? this.#tries.mayRunAgain() : this.#tries.maySendAgain();
     const canGoOn = !this.#options.reply.hasBegun || this.#stream?.lastEventId !== undefined;
     // A request that was never written costs the service nothing; all others count as retries.
     const isFree = failure === BackendFailure.NotSent;
     if (isAllowed && canGoOn && (isFree || services.takeRetry(serviceId))) {
-      const leftMs = this.endsAtMs - services.clock.nowMs();
-      this.#startByMs = services.clock.nowMs() + computeMoveWaitMs(leftMs);
-      this.#options.line.submit(this);
+      this.#submitAgain();
     } else if (fallback && !this.#options.reply.hasBegun) {
       fallback();
       this.#end('call_answered', { backendServer: serverId, failure });
-    } else if (hasRun) this.fail(this.#buildLost());
+    } else if (mayHaveRun) this.fail(new SchedulerError(ErrorKind.BackendServerLost));
     else this.giveUp(0);
   }
 
@@ -290,6 +291,7 @@
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     this.#timer.cancel();
+    this.#wait?.end();
     this.#options.line.remove(this);
     this.#recorder.noteEnd(event, fields);
     this.#options.onEnd();
--- a/src/application/direct/direct_crash_paths.ts
+++ b/src/application/direct/direct_crash_paths.ts
@@ -24,6 +24,15 @@
     this.#servers = servers;
   }
 
+  override get selfId(): string {
+    return this.#reports.self.identity.id;
+  }
+
+  override listHostIds(): readonly string[] {
+    const serving = this.#reports.listHeard().filter(({ isServing }) => isServing);
+    return serving.map(({ identity }) => identity.id);
+  }
+
   override listTargets(): readonly EntryHostIdentity[] {
     return this.#reports.listTargets();
   }
--- /dev/null
+++ b/src/application/direct/requests_in_doubt_test.ts
@@ -0,0 +1,106 @@
+/**
+ * Requests of which it isn't known yet whether they end servers, over several entry hosts.
+ *
+ * @module
+ */
+import t from 'tap';
+import type { Test } from 'tap';
+import { CrashFleet } from '../../../test/support/crash_fleet.js';
+import type { CrashFleetOptions } from '../../../test/support/crash_fleet.js';
+import type { FakeReply } from '../../../test/support/direct_ends.js';
+import { ErrorKind } from '../../domain/errors/mod.js';
+
+const CONTACT_MS = 3_000;
+const MAX_LATER = 3;
+
+async function startFleet(t: Test, options: Partial<CrashFleetOptions> = {}): Promise<CrashFleet> {
+  const fleet = new CrashFleet(t, { hosts: 6, servers: 12, ...options });
+  await fleet.start();
+  return fleet;
+}
+
+function countLater(fleet: CrashFleet, body: string): number {
+  return fleet.countArrivals(body, fleet.findEndMs(body, 3) + CONTACT_MS);
+}
+
+/** Two contents whose calls always come together, one of which ends servers. */
+async function playTogether(fleet: CrashFleet, rounds: number): Promise<FakeReply[]> {
+  const replies: FakeReply[] = [];
+  for (let round = 0; round < rounds; round += 1) {
+    fleet.call(round, 'ends');
+    replies.push(fleet.call(round, 'sound'));
+    await fleet.clock.advance(150);
+  }
+  return replies;
+}
+
+t.test('of two contents that always run together the sound one is answered', async (t) => {
+  // Guards against an outage of whoever asks for what never ran anywhere but beside such a request.
+  for (const isRepeatable of [true, false]) {
+    const route = { isRepeatable };
+    const fleet = await startFleet(t, { servers: 1, runMs: 300, route });
+    const replies = await playTogether(fleet, 300);
+    t.ok(countLater(fleet, 'ends') <= MAX_LATER);
+    t.ok(replies.slice(-20, -5).every(({ hasEnded }) => hasEnded));
+    t.notOk(replies.some(({ error }) => error?.kind === ErrorKind.RequestHeld));
+  }
+});
+
+t.test('what was answered for long and begins to end servers is held', async (t) => {
+  // Guards against a memory of answers that goes before what servers do now.
+  const fleet = await startFleet(t, { turnsAfterMs: 5_000 });
+  for (let round = 0; round < 200; round += 1) {
+    fleet.call(round, 'turns');
+    await fleet.clock.advance(100);
+  }
+  t.ok(fleet.findEndMs('turns', 3) < Infinity);
+  t.ok(countLater(fleet, 'turns') <= MAX_LATER);
+  t.equal(fleet.call(0, 'turns').error?.kind, ErrorKind.RequestHeld);
+});
+
+t.test('a herd of the same request at all entry hosts makes few trials', async (t) => {
+  // Guards against each entry host trying for itself what comes to all of them at once.
+  const fleet = await startFleet(t, { hosts: 20, servers: 30 });
+  for (let round = 0; round < 15; round += 1) {
+    for (let host = 0; host < 20; host += 1) fleet.call(host, 'ends');
+    await fleet.clock.advance(1_000);
+  }
+  t.ok(countLater(fleet, 'ends') <= MAX_LATER);
+});
+
+t.test('an entry host that starts or comes back knows the trials of the others', async (t) => {
+  // Guards against trials that begin anew with each entry host that has not heard of them.
+  const fleet = await startFleet(t, { servers: 4, slots: 1, runMs: 300, hosts: 3 });
+  fleet.hub.partition(['h-3'], ['h-1', 'h-2']);
+  for (let round = 0; round < 30; round += 1) {
+    fleet.call(round % 2, 'ends');
+    fleet.call(round % 2, 'sound');
+    await fleet.clock.advance(150);
+  }
+  fleet.hub.healAll();
+  fleet.addHost(t, 4);
+  await fleet.clock.advance(CONTACT_MS);
+  const before = fleet.countArrivals('ends');
+  for (let round = 0; round < 40; round += 1) {
+    fleet.call(2 + (round % 2), 'ends');
+    await fleet.clock.advance(300);
+  }
+  t.ok(fleet.countArrivals('ends') - before <= MAX_LATER);
+});
+
+t.test('the only entry host that is asked tries soon, whoever is first in line', async (t) => {
+  // Guards against a content that waits for an entry host to which nobody sends it.
+  for (const host of [0, 1, 2, 3, 4, 5]) {
+    const fleet = await startFleet(t, { servers: 6, route: { isRepeatable: true } });
+    const first = fleet.call(host, 'sound');
+    for (let end = 0; end < 3; end += 1) {
+      await fleet.clock.advance(20);
+      fleet.endServers(fleet.listServersOf('sound'));
+      await fleet.clock.advance(20);
+      if (first.error) break;
+    }
+    const reply = fleet.call(host, 'sound', { deadlineMs: 5_000 });
+    await fleet.clock.advance(4_000);
+    t.ok(reply.hasEnded, `host ${host}`);
+  }
+});
--- a/src/application/direct/server_ending_storms_test.ts
+++ b/src/application/direct/server_ending_storms_test.ts
@@ -32,3 +32,25 @@
   // it was ever answered, and it ran beside each of them.
   t.same(await playStorm(t, { seed: 1, calmRounds: 0 }), { heldSound: [], sentOn: [] });
 });
+
+t.test('fresh storms in which trials went wrong have nothing sound held', async (t) => {
+  // Guards against trials that show nothing: stalled, at a failing rack, or of callers who left.
+  for (const seed of [16, 41, 199, 375, 1_149]) {
+    t.same(await playStorm(t, { seed, calmRounds: 0 }), { heldSound: [], sentOn: [] }, `${seed}`);
+  }
+});
+
+t.test('a storm in which servers answer errors, too, sends nothing on too often', async (t) => {
+  // Guards against errors that clear a content, in storms of several such requests.
+  for (const seed of [1_003, 1_014, 1_029]) {
+    const { sentOn } = await playStorm(t, { seed, calmRounds: 20, errorShare: 1 / 3 });
+    t.same(sentOn, [], `${seed}`);
+  }
+});
+
+t.test('a storm in which a server fails under a trial has nothing sound held', async (t) => {
+  // Guards against an end that only happened during a trial and is taken for its doing.
+  for (const seed of [2_160, 2_269]) {
+    t.same(await playStorm(t, { seed, calmRounds: 0 }), { heldSound: [], sentOn: [] }, `${seed}`);
+  }
+});
--- a/src/application/owner/_run_request.ts
+++ b/src/application/owner/_run_request.ts
@@ -9,7 +9,7 @@
 import { SlotOutcome } from '../../ports/mod.js';
 import { settle } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
-import { formatAddress, isSuccess } from '../crashes/mod.js';
+import { formatAddress, isSuccess, PassKind } from '../crashes/mod.js';
 import type { CrashKeeper } from '../crashes/mod.js';
 import type { Admission, AllowanceSource, Slot, SlotSource } from '../views/mod.js';
 import { Attempt } from './_attempt.js';
@@ -98,7 +98,15 @@
         signal: request.signal,
       }),
     );
+    const pass = context.crashes.takePass(request.contentId);
+    if (!request.record.isFinal && pass.kind === PassKind.Wait) {
+      slot.release(UNUSED);
+      yield* settle(waitForPass(context, request));
+      attempt -= 1;
+      continue;
+    }
     const result = yield* useSlot(context, request, call, slot, deadlineAtMs);
+    if (!request.record.hasLeft) pass.handBack();
     if (!result.mayRetry) return result;
     checkMayRetry(context, request, result, { attempt, deadlineAtMs });
     if (result.use.outcome === SlotOutcome.Refused) excluded.push(slot.backendServer.id);
@@ -106,6 +114,20 @@
   }
 }
 
+/** Waits while another request of its content shows whether that ends servers. */
+function waitForPass({ crashes }: RunContext, request: OwnedRequest): Promise<void> {
+  const { signal, contentId } = request;
+  return new Promise((resolve, reject) => {
+    const end = crashes.waitForPass(contentId, resolve);
+    const abort = (): void => {
+      end();
+      reject(request.record.error ?? new SchedulerError(ErrorKind.Cancelled));
+    };
+    if (signal.aborted) abort();
+    else signal.addEventListener('abort', abort, { once: true });
+  });
+}
+
 function* useSlot(
   context: RunContext,
   request: OwnedRequest,
--- a/src/commands/_entry_parts.ts
+++ b/src/commands/_entry_parts.ts
@@ -165,7 +165,7 @@
     const server = configuration.findBackendServer(id);
     return server && formatAddress(server.url);
   };
-  const paths = new MeshCrashPaths({ ...base, peers, findAddress });
+  const paths = new MeshCrashPaths({ ...base, peers, selfId: membership.self.id, findAddress });
   return new CrashKeeper({ ...base, peers, probe: new TcpServerProbe(), paths });
 }
 
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -138,6 +138,7 @@
       ...shared,
       peers: this.#peers,
       probe: new TcpServerProbe(),
+      random: this.#random,
       paths: new DirectCrashPaths(this.#reports, this.#servers),
     });
     this.#gateway = createDirectGateway({
--- /dev/null
+++ b/src/domain/crashes/_judge.ts
@@ -0,0 +1,132 @@
+/**
+ * What the ends under which a content ran say about it.
+ *
+ * @module
+ */
+import { countInTurn, CRASHES_TO_DOUBT, SuspectState } from './_suspect.js';
+import type { Suspect, SuspectRun, Trial } from './_suspect.js';
+import type { SuspectTable } from './_suspect_table.js';
+import { MAX_TRIALS, TRIAL_RESULT_MS } from './trial_plan.js';
+
+/** Crashes, one after the other and of its own, that need no trial to hold a content. */
+const CRASHES_TO_HOLD = 3;
+
+/** By how much times of two notes may differ that came from different entry hosts, in milliseconds. */
+const NOTE_TOLERANCE_MS = 250;
+
+/**
+ * Time after which a content that ran at one end only, and has not come back to end another server,
+ * is an unlikely cause of that one, in milliseconds.
+ */
+const LONE_RIVAL_MS = 600;
+
+/** Servers that end within this time of each other, as those of one rack, end by one accident, in milliseconds. */
+const SAME_MOMENT_MS = 30;
+
+/** When a judgement is made. */
+export interface JudgeOptions {
+  readonly nowMs: number;
+  /** How long word of what else ran at an end may take to come, in milliseconds. */
+  readonly settleMs: number;
+}
+
+/**
+ * Lists the trials that count: those since the third of the ends that speak against a content.
+ *
+ * @param suspect - a content
+ * @returns its trials, in the order in which they began
+ */
+export function listTrials(suspect: Suspect): readonly Trial[] {
+  const third = suspect.listSuspected()[CRASHES_TO_DOUBT - 1];
+  if (!third) return [];
+  const sinceMs = third.endedAtMs - NOTE_TOLERANCE_MS;
+  return suspect.trials.filter(({ startedAtMs, isVoid }) => startedAtMs > sinceMs && !isVoid);
+}
+
+/**
+ * Judges a content. Three ends put it in doubt, whatever else ran there. It is held once several
+ * ends in turn are most likely its doing, once a server has ended under a trial of it and nothing
+ * else is likely to have caused that, and when the trials are used up and none was answered.
+ *
+ * @param suspect - a content
+ * @param table - all others
+ * @param options - when
+ * @returns what may be sent of it
+ */
+export function judge(suspect: Suspect, table: SuspectTable, options: JudgeOptions): SuspectState {
+  const ends = suspect.listSuspected();
+  if (ends.length < CRASHES_TO_DOUBT) return SuspectState.Free;
+  if (suspect.isHeld) return SuspectState.Held;
+  const settled = ends.filter(({ endedAtMs }) => endedAtMs <= options.nowMs - options.settleMs);
+  const trials = listTrials(suspect);
+  const mustHold =
+    isProvenByWatching(suspect, settled, table, options.nowMs) ||
+    isProvenByTrial(suspect, settled, table) ||
+    isUsedUp(trials, options.nowMs);
+  return mustHold ? SuspectState.Held : SuspectState.Doubted;
+}
+
+/**
+ * Counts the ends that nothing else is likely to have caused.
+ *
+ * @param suspect - a content
+ * @param table - all others
+ * @returns how many there are
+ */
+export function countOwnEnds(suspect: Suspect, table: SuspectTable): number {
+  return listOwnEnds(suspect, suspect.listSuspected(), table).length;
+}
+
+/**
+ * Three ends decide that nothing else is likely to have caused, or four of which one is its own and
+ * none is another's that came back. What was answered shortly before is held after a trial only.
+ */
+function isProvenByWatching(
+  suspect: Suspect,
+  ends: readonly SuspectRun[],
+  table: SuspectTable,
+  nowMs: number,
+): boolean {
+  const counted = ends.filter(({ isVouched }) => !isVouched);
+  const hasLoneRivals = ({ crashId }: SuspectRun): boolean =>
+    table.listRivals(suspect, crashId).every(({ suspectedCount }) => suspectedCount === 1);
+  const own = listOwnEnds(suspect, counted, table);
+  const likely = counted.filter(
+    (run) => nowMs - run.endedAtMs > LONE_RIVAL_MS && hasLoneRivals(run),
+  );
+  const isUnlike = own.length > 0 && counted.every(hasLoneRivals);
+  return (
+    countInTurn(own) >= CRASHES_TO_HOLD ||
+    countInTurn(likely) >= CRASHES_TO_HOLD ||
+    (isUnlike && countInTurn(counted) > CRASHES_TO_HOLD)
+  );
+}
+
+function isProvenByTrial(
+  suspect: Suspect,
+  ends: readonly SuspectRun[],
+  table: SuspectTable,
+): boolean {
+  const [first] = listTrials(suspect);
+  if (!first) return false;
+  const sinceMs = first.startedAtMs - NOTE_TOLERANCE_MS;
+  const tried = ends.slice(CRASHES_TO_DOUBT).filter(({ startedAtMs }) => startedAtMs >= sinceMs);
+  return listOwnEnds(suspect, tried, table).some(
+    (run) => !table.hasEndedTogether(run, SAME_MOMENT_MS),
+  );
+}
+
+function listOwnEnds(
+  suspect: Suspect,
+  ends: readonly SuspectRun[],
+  table: SuspectTable,
+): SuspectRun[] {
+  return ends.filter(({ crashId }) => table.listRivals(suspect, crashId).length === 0);
+}
+
+function isUsedUp(trials: readonly Trial[], nowMs: number): boolean {
+  const last = trials.at(-1);
+  return (
+    last !== undefined && trials.length >= MAX_TRIALS && nowMs - last.startedAtMs >= TRIAL_RESULT_MS
+  );
+}
--- /dev/null
+++ b/src/domain/crashes/_suspect_notes.ts
@@ -0,0 +1,46 @@
+/**
+ * What other entry hosts are told of a content.
+ *
+ * @module
+ */
+import { CrashState } from './crash_note.js';
+import type { CrashNote } from './crash_note.js';
+import type { Suspect, SuspectRun } from './_suspect.js';
+
+/**
+ * Lists what speaks against a content first: others forget what was cleared sooner.
+ *
+ * @param suspect - the content
+ * @param nowMs - monotonic time in milliseconds
+ * @returns a note of each of its runs
+ */
+export function listNotes(suspect: Suspect, nowMs: number): CrashNote[] {
+  return [...suspect.runs.values()]
+    .sort((a, b) => Number(a.state === CrashState.Cleared) - Number(b.state === CrashState.Cleared))
+    .map((run) => buildNote(suspect, run, nowMs));
+}
+
+/**
+ * @param suspect - a content
+ * @param run - one of its runs
+ * @param nowMs - monotonic time in milliseconds
+ * @returns what others should hear of it
+ */
+export function buildNote(suspect: Suspect, run: SuspectRun, nowMs: number): CrashNote {
+  const trials = suspect.trials.map(({ id, startedAtMs, isVoid }) => ({
+    id,
+    startedAgoMs: nowMs - startedAtMs,
+    ...(isVoid ? { isVoid } : {}),
+  }));
+  return {
+    contentId: suspect.contentId,
+    crashId: run.crashId,
+    state: run.state,
+    ...(run.isVouched ? { isVouched: true } : {}),
+    isHeld: suspect.isHeld,
+    startedAgoMs: nowMs - run.startedAtMs,
+    endedAgoMs: nowMs - run.endedAtMs,
+    seenAgoMs: nowMs - suspect.seenAtMs,
+    ...(trials.length > 0 ? { trials } : {}),
+  };
+}
--- a/src/domain/crashes/_suspect_table.ts
+++ b/src/domain/crashes/_suspect_table.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Suspect } from './_suspect.js';
+import type { SuspectRun } from './_suspect.js';
 
 /** Most contents that are remembered. Callers may invent new ones all the time. */
 const MAX_SUSPECTS = 512;
@@ -15,6 +16,9 @@
   /** Contents that ran at a server's end, by crash. */
   readonly #contents = new Map<string, Set<string>>();
 
+  /** When servers ended, by crash. */
+  readonly #endedAtMs = new Map<string, number>();
+
   /** Contents that are remembered. */
   get size(): number {
     return this.#suspects.size;
@@ -43,13 +47,13 @@
 
   /**
    * @param suspect - a suspect
-   * @returns others that may have caused a crash that it may have caused
+   * @param crashId - a crash
+   * @returns others that may have caused it, and were not answered shortly before
    */
-  listOthers(suspect: Suspect): Suspect[] {
-    const crashIds = suspect.listSuspected().map(({ crashId }) => crashId);
-    return this.listAt(crashIds)
-      .filter((other) => other !== suspect)
-      .filter((other) => crashIds.some((crashId) => other.mayHaveCaused(crashId)));
+  listRivals(suspect: Suspect, crashId: string): Suspect[] {
+    return this.listAt([crashId]).filter(
+      (other) => other !== suspect && other.isSuspectedOf(crashId),
+    );
   }
 
   /** @param contentId - a content. @returns its entry, made where there is none */
@@ -64,7 +68,9 @@
   }
 
   /** @param suspect - a suspect. @param crashId - a crash at which it ran */
-  addCrash({ contentId }: Suspect, crashId: string): void {
+  addCrash({ contentId, runs }: Suspect, crashId: string): void {
+    const endedAtMs = runs.get(crashId)?.endedAtMs ?? Infinity;
+    this.#endedAtMs.set(crashId, Math.min(endedAtMs, this.#endedAtMs.get(crashId) ?? Infinity));
     const contents = this.#contents.get(crashId) ?? new Set();
     this.#contents.set(crashId, contents.add(contentId));
   }
@@ -73,7 +79,16 @@
   removeCrash({ contentId }: Suspect, crashId: string): void {
     const contents = this.#contents.get(crashId);
     contents?.delete(contentId);
-    if (contents?.size === 0) this.#contents.delete(crashId);
+    if (contents?.size !== 0) return;
+    this.#contents.delete(crashId);
+    this.#endedAtMs.delete(crashId);
+  }
+
+  /** @param run - a run. @param withinMs - how much is the same moment. @returns whether other servers ended with its */
+  hasEndedTogether({ crashId, endedAtMs }: SuspectRun, withinMs: number): boolean {
+    return [...this.#endedAtMs].some(
+      ([id, atMs]) => id !== crashId && Math.abs(atMs - endedAtMs) <= withinMs,
+    );
   }
 
   /** @param suspect - a suspect that is forgotten */
--- a/src/domain/crashes/crash_ledger.ts
+++ b/src/domain/crashes/crash_ledger.ts
@@ -5,21 +5,13 @@
  */
 import { CrashState } from './crash_note.js';
 import type { CrashNote } from './crash_note.js';
-import { deriveCauses } from './_causes.js';
-import type { Causes } from './_causes.js';
-import { countInTurn } from './_suspect.js';
-import type { Suspect, SuspectRun } from './_suspect.js';
+import { DoubtList } from './doubt_list.js';
+import { judge } from './_judge.js';
+import { CRASHES_TO_DOUBT, SuspectState } from './_suspect.js';
+import type { Suspect, Trial } from './_suspect.js';
+import { buildNote, listNotes } from './_suspect_notes.js';
 import { SuspectTable } from './_suspect_table.js';
 
-/** Crashes, one after the other, that are most likely a content's doing, before it is held. */
-const CRASHES_TO_HOLD = 3;
-
-/**
- * How many of them must be left to it if any one other content is taken for the cause of all
- * those at which both ran.
- */
-const CRASHES_OF_ITS_OWN = 2;
-
 /**
  * How long a content is remembered after it ran or was asked for last, in milliseconds. One
  * that goes on coming stays held; one that doesn't gets a new chance, as servers may have been
@@ -30,29 +22,44 @@
 /** The same for one that nothing speaks against any more, in milliseconds: late word may come for so long. */
 const CLEARED_MS = 60_000;
 
-/** A content that is held from now on, or no more. */
+/** What may be sent of a content from now on. */
 export interface Verdict {
   readonly contentId: string;
+  readonly state: SuspectState;
   readonly isHeld: boolean;
   /** Crashes that speak against it. */
   readonly crashIds: readonly string[];
 }
 
+/** What the ledger needs. */
+export interface CrashLedgerOptions {
+  /** @returns how long word of what else ran at an end may take to come, in milliseconds */
+  readonly getSettleMs: () => number;
+}
+
 /**
  * Joins what all entry hosts have seen. When a server ends, everything that ran there is a
- * suspect, and mostly one at most is to blame. A content is held once three ends in turn are
- * most likely its doing, and as long as they are. An answer clears it, as what runs to its end
- * does no harm, and ends that another content explains better are no longer laid to it. So
- * calls that ran beside such a request, once or several times, are explained by it, and not the
- * other way round.
+ * suspect, and mostly one at most is to blame. A content that ran at three ends is in doubt: it
+ * is sent singly until an answer clears it, as what runs to its end does no harm, or until it is
+ * proven, and held. What ran beside such a request, once or several times, is answered in its
+ * trial.
  */
 export class CrashLedger {
+  readonly #options: CrashLedgerOptions;
+
   readonly #table = new SuspectTable();
 
+  readonly #doubts = new DoubtList(this.#table);
+
   #verdicts: Verdict[] = [];
 
   #revision = 0;
 
+  /** @param options - what the ledger needs. Default: word comes at once */
+  constructor(options: CrashLedgerOptions = { getSettleMs: () => 0 }) {
+    this.#options = options;
+  }
+
   /** Rises with each change of what {@link list} gives. */
   get revision(): number {
     return this.#revision;
@@ -73,6 +80,34 @@
     return this.#table.find(contentId)?.isHeld === true;
   }
 
+  /** Contents in doubt. */
+  get doubts(): DoubtList {
+    return this.#doubts;
+  }
+
+  /**
+   * Takes note that a content in doubt is sent, or that it was and never ran.
+   *
+   * @param contentId - the content
+   * @param trial - the sending
+   * @param nowMs - monotonic time in milliseconds
+   * @returns what others should hear
+   */
+  noteTrial(contentId: string, trial: Trial, nowMs: number): CrashNote[] {
+    const suspect = this.#table.find(contentId);
+    if (!suspect?.addTrial(trial)) return [];
+    this.#revision += 1;
+    return listNotes(suspect, nowMs).slice(0, 1);
+  }
+
+  /** Judges anew what time has decided. @param nowMs - monotonic time in milliseconds */
+  review(nowMs: number): void {
+    this.#table
+      .list()
+      .filter((suspect) => suspect.state !== SuspectState.Free || mayDoubt(suspect))
+      .forEach((suspect) => this.#judge(suspect, nowMs));
+  }
+
   /** @returns what was decided since this was called last */
   takeVerdicts(): readonly Verdict[] {
     const verdicts = this.#verdicts;
@@ -101,9 +136,9 @@
    */
   apply(notes: readonly CrashNote[], nowMs: number): CrashNote[] {
     const news = notes.filter((note) => this.#applyNote(note, nowMs));
-    if (news.length > 0) this.#review();
+    if (news.length > 0) this.review(nowMs);
     const held = new Set(notes.filter(({ isHeld }) => isHeld).map(({ contentId }) => contentId));
-    held.forEach((contentId) => this.#mergeHold(contentId));
+    held.forEach((contentId) => this.#mergeHold(contentId, nowMs));
     return news;
   }
 
@@ -119,7 +154,7 @@
     if (!suspect) return [];
     const crashIds = suspect.listSuspected().map(({ crashId }) => crashId);
     const notes = crashIds.flatMap((crashId) => this.#clearRun(suspect, crashId, nowMs));
-    if (notes.length > 0) this.#review();
+    if (notes.length > 0) this.review(nowMs);
     return notes;
   }
 
@@ -133,7 +168,7 @@
   clearCrash(crashId: string, nowMs: number): CrashNote[] {
     const suspects = this.#table.listAt([crashId]);
     const notes = suspects.flatMap((suspect) => this.#clearRun(suspect, crashId, nowMs));
-    if (notes.length > 0) this.#review();
+    if (notes.length > 0) this.review(nowMs);
     return notes;
   }
 
@@ -165,7 +200,8 @@
   }
 
   #applyNote(note: CrashNote, nowMs: number): boolean {
-    const { contentId, crashId, state, startedAgoMs, endedAgoMs, seenAgoMs } = note;
+    const { contentId, crashId, state, isVouched = false, startedAgoMs, endedAgoMs } = note;
+    const { seenAgoMs, trials = [] } = note;
     const keptMs = state === CrashState.Suspected ? REMEMBERED_MS : CLEARED_MS;
     if (seenAgoMs > keptMs && !this.#table.find(contentId)) return false;
     const suspect = this.#table.take(contentId);
@@ -176,14 +212,17 @@
     const isNews = suspect.apply({
       crashId,
       state,
+      isVouched,
       startedAtMs: nowMs - startedAgoMs,
       endedAtMs,
     });
-    if (isNews) {
-      this.#table.addCrash(suspect, crashId);
-      this.#revision += 1;
-    }
-    return isNews || isSeenLater;
+    if (isNews) this.#table.addCrash(suspect, crashId);
+    const newTrials = trials.filter(({ id, startedAgoMs: agoMs, isVoid: hasNotRun = false }) =>
+      suspect.addTrial({ id, startedAtMs: nowMs - agoMs, isVoid: hasNotRun }),
+    );
+    const hasChanged = isNews || newTrials.length > 0;
+    if (hasChanged) this.#revision += 1;
+    return hasChanged || isSeenLater;
   }
 
   #clearRun(suspect: Suspect, crashId: string, nowMs: number): CrashNote[] {
@@ -193,69 +232,33 @@
     return [buildNote(suspect, run, nowMs)];
   }
 
-  /** Judges all contents anew: what one is found to have done, others have not. */
-  #review(): void {
-    const open = this.#table.list().filter((suspect) => suspect.isHeld || mayHold(suspect));
-    if (open.length === 0) return;
-    const causes = this.#deriveCauses();
-    open.forEach((suspect) => {
-      const caused = causes.listCaused(suspect);
-      const mustHold = suspect.isHeld
-        ? caused.length >= CRASHES_TO_HOLD
-        : countInTurn(caused) >= CRASHES_TO_HOLD && this.#hasOwn(suspect, caused);
-      if (mustHold !== suspect.isHeld) this.#setHeld(suspect, mustHold);
-    });
-  }
-
-  #deriveCauses(): Causes {
-    return deriveCauses(this.#table.list().filter(({ suspectedCount }) => suspectedCount > 0));
-  }
-
-  #hasOwn(suspect: Suspect, caused: readonly SuspectRun[]): boolean {
-    return this.#table.listOthers(suspect).every((other) => {
-      const own = caused.filter(({ crashId }) => !other.mayHaveCaused(crashId));
-      return own.length >= CRASHES_OF_ITS_OWN;
-    });
+  #judge(suspect: Suspect, nowMs: number): void {
+    const settleMs = this.#options.getSettleMs();
+    const state = judge(suspect, this.#table, { nowMs, settleMs });
+    if (state !== suspect.state) this.#setState(suspect, state, nowMs);
   }
 
   /**
-   * Word of what ran when comes at different times to different hosts, and one may find less in
-   * turn than another. Where one holds a content, all do that lay as many ends to it.
+   * Word of what ran when comes at different times to different hosts. Where one holds a content,
+   * all do that know as many ends.
    */
-  #mergeHold(contentId: string): void {
+  #mergeHold(contentId: string, nowMs: number): void {
     const suspect = this.#table.find(contentId);
-    if (!suspect || suspect.isHeld || !mayHold(suspect)) return;
-    const { length } = this.#deriveCauses().listCaused(suspect);
-    if (length >= CRASHES_TO_HOLD) this.#setHeld(suspect, true);
+    if (suspect?.state === SuspectState.Doubted) {
+      this.#setState(suspect, SuspectState.Held, nowMs);
+    }
   }
 
-  #setHeld(suspect: Suspect, isHeld: boolean): void {
-    suspect.setHeld(isHeld);
-    this.#revision += 1;
+  #setState(suspect: Suspect, state: SuspectState, nowMs: number): void {
+    const { contentId } = suspect;
+    const wasHeld = suspect.isHeld;
+    suspect.setState(state, nowMs);
+    if (wasHeld !== suspect.isHeld) this.#revision += 1;
     const crashIds = suspect.listSuspected().map(({ crashId }) => crashId);
-    this.#verdicts.push({ contentId: suspect.contentId, isHeld, crashIds });
+    this.#verdicts.push({ contentId, state, isHeld: suspect.isHeld, crashIds });
   }
 }
 
-function mayHold(suspect: Suspect): boolean {
-  return suspect.suspectedCount >= CRASHES_TO_HOLD;
-}
-
-/** What speaks against it first: others forget what was cleared sooner. */
-function listNotes(suspect: Suspect, nowMs: number): CrashNote[] {
-  return [...suspect.runs.values()]
-    .sort((a, b) => Number(a.state === CrashState.Cleared) - Number(b.state === CrashState.Cleared))
-    .map((run) => buildNote(suspect, run, nowMs));
-}
-
-function buildNote(suspect: Suspect, run: SuspectRun, nowMs: number): CrashNote {
-  return {
-    contentId: suspect.contentId,
-    crashId: run.crashId,
-    state: run.state,
-    isHeld: suspect.isHeld,
-    startedAgoMs: nowMs - run.startedAtMs,
-    endedAgoMs: nowMs - run.endedAtMs,
-    seenAgoMs: nowMs - suspect.seenAtMs,
-  };
+function mayDoubt(suspect: Suspect): boolean {
+  return suspect.suspectedCount >= CRASHES_TO_DOUBT;
 }
--- a/src/domain/crashes/crash_note.ts
+++ b/src/domain/crashes/crash_note.ts
@@ -12,6 +12,16 @@
   Cleared = 'cleared',
 }
 
+/** One sending of a content in doubt, alone among all entry hosts. */
+export interface TrialNote {
+  /** Names the trial: the same at all entry hosts. */
+  readonly id: string;
+  /** Time since it was sent, in milliseconds. */
+  readonly startedAgoMs: number;
+  /** Whether it never ran at a server, so that it counts as none. Default: false. */
+  readonly isVoid?: boolean;
+}
+
 /** One run of one content, and the crash that it ended with. */
 export interface CrashNote {
   /** Names the content of the request. */
@@ -19,6 +29,8 @@
   /** Names the crash: all runs that ended with it have the same. */
   readonly crashId: string;
   readonly state: CrashState;
+  /** Whether the content was answered within a minute before that end. Default: false. */
+  readonly isVouched?: boolean;
   /** Whether whoever tells it holds the content. */
   readonly isHeld: boolean;
   /** Time since the run was sent, and since it broke, in milliseconds. */
@@ -26,4 +38,6 @@
   readonly endedAgoMs: number;
   /** Time since its content was last asked for where that is known, in milliseconds. */
   readonly seenAgoMs: number;
+  /** Trials of the content. Default: none. */
+  readonly trials?: readonly TrialNote[];
 }
--- a/src/domain/crashes/mod.ts
+++ b/src/domain/crashes/mod.ts
@@ -5,6 +5,10 @@
  * @module
  */
 export { CrashLedger, REMEMBERED_MS } from './crash_ledger.js';
-export type { Verdict } from './crash_ledger.js';
+export type { CrashLedgerOptions, Verdict } from './crash_ledger.js';
 export { CrashState } from './crash_note.js';
-export type { CrashNote } from './crash_note.js';
+export type { CrashNote, TrialNote } from './crash_note.js';
+export type { DoubtList } from './doubt_list.js';
+export { SuspectState } from './_suspect.js';
+export { computeTrialFromMs, computeTurnMs } from './trial_plan.js';
+export type { Doubt } from './trial_plan.js';
--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -9,7 +9,12 @@
 export { RetryShare } from './retry_share.js';
 export type { RetryBounds } from './retry_share.js';
 export { computeReturnedTimeMs, computeReturnMs } from './return_time.js';
-export { AIM_WAIT_PART, computeMoveWaitMs, computeWaitMs } from './wait_time.js';
+export {
+  AIM_WAIT_PART,
+  computeDoubtWaitMs,
+  computeMoveWaitMs,
+  computeWaitMs,
+} from './wait_time.js';
 export type { WaitOptions } from './wait_time.js';
 export { ReturningCallers } from './returning_callers.js';
 export { WaitOutlook } from './wait_outlook.js';
--- a/src/domain/direct/wait_time.ts
+++ b/src/domain/direct/wait_time.ts
@@ -10,6 +10,9 @@
 /** Longest such wait, in milliseconds: a caller that hears nothing should be told to come back. */
 const MAX_LATE_WAIT_MS = 1_200;
 
+/** Part of the time left that a call may wait whose content is in doubt; the rest is for its answer. */
+const DOUBT_WAIT_PART = 0.75;
+
 /**
  * Part of its aim that a call may wait. The rest is for the backend server to begin its
  * answer: with all slots taken, three in four did so within 0.15 s, of aims of 0.4 s.
@@ -47,3 +50,14 @@
 export function computeMoveWaitMs(timeLeftMs: number): number {
   return Math.min(MAX_LATE_WAIT_MS, timeLeftMs / 2);
 }
+
+/**
+ * Computes the wait of a call whose content is in doubt: no other backend server may take it
+ * either, so that coming back sooner would find the same.
+ *
+ * @param timeLeftMs - time that the caller still waits
+ * @returns milliseconds
+ */
+export function computeDoubtWaitMs(timeLeftMs: number): number {
+  return timeLeftMs * DOUBT_WAIT_PART;
+}
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -33,6 +33,8 @@
   readonly runMs?: number;
   /** Part of all requests that servers answer with status 500 instead of running them. Default: 0. */
   readonly errorShare?: number;
+  /** Time from which on bodies that begin with `turns` end their servers, too, in milliseconds. */
+  readonly turnsAfterMs?: number;
   /** Seed of what is answered so. */
   readonly seed?: number;
 }
@@ -69,6 +71,8 @@
 
   #lifeCount = 0;
 
+  readonly #startedAtMs = this.clock.nowMs();
+
   readonly #random: SeededRandom;
 
   constructor(t: Test, options: CrashFleetOptions) {
@@ -187,7 +191,7 @@
       this.clock.setTimer(ERR_AFTER_MS, () => this.#finish(exchange, () => exchange.answer(500)));
       return;
     }
-    if (body.startsWith('ends')) {
+    if (this.#isEnding(body)) {
       this.clock.setTimer(CRASH_AFTER_MS, () => {
         const isSame = this.#lives.get(serverId) === lifeId;
         if (isSame && !exchange.isCancelled) this.endServers([serverId], body);
@@ -199,6 +203,12 @@
     );
   }
 
+  #isEnding(body: string): boolean {
+    const { turnsAfterMs = Infinity } = this.#options;
+    const hasTurned = this.clock.nowMs() - this.#startedAtMs >= turnsAfterMs;
+    return body.startsWith('ends') || (body.startsWith('turns') && hasTurned);
+  }
+
   #finish(exchange: FakeExchange, end: () => void): void {
     if (!this.#running.delete(exchange) || exchange.isCancelled) return;
     end();
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -167,6 +167,7 @@
       paths: new LifeCrashPaths({
         peers: this.peers,
         random,
+        selfId: identity.id,
         findAddress: (id) =>
           this.servers.isUsable(id) ? this.servers.find(id)?.address : undefined,
       }),
--- a/test/support/owner_hosts.ts
+++ b/test/support/owner_hosts.ts
@@ -204,7 +204,11 @@
     this.crashes = new CrashKeeper({
       ...shared,
       probe: world.probe ?? new FakeProbe(),
-      paths: new MeshCrashPaths({ ...shared, findAddress: () => SERVER_ADDRESS }),
+      paths: new MeshCrashPaths({
+        ...shared,
+        selfId: identity.id,
+        findAddress: () => SERVER_ADDRESS,
+      }),
     });
     this.owner = new OwnerService({
       ...shared,
