Take an answer without a length for no proof that its request does no harm

What callers would see: a request goes on ending servers whose answers have no length. Such an answer ends with its connection, and so does its server: the end of a process closes the connection like a whole answer does. Cause: any whole success cleared a content, whatever marked its end. Ruled out: telling the two apart by the connection; a process that has read all it was sent closes without a reset. Change: heads of answers say whether their end is marked; only then does a success clear. Why it holds: a marked end was sent by a server that had come to the end of the request.

--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -116,6 +116,7 @@
       headers: pickRawHeaders(response.rawHeaders, response.headers.connection, excluded),
       isAuthentic: facts.isAuthentic,
       isEventStream: response.headers['content-type']?.startsWith('text/event-stream') === true,
+      isFramed: !isUnframed(response),
       load: facts.load,
     });
     response.on('data', (bytes: Buffer) => {
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -30,6 +30,8 @@
   readonly failure: BackendFailure | undefined;
   /** Whether the server's answer came whole, whatever its status. */
   readonly isWhole: boolean;
+  /** Whether the end of the server's answer was marked. */
+  readonly isFramed: boolean;
   readonly reason: string;
   readonly status: number;
   readonly firstByteMs: number;
@@ -81,6 +83,8 @@
 
   #status = 0;
 
+  #isFramed = false;
+
   #firstByteMs = 0;
 
   readonly #watch: StallWatch;
@@ -137,6 +141,7 @@
 
   onHead(head: BackendHead): void {
     this.#status = head.status;
+    this.#isFramed = head.isFramed;
     const { reply, clock, route } = this.#options;
     if (!head.isEventStream || head.status !== 200) {
       if (reply.hasBegun) this.#abandon(`status ${head.status} is not the rest of a stream`);
@@ -234,6 +239,7 @@
     onEnd({
       failure,
       isWhole: failure === undefined || outcome === ServerOutcome.Erred,
+      isFramed: this.#isFramed,
       reason,
       status: this.#status,
       firstByteMs: this.#firstByteMs,
--- a/src/application/direct/_run_evidence.ts
+++ b/src/application/direct/_run_evidence.ts
@@ -38,7 +38,7 @@
     const contentId = this.#contentId;
     const startedAtMs = clock.nowMs() - end.totalMs;
     if (end.isWhole) {
-      const hasSucceeded = end.failure === undefined && isSuccess(end.status);
+      const hasSucceeded = end.failure === undefined && end.isFramed && isSuccess(end.status);
       crashes.noteAnswered({ contentId, serverId, startedAtMs, hasSucceeded });
     }
     if (end.failure === BackendFailure.Lost) this.#noteLost(serverId, startedAtMs);
--- a/src/application/direct/server_ending_requests_test.ts
+++ b/src/application/direct/server_ending_requests_test.ts
@@ -58,6 +58,20 @@
   }
 });
 
+t.test('an answer that its server ends instead of finishing clears nothing', async (t) => {
+  // Guards against a server's end that looks like the end of an answer without a length.
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    const fleet = new CrashFleet(t, { hosts: 6, servers: 14, unframedShare: 1 / 3, seed });
+    await fleet.start();
+    for (let round = 0; round < 100; round += 1) {
+      fleet.call(round, ENDING);
+      await fleet.clock.advance(150);
+    }
+    const thirdEndMs = fleet.findEndMs(ENDING, 3);
+    t.ok(fleet.countArrivals(ENDING, thirdEndMs + CONTACT_MS) <= MAX_LATER, `seed ${seed}`);
+  }
+});
+
 t.test(
   'it is found on routes of every kind, and its callers hear that it was not run',
   async (t) => {
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -96,6 +96,8 @@
   /** Whether it bears the backend server's own mark; a success without it is no answer. */
   readonly isAuthentic: boolean;
   readonly isEventStream: boolean;
+  /** Whether its end is marked; if not, a server that ends looks like the end of its answer. */
+  readonly isFramed: boolean;
   readonly load: ReportedLoad | undefined;
 }
 
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -35,6 +35,8 @@
   readonly errorShare?: number;
   /** Time from which on bodies that begin with `turns` end their servers, too, in milliseconds. */
   readonly turnsAfterMs?: number;
+  /** Part of all answers without a length, which look whole when their server ends. Default: 0. */
+  readonly unframedShare?: number;
   /** Seed of what is answered so. */
   readonly seed?: number;
 }
@@ -141,7 +143,7 @@
     });
     [...this.#running]
       .filter(([, serverId]) => ending.has(serverId))
-      .forEach(([exchange]) => this.#finish(exchange, () => exchange.fail(BackendFailure.Lost)));
+      .forEach(([exchange]) => this.#finish(exchange, () => this.#breakOff(exchange)));
   }
 
   /** Servers say that they leave. */
@@ -203,6 +205,12 @@
     );
   }
 
+  #breakOff(exchange: FakeExchange): void {
+    const { unframedShare = 0 } = this.#options;
+    if (this.#random.nextFraction() < unframedShare) exchange.answer(200, 'ok', false);
+    else exchange.fail(BackendFailure.Lost);
+  }
+
   #isEnding(body: string): boolean {
     const { turnsAfterMs = Infinity } = this.#options;
     const hasTurned = this.clock.nowMs() - this.#startedAtMs >= turnsAfterMs;
--- a/test/support/direct_ends.ts
+++ b/test/support/direct_ends.ts
@@ -40,6 +40,7 @@
       headers: ['X-Mark', this.request.serverId],
       isAuthentic: true,
       isEventStream: false,
+      isFramed: true,
       load: undefined,
       ...changes,
     });
@@ -53,8 +54,8 @@
   }
 
   /** Answers whole. */
-  answer(status = 200, body = 'ok'): void {
-    this.head({ status });
+  answer(status = 200, body = 'ok', isFramed = true): void {
+    this.head({ status, isFramed });
     this.listener.onBody(Buffer.from(body));
     this.listener.onWhole();
   }
