Take an answer without a length for no proof at an owner, too

The same fault as on the direct path, looked for there: an answer whose end isn't marked cleared its content. The test of errors at an owner now plays such answers as well; that part was red without the change (two checks). Whether the end is marked is read from the headers that the answer came with.

--- a/src/application/owner/_run_request.ts
+++ b/src/application/owner/_run_request.ts
@@ -9,7 +9,7 @@
 import { SlotOutcome } from '../../ports/mod.js';
 import { settle } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
-import { formatAddress, isSuccess, PassKind } from '../crashes/mod.js';
+import { formatAddress, isFramed, isSuccess, PassKind } from '../crashes/mod.js';
 import type { CrashKeeper } from '../crashes/mod.js';
 import type { Admission, AllowanceSource, Slot, SlotSource } from '../views/mod.js';
 import { Attempt } from './_attempt.js';
@@ -173,7 +173,8 @@
   const { slot, result, startedAtMs } = run;
   const { id: serverId, url } = slot.backendServer;
   if (!result.error) {
-    const hasSucceeded = isSuccess(request.answer.head?.status ?? 0);
+    const { status = 0, headers = {} } = request.answer.head ?? {};
+    const hasSucceeded = isSuccess(status) && isFramed(headers);
     crashes.noteAnswered({ contentId, serverId, startedAtMs, hasSucceeded });
   }
   const isLost = record.hasLeft && result.use.outcome === SlotOutcome.Failed;
--- a/src/application/owner/server_ending_requests_test.ts
+++ b/src/application/owner/server_ending_requests_test.ts
@@ -89,17 +89,19 @@
   }
 });
 
-t.test('an error answer at an owner clears nothing', async (t) => {
-  // Guards against a request that goes on ending servers since some answer it with an error.
-  const fleet = new Fleet(t);
-  for (const index of [0, 1, 2]) {
-    fleet.world.backend.fates.push(CallFate.Erred);
-    await fleet.call(index, 'ends', 'lookup');
-    await fleet.callEnding(index, CallFate.LostAfter, 'lookup');
+t.test('at an owner, errors and answers whose end is not marked clear nothing', async (t) => {
+  // Guards against a request that goes on ending servers since some answer it all the same.
+  for (const fate of [CallFate.Erred, CallFate.Unframed]) {
+    const fleet = new Fleet(t);
+    for (const index of [0, 1, 2]) {
+      fleet.world.backend.fates.push(fate);
+      await fleet.call(index, 'ends', 'lookup');
+      await fleet.callEnding(index, CallFate.LostAfter, 'lookup');
+    }
+    const runs = fleet.world.backend.runs.length;
+    t.match(await fleet.call(0, 'ends', 'lookup'), { kind: ErrorKind.RequestHeld }, fate);
+    t.equal(fleet.world.backend.runs.length, runs);
   }
-  const runs = fleet.world.backend.runs.length;
-  t.match(await fleet.call(0, 'ends', 'lookup'), { kind: ErrorKind.RequestHeld });
-  t.equal(fleet.world.backend.runs.length, runs);
 });
 
 t.test('what fails at a server that lives on is run again for each caller', async (t) => {
--- a/test/support/fake_backend.ts
+++ b/test/support/fake_backend.ts
@@ -32,6 +32,8 @@
   DiesMidway = 'dies_midway',
   /** A whole answer with status 500. */
   Erred = 'erred',
+  /** An answer whose end isn't marked. */
+  Unframed = 'unframed',
 }
 
 const CONTINUE_MS = 15;
@@ -130,7 +132,7 @@
   #answer(run: FakeRun, offset: number, fate: CallFate): BackendAnswer {
     return {
       status: fate === CallFate.Erred ? 500 : 200,
-      headers: {},
+      headers: fate === CallFate.Unframed ? {} : { 'transfer-encoding': 'chunked' },
       streamId: run.requestId,
       body: this.#read(run, offset, fate),
     };
