--- a/src/application/crashes/crash_keeper_test.ts
+++ b/src/application/crashes/crash_keeper_test.ts
@@ -14,11 +14,13 @@
 import type { CrashUpdateMessage } from '../../ports/mod.js';
 import { CrashKeeper } from './crash_keeper.js';
 import { CrashPaths } from './crash_paths.js';
+import { PassKind } from './_trial_queue.js';
 
 /** Hosts in a line: each is linked with its neighbours only, and passes on what it hears. */
 class LinePaths extends CrashPaths {
   constructor(
     readonly peers: FakePeerNetwork,
+    readonly hub: FakePeerHub,
     readonly isRelay: boolean,
   ) {
     super();
@@ -29,7 +31,7 @@
   }
 
   override listHostIds(): readonly string[] {
-    return this.peers.listLinked().map(({ id }) => id);
+    return [...this.hub.networks].map(({ identity }) => identity.id);
   }
 
   override listTargets(): readonly EntryHostIdentity[] {
@@ -89,7 +91,7 @@
       random: new SeededRandom(index + 1),
       probe,
       peers,
-      paths: new LinePaths(peers, isRelay),
+      paths: new LinePaths(peers, hub, isRelay),
     });
     keeper.start();
     t.teardown(() => keeper.stop());
@@ -240,3 +242,40 @@
   );
   t.same([...kinds], [CrashUpdateKind.Digest]);
 });
+
+t.test('entry hosts behind relays try what is in doubt three times in all', async (t) => {
+  // Guards against entry hosts that each try for themselves what word of a trial has not reached.
+  const line = new Line(t, ['a', 'relay-1', 'relay-2', 'b']);
+  for (let crash = 0; crash < 3; crash += 1) await line.crash(crash % 2, ['x', 'y']);
+  const triedAtMs: number[] = [];
+  for (let look = 0; look < 400; look += 1) {
+    line.keepers.forEach((keeper) => {
+      if (keeper.takePass('x').kind === PassKind.Trial) triedAtMs.push(line.clock.nowMs());
+    });
+    await line.clock.advance(50);
+  }
+  t.equal(triedAtMs.length, 3);
+  t.ok(triedAtMs.every((atMs, index) => index === 0 || atMs - (triedAtMs[index - 1] ?? 0) >= 800));
+  t.same(
+    [0, 1, 2, 3].map((index) => line.isHeld(index, 'x')),
+    [true, true, true, true],
+    'none was answered',
+  );
+  t.notOk(line.isHeld(0, 'y'));
+});
+
+t.test('calls that wait are woken when their content is cleared, or held', async (t) => {
+  const line = new Line(t, ['a', 'relay', 'b']);
+  for (let crash = 0; crash < 3; crash += 1) await line.crash(0, ['x', 'y']);
+  const [keeper] = line.keepers as [CrashKeeper];
+  const woken: string[] = [];
+  keeper.waitForPass('x', () => woken.push('x'));
+  keeper.waitForPass('y', () => woken.push('y'));
+  keeper.waitForPass('y', () => woken.push('left'))();
+  const startedAtMs = line.clock.nowMs();
+  const run = { contentId: 'y', serverId: 's-9', startedAtMs, hasSucceeded: true };
+  line.keepers[2]?.noteAnswered(run);
+  await line.clock.advance(100);
+  t.same(woken.sort(), ['x', 'y'], 'x is all that is left, and held');
+  t.ok(line.isHeld(0, 'x'));
+});
