Count once what may have caused each end, for all judgements of a review

Contents in doubt were compared with all that ran beside them, each for itself. Names by the list of verbs. No change of behaviour.

--- a/src/application/crashes/_answered_contents.ts
+++ b/src/application/crashes/_answered_contents.ts
@@ -37,7 +37,7 @@
    * @param nowMs - monotonic time in milliseconds
    * @returns the note with what an answer says of it
    */
-  vouch(note: CrashNote, nowMs: number): CrashNote {
+  reviewNote(note: CrashNote, nowMs: number): CrashNote {
     const answeredAtMs = this.#answeredAtMs.get(note.contentId);
     if (answeredAtMs === undefined || note.state === CrashState.Cleared) return note;
     const sinceAnswerMs = nowMs - note.endedAgoMs - answeredAtMs;
--- a/src/application/crashes/_trial_queue.ts
+++ b/src/application/crashes/_trial_queue.ts
@@ -154,13 +154,13 @@
       const doubt = this.#options.ledger.doubts.find(contentId);
       if (!doubt) {
         this.#asked.delete(contentId);
-        wake(asked.waiting, Infinity);
+        notifyWaiting(asked.waiting, Infinity);
       } else if (this.findDelayMs(contentId) !== undefined) {
         this.#options.refuse(contentId);
         this.#asked.delete(contentId);
-        wake(asked.waiting, Infinity);
+        notifyWaiting(asked.waiting, Infinity);
       } else if (!isOpen && this.#options.clock.nowMs() >= this.#computeTurnMs(contentId, doubt)) {
-        wake(asked.waiting, 1);
+        notifyWaiting(asked.waiting, 1);
       }
     });
   }
@@ -185,7 +185,7 @@
     if (asked.rank?.trialCount !== trialCount) {
       asked.rank = { trialCount, value: this.#computeRank(contentId, trialCount) };
     }
-    const place = this.#options.ledger.doubts.list().indexOf(contentId);
+    const place = this.#options.ledger.doubts.findPlace(contentId);
     const fromMs = Math.max(asked.sinceMs, this.#quietSinceMs) + place * PLACE_STEP_MS;
     return computeTurnMs(doubt, fromMs, asked.rank.value);
   }
@@ -217,7 +217,7 @@
 }
 
 /** Has those that came last ask again: they have the most time left for an answer. */
-function wake(waiting: Set<() => void>, count: number): void {
+function notifyWaiting(waiting: Set<() => void>, count: number): void {
   const woken = [...waiting].reverse().slice(0, count);
   woken.forEach((resume) => {
     if (waiting.delete(resume)) resume();
--- a/src/application/crashes/crash_keeper.ts
+++ b/src/application/crashes/crash_keeper.ts
@@ -242,7 +242,7 @@
   /** @returns what is news of it, with what this entry host knows better */
   #apply(notes: readonly CrashNote[]): CrashNote[] {
     const nowMs = this.#options.clock.nowMs();
-    const known = notes.map((note) => this.#answered.vouch(note, nowMs));
+    const known = notes.map((note) => this.#answered.reviewNote(note, nowMs));
     const news = this.#ledger.apply(known, nowMs);
     listFresh(news).forEach((crashId) => {
       this.#watch.noteCrash(this.#options.paths.readServerId(crashId), crashId);
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -86,7 +86,7 @@
  * @param end - how the try ended
  * @returns fields of the call's last log line
  */
-export function describeAnswer(serverId: string, end: AttemptEnd): LogFields {
+export function buildAnswerFields(serverId: string, end: AttemptEnd): LogFields {
   return {
     backendServer: serverId,
     status: end.status,
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -17,7 +17,7 @@
 import type { DirectRequest, LogFields, Timer } from '../../ports/mod.js';
 import { PassKind } from '../crashes/mod.js';
 import type { Pass } from '../crashes/mod.js';
-import { CallRecorder, describeAnswer } from './_call_recorder.js';
+import { CallRecorder, buildAnswerFields } from './_call_recorder.js';
 import { CallTries } from './_call_tries.js';
 import { DirectAttempt } from './_direct_attempt.js';
 import type { AttemptEnd } from './_direct_attempt.js';
@@ -248,7 +248,7 @@
     if (end.failure === undefined) {
       if (end.outputTokens > 0 && this.#tries.count === 1)
         this.#options.forecast.learn(this.work, end.outputTokens);
-      this.#end('call_answered', describeAnswer(serverId, end));
+      this.#end('call_answered', buildAnswerFields(serverId, end));
     } else {
       this.#recorder.noteFailure(serverId, this.#tries.count, end);
       this.#stream = end.stream?.hasBegun ? end.stream : undefined;
--- a/src/domain/crashes/_judge.ts
+++ b/src/domain/crashes/_judge.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { EndCounts } from './_end_counts.js';
 import { countInTurn, CRASHES_TO_DOUBT, SuspectState } from './_suspect.js';
 import type { Suspect, SuspectRun, Trial } from './_suspect.js';
 import type { SuspectTable } from './_suspect_table.js';
@@ -23,8 +24,10 @@
 /** Servers that end within this time of each other, as those of one rack, end by one accident, in milliseconds. */
 const SAME_MOMENT_MS = 30;
 
-/** When a judgement is made. */
-export interface JudgeOptions {
+/** What is known of all ends when a judgement is made. */
+export interface Evidence {
+  readonly table: SuspectTable;
+  readonly counts: EndCounts;
   readonly nowMs: number;
   /** How long word of what else ran at an end may take to come, in milliseconds. */
   readonly settleMs: number;
@@ -49,20 +52,19 @@
  * else is likely to have caused that, and when the trials are used up and none was answered.
  *
  * @param suspect - a content
- * @param table - all others
- * @param options - when
+ * @param evidence - what is known of all ends
  * @returns what may be sent of it
  */
-export function judge(suspect: Suspect, table: SuspectTable, options: JudgeOptions): SuspectState {
+export function deriveState(suspect: Suspect, evidence: Evidence): SuspectState {
   const ends = suspect.listSuspected();
   if (ends.length < CRASHES_TO_DOUBT) return SuspectState.Free;
   if (suspect.isHeld) return SuspectState.Held;
-  const settled = ends.filter(({ endedAtMs }) => endedAtMs <= options.nowMs - options.settleMs);
-  const trials = listTrials(suspect);
+  const { nowMs, settleMs } = evidence;
+  const settled = ends.filter(({ endedAtMs }) => endedAtMs <= nowMs - settleMs);
   const mustHold =
-    isProvenByWatching(suspect, settled, table, options.nowMs) ||
-    isProvenByTrial(suspect, settled, table) ||
-    isUsedUp(trials, options.nowMs);
+    isProvenByWatching(suspect, settled, evidence) ||
+    isProvenByTrial(suspect, settled, evidence) ||
+    isUsedUp(listTrials(suspect), nowMs);
   return mustHold ? SuspectState.Held : SuspectState.Doubted;
 }
 
@@ -70,11 +72,11 @@
  * Counts the ends that nothing else is likely to have caused.
  *
  * @param suspect - a content
- * @param table - all others
+ * @param counts - of all ends
  * @returns how many there are
  */
-export function countOwnEnds(suspect: Suspect, table: SuspectTable): number {
-  return listOwnEnds(suspect, suspect.listSuspected(), table).length;
+export function countOwnEnds(suspect: Suspect, counts: EndCounts): number {
+  return listOwnEnds(suspect, suspect.listSuspected(), counts).length;
 }
 
 /**
@@ -84,13 +86,12 @@
 function isProvenByWatching(
   suspect: Suspect,
   ends: readonly SuspectRun[],
-  table: SuspectTable,
-  nowMs: number,
+  { counts, nowMs }: Evidence,
 ): boolean {
   const counted = ends.filter(({ isVouched }) => !isVouched);
   const hasLoneRivals = ({ crashId }: SuspectRun): boolean =>
-    table.listRivals(suspect, crashId).every(({ suspectedCount }) => suspectedCount === 1);
-  const own = listOwnEnds(suspect, counted, table);
+    counts.countRepeaters(suspect, crashId) === 0;
+  const own = listOwnEnds(suspect, counted, counts);
   const likely = counted.filter(
     (run) => nowMs - run.endedAtMs > LONE_RIVAL_MS && hasLoneRivals(run),
   );
@@ -105,13 +106,13 @@
 function isProvenByTrial(
   suspect: Suspect,
   ends: readonly SuspectRun[],
-  table: SuspectTable,
+  { counts, table }: Evidence,
 ): boolean {
   const [first] = listTrials(suspect);
   if (!first) return false;
   const sinceMs = first.startedAtMs - NOTE_TOLERANCE_MS;
   const tried = ends.slice(CRASHES_TO_DOUBT).filter(({ startedAtMs }) => startedAtMs >= sinceMs);
-  return listOwnEnds(suspect, tried, table).some(
+  return listOwnEnds(suspect, tried, counts).some(
     (run) => !table.hasEndedTogether(run, SAME_MOMENT_MS),
   );
 }
@@ -119,9 +120,9 @@
 function listOwnEnds(
   suspect: Suspect,
   ends: readonly SuspectRun[],
-  table: SuspectTable,
+  counts: EndCounts,
 ): SuspectRun[] {
-  return ends.filter(({ crashId }) => table.listRivals(suspect, crashId).length === 0);
+  return ends.filter(({ crashId }) => counts.countRivals(suspect, crashId) === 0);
 }
 
 function isUsedUp(trials: readonly Trial[], nowMs: number): boolean {
--- a/src/domain/crashes/_suspect.ts
+++ b/src/domain/crashes/_suspect.ts
@@ -90,6 +90,11 @@
     this.#state = state;
   }
 
+  /** Whether any trial is kept. */
+  get hasTrials(): boolean {
+    return this.#trials.size > 0;
+  }
+
   /** All trials that are kept, in the order in which they began. */
   get trials(): readonly Trial[] {
     return [...this.#trials.values()].sort((a, b) => a.startedAtMs - b.startedAtMs);
--- a/src/domain/crashes/_suspect_table.ts
+++ b/src/domain/crashes/_suspect_table.ts
@@ -45,17 +45,6 @@
     return [...new Set(contentIds)].flatMap((id) => this.#suspects.get(id) ?? []);
   }
 
-  /**
-   * @param suspect - a suspect
-   * @param crashId - a crash
-   * @returns others that may have caused it, and were not answered shortly before
-   */
-  listRivals(suspect: Suspect, crashId: string): Suspect[] {
-    return this.listAt([crashId]).filter(
-      (other) => other !== suspect && other.isSuspectedOf(crashId),
-    );
-  }
-
   /** @param contentId - a content. @returns its entry, made where there is none */
   take(contentId: string): Suspect {
     const found = this.#suspects.get(contentId);
--- a/src/domain/crashes/crash_ledger.ts
+++ b/src/domain/crashes/crash_ledger.ts
@@ -6,7 +6,8 @@
 import { CrashState } from './crash_note.js';
 import type { CrashNote } from './crash_note.js';
 import { DoubtList } from './doubt_list.js';
-import { judge } from './_judge.js';
+import { EndCounts } from './_end_counts.js';
+import { deriveState } from './_judge.js';
 import { CRASHES_TO_DOUBT, SuspectState } from './_suspect.js';
 import type { Suspect, Trial } from './_suspect.js';
 import { buildNote, listNotes } from './_suspect_notes.js';
@@ -102,10 +103,16 @@
 
   /** Judges anew what time has decided. @param nowMs - monotonic time in milliseconds */
   review(nowMs: number): void {
-    this.#table
-      .list()
-      .filter((suspect) => suspect.state !== SuspectState.Free || mayDoubt(suspect))
-      .forEach((suspect) => this.#judge(suspect, nowMs));
+    this.#doubts.reset();
+    const all = this.#table.list();
+    const open = all.filter((suspect) => suspect.state !== SuspectState.Free || mayDoubt(suspect));
+    if (open.length === 0) return;
+    const settleMs = this.#options.getSettleMs();
+    const evidence = { table: this.#table, counts: new EndCounts(all), nowMs, settleMs };
+    open.forEach((suspect) => {
+      const state = deriveState(suspect, evidence);
+      if (state !== suspect.state) this.#setState(suspect, state, nowMs);
+    });
   }
 
   /** @returns what was decided since this was called last */
@@ -232,12 +239,6 @@
     return [buildNote(suspect, run, nowMs)];
   }
 
-  #judge(suspect: Suspect, nowMs: number): void {
-    const settleMs = this.#options.getSettleMs();
-    const state = judge(suspect, this.#table, { nowMs, settleMs });
-    if (state !== suspect.state) this.#setState(suspect, state, nowMs);
-  }
-
   /**
    * Word of what ran when comes at different times to different hosts. Where one holds a content,
    * all do that know as many ends.
@@ -253,6 +254,7 @@
     const { contentId } = suspect;
     const wasHeld = suspect.isHeld;
     suspect.setState(state, nowMs);
+    this.#doubts.reset();
     if (wasHeld !== suspect.isHeld) this.#revision += 1;
     const crashIds = suspect.listSuspected().map(({ crashId }) => crashId);
     this.#verdicts.push({ contentId, state, isHeld: suspect.isHeld, crashIds });
--- a/src/domain/crashes/doubt_list.ts
+++ b/src/domain/crashes/doubt_list.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { EndCounts } from './_end_counts.js';
 import { countOwnEnds, listTrials } from './_judge.js';
 import { SuspectState } from './_suspect.js';
 import type { SuspectTable } from './_suspect_table.js';
@@ -15,6 +16,8 @@
 export class DoubtList {
   readonly #table: SuspectTable;
 
+  #places: ReadonlyMap<string, number> | undefined;
+
   /** @param table - all suspects */
   constructor(table: SuspectTable) {
     this.#table = table;
@@ -32,12 +35,26 @@
     };
   }
 
-  /** @returns contents in doubt, those first that are most likely to be sound */
-  list(): string[] {
-    return this.#table
-      .list()
+  /**
+   * @param contentId - a content in doubt
+   * @returns its place among all of them, from 0; those that are most likely to be sound come first
+   */
+  findPlace(contentId: string): number {
+    this.#places ??= new Map(this.#sort().map((id, place) => [id, place]));
+    return this.#places.get(contentId) ?? 0;
+  }
+
+  /** Forgets the order, as what is known has changed. */
+  reset(): void {
+    this.#places = undefined;
+  }
+
+  #sort(): string[] {
+    const all = this.#table.list();
+    const counts = new EndCounts(all);
+    return all
       .filter(({ state }) => state === SuspectState.Doubted)
-      .map((suspect) => ({ suspect, own: countOwnEnds(suspect, this.#table) }))
+      .map((suspect) => ({ suspect, own: countOwnEnds(suspect, counts) }))
       .sort(
         (a, b) =>
           a.own - b.own ||
@@ -53,7 +70,7 @@
    */
   findOpen(nowMs: number): string | undefined {
     const open = this.#table.list().find((suspect) => {
-      if (suspect.state !== SuspectState.Doubted) return false;
+      if (suspect.state !== SuspectState.Doubted || !suspect.hasTrials) return false;
       const startedAtMs = listTrials(suspect).at(-1)?.startedAtMs ?? -Infinity;
       const lastEndMs = suspect.listSuspected().at(-1)?.endedAtMs ?? -Infinity;
       return nowMs - startedAtMs < TRIAL_OPEN_MS && lastEndMs < startedAtMs;
--- a/src/domain/crashes/doubt_list_test.ts
+++ b/src/domain/crashes/doubt_list_test.ts
@@ -103,9 +103,12 @@
   t.equal(ledger.doubts.findOpen(NOW_MS + 600), undefined);
 });
 
-t.test('list() puts those first that are most likely to be sound', async (t) => {
+t.test('findPlace() puts those first that are most likely to be sound', async (t) => {
   const ledger = createLedger(['ab', 'ab', 'ab', 'b']);
-  t.same(ledger.doubts.list(), ['a', 'b']);
+  t.same(
+    ['a', 'b'].map((id) => ledger.doubts.findPlace(id)),
+    [0, 1],
+  );
 });
 
 t.test('what was answered shortly before is held after a trial only', async (t) => {
