Give the last trial ten seconds for its answer, and refused callers a time until then

What callers would see: after the third trial of a content in doubt, up to a second long, a Retry-After without end; and a sound stream longer than two seconds was held while its trial still ran. Cause: no next trial was taken for never, and a trial was given two seconds whatever it answers. Change: the time to come back is that of the next trial or of the decision.

--- a/src/application/crashes/_trial_queue.ts
+++ b/src/application/crashes/_trial_queue.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { computeTrialFromMs, computeTurnMs } from '../../domain/crashes/mod.js';
+import { computeNextStepMs, computeTurnMs } from '../../domain/crashes/mod.js';
 import type { CrashLedger, CrashNote, Doubt } from '../../domain/crashes/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
 import { sortByRendezvous } from '../../domain/membership/mod.js';
@@ -93,13 +93,14 @@
 
   /**
    * @param contentId - a content
-   * @returns how long the next trial is away, in milliseconds, where that is too long to wait
+   * @returns how long the next trial, or the decision, is away, in milliseconds, where that is too
+   *   long to wait
    */
   findDelayMs(contentId: string): number | undefined {
     const doubt = this.#options.ledger.doubts.find(contentId);
     if (!doubt) return undefined;
     const nowMs = this.#options.clock.nowMs();
-    const delayMs = computeTrialFromMs(doubt) - nowMs;
+    const delayMs = computeNextStepMs(doubt) - nowMs;
     const isOpen = nowMs - (doubt.lastTrialAtMs ?? -Infinity) < PATIENCE_MS;
     return delayMs <= PATIENCE_MS || isOpen ? undefined : delayMs;
   }
--- a/src/domain/crashes/doubt_list.ts
+++ b/src/domain/crashes/doubt_list.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { EndCounts } from './_end_counts.js';
-import { countOwnEnds, listTrials } from './_judge.js';
+import { countOwnEnds, listTrials, readDoubt } from './_judge.js';
 import { SuspectState } from './_suspect.js';
 import type { SuspectTable } from './_suspect_table.js';
 import type { Doubt } from './trial_plan.js';
@@ -26,13 +26,7 @@
   /** @param contentId - a content. @returns what is known of the doubt about it; undefined without */
   find(contentId: string): Doubt | undefined {
     const suspect = this.#table.find(contentId);
-    if (suspect?.state !== SuspectState.Doubted) return undefined;
-    const trials = listTrials(suspect);
-    return {
-      sinceMs: suspect.doubtedAtMs,
-      trialCount: trials.length,
-      lastTrialAtMs: trials.at(-1)?.startedAtMs,
-    };
+    return suspect?.state === SuspectState.Doubted ? readDoubt(suspect) : undefined;
   }
 
   /**
--- a/src/domain/crashes/mod.ts
+++ b/src/domain/crashes/mod.ts
@@ -10,5 +10,5 @@
 export type { CrashNote, TrialNote } from './crash_note.js';
 export type { DoubtList } from './doubt_list.js';
 export { SuspectState } from './_suspect.js';
-export { computeTrialFromMs, computeTurnMs } from './trial_plan.js';
+export { computeNextStepMs, computeTurnMs } from './trial_plan.js';
 export type { Doubt } from './trial_plan.js';
--- a/src/domain/crashes/trial_plan_test.ts
+++ b/src/domain/crashes/trial_plan_test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import { computeTrialFromMs, computeTurnMs } from './trial_plan.js';
+import { computeNextStepMs, computeTrialFromMs, computeTurnMs } from './trial_plan.js';
 
 const DOUBT = { sinceMs: 1_000, trialCount: 0, lastTrialAtMs: undefined };
 
@@ -10,6 +10,11 @@
   t.equal(computeTrialFromMs({ ...DOUBT, trialCount: 3, lastTrialAtMs: 7_000 }), Infinity);
 });
 
+t.test('computeNextStepMs() gives the last trial time for its answer', async (t) => {
+  t.equal(computeNextStepMs(DOUBT), 1_600);
+  t.equal(computeNextStepMs({ ...DOUBT, trialCount: 3, lastTrialAtMs: 7_000 }), 17_000);
+});
+
 t.test('computeTurnMs() doubles the entry hosts that may try with each step', async (t) => {
   const steps = [0, 1, 2, 3, 4, 7, 8, 194].map((rank) => computeTurnMs(DOUBT, 5_000, rank) - 5_000);
   t.same(steps, [0, 250, 500, 500, 750, 750, 1_000, 2_000]);
