--- a/src/application/crashes/_trial_queue.ts
+++ b/src/application/crashes/_trial_queue.ts
@@ -22,6 +22,9 @@
 /** Pause between the turns of two contents that are in doubt at the same time, in milliseconds. */
 const PLACE_STEP_MS = 100;
 
+/** Place from which on all have the same turn: hundreds in doubt must not keep one from it for good. */
+const MAX_PLACE = 10;
+
 const TRIAL_ID_BYTES = 6;
 
 /** What a request may do. */
@@ -86,11 +89,6 @@
     this.#options = options;
   }
 
-  /** Calls that wait. */
-  get waitingCount(): number {
-    return [...this.#asked.values()].reduce((sum, { waiting }) => sum + waiting.size, 0);
-  }
-
   /**
    * @param contentId - a content
    * @returns how long the next trial, or the decision, is away, in milliseconds, where that is too
@@ -175,9 +173,10 @@
   #takeAsked(contentId: string): Asked {
     const known = this.#asked.get(contentId);
     if (known) return known;
-    const asked = { sinceMs: this.#options.clock.nowMs(), waiting: new Set(), rank: undefined };
-    this.#asked.set(contentId, asked as Asked);
-    return asked as Asked;
+    const sinceMs = this.#options.clock.nowMs();
+    const asked: Asked = { sinceMs, waiting: new Set(), rank: undefined };
+    this.#asked.set(contentId, asked);
+    return asked;
   }
 
   #computeTurnMs(contentId: string, doubt: Doubt): number {
@@ -186,7 +185,7 @@
     if (asked.rank?.trialCount !== trialCount) {
       asked.rank = { trialCount, value: this.#computeRank(contentId, trialCount) };
     }
-    const place = this.#options.ledger.doubts.findPlace(contentId);
+    const place = Math.min(MAX_PLACE, this.#options.ledger.doubts.findPlace(contentId));
     const fromMs = Math.max(asked.sinceMs, this.#quietSinceMs) + place * PLACE_STEP_MS;
     return computeTurnMs(doubt, fromMs, asked.rank.value);
   }
