Do nothing more for an answered call while no server has ended

Since only a success clears a content, each answered call had all linked peers listed to tell them nothing, and looked for verdicts. What is told returns before that, and an empty ledger is asked nothing, as before. No change of behaviour.

--- a/src/application/crashes/_crash_sharing.ts
+++ b/src/application/crashes/_crash_sharing.ts
@@ -70,7 +70,8 @@
 
   /** @param notes - what has happened here */
   notify(notes: readonly CrashNote[]): void {
-    this.#sendNews(this.#options.paths.listTargets(), notes);
+    // Each answered call comes here, mostly with nothing to tell.
+    if (notes.length > 0) this.#sendNews(this.#options.paths.listTargets(), notes);
   }
 
   #tick(): void {
--- a/src/application/crashes/crash_keeper.ts
+++ b/src/application/crashes/crash_keeper.ts
@@ -190,6 +190,7 @@
   #clearContent(contentId: string): void {
     const nowMs = this.#options.clock.nowMs();
     this.#answered.note(contentId, nowMs);
+    if (this.#ledger.size === 0) return;
     const notes = this.#ledger.clearContent(contentId, nowMs);
     this.#noteVerdicts();
     this.#sharing.notify(notes);
