One way to make a random name, one branch for calls that may go on, a name for the bound on trial notes

Three places wrote bytes of the random source as hexadecimal digits: nextHex() does. A look at what waits asked twice for the same doubt and had two branches that did the same. MAX_TRIALS meant two things in two modules.

--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -20,7 +20,7 @@
 const MAX_TEXT_LENGTH = 65_536;
 const MAX_LIST_LENGTH = 65_536;
 const MAX_HEADERS = 1_000;
-const MAX_TRIALS = 64;
+const MAX_TRIAL_NOTES = 64;
 
 const name = z.string().max(MAX_NAME_LENGTH);
 const text = z.string().max(MAX_TEXT_LENGTH);
@@ -75,7 +75,7 @@
   startedAgoMs: amount,
   endedAgoMs: amount,
   seenAgoMs: amount,
-  trials: z.array(trialSchema).max(MAX_TRIALS).optional(),
+  trials: z.array(trialSchema).max(MAX_TRIAL_NOTES).optional(),
 });
 
 const groupLoadSchema = z.object({
--- a/src/application/crashes/_trial_queue.ts
+++ b/src/application/crashes/_trial_queue.ts
@@ -96,11 +96,7 @@
    */
   findDelayMs(contentId: string): number | undefined {
     const doubt = this.#options.ledger.doubts.find(contentId);
-    if (!doubt) return undefined;
-    const nowMs = this.#options.clock.nowMs();
-    const delayMs = computeNextStepMs(doubt) - nowMs;
-    const isOpen = nowMs - (doubt.lastTrialAtMs ?? -Infinity) < PATIENCE_MS;
-    return delayMs <= PATIENCE_MS || isOpen ? undefined : delayMs;
+    return doubt && this.#computeDelayMs(doubt);
   }
 
   /**
@@ -118,7 +114,7 @@
     if (!hasTime) return WAIT;
     const nowMs = clock.nowMs();
     if (this.#isTrialOpen() || nowMs < this.#computeTurnMs(contentId, doubt)) return WAIT;
-    const id = Buffer.from(this.#options.random.nextBytes(TRIAL_ID_BYTES)).toString('hex');
+    const id = this.#options.random.nextHex(TRIAL_ID_BYTES);
     log.write(LogLevel.Warn, 'request_tried', { contentId, trial: doubt.trialCount + 1 });
     metrics.count('request_trials_total');
     const trial = { id, startedAtMs: nowMs, isVoid: false };
@@ -151,16 +147,14 @@
     const isOpen = this.#isTrialOpen();
     [...this.#asked].forEach(([contentId, asked]) => {
       const doubt = this.#options.ledger.doubts.find(contentId);
-      if (!doubt) {
-        this.#asked.delete(contentId);
-        notifyWaiting(asked.waiting, Infinity);
-      } else if (this.findDelayMs(contentId) !== undefined) {
-        this.#options.refuse(contentId);
-        this.#asked.delete(contentId);
-        notifyWaiting(asked.waiting, Infinity);
-      } else if (!isOpen && this.#options.clock.nowMs() >= this.#computeTurnMs(contentId, doubt)) {
-        notifyWaiting(asked.waiting, 1);
+      if (doubt && this.#computeDelayMs(doubt) === undefined) {
+        const isDue = this.#options.clock.nowMs() >= this.#computeTurnMs(contentId, doubt);
+        if (isDue && !isOpen) notifyWaiting(asked.waiting, 1);
+        return;
       }
+      if (doubt) this.#options.refuse(contentId);
+      this.#asked.delete(contentId);
+      notifyWaiting(asked.waiting, Infinity);
     });
   }
 
@@ -170,6 +164,13 @@
     this.#asked.clear();
   }
 
+  #computeDelayMs(doubt: Doubt): number | undefined {
+    const nowMs = this.#options.clock.nowMs();
+    const delayMs = computeNextStepMs(doubt) - nowMs;
+    const isOpen = nowMs - (doubt.lastTrialAtMs ?? -Infinity) < PATIENCE_MS;
+    return delayMs <= PATIENCE_MS || isOpen ? undefined : delayMs;
+  }
+
   #takeAsked(contentId: string): Asked {
     const known = this.#asked.get(contentId);
     if (known) return known;
--- a/src/application/crashes/mesh_crash_paths.ts
+++ b/src/application/crashes/mesh_crash_paths.ts
@@ -53,8 +53,7 @@
   }
 
   override createCrashId(serverId: string): string {
-    const number = Buffer.from(this.#options.random.nextBytes(NUMBER_BYTES)).toString('hex');
-    return `${serverId}${SEPARATOR}${number}`;
+    return `${serverId}${SEPARATOR}${this.#options.random.nextHex(NUMBER_BYTES)}`;
   }
 
   override findAddress(serverId: string): string | undefined {
--- a/src/commands/_direct_peers.ts
+++ b/src/commands/_direct_peers.ts
@@ -31,7 +31,7 @@
 ): EntryHostIdentity {
   return {
     id: settings.hostId,
-    incarnation: Buffer.from(random.nextBytes(INCARNATION_BYTES)).toString('hex'),
+    incarnation: random.nextHex(INCARNATION_BYTES),
     url: settings.callersAddress,
     peerUrl: formatPeerUrl(settings.advertisedPeersAddress ?? settings.peersAddress),
     availabilityZone: settings.availabilityZone,
--- a/src/ports/random_source.ts
+++ b/src/ports/random_source.ts
@@ -14,4 +14,12 @@
    * @returns that many unpredictable bytes
    */
   abstract nextBytes(length: number): Uint8Array;
+
+  /**
+   * @param length - how many bytes
+   * @returns that many unpredictable bytes as hexadecimal digits, for a name that nobody else has
+   */
+  nextHex(length: number): string {
+    return Buffer.from(this.nextBytes(length)).toString('hex');
+  }
 }
