--- a/src/domain/crashes/_end_counts.ts
+++ b/src/domain/crashes/_end_counts.ts
@@ -1,9 +1,9 @@
 /**
- * How many contents may have caused each server's end.
+ * How many contents may have caused each server's end, and when that was.
  *
  * @module
  */
-import type { Suspect } from './_suspect.js';
+import type { Suspect, SuspectRun } from './_suspect.js';
 
 /** Contents that ran at one end, and were not answered shortly before. */
 interface EndCount {
@@ -18,8 +18,11 @@
 export class EndCounts {
   readonly #counts = new Map<string, EndCount>();
 
+  readonly #suspects: readonly Suspect[];
+
   /** @param suspects - all contents that something may speak against */
   constructor(suspects: readonly Suspect[]) {
+    this.#suspects = suspects;
     suspects.forEach((suspect) => {
       const isRepeater = suspect.suspectedCount > 1;
       suspect.runs.forEach((_run, crashId) => {
@@ -45,4 +48,18 @@
     const isCounted = suspect.isSuspectedOf(crashId) && suspect.suspectedCount > 1;
     return repeaters - Number(isCounted);
   }
+
+  /** @param run - a run. @param withinMs - how much is the same moment. @returns whether other servers ended with its */
+  hasEndedTogether({ crashId, endedAtMs }: SuspectRun, withinMs: number): boolean {
+    const endsAtMs = new Map<string, number>();
+    this.#suspects.forEach(({ runs }) => {
+      runs.forEach((run) => {
+        const knownMs = endsAtMs.get(run.crashId) ?? Infinity;
+        endsAtMs.set(run.crashId, Math.min(run.endedAtMs, knownMs));
+      });
+    });
+    return [...endsAtMs].some(
+      ([id, atMs]) => id !== crashId && Math.abs(atMs - endedAtMs) <= withinMs,
+    );
+  }
 }
--- a/src/domain/crashes/_judge.ts
+++ b/src/domain/crashes/_judge.ts
@@ -6,7 +6,6 @@
 import type { EndCounts } from './_end_counts.js';
 import { countInTurn, CRASHES_TO_DOUBT, SuspectState } from './_suspect.js';
 import type { Suspect, SuspectRun, Trial } from './_suspect.js';
-import type { SuspectTable } from './_suspect_table.js';
 import { computeNextStepMs, MAX_TRIALS } from './trial_plan.js';
 import type { Doubt } from './trial_plan.js';
 
@@ -27,7 +26,6 @@
 
 /** What is known of all ends when a judgement is made. */
 export interface Evidence {
-  readonly table: SuspectTable;
   readonly counts: EndCounts;
   readonly nowMs: number;
   /** How long word of what else ran at an end may take to come, in milliseconds. */
@@ -120,14 +118,14 @@
 function isProvenByTrial(
   suspect: Suspect,
   ends: readonly SuspectRun[],
-  { counts, table }: Evidence,
+  { counts }: Evidence,
 ): boolean {
   const [first] = listTrials(suspect);
   if (!first) return false;
   const sinceMs = first.startedAtMs - NOTE_TOLERANCE_MS;
   const tried = ends.slice(CRASHES_TO_DOUBT).filter(({ startedAtMs }) => startedAtMs >= sinceMs);
   return listOwnEnds(suspect, tried, counts).some(
-    (run) => !table.hasEndedTogether(run, SAME_MOMENT_MS),
+    (run) => !counts.hasEndedTogether(run, SAME_MOMENT_MS),
   );
 }
 
--- a/src/domain/crashes/_suspect_table.ts
+++ b/src/domain/crashes/_suspect_table.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { Suspect } from './_suspect.js';
-import type { SuspectRun } from './_suspect.js';
 
 /** Most contents that are remembered. Callers may invent new ones all the time. */
 const MAX_SUSPECTS = 512;
@@ -16,9 +15,6 @@
   /** Contents that ran at a server's end, by crash. */
   readonly #contents = new Map<string, Set<string>>();
 
-  /** When servers ended, by crash. */
-  readonly #endedAtMs = new Map<string, number>();
-
   /** Contents that are remembered. */
   get size(): number {
     return this.#suspects.size;
@@ -57,9 +53,7 @@
   }
 
   /** @param suspect - a suspect. @param crashId - a crash at which it ran */
-  addCrash({ contentId, runs }: Suspect, crashId: string): void {
-    const endedAtMs = runs.get(crashId)?.endedAtMs ?? Infinity;
-    this.#endedAtMs.set(crashId, Math.min(endedAtMs, this.#endedAtMs.get(crashId) ?? Infinity));
+  addCrash({ contentId }: Suspect, crashId: string): void {
     const contents = this.#contents.get(crashId) ?? new Set();
     this.#contents.set(crashId, contents.add(contentId));
   }
@@ -68,16 +62,7 @@
   removeCrash({ contentId }: Suspect, crashId: string): void {
     const contents = this.#contents.get(crashId);
     contents?.delete(contentId);
-    if (contents?.size !== 0) return;
-    this.#contents.delete(crashId);
-    this.#endedAtMs.delete(crashId);
-  }
-
-  /** @param run - a run. @param withinMs - how much is the same moment. @returns whether other servers ended with its */
-  hasEndedTogether({ crashId, endedAtMs }: SuspectRun, withinMs: number): boolean {
-    return [...this.#endedAtMs].some(
-      ([id, atMs]) => id !== crashId && Math.abs(atMs - endedAtMs) <= withinMs,
-    );
+    if (contents?.size === 0) this.#contents.delete(crashId);
   }
 
   /** @param suspect - a suspect that is forgotten */
--- a/src/domain/crashes/crash_ledger.ts
+++ b/src/domain/crashes/crash_ledger.ts
@@ -108,7 +108,7 @@
     const open = all.filter((suspect) => suspect.state !== SuspectState.Free || mayDoubt(suspect));
     if (open.length === 0) return;
     const settleMs = this.#options.getSettleMs();
-    const evidence = { table: this.#table, counts: new EndCounts(all), nowMs, settleMs };
+    const evidence = { counts: new EndCounts(all), nowMs, settleMs };
     open.forEach((suspect) => {
       const state = deriveState(suspect, evidence);
       if (state !== suspect.state) this.#setState(suspect, state, nowMs);
