Look at an owner's request once between its slot and its sending

The check that a request has not ended or been held stood behind the leave to send it, in the process that uses the slot, with a try block to give the slot back; waiting turned the count of attempts back. Slot, check and leave are now acquired in one place, in this order, so that a request that has ended meanwhile takes no trial from others of its content.

--- a/src/application/owner/_run_request.ts
+++ b/src/application/owner/_run_request.ts
@@ -10,8 +10,8 @@
 import { settle } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
 import { formatAddress, isFramed, isSuccess, PassKind } from '../crashes/mod.js';
-import type { CrashKeeper } from '../crashes/mod.js';
-import type { Admission, AllowanceSource, Slot, SlotSource } from '../views/mod.js';
+import type { CrashKeeper, Pass } from '../crashes/mod.js';
+import type { Admission, AllowanceSource, Slot, SlotSource, SlotWish } from '../views/mod.js';
 import { Attempt } from './_attempt.js';
 import type { AttemptContext, AttemptResult } from './_attempt.js';
 import { acquireSlot } from './_slot_wait.js';
@@ -50,7 +50,8 @@
   let admission: Admission | undefined;
   let usedTokens = 0;
   try {
-    checkNotHeld(context, request);
+    const refusal = context.crashes.findRefusal(request.contentId);
+    if (refusal) throw refusal;
     admission = context.allowances.admit(call.account, facts.promptTokens + outputTokens);
     request.record.advance(RequestState.Queued);
     const result = yield* runAttempts(context, request, call, facts, outputTokens);
@@ -82,29 +83,20 @@
   const excluded: string[] = [];
   context.retries.noteAttempt();
   for (let attempt = 1; ; attempt += 1) {
-    const slot: Slot = yield* settle(
-      acquireSlot(context, {
-        requestId: request.record.id.text,
-        serviceId: call.service.id,
-        accountId: call.account.accountId,
-        weight: call.account.weight,
-        tier: call.work.tier,
-        deadlineAtMs,
-        promptTokens: facts.promptTokens,
-        expectedOutputTokens: outputTokens,
-        blockHashes: facts.blockHashes,
-        excluded,
-        traceparent: call.traceparent,
-        signal: request.signal,
-      }),
-    );
-    const pass = context.crashes.takePass(request.contentId);
-    if (!request.record.isFinal && pass.kind === PassKind.Wait) {
-      slot.release(UNUSED);
-      yield* settle(waitForPass(context, request));
-      attempt -= 1;
-      continue;
-    }
+    const { slot, pass } = yield* acquireTurn(context, request, {
+      requestId: request.record.id.text,
+      serviceId: call.service.id,
+      accountId: call.account.accountId,
+      weight: call.account.weight,
+      tier: call.work.tier,
+      deadlineAtMs,
+      promptTokens: facts.promptTokens,
+      expectedOutputTokens: outputTokens,
+      blockHashes: facts.blockHashes,
+      excluded,
+      traceparent: call.traceparent,
+      signal: request.signal,
+    });
     const result = yield* useSlot(context, request, call, slot, deadlineAtMs);
     if (!request.record.hasLeft) pass.handBack();
     if (!result.mayRetry) return result;
@@ -114,6 +106,35 @@
   }
 }
 
+/** A slot, and leave to send a request there. */
+interface Turn {
+  readonly slot: Slot;
+  readonly pass: Pass;
+}
+
+/** Waits for a slot, and again while another request of the same content is tried. */
+function* acquireTurn(context: RunContext, request: OwnedRequest, wish: SlotWish): Step<Turn> {
+  for (;;) {
+    const slot: Slot = yield* settle(acquireSlot(context, wish));
+    const refusal = findRefusal(context, request);
+    if (refusal) {
+      slot.release(UNUSED);
+      throw refusal;
+    }
+    const pass = context.crashes.takePass(request.contentId);
+    if (pass.kind !== PassKind.Wait) return { slot, pass };
+    slot.release(UNUSED);
+    yield* settle(waitForPass(context, request));
+  }
+}
+
+/** Why a request must not be sent: it has ended meanwhile, or servers have ended under its like. */
+function findRefusal({ crashes }: RunContext, request: OwnedRequest): SchedulerError | undefined {
+  const { record, contentId } = request;
+  if (record.isFinal) return record.error ?? new SchedulerError(ErrorKind.Cancelled);
+  return crashes.findRefusal(contentId);
+}
+
 /** Waits while another request of its content shows whether that ends servers. */
 function waitForPass({ crashes }: RunContext, request: OwnedRequest): Promise<void> {
   const { signal, contentId } = request;
@@ -135,16 +156,6 @@
   slot: Slot,
   deadlineAtMs: number,
 ): Step<AttemptResult> {
-  if (request.record.isFinal) {
-    slot.release(UNUSED);
-    throw request.record.error ?? new SchedulerError(ErrorKind.Cancelled);
-  }
-  try {
-    checkNotHeld(context, request);
-  } catch (error) {
-    slot.release(UNUSED);
-    throw error;
-  }
   request.record.advance(RequestState.Dispatching);
   const startedAtMs = context.clock.nowMs();
   let result: AttemptResult | undefined;
@@ -157,12 +168,6 @@
   }
 }
 
-/** Throws the refusal of a request under whose like backend servers have ended. */
-function checkNotHeld({ crashes }: RunContext, { contentId }: OwnedRequest): void {
-  const refusal = crashes.findRefusal(contentId);
-  if (refusal) throw refusal;
-}
-
 /** Whether a server has ended, or only failed the request, shows when it is tried. */
 function noteRun(
   { crashes, membership, clock }: RunContext,
