Tell by the adapters of both paths whether an answer's end is marked

The same two headers were looked at in the adapter of one path and in the application of the other, which saw headers of HTTP for it.

--- a/src/adapters/backend_http/_answer.ts
+++ b/src/adapters/backend_http/_answer.ts
@@ -7,6 +7,7 @@
 import { formatReason } from '../../domain/errors/mod.js';
 import { BackendCallError, BackendCallStage } from '../../ports/mod.js';
 import type { BackendAnswer } from '../../ports/mod.js';
+import { isFramed } from '../http_common/mod.js';
 
 const NO_BODY_STATUSES = new Set([204, 304]);
 
@@ -25,6 +26,7 @@
   return {
     status: message.statusCode ?? 0,
     headers,
+    isFramed: isFramed(message.headers),
     streamId: headers['stream-id'],
     body: readBody(message, idleTimeoutMs),
   };
--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -6,6 +6,7 @@
 import { request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { isFramed } from '../http_common/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
 import type { BackendExchange, BackendListener, BackendRequest } from '../../ports/mod.js';
 import { BackendAgent } from './_backend_agent.js';
@@ -116,13 +117,13 @@
       headers: pickRawHeaders(response.rawHeaders, response.headers.connection, excluded),
       isAuthentic: facts.isAuthentic,
       isEventStream: response.headers['content-type']?.startsWith('text/event-stream') === true,
-      isFramed: !isUnframed(response),
+      isFramed: isFramed(response.headers),
       load: facts.load,
     });
     response.on('data', (bytes: Buffer) => {
       if (!this.#hasEnded) listener.onBody(bytes);
     });
-    if (isUnframed(response)) this.#watchUnframedEnd();
+    if (!isFramed(response.headers)) this.#watchUnframedEnd();
     response.on('end', () => this.#handleEnd());
   }
 
@@ -236,7 +237,3 @@
     this.#request.destroy();
   }
 }
-
-function isUnframed({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-}
--- a/src/adapters/http_common/mod.ts
+++ b/src/adapters/http_common/mod.ts
@@ -12,6 +12,7 @@
 export type { HttpListenerOptions, TlsIdentity } from './http_listener.js';
 export { buildErrorHeaders, toSchedulerError } from './error_answer.js';
 export { HOP_BY_HOP_HEADERS, pickEndToEndHeaders } from './end_to_end_headers.js';
+export { isFramed } from './is_framed.js';
 export { readAnswer } from './read_answer.js';
 export type { ReadAnswer, ReadAnswerOptions } from './read_answer.js';
 export { parseRequestTarget } from './request_target.js';
--- a/src/application/crashes/is_success.ts
+++ b/src/application/crashes/is_success.ts
@@ -14,11 +14,3 @@
 export function isSuccess(status: number): boolean {
   return status >= FIRST_SUCCESS && status < FIRST_CLIENT_ERROR;
 }
-
-/**
- * @param headers - of an answer, names in lower case
- * @returns whether the answer's end is marked; if not, the end of its server looks like it
- */
-export function isFramed(headers: Readonly<Record<string, string>>): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
--- a/src/application/crashes/mod.ts
+++ b/src/application/crashes/mod.ts
@@ -8,7 +8,7 @@
 export type { AnsweredRun, CrashKeeperOptions } from './crash_keeper.js';
 export { CrashPaths } from './crash_paths.js';
 export { formatAddress } from './format_address.js';
-export { isFramed, isSuccess } from './is_success.js';
+export { isSuccess } from './is_success.js';
 export { MeshCrashPaths } from './mesh_crash_paths.js';
 export { PassKind } from './_trial_queue.js';
 export type { Pass } from './_trial_queue.js';
--- a/src/application/owner/_attempt.ts
+++ b/src/application/owner/_attempt.ts
@@ -11,6 +11,7 @@
 import type { BackendAnswer, BackendServerClient, Clock, Tracer } from '../../ports/mod.js';
 import { settle } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
+import { isSuccess } from '../crashes/mod.js';
 import type { MembershipView, Slot, SlotUse } from '../views/mod.js';
 import { OutputMeter } from './_output_meter.js';
 import type { OwnedCall } from './owned_call.js';
@@ -36,6 +37,8 @@
   readonly use: SlotUse;
   /** Undefined when the answer is whole. */
   readonly error: SchedulerError | undefined;
+  /** Whether the request was run to a good end, as far as the answer proves that. */
+  readonly hasSucceeded: boolean;
   /** Whether the body never left, so that another attempt does no harm. */
   readonly mayRetry: boolean;
 }
@@ -56,6 +59,8 @@
 
   #firstByteMs = 0;
 
+  #hasSucceeded = false;
+
   #meter = new OutputMeter(undefined);
 
   /**
@@ -183,6 +188,7 @@
 
   #openAnswer(backendAnswer: BackendAnswer): void {
     this.#request.streamId = backendAnswer.streamId;
+    this.#hasSucceeded = isSuccess(backendAnswer.status) && backendAnswer.isFramed;
     this.#meter = new OutputMeter(backendAnswer.headers['content-type']);
     this.#request.answer.open({
       status: backendAnswer.status,
@@ -258,6 +264,7 @@
         message: `Cannot dispatch to ${this.#slot.backendServer.id}: ${error.message}`,
         cause: error,
       }),
+      hasSucceeded: false,
       mayRetry: true,
     };
   }
@@ -274,7 +281,8 @@
   }
 
   #buildResult(outcome: SlotOutcome, error: SchedulerError | undefined): AttemptResult {
-    return { use: this.#buildUse(outcome), error, mayRetry: false };
+    const hasSucceeded = error === undefined && this.#hasSucceeded;
+    return { use: this.#buildUse(outcome), error, hasSucceeded, mayRetry: false };
   }
 
   #buildUse(outcome: SlotOutcome): SlotUse {
--- a/src/application/owner/_run_request.ts
+++ b/src/application/owner/_run_request.ts
@@ -9,7 +9,7 @@
 import { SlotOutcome } from '../../ports/mod.js';
 import { settle } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
-import { formatAddress, isFramed, isSuccess, PassKind } from '../crashes/mod.js';
+import { formatAddress, PassKind } from '../crashes/mod.js';
 import type { CrashKeeper, Pass } from '../crashes/mod.js';
 import type { Admission, AllowanceSource, Slot, SlotSource, SlotWish } from '../views/mod.js';
 import { Attempt } from './_attempt.js';
@@ -171,17 +171,13 @@
 /** Whether a server has ended, or only failed the request, shows when it is tried. */
 function noteRun(
   { crashes, membership, clock }: RunContext,
-  request: OwnedRequest,
+  { contentId, record }: OwnedRequest,
   run: { readonly slot: Slot; readonly result: AttemptResult; readonly startedAtMs: number },
 ): void {
-  const { contentId, record } = request;
   const { slot, result, startedAtMs } = run;
   const { id: serverId, url } = slot.backendServer;
-  if (!result.error) {
-    const { status = 0, headers = {} } = request.answer.head ?? {};
-    const hasSucceeded = isSuccess(status) && isFramed(headers);
-    crashes.noteAnswered({ contentId, serverId, startedAtMs, hasSucceeded });
-  }
+  const { hasSucceeded } = result;
+  if (!result.error) crashes.noteAnswered({ contentId, serverId, startedAtMs, hasSucceeded });
   const isLost = record.hasLeft && result.use.outcome === SlotOutcome.Failed;
   if (!isLost || membership.isBackendServerLeaving(serverId)) return;
   const address = formatAddress(url);
--- a/src/ports/backend_server_client.ts
+++ b/src/ports/backend_server_client.ts
@@ -38,6 +38,8 @@
 export interface BackendAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
+  /** Whether its end is marked; if not, a server that ends looks like the end of its answer. */
+  readonly isFramed: boolean;
   /** Name under which the engine lets the stream be resumed and cancelled. */
   readonly streamId: string | undefined;
   /** Fails with {@link BackendCallError} when it breaks off. */
--- a/test/support/fake_backend.ts
+++ b/test/support/fake_backend.ts
@@ -132,7 +132,8 @@
   #answer(run: FakeRun, offset: number, fate: CallFate): BackendAnswer {
     return {
       status: fate === CallFate.Erred ? 500 : 200,
-      headers: fate === CallFate.Unframed ? {} : { 'transfer-encoding': 'chunked' },
+      headers: {},
+      isFramed: fate !== CallFate.Unframed,
       streamId: run.requestId,
       body: this.#read(run, offset, fate),
     };
