Send nothing to closed zones, nor to regions that a route or account does not allow

Cause: the store's keys that close a zone, and the regions of routes and accounts, were not decoded; nothing in the product stood for them.

Change: PlaceKeeper follows the closed zones, by full readings, changes and what peers tell, as the configuration is followed; ServerKeeper offers no server of such a zone to any path that sends (first tries, repeats, trials, resumed streams all ask for candidates). The key alone closes a zone, whatever it holds; a removal, or a full reading without the key, opens it. What runs there ends in peace. Where all servers of a service stand in closed zones a call is refused at once as not run (service_closed), with a time to come back. Route and account regions both bind; a server in a zone of unknown region serves no restricted call (region_unavailable). The address book names hosts of the caller's region, else of a home region. Closed zones keep their servers' lives: peers are not told that these have ended.

Moved on the way, behaviour unchanged: what is read from the store is joined in StoreKnowledge (the tests' host used a copy), report numbers, counted hosts, candidate lists and the request for a backend server have files of their own.

Only the path of calls that bear their own ID has zones that operators close; the owners' path knows no such order.

--- /dev/null
+++ b/src/application/direct/_candidate_lists.ts
@@ -0,0 +1,52 @@
+/**
+ * Backend servers that may be given work, in lists that are kept for a moment.
+ *
+ * @module
+ */
+import type { Candidate } from '../../domain/backend_servers/mod.js';
+import type { Clock } from '../../ports/mod.js';
+
+/**
+ * How long a list is kept, in milliseconds. A list is asked for several times a call;
+ * servers leave it at once when word of it comes, and those whose entry has lapsed, this
+ * much later.
+ */
+const KEEP_MS = 20;
+
+interface CandidateList {
+  readonly candidates: readonly Candidate[];
+  readonly listedAtMs: number;
+}
+
+/** Keeps one list for each service. */
+export class CandidateLists {
+  readonly #clock: Clock;
+
+  readonly #build: (serviceId: string) => readonly Candidate[];
+
+  readonly #lists = new Map<string, CandidateList>();
+
+  /**
+   * @param clock - time
+   * @param build - makes the list of a service anew
+   */
+  constructor(clock: Clock, build: (serviceId: string) => readonly Candidate[]) {
+    this.#clock = clock;
+    this.#build = build;
+  }
+
+  /** @param serviceId - which service. @returns its list */
+  take(serviceId: string): readonly Candidate[] {
+    const nowMs = this.#clock.nowMs();
+    const kept = this.#lists.get(serviceId);
+    if (kept && nowMs - kept.listedAtMs < KEEP_MS) return kept.candidates;
+    const candidates = this.#build(serviceId);
+    this.#lists.set(serviceId, { candidates, listedAtMs: nowMs });
+    return candidates;
+  }
+
+  /** Drops all lists, as something has changed. */
+  clear(): void {
+    this.#lists.clear();
+  }
+}
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -12,11 +12,15 @@
   computeWaitMs,
 } from '../../domain/direct/mod.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import { intersectRegions } from '../../domain/places/mod.js';
+import type { Regions } from '../../domain/places/mod.js';
 import type { ClientAccount } from '../../domain/routing/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
 import type { DirectRequest, LogFields, Timer } from '../../ports/mod.js';
 import { PassKind } from '../crashes/mod.js';
 import type { Pass } from '../crashes/mod.js';
+import { buildBackendRequest } from './_backend_request.js';
+import { findObstacle } from './_call_obstacle.js';
 import { CallRecorder, buildAnswerFields } from './_call_recorder.js';
 import { CallTries } from './_call_tries.js';
 import { DirectAttempt } from './_direct_attempt.js';
@@ -39,6 +43,8 @@
 
   readonly arrivedAtMs: number;
 
+  readonly regions: Regions;
+
   readonly excluded = new Set<string>();
 
   readonly #options: DirectCallOptions;
@@ -46,7 +52,7 @@
   /** When the caller or the route's timeout ends the wait. */
   readonly endsAtMs: number;
 
-  #startByMs: number;
+  startByMs: number;
 
   #attempt: DirectAttempt | undefined;
 
@@ -71,12 +77,13 @@
     this.work = request.work;
     this.expectedTokens = options.forecast.predict(this.work);
     this.rank = options.rank;
+    this.regions = intersectRegions(route.regions, options.account?.regions);
     this.isLate = options.isReturning;
     this.arrivedAtMs = services.clock.nowMs();
     const longestMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     this.endsAtMs = this.arrivedAtMs + longestMs;
     this.#tries = new CallTries(this, route, services.clock);
-    this.#startByMs =
+    this.startByMs =
       this.arrivedAtMs +
       computeWaitMs({ isLate: this.isLate, timeLeftMs: longestMs, targetMs: route.targetMs });
     this.#recorder = new CallRecorder({ ...options, arrivedAtMs: this.arrivedAtMs });
@@ -85,15 +92,6 @@
     reply.onGone(() => this.#handleGone());
   }
 
-  get startByMs(): number {
-    return this.#startByMs;
-  }
-
-  /** Whether it is at a backend server. */
-  get isSent(): boolean {
-    return this.#attempt !== undefined;
-  }
-
   /** Whether any backend server may have run it. */
   get mayHaveRun(): boolean {
     return this.#tries.mayHaveRun;
@@ -109,18 +107,23 @@
     return this.#options.request;
   }
 
-  /** Begins: it is sent, waits, or is refused. */
+  /** It is sent, waits, or is refused. */
   start(): void {
-    this.#options.line.submit(this);
+    if (this.#findObstacle()) this.giveUp(0);
+    else this.#options.line.submit(this);
+  }
+
+  #findObstacle(): ErrorKind | undefined {
+    return findObstacle(this.#options.services.servers, this.#options.serviceId, this.regions);
   }
 
   grant({ id, load }: Candidate): void {
+    const { services, route, request, account } = this.#options;
     const refusal = this.#options.checkDispatch();
     if (refusal) {
       this.fail(refusal);
       return;
     }
-    const { services, route, request, account } = this.#options;
     const server = services.servers.find(id);
     if (!server) {
       this.giveUp(0);
@@ -150,15 +153,10 @@
       tokensPerEvent: this.#options.tokensPerEvent,
       // What a trial shows is worth more than a server that may be faster.
       mayMove: () => pass.kind !== PassKind.Trial && this.#tries.mayRunAgain(),
-      request: {
-        request,
-        address: server.address,
-        serverId: server.serverId,
-        lifeId: id,
-        accountId: account?.id,
-        deadlineMs: Math.max(1, Math.floor(this.#tries.leftMs)),
-        lastEventId: this.#stream?.lastEventId ?? request.lastEventId,
-      },
+      request: buildBackendRequest(
+        { request, account, leftMs: this.#tries.leftMs, stream: this.#stream },
+        server,
+      ),
       onEnd: (end) => this.#handleAttemptEnd(id, end, pass),
     });
     this.#attempt.start();
@@ -174,7 +172,7 @@
 
   #submitAgain(): void {
     const { line, services } = this.#options;
-    this.#startByMs = services.clock.nowMs() + computeMoveWaitMs(this.#tries.leftMs);
+    this.startByMs = services.clock.nowMs() + computeMoveWaitMs(this.#tries.leftMs);
     line.submit(this);
   }
 
@@ -188,7 +186,8 @@
       aimLeftMs: aimEndsAtMs - nowMs,
       fraction: services.random.nextFraction(),
     });
-    this.fail(new SchedulerError(ErrorKind.QueueFull, { retryAfterMs }), { clearMs });
+    const kind = this.#findObstacle() ?? ErrorKind.QueueFull;
+    this.fail(new SchedulerError(kind, { retryAfterMs }), { clearMs });
   }
 
   /**
@@ -229,7 +228,7 @@
    * @param contentId - which content
    */
   noteHeld(contentId: string): void {
-    if (contentId !== this.#options.contentId || this.isSent) return;
+    if (contentId !== this.#options.contentId || this.#attempt) return;
     const refusal = this.#options.checkDispatch();
     if (refusal) this.fail(refusal);
   }
@@ -284,7 +283,7 @@
   #handleGone(): void {
     if (this.#hasEnded) return;
     this.#attempt?.cancel(ServerOutcome.Cancelled);
-    this.#end('caller_gone', { wasSent: this.isSent });
+    this.#end('caller_gone', { wasSent: this.#attempt !== undefined });
   }
 
   #end(event: string, fields: LogFields): void {
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -11,17 +11,16 @@
 import type { HostState } from '../../domain/overlay/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type { Clock, EventLog, HostReportMessage, PeerNetwork } from '../../ports/mod.js';
+import { CountedHosts } from './_counted_hosts.js';
 import { PeerLinks } from './_peer_links.js';
 import { ReportBuilder } from './_report_builder.js';
 import type { CountedReport, FigureSources, ReportFigures } from './report_figures.js';
 import { ReportRole } from './_report_role.js';
 import { RosterLog } from './_roster_log.js';
 import { ReportRounds } from './_report_rounds.js';
+import { SentReports } from './_sent_reports.js';
 import { isCounted, ReportSources } from './_report_sources.js';
 
-/** Reports whose sending is remembered: what answers an older one is too old to be of use. */
-const REMEMBERED_REPORTS = 64;
-
 /** What the reports need, and what they call. */
 export interface HostReportsOptions {
   readonly self: EntryHostIdentity;
@@ -56,12 +55,9 @@
 
   readonly #builder: ReportBuilder;
 
-  /** Peers whose reports counted when last looked at, by incarnation. */
-  readonly #counted = new Map<string, EntryHostIdentity>();
-
-  #sequence = 0;
+  readonly #counted = new CountedHosts();
 
-  readonly #sentAt = new Map<number, Moment>();
+  readonly #sent: SentReports;
 
   readonly #rounds: ReportRounds;
 
@@ -72,6 +68,7 @@
     this.#options = options;
     this.#rosterLog = new RosterLog(options.log);
     const { peers, clock, log, self, cores, seedPeerUrls } = options;
+    this.#sent = new SentReports(clock);
     this.#roster = new Roster({
       identity: self,
       bornAtMs: clock.wallMs(),
@@ -182,7 +179,7 @@
 
   /** @param sequence - a report of this process. @returns when it was sent, unless that is long ago */
   findSentAt(sequence: number): Moment | undefined {
-    return this.#sentAt.get(sequence);
+    return this.#sent.find(sequence);
   }
 
   #runRound(): void {
@@ -209,7 +206,7 @@
   }
 
   #sendTo(peers: readonly EntryHostIdentity[]): void {
-    this.#beginRound();
+    this.#sent.begin();
     peers.forEach((peer) => this.#send(peer));
   }
 
@@ -231,15 +228,9 @@
     this.#dropUncounted();
   }
 
-  /** Reports that counted a moment ago and count no more must not stand for ever. */
   #dropUncounted(): void {
-    const counted = this.#sources.listCounted(this.#role.origin);
-    const incarnations = new Set(counted.map(({ identity }) => identity.incarnation));
-    this.#counted.forEach((identity, incarnation) => {
-      if (incarnations.has(incarnation)) return;
-      this.#counted.delete(incarnation);
-      this.#options.onSilent(identity);
-    });
+    const counted = this.#sources.listCounted(this.#role.origin).map(({ identity }) => identity);
+    this.#counted.dropOthers(counted).forEach((identity) => this.#options.onSilent(identity));
   }
 
   #handle(identity: EntryHostIdentity, report: HostReportMessage): void {
@@ -270,24 +261,17 @@
 
   #count(counted: CountedReport): void {
     if (counted.report.hostCount === 0) return;
-    this.#counted.set(counted.identity.incarnation, counted.identity);
+    this.#counted.add(counted.identity);
     this.#options.onReport(counted);
   }
 
   #send(peer: EntryHostIdentity): void {
     const scope = this.#role.pickScope(peer);
     if (scope === undefined) return;
-    const report = this.#builder.build(peer, scope, this.#sequence);
+    const report = this.#builder.build(peer, scope, this.#sent.sequence);
     this.#options.peers.send(peer.incarnation, report);
   }
 
-  #beginRound(): void {
-    const { clock } = this.#options;
-    this.#sequence += 1;
-    this.#sentAt.set(this.#sequence, { steadyMs: clock.nowMs(), wallMs: clock.wallMs() });
-    this.#sentAt.delete(this.#sequence - REMEMBERED_REPORTS);
-  }
-
   #expire(): void {
     const nowMs = this.#options.clock.nowMs();
     this.#sources.dropSilent(nowMs);
--- a/src/application/direct/server_keeper.ts
+++ b/src/application/direct/server_keeper.ts
@@ -8,31 +8,24 @@
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { Clock, FeedChange, FeedItem } from '../../ports/mod.js';
 import type { FeedContext } from './feed_follower.js';
+import { CandidateLists } from './_candidate_lists.js';
 import { EndedLives } from './_ended_lives.js';
 import { EntryReader } from './_entry_reader.js';
 import type { EntryReaderOptions } from './_entry_reader.js';
+import type { PlaceKeeper } from './place_keeper.js';
 import { PeerFigureTable } from './_peer_figures.js';
 import type { PeerFigures } from './_peer_figures.js';
 
-/**
- * How long a list of candidates is kept, in milliseconds. A list is asked for several
- * times a call; servers leave it at once when word of it comes, and those whose entry
- * has lapsed, this much later.
- */
-const KEEP_CANDIDATES_MS = 20;
-
-interface CandidateList {
-  readonly candidates: readonly Candidate[];
-  readonly listedAtMs: number;
-}
-
 /** What the keeper needs. */
 export interface ServerKeeperOptions extends EntryReaderOptions {
   readonly clock: Clock;
+  readonly places: PlaceKeeper;
   /** @returns entry hosts that serve callers, this one included */
   readonly countServing: () => number;
   /** @returns whether a service's backend servers are model engines */
   readonly isEngine: (serviceId: string) => boolean;
+  /** @returns region that a zone lies in; undefined for a zone that nobody knows */
+  readonly findRegion: (zone: string) => string | undefined;
 }
 
 /** Joins registrations, what peers tell, and what requests have shown. */
@@ -50,8 +43,7 @@
 
   readonly #ended = new EndedLives();
 
-  /** Lists that were made a moment ago; dropped when anything changes. */
-  readonly #candidates = new Map<string, CandidateList>();
+  readonly #candidates: CandidateLists;
 
   readonly #changeHandlers: (() => void)[] = [];
 
@@ -61,6 +53,7 @@
   constructor(options: ServerKeeperOptions) {
     this.#options = options;
     this.#reader = new EntryReader(options);
+    this.#candidates = new CandidateLists(options.clock, (id) => this.#buildCandidates(id));
   }
 
   /** @param handler - called when another set of backend servers may be given work */
@@ -75,18 +68,38 @@
 
   /** @param serviceId - which service. @returns who may be given work */
   listCandidates(serviceId: string): readonly Candidate[] {
-    const nowMs = this.#options.clock.nowMs();
-    const kept = this.#candidates.get(serviceId);
-    if (kept && nowMs - kept.listedAtMs < KEEP_CANDIDATES_MS) return kept.candidates;
-    const candidates = this.#directory
-      .listUsable(serviceId, nowMs)
-      .map(({ id }) => ({ id, load: this.#takeLoad(id) }));
-    this.#candidates.set(serviceId, { candidates, listedAtMs: nowMs });
-    return candidates;
+    return this.#candidates.take(serviceId);
+  }
+
+  #buildCandidates(serviceId: string): readonly Candidate[] {
+    const { clock, places, findRegion } = this.#options;
+    return this.#directory
+      .listUsable(serviceId, clock.nowMs())
+      .filter(({ availabilityZone }) => !places.isClosed(availabilityZone))
+      .map((entry) => {
+        const load = this.#takeLoad(entry.id);
+        return { id: entry.id, load, region: findRegion(entry.availabilityZone) };
+      });
+  }
+
+  /**
+   * Tells whether a service has backend servers, but only in closed zones.
+   *
+   * @param serviceId - which service
+   * @returns whether nothing may be sent to it for that reason
+   */
+  isClosed(serviceId: string): boolean {
+    const entries = this.#directory.listUsable(serviceId, this.#options.clock.nowMs());
+    return entries.length > 0 && this.listCandidates(serviceId).length === 0;
   }
 
   /** @param id - a life. @returns whether it may be given work at this moment */
   isUsable(id: string): boolean {
+    const zone = this.find(id)?.availabilityZone;
+    return zone !== undefined && !this.#options.places.isClosed(zone) && this.#isAlive(id);
+  }
+
+  #isAlive(id: string): boolean {
     return this.#directory.isUsable(id, this.#options.clock.nowMs());
   }
 
@@ -188,7 +201,9 @@
     const endedIds = this.#directory.applyAll(entries, nowMs, mayBeBack);
     this.#options.log.write(LogLevel.Info, 'backend_servers_read', { count: entries.length });
     this.#ended.clearListed();
-    entries.forEach((entry) => this.#ended.noteListed(entry, this.isUsable(entry.id)));
+    entries.forEach((entry) => {
+      this.#ended.noteListed(entry, this.#isAlive(entry.id));
+    });
     endedIds.forEach((id) => this.#noteRestart(id));
     this.#update();
   }
@@ -234,7 +249,7 @@
     }
     const { effect, endedId } = this.#directory.applyEntry(entry, nowMs);
     if (effect !== EntryEffect.None) this.#logEntry(entry, effect);
-    this.#ended.noteListed(entry, this.isUsable(entry.id));
+    this.#ended.noteListed(entry, this.#isAlive(entry.id));
     if (endedId !== undefined) this.#noteRestart(endedId);
   }
 
@@ -257,7 +272,9 @@
   #update(): void {
     this.#candidates.clear();
     const expired = this.#directory.expire(this.#options.clock.nowMs());
-    expired.forEach((id) => this.#loads.delete(id));
+    expired.forEach((id) => {
+      this.#loads.delete(id);
+    });
     this.#ended.forget(expired);
     this.#changeHandlers.forEach((handler) => handler());
   }
--- a/src/application/direct/service_line.ts
+++ b/src/application/direct/service_line.ts
@@ -7,6 +7,7 @@
 import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
 import { computeUrgency, WaitingLine, WaitOutlook } from '../../domain/direct/mod.js';
 import type { WaitingCall } from '../../domain/direct/mod.js';
+import type { Regions } from '../../domain/places/mod.js';
 import type { Clock, RandomSource, Timer } from '../../ports/mod.js';
 
 /** Time between two looks at the waiting calls, in milliseconds; fine against aims of 100 ms and more. */
@@ -37,6 +38,8 @@
   readonly endsAtMs: number;
   /** Backend servers that it was sent to already. */
   readonly excluded: ReadonlySet<string>;
+  /** Regions that it may be sent to. */
+  readonly regions: Regions;
   /** @param candidate - the backend server that it is to be sent to now */
   grant(candidate: Candidate): void;
   /** It can't be started in time. @param clearMs - predicted wait for a slot, in milliseconds */
@@ -180,7 +183,7 @@
   }
 
   #pick(
-    { work, expectedTokens, endsAtMs, excluded }: LineCall,
+    { work, expectedTokens, endsAtMs, excluded, regions }: LineCall,
     ownWaiting: number,
   ): Candidate | undefined {
     const { clock, random, listCandidates, countWaitingElsewhere } = this.#options;
@@ -190,6 +193,7 @@
       expectedTokens,
       timeLeftMs: endsAtMs - nowMs,
       excluded,
+      regions,
       nowMs,
       nextFraction: () => random.nextFraction(),
       rivalry: {
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -19,16 +19,14 @@
   FeedFollower,
   FeedSharing,
   HostReports,
-  RoutingKeeper,
   runDirectStop,
-  ServerKeeper,
+  StoreKnowledge,
 } from '../application/direct/mod.js';
-import type { CountedReport, DirectGateway } from '../application/direct/mod.js';
-import type { BackendServerEntry } from '../domain/backend_servers/mod.js';
+import type { CountedReport, DirectGateway, StoreLayout } from '../application/direct/mod.js';
 import { LogLevel } from '../domain/errors/mod.js';
-import { pickAddresses } from '../domain/overlay/mod.js';
+import { pickAddresses, pickNearHosts } from '../domain/overlay/mod.js';
 import type { EntryHostIdentity } from '../domain/membership/mod.js';
-import type { CallerLimits, RoutingDocument } from '../domain/routing/mod.js';
+import type { CallerLimits } from '../domain/routing/mod.js';
 import type { ChangeFeed, Clock, EventLog } from '../ports/mod.js';
 import {
   buildDirectIdentity,
@@ -57,12 +55,17 @@
   readonly settings: DirectSettings;
   readonly createFeed: (clock: Clock) => ChangeFeed;
   readonly dialect: DirectDialect;
-  /** Key that holds the configuration. */
-  readonly configurationKey: string;
-  /** Start of the keys under which backend servers are registered. */
-  readonly serversPrefix: string;
-  readonly decodeConfiguration: (value: Uint8Array) => RoutingDocument;
-  readonly decodeServer: (key: string, value: Uint8Array) => BackendServerEntry;
+  readonly layout: StoreLayout;
+}
+
+/** Who asks for the addresses to use. */
+export interface AddressQuery {
+  /** IP number of who asks. */
+  readonly address: string;
+  /** Region that it says it is in; empty: it doesn't say. */
+  readonly region: string;
+  /** Host name that its calls will be for. */
+  readonly hostName: string;
 }
 
 /** One running entry host. */
@@ -81,9 +84,7 @@
 
   readonly #peers: WsPeerNetwork;
 
-  readonly #routing: RoutingKeeper;
-
-  readonly #servers: ServerKeeper;
+  readonly #knowledge: StoreKnowledge;
 
   readonly #spending: AccountSpending;
 
@@ -113,17 +114,11 @@
       settings,
       random: this.#random,
     });
-    this.#routing = new RoutingKeeper({
+    this.#knowledge = new StoreKnowledge({
       ...shared,
-      key: adapters.configurationKey,
-      decode: adapters.decodeConfiguration,
-    });
-    this.#servers = new ServerKeeper({
-      ...shared,
-      prefix: adapters.serversPrefix,
-      decode: adapters.decodeServer,
+      layout: adapters.layout,
+      zoneRegions: settings.zoneRegions,
       countServing: () => this.#reports.countServing() + 1,
-      isEngine: (id) => this.#routing.table?.findService(id)?.isEngine === true,
     });
     this.#spending = new AccountSpending(this.clock);
     this.#reports = this.#createReports();
@@ -139,7 +134,7 @@
       peers: this.#peers,
       probe: new TcpServerProbe(),
       random: this.#random,
-      paths: new DirectCrashPaths(this.#reports, this.#servers),
+      paths: new DirectCrashPaths(this.#reports, this.#knowledge.servers),
     });
     this.#gateway = createDirectGateway({
       ...shared,
@@ -148,19 +143,19 @@
       dialect: adapters.dialect,
       peers: this.#peers,
       reports: this.#reports,
-      routing: this.#routing,
-      servers: this.#servers,
+      routing: this.#knowledge.routing,
+      servers: this.#knowledge.servers,
       spending: this.#spending,
       crashes: this.#crashes,
     });
     this.#listener = new DirectListener({
       dialect: adapters.dialect,
-      getLimits: () => this.#routing.table?.document.callerLimits ?? START_LIMITS,
+      getLimits: () => this.#knowledge.routing.table?.document.callerLimits ?? START_LIMITS,
       mustClose: () => this.#isStopping,
       handle: (request, reply) => this.#gateway.handle(request, reply),
     });
-    this.#routing.onChange(() => this.#handleConfiguration());
-    this.#servers.onChange(() => this.#gateway.advance());
+    this.#knowledge.routing.onChange(() => this.#handleConfiguration());
+    this.#knowledge.servers.onChange(() => this.#gateway.advance());
   }
 
   /** Whether callers may be sent here. */
@@ -168,16 +163,28 @@
     return !this.#isStopping && this.#gateway.isServing;
   }
 
-  /** @param caller - who asks. @returns addresses of entry hosts that serve, as far as this one knows */
-  listAddresses(caller: string): readonly string[] {
+  /**
+   * Lists addresses that a caller is to use.
+   *
+   * @param caller - who asks, and for what
+   * @returns addresses of entry hosts that serve, as far as this one knows
+   */
+  listAddresses(caller: AddressQuery): readonly string[] {
     const hosts = this.#reports.listHeard().filter(({ isServing }) => isServing);
-    return pickAddresses(this.isServing ? [...hosts, this.#reports.self] : hosts, caller);
+    const serving = this.isServing ? [...hosts, this.#reports.self] : hosts;
+    const { zoneRegions } = this.#adapters.settings;
+    const near = pickNearHosts(serving, {
+      callerRegion: caller.region,
+      homeRegions: this.#knowledge.routing.table?.findRegions(caller.hostName),
+      findRegion: (zone) => zoneRegions[zone],
+    });
+    return pickAddresses(near, caller.address);
   }
 
   /** @returns counters, gauges and histograms as text */
   exportMetrics(): string {
     updateGauges(this.metrics, {
-      routing: this.#routing,
+      knowledge: this.#knowledge,
       gateway: this.#gateway,
       reports: this.#reports,
       crashes: this.#crashes,
@@ -247,11 +254,11 @@
       }),
       buildFigures: (sources) =>
         buildReportFigures(
-          { servers: this.#servers, gateway: this.#gateway, spending: this.#spending },
+          { servers: this.#knowledge.servers, gateway: this.#gateway, spending: this.#spending },
           sources,
         ),
       onReport: (report) => this.#handleReport(report),
-      onSilent: ({ incarnation }) => this.#servers.applyPeer(incarnation, undefined),
+      onSilent: ({ incarnation }) => this.#knowledge.servers.applyPeer(incarnation, undefined),
       onReach: (reach) => this.#spending.setReach(reach),
     });
   }
@@ -265,14 +272,8 @@
       metrics: this.metrics,
       getReadPlan: () => this.#sharing.getReadPlan(),
       getRetryPauses: () => this.#sharing.getRetryPauses(),
-      onAll: (items, context) => {
-        this.#routing.applyValues(items, context);
-        this.#servers.applyAll(items, context);
-      },
-      onChanges: (changes, context) => {
-        this.#routing.applyValues(changes, context);
-        this.#servers.applyChanges(changes, context);
-      },
+      onAll: (items, context) => this.#knowledge.applyAll(items, context),
+      onChanges: (changes, context) => this.#knowledge.applyChanges(changes, context),
       onRead: (update, context) => this.#sharing.sendUpdate(update, context),
     });
   }
@@ -280,11 +281,11 @@
   #handleReport(counted: CountedReport): void {
     const { identity, report } = counted;
     this.#spending.applyReport(counted);
-    this.#servers.applyPeer(identity.incarnation, report);
+    this.#knowledge.servers.applyPeer(identity.incarnation, report);
     this.#gateway.advance();
   }
 
   #handleConfiguration(): void {
-    this.#spending.applyAccounts(this.#routing.table?.document.accounts ?? []);
+    this.#spending.applyAccounts(this.#knowledge.routing.table?.document.accounts ?? []);
   }
 }
--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -22,6 +22,8 @@
   hostId: z.string().min(1),
   ip: z.ipv4(),
   availabilityZone: z.string().default(''),
+  /** Region of each availability zone. */
+  zoneRegions: z.record(z.string(), z.string()).default({}),
   /** Where callers connect. */
   callersAddress: address,
   /** Where the platform asks whether this entry host is ready. */
--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Regions } from '../places/mod.js';
 import type { RequestWork, ServerLoad } from './server_load.js';
 import { ROUND_MS } from './slot_share.js';
 
@@ -10,6 +11,8 @@
 export interface Candidate {
   readonly id: string;
   readonly load: ServerLoad;
+  /** Region that it stands in, where that is known. */
+  readonly region?: string | undefined;
 }
 
 /** What is expected of the request at one server. */
@@ -38,6 +41,8 @@
   readonly timeLeftMs: number;
   /** Servers that this request was sent to already. */
   readonly excluded: ReadonlySet<string>;
+  /** Regions that it may be sent to. */
+  readonly regions?: Regions;
   /** @returns a random number in [0, 1) */
   readonly nextFraction: () => number;
   readonly rivalry: Rivalry;
@@ -67,9 +72,11 @@
   candidates: readonly Candidate[],
   options: PickOptions,
 ): Candidate | undefined {
-  const { excluded, nextFraction } = options;
-  const free = candidates.filter(({ id, load }) => load.freeSlots > 0 && !excluded.has(id));
-  const sound = pickSound(candidates, free, options.nowMs);
+  const { excluded, regions, nowMs, nextFraction } = options;
+  const free = candidates.filter(
+    ({ id, load, region }) => load.freeSlots > 0 && !excluded.has(id) && isAllowed(region, regions),
+  );
+  const sound = pickSound(candidates, free, nowMs);
   const pool = pickOwn(listAble(sound, options), options);
   if (pool.length === 0) return undefined;
   const limit = Math.min(...pool.map(({ holdMs }) => holdMs)) * EQUAL_FACTOR;
@@ -77,6 +84,11 @@
   return near[Math.floor(nextFraction() * near.length)]?.candidate;
 }
 
+/** A server of which nobody knows where it stands is in none of the allowed regions. */
+function isAllowed(region: string | undefined, regions: Regions): boolean {
+  return regions === undefined || (region !== undefined && regions.includes(region));
+}
+
 /** Servers that fail are left out; with all failing there is nothing to lose by asking one. */
 function pickSound(
   candidates: readonly Candidate[],
--- a/src/domain/backend_servers/server_directory.ts
+++ b/src/domain/backend_servers/server_directory.ts
@@ -149,6 +149,11 @@
     return this.#known.get(id)?.entry;
   }
 
+  /** @returns all lives that are known, also those that leave */
+  list(): readonly BackendServerEntry[] {
+    return [...this.#known.values()].map(({ entry }) => entry);
+  }
+
   /** @param serviceId - which service. @param nowMs - monotonic time. @returns who may be given work */
   listUsable(serviceId: string, nowMs: number): readonly BackendServerEntry[] {
     return this.#listService(serviceId).filter(({ id }) => this.isUsable(id, nowMs));
--- a/src/domain/errors/error_kind.ts
+++ b/src/domain/errors/error_kind.ts
@@ -43,6 +43,8 @@
   EntryHostCutOff = 'entry_host_cut_off',
   ConfigurationMissing = 'configuration_missing',
   NoBackendServer = 'no_backend_server',
+  ServiceClosed = 'service_closed',
+  RegionUnavailable = 'region_unavailable',
   BackendServerRefused = 'backend_server_refused',
   RequestHeld = 'request_held',
   Cancelled = 'cancelled',
--- a/src/domain/errors/error_table.ts
+++ b/src/domain/errors/error_table.ts
@@ -73,6 +73,8 @@
   [ErrorKind.EntryHostCutOff]: answer(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
   [ErrorKind.ConfigurationMissing]: answer(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Error),
   [ErrorKind.NoBackendServer]: answer(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
+  [ErrorKind.ServiceClosed]: answer(503, SERVER, RunOutcome.NotRun, 2000, LogLevel.Warn),
+  [ErrorKind.RegionUnavailable]: answer(503, SERVER, RunOutcome.NotRun, 2000, LogLevel.Warn),
   [ErrorKind.BackendServerRefused]: answer(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
   [ErrorKind.RequestHeld]: answer(503, SERVER, RunOutcome.NotRun, 600_000, LogLevel.Warn),
   [ErrorKind.Cancelled]: answer(499, INVALID, RunOutcome.NotRun, 0, LogLevel.Info),
--- a/src/domain/overlay/mod.ts
+++ b/src/domain/overlay/mod.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-export { MAX_ADDRESSES, pickAddresses } from './pick_addresses.js';
+export { MAX_ADDRESSES, pickAddresses, pickNearHosts } from './pick_addresses.js';
 export { MAX_MESH_HOSTS, pickRelays, rankRelays } from './relay_plan.js';
 export type { PlannedHost } from './relay_plan.js';
 export { Roster, SILENT_AFTER_MS } from './roster.js';
--- a/src/domain/overlay/pick_addresses.ts
+++ b/src/domain/overlay/pick_addresses.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { pickByWeight } from '../membership/mod.js';
+import type { Regions } from '../places/mod.js';
 import type { PlannedHost } from './relay_plan.js';
 
 /**
@@ -25,3 +26,34 @@
   const weighted = hosts.map(({ identity, cores }) => ({ name: identity.url, weight: cores }));
   return pickByWeight(caller, weighted, MAX_ADDRESSES);
 }
+
+/** Where a caller is, and where its calls may be handled. */
+export interface CallerPlace {
+  /** Region of the caller; empty: unknown. */
+  readonly callerRegion: string;
+  /** Regions that its calls are bound to. */
+  readonly homeRegions: Regions;
+  /** @returns region that a zone lies in; undefined for a zone that nobody knows */
+  readonly findRegion: (zone: string) => string | undefined;
+}
+
+/**
+ * Picks the entry hosts that a caller may be named: those of its own region, and where none
+ * serves there, those of the regions that its calls are bound to. With neither, any that
+ * serves: it knows best which backend servers may be used.
+ *
+ * @param hosts - entry hosts that serve
+ * @param place - where the caller is, and where its calls may be handled
+ * @returns the hosts
+ */
+export function pickNearHosts<Host extends PlannedHost>(
+  hosts: readonly Host[],
+  { callerRegion, homeRegions, findRegion }: CallerPlace,
+): readonly Host[] {
+  const listIn = (regions: readonly string[]): readonly Host[] =>
+    hosts.filter(({ identity }) => regions.includes(findRegion(identity.availabilityZone) ?? ''));
+  const near = callerRegion === '' ? [] : listIn([callerRegion]);
+  if (near.length > 0) return near;
+  const homes = listIn(homeRegions ?? []);
+  return homes.length > 0 ? homes : hosts;
+}
--- a/src/domain/routing/route_table.ts
+++ b/src/domain/routing/route_table.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Regions } from '../places/mod.js';
 import type { ClientAccount, Route, RoutingDocument, ServiceInfo } from './types.js';
 
 /** Ranks of routes that fit between two ranks of accounts. */
@@ -50,6 +51,19 @@
     return this.#routes.get(hostName)?.find(({ prefix }) => path.startsWith(prefix));
   }
 
+  /**
+   * Finds where calls for a host name may be handled.
+   *
+   * @param hostName - host name that callers ask for
+   * @returns regions that any of its routes allows; undefined where one allows all
+   */
+  findRegions(hostName: string): Regions {
+    const routes = this.#routes.get(hostName) ?? [];
+    if (routes.length === 0 || routes.some(({ regions }) => regions === undefined))
+      return undefined;
+    return [...new Set(routes.flatMap(({ regions = [] }) => regions))];
+  }
+
   /** @param key - the caller's key. @returns whose it is; undefined for an unknown key */
   findAccount(key: string): ClientAccount | undefined {
     return this.#accounts.get(key);
--- a/src/domain/routing/types.ts
+++ b/src/domain/routing/types.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import type { Regions } from '../places/mod.js';
+
 /** One of the services that share a route's requests. */
 export interface WeightedService {
   readonly serviceId: string;
@@ -38,6 +40,8 @@
   readonly maxAttempts: number;
   /** Whether it is served without a key. */
   readonly isOpen: boolean;
+  /** Regions in which its requests may be handled. */
+  readonly regions?: Regions;
 }
 
 /** A service that backend servers belong to. */
@@ -76,6 +80,8 @@
   readonly rank: number | undefined;
   /** Undefined: the account has no limit. */
   readonly limit: AccountLimit | undefined;
+  /** Regions in which its requests may be handled. */
+  readonly regions?: Regions;
 }
 
 /** Limits on what one caller's connection may do. */
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -9,9 +9,9 @@
   DirectGateway,
   FeedFollower,
   LEADING_PAUSES,
-  RoutingKeeper,
-  ServerKeeper,
+  StoreKnowledge,
 } from '../../src/application/direct/mod.js';
+import type { RoutingKeeper, ServerKeeper, StoreLayout } from '../../src/application/direct/mod.js';
 import { CrashKeeper, MeshCrashPaths } from '../../src/application/crashes/mod.js';
 import type { BackendServerEntry } from '../../src/domain/backend_servers/mod.js';
 import type { EntryHostIdentity } from '../../src/domain/membership/mod.js';
@@ -52,6 +52,8 @@
   isOpen: false,
 };
 
+const ENGINES = { id: 'engines', maxConnections: 10, isEngine: true, tokensPerEvent: 1 };
+
 /** @returns a configuration with one route, one service and one account */
 export function buildDocument(version: number, changes: DocumentChanges = {}): RoutingDocument {
   const account: ClientAccount = {
@@ -63,7 +65,7 @@
   return {
     version,
     routes: [{ ...ROUTE, ...changes.route }],
-    services: [{ id: 'engines', maxConnections: 10, isEngine: true, tokensPerEvent: 1 }],
+    services: [ENGINES],
     accounts: [account],
     callerLimits: {
       maxHeaderBytes: 1_000,
@@ -90,6 +92,20 @@
   };
 }
 
+/** Regions of the zones that tests use. */
+export const TEST_ZONE_REGIONS = { 'hall-a': 'north', 'hall-b': 'north', 'far-a': 'south' };
+
+/** Start of the keys that close a zone in tests. */
+export const CLOSED_ZONES_PREFIX = 'closed/';
+
+const TEST_LAYOUT: StoreLayout = {
+  configurationKey: 'configuration',
+  serversPrefix: 'servers/',
+  closedZonesPrefix: CLOSED_ZONES_PREFIX,
+  decodeConfiguration: (value) => JSON.parse(Buffer.from(value).toString()) as RoutingDocument,
+  decodeServer: (_key, value) => JSON.parse(Buffer.from(value).toString()) as BackendServerEntry,
+};
+
 /** Age up to which a key is believed in tests, in milliseconds. */
 export const MAX_KEY_AGE_MS = 4_000;
 
@@ -126,6 +142,8 @@
 
   readonly spending: AccountSpending;
 
+  readonly knowledge: StoreKnowledge;
+
   readonly routing: RoutingKeeper;
 
   readonly servers: ServerKeeper;
@@ -148,18 +166,14 @@
     const { clock, feed, log, metrics } = this;
     const random = new SeededRandom();
     const shared = { clock, log, metrics, random };
-    this.routing = new RoutingKeeper({
-      ...shared,
-      key: 'configuration',
-      decode: (value) => JSON.parse(Buffer.from(value).toString()) as RoutingDocument,
-    });
-    this.servers = new ServerKeeper({
+    this.knowledge = new StoreKnowledge({
       ...shared,
-      prefix: 'servers/',
-      decode: (_key, value) => JSON.parse(Buffer.from(value).toString()) as BackendServerEntry,
-      isEngine: () => true,
+      layout: TEST_LAYOUT,
+      zoneRegions: TEST_ZONE_REGIONS,
       countServing: () => 1,
     });
+    this.routing = this.knowledge.routing;
+    this.servers = this.knowledge.servers;
     this.crashes = new CrashKeeper({
       ...shared,
       probe: this.probe,
@@ -190,14 +204,8 @@
       feed,
       getReadPlan: () => ({ waitMs: 1_000, lookAfterMs: 100 }),
       getRetryPauses: () => LEADING_PAUSES,
-      onAll: (items, context) => {
-        this.routing.applyValues(items, context);
-        this.servers.applyAll(items, context);
-      },
-      onChanges: (changes, context) => {
-        this.routing.applyValues(changes, context);
-        this.servers.applyChanges(changes, context);
-      },
+      onAll: (items, context) => this.knowledge.applyAll(items, context),
+      onChanges: (changes, context) => this.knowledge.applyChanges(changes, context),
       onRead: () => undefined,
     });
     this.routing.onChange(() => {
--- a/test/support/server_keepers.ts
+++ b/test/support/server_keepers.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { ServerKeeper } from '../../src/application/direct/mod.js';
+import { PlaceKeeper, ServerKeeper } from '../../src/application/direct/mod.js';
 import type { BackendServerEntry } from '../../src/domain/backend_servers/mod.js';
 import type { Clock } from '../../src/ports/mod.js';
 import { FakeLog, FakeMetrics } from './fakes.js';
@@ -22,10 +22,9 @@
 
 /** @returns a keeper that reads entries as tests write them; text that is no object can't be read */
 export function createServerKeeper(clock: Clock, hostCount = 3): ServerKeeper {
+  const shared = { clock, log: new FakeLog(), metrics: new FakeMetrics() };
   return new ServerKeeper({
-    clock,
-    log: new FakeLog(),
-    metrics: new FakeMetrics(),
+    ...shared,
     prefix: 'servers/',
     decode: (_key, value) => {
       const entry = JSON.parse(Buffer.from(value).toString()) as BackendServerEntry;
@@ -34,5 +33,7 @@
     },
     isEngine: () => true,
     countServing: () => hostCount,
+    places: new PlaceKeeper({ ...shared, prefix: 'closed/' }),
+    findRegion: () => undefined,
   });
 }
