Fill backend servers that warm up by few entry hosts, each at a pace of its own

Cause: how long a server stays cold was decoded and used by nobody, what a cold one bears was not read; and each of 69 entry hosts filled a server that had just come back by itself.

Change: a service's bound (rate while cold, with the tolerated excess from the settings) is halved and shared by at most eight entry hosts, picked for each life by rendezvous over all known hosts, silent ones included, so that both sides of a partition pick the same. Each keeps a shortest time between two requests there; no clock is compared, nothing is agreed. With S senders of floor(B/2/S) requests a second each, all that see the same hosts send at most B/2 in any second, and two whole sets of hosts that know nothing of each other at most B. A host that may not know all others yet (two seconds after its start; twenty while it hears nobody) sends nothing to a cold server. Cold is what the entry says, from the moment it was read, and every server of a zone for the whole warm-up after the zone was opened again, since entries follow a heartbeat later.

Weighed: equal shares of all hosts (69 hosts with one request each pass a bound of 32 at once); time slots (the time of day may be stepped); a lease from a relay (a coordinator, lost with it).

--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -107,8 +107,9 @@
 
   /** Sends the request. */
   start(): void {
-    const { backend, request, load } = this.#options;
+    const { backend, request, load, clock } = this.#options;
     load.begin(this.#work);
+    load.warmup.noteSent(clock.nowMs());
     try {
       this.#exchange = backend.send(request, this);
     } catch (error) {
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -18,6 +18,7 @@
 import { ReportRole } from './_report_role.js';
 import { RosterLog } from './_roster_log.js';
 import { ReportRounds } from './_report_rounds.js';
+import { hasSettled } from './_settling.js';
 import { SentReports } from './_sent_reports.js';
 import { isCounted, ReportSources } from './_report_sources.js';
 
@@ -59,6 +60,8 @@
 
   readonly #sent: SentReports;
 
+  readonly #startedAtMs: number;
+
   readonly #rounds: ReportRounds;
 
   readonly #rosterLog: RosterLog;
@@ -69,6 +72,7 @@
     this.#rosterLog = new RosterLog(options.log);
     const { peers, clock, log, self, cores, seedPeerUrls } = options;
     this.#sent = new SentReports(clock);
+    this.#startedAtMs = clock.nowMs();
     this.#roster = new Roster({
       identity: self,
       bornAtMs: clock.wallMs(),
@@ -121,6 +125,17 @@
     return this.#roster.listHeard();
   }
 
+  /** @returns all peers that are known, also silent ones; the same array until any of them changes */
+  listKnown(): readonly HostState[] {
+    return this.#roster.listKnown();
+  }
+
+  /** Whether this entry host has had the time to hear of all others. */
+  get isSettled(): boolean {
+    const ageMs = this.#options.clock.nowMs() - this.#startedAtMs;
+    return hasSettled(ageMs, this.listHeard().length);
+  }
+
   /** @returns how many peers that are heard serve callers */
   countServing(): number {
     return this.#roster.countServing();
--- a/src/application/direct/mod.ts
+++ b/src/application/direct/mod.ts
@@ -30,4 +30,4 @@
 export { ServerKeeper } from './server_keeper.js';
 export type { ServerKeeperOptions } from './server_keeper.js';
 export { StoreKnowledge } from './store_knowledge.js';
-export type { StoreKnowledgeOptions, StoreLayout } from './store_knowledge.js';
+export type { StoreKnowledgeOptions, StoreLayout, WarmupTolerance } from './store_knowledge.js';
--- a/src/application/direct/server_keeper.ts
+++ b/src/application/direct/server_keeper.ts
@@ -6,20 +6,19 @@
 import { EntryEffect, ServerDirectory, ServerLoad } from '../../domain/backend_servers/mod.js';
 import type { BackendServerEntry, Candidate } from '../../domain/backend_servers/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
-import type { Clock, FeedChange, FeedItem } from '../../ports/mod.js';
+import type { FeedChange, FeedItem } from '../../ports/mod.js';
 import type { FeedContext } from './feed_follower.js';
 import { CandidateLists } from './_candidate_lists.js';
 import { EndedLives } from './_ended_lives.js';
 import { EntryReader } from './_entry_reader.js';
 import type { EntryReaderOptions } from './_entry_reader.js';
-import type { PlaceKeeper } from './place_keeper.js';
+import { WarmupGuard } from './_warmup_guard.js';
+import type { WarmupGuardOptions } from './_warmup_guard.js';
 import { PeerFigureTable } from './_peer_figures.js';
 import type { PeerFigures } from './_peer_figures.js';
 
 /** What the keeper needs. */
-export interface ServerKeeperOptions extends EntryReaderOptions {
-  readonly clock: Clock;
-  readonly places: PlaceKeeper;
+export interface ServerKeeperOptions extends EntryReaderOptions, WarmupGuardOptions {
   /** @returns entry hosts that serve callers, this one included */
   readonly countServing: () => number;
   /** @returns whether a service's backend servers are model engines */
@@ -43,6 +42,8 @@
 
   readonly #ended = new EndedLives();
 
+  readonly #warmups: WarmupGuard;
+
   readonly #candidates: CandidateLists;
 
   readonly #changeHandlers: (() => void)[] = [];
@@ -53,9 +54,15 @@
   constructor(options: ServerKeeperOptions) {
     this.#options = options;
     this.#reader = new EntryReader(options);
+    this.#warmups = new WarmupGuard(options);
     this.#candidates = new CandidateLists(options.clock, (id) => this.#buildCandidates(id));
   }
 
+  /** Backend servers that warm up. */
+  get coldCount(): number {
+    return this.#directory.list().filter((entry) => this.#warmups.isCold(entry)).length;
+  }
+
   /** @param handler - called when another set of backend servers may be given work */
   onChange(handler: () => void): void {
     this.#changeHandlers.push(handler);
@@ -78,6 +85,7 @@
       .filter(({ availabilityZone }) => !places.isClosed(availabilityZone))
       .map((entry) => {
         const load = this.#takeLoad(entry.id);
+        this.#warmups.update(entry, load);
         return { id: entry.id, load, region: findRegion(entry.availabilityZone) };
       });
   }
@@ -203,6 +211,7 @@
     this.#ended.clearListed();
     entries.forEach((entry) => {
       this.#ended.noteListed(entry, this.#isAlive(entry.id));
+      this.#warmups.noteEntry(entry);
     });
     endedIds.forEach((id) => this.#noteRestart(id));
     this.#update();
@@ -249,6 +258,7 @@
     }
     const { effect, endedId } = this.#directory.applyEntry(entry, nowMs);
     if (effect !== EntryEffect.None) this.#logEntry(entry, effect);
+    if (effect !== EntryEffect.Outdated) this.#warmups.noteEntry(entry);
     this.#ended.noteListed(entry, this.#isAlive(entry.id));
     if (endedId !== undefined) this.#noteRestart(endedId);
   }
@@ -274,6 +284,7 @@
     const expired = this.#directory.expire(this.#options.clock.nowMs());
     expired.forEach((id) => {
       this.#loads.delete(id);
+      this.#warmups.forget(id);
     });
     this.#ended.forget(expired);
     this.#changeHandlers.forEach((handler) => handler());
--- a/src/application/direct/service_line.ts
+++ b/src/application/direct/service_line.ts
@@ -170,9 +170,10 @@
   }
 
   #countFreeSlots(): number {
+    const nowMs = this.#options.clock.nowMs();
     return this.#options
       .listCandidates()
-      .reduce((sum, { load }) => sum + Math.max(0, load.freeSlots), 0);
+      .reduce((sum, { load }) => sum + load.countOpenSlots(nowMs), 0);
   }
 
   #grant(call: LineCall): boolean {
--- a/src/application/direct/store_knowledge.ts
+++ b/src/application/direct/store_knowledge.ts
@@ -4,8 +4,10 @@
  * @module
  */
 import type { BackendServerEntry } from '../../domain/backend_servers/mod.js';
+import type { WarmupBound } from '../../domain/places/mod.js';
 import type { RoutingDocument } from '../../domain/routing/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
+import type { WarmupHosts } from './_warmup_guard.js';
 import type { FeedContext } from './feed_follower.js';
 import { PlaceKeeper } from './place_keeper.js';
 import { RoutingKeeper } from './routing_keeper.js';
@@ -23,6 +25,14 @@
   readonly decodeServer: (key: string, value: Uint8Array) => BackendServerEntry;
 }
 
+/** How far a cold backend server's rate may be passed, over all entry hosts. */
+export interface WarmupTolerance {
+  /** Factor on the rate that it bears. */
+  readonly factor: number;
+  /** Requests beside that, in any second. */
+  readonly slack: number;
+}
+
 /** What the knowledge needs. */
 export interface StoreKnowledgeOptions {
   readonly clock: Clock;
@@ -31,6 +41,8 @@
   readonly layout: StoreLayout;
   /** Regions by zone. */
   readonly zoneRegions: Readonly<Record<string, string>>;
+  readonly warmupTolerance: WarmupTolerance;
+  readonly hosts: WarmupHosts;
   /** @returns entry hosts that serve callers, this one included */
   readonly countServing: () => number;
 }
@@ -43,8 +55,11 @@
 
   readonly servers: ServerKeeper;
 
+  readonly #options: StoreKnowledgeOptions;
+
   /** @param options - what the knowledge needs */
   constructor(options: StoreKnowledgeOptions) {
+    this.#options = options;
     const { layout, zoneRegions } = options;
     this.routing = new RoutingKeeper({
       ...options,
@@ -57,6 +72,7 @@
       prefix: layout.serversPrefix,
       decode: layout.decodeServer,
       places: this.places,
+      findWarmupBound: (serviceId) => this.#findWarmupBound(serviceId),
       isEngine: (id) => this.routing.table?.findService(id)?.isEngine === true,
       findRegion: (zone) => (Object.hasOwn(zoneRegions, zone) ? zoneRegions[zone] : undefined),
     });
@@ -85,4 +101,14 @@
     this.places.applyChanges(changes, context);
     this.servers.applyChanges(changes, context);
   }
+
+  #findWarmupBound(serviceId: string): WarmupBound | undefined {
+    const warmup = this.routing.table?.findService(serviceId)?.warmup;
+    if (!warmup) return undefined;
+    const { factor, slack } = this.#options.warmupTolerance;
+    return {
+      durationMs: warmup.durationMs,
+      requestsPerSecond: warmup.requestsPerSecond * factor + slack,
+    };
+  }
 }
--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -34,5 +34,6 @@
   metrics.set('serving', isServing ? 1 : 0);
   metrics.set('passes_reports_on', reports.isRelay ? 1 : 0);
   metrics.set('zones_closed', knowledge.places.closedCount);
+  metrics.set('backend_servers_cold', knowledge.servers.coldCount);
   metrics.set('requests_held', crashes.heldCount);
 }
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -118,7 +118,13 @@
       ...shared,
       layout: adapters.layout,
       zoneRegions: settings.zoneRegions,
+      warmupTolerance: { factor: settings.warmupFactor, slack: settings.warmupSlack },
       countServing: () => this.#reports.countServing() + 1,
+      hosts: {
+        selfId: settings.hostId,
+        listKnown: () => this.#reports.listKnown(),
+        isSettled: () => this.#reports.isSettled,
+      },
     });
     this.#spending = new AccountSpending(this.clock);
     this.#reports = this.#createReports();
--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -58,6 +58,10 @@
   retrySlack: z.number().nonnegative(),
   /** Length of that window in seconds. */
   retryWindowS: positive,
+  /** Factor by which the rate that a cold backend server bears may be passed, over all entry hosts. */
+  warmupFactor: z.number().min(1).default(1),
+  /** Requests that may reach it beside that in any second. */
+  warmupSlack: z.number().nonnegative().default(0),
 });
 
 /** Checked settings. */
--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -74,7 +74,8 @@
 ): Candidate | undefined {
   const { excluded, regions, nowMs, nextFraction } = options;
   const free = candidates.filter(
-    ({ id, load, region }) => load.freeSlots > 0 && !excluded.has(id) && isAllowed(region, regions),
+    ({ id, load, region }) =>
+      load.countOpenSlots(nowMs) > 0 && !excluded.has(id) && isAllowed(region, regions),
   );
   const sound = pickSound(candidates, free, nowMs);
   const pool = pickOwn(listAble(sound, options), options);
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { WarmupPace } from '../places/mod.js';
 import { ServerSpeed } from '../scheduling/server_speed.js';
 import type { StartingSpeed } from '../scheduling/server_speed.js';
 import { SlotShare } from './slot_share.js';
@@ -77,6 +78,9 @@
   /** This entry host's part of the free slots. */
   readonly share = new SlotShare();
 
+  /** How fast this entry host may fill it while it warms up. */
+  readonly warmup = new WarmupPace();
+
   #ownInFlight = 0;
 
   #pendingPrompt = 0;
@@ -119,6 +123,12 @@
     return this.slots - this.inFlight;
   }
 
+  /** @param nowMs - monotonic time in milliseconds. @returns free slots that may be filled now */
+  countOpenSlots(nowMs: number): number {
+    if (!this.warmup.isCold(nowMs)) return Math.max(0, this.freeSlots);
+    return this.freeSlots > 0 && this.warmup.maySend(nowMs) ? 1 : 0;
+  }
+
   /** Failures since its last answer. */
   get failuresInRow(): number {
     return this.#failuresInRow;
--- a/src/domain/places/mod.ts
+++ b/src/domain/places/mod.ts
@@ -1,9 +1,12 @@
 /**
- * Where work may be sent: availability zones that operators have closed, and regions
- * that routes and client accounts allow.
+ * Where work may be sent: availability zones that operators have closed, regions that
+ * routes and client accounts allow, and how fast backend servers that warm up are filled.
  *
  * @module
  */
 export { intersectRegions } from './allowed_regions.js';
 export type { Regions } from './allowed_regions.js';
 export { ClosedZones } from './closed_zones.js';
+export { deriveWarmupShare, isWarmupSender } from './warmup_share.js';
+export type { WarmupBound, WarmupShare } from './warmup_share.js';
+export { WarmupPace } from './warmup_pace.js';
--- a/src/domain/routing/mod.ts
+++ b/src/domain/routing/mod.ts
@@ -13,5 +13,6 @@
   Route,
   RoutingDocument,
   ServiceInfo,
+  ServiceWarmup,
   WeightedService,
 } from './types.js';
--- a/src/domain/routing/types.ts
+++ b/src/domain/routing/types.ts
@@ -53,6 +53,15 @@
   readonly isEngine: boolean;
   /** Output tokens in one event of a stream. */
   readonly tokensPerEvent: number;
+  /** What one of its backend servers bears while it warms up; undefined: as much as when warm. */
+  readonly warmup?: ServiceWarmup | undefined;
+}
+
+/** How backend servers of a service warm up after their start. */
+export interface ServiceWarmup {
+  readonly durationMs: number;
+  /** Requests a second that a cold one bears. */
+  readonly requestsPerSecond: number;
 }
 
 /** What an account's limit counts. */
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -20,7 +20,9 @@
   ClientAccount,
   Route,
   RoutingDocument,
+  ServiceWarmup,
 } from '../../src/domain/routing/mod.js';
+import type { HostState } from '../../src/domain/overlay/mod.js';
 import type { DirectRequest } from '../../src/ports/mod.js';
 import { FakeBackend, FakeProbe, FakeReply } from './direct_ends.js';
 import type { FakeExchange } from './direct_ends.js';
@@ -34,6 +36,7 @@
   readonly keys?: readonly string[];
   readonly limit?: AccountLimit;
   readonly route?: Partial<Route>;
+  readonly warmup?: ServiceWarmup;
 }
 
 const ROUTE: Route = {
@@ -65,7 +68,7 @@
   return {
     version,
     routes: [{ ...ROUTE, ...changes.route }],
-    services: [ENGINES],
+    services: [{ ...ENGINES, warmup: changes.warmup }],
     accounts: [account],
     callerLimits: {
       maxHeaderBytes: 1_000,
@@ -98,6 +101,8 @@
 /** Start of the keys that close a zone in tests. */
 export const CLOSED_ZONES_PREFIX = 'closed/';
 
+const NO_HOSTS: readonly HostState[] = [];
+
 const TEST_LAYOUT: StoreLayout = {
   configurationKey: 'configuration',
   serversPrefix: 'servers/',
@@ -154,6 +159,9 @@
 
   readonly follower: FeedFollower;
 
+  /** Whether it has had the time to hear of all others. */
+  isSettled = true;
+
   #nextId = 0;
 
   constructor(options: DirectHostOptions = {}) {
@@ -170,6 +178,8 @@
       ...shared,
       layout: TEST_LAYOUT,
       zoneRegions: TEST_ZONE_REGIONS,
+      warmupTolerance: { factor: 1, slack: 0 },
+      hosts: { selfId: identity.id, listKnown: () => NO_HOSTS, isSettled: () => this.isSettled },
       countServing: () => 1,
     });
     this.routing = this.knowledge.routing;
--- a/test/support/server_keepers.ts
+++ b/test/support/server_keepers.ts
@@ -34,6 +34,8 @@
     isEngine: () => true,
     countServing: () => hostCount,
     places: new PlaceKeeper({ ...shared, prefix: 'closed/' }),
+    hosts: { selfId: 'entry-1', listKnown: () => [], isSettled: () => true },
+    findWarmupBound: () => undefined,
     findRegion: () => undefined,
   });
 }
