Ask for a second end beside a trial's while servers also end for other reasons

Cause: a content in doubt was held once one server had ended under a trial of it.

Change: while servers have also ended where the content did not run, a second end that nothing else is likely to have caused is asked for besides the trial's.

--- a/src/application/direct/server_ending_storms_test.ts
+++ b/src/application/direct/server_ending_storms_test.ts
@@ -54,3 +54,10 @@
     t.same(await playStorm(t, { seed, calmRounds: 0 }), { heldSound: [], sentOn: [] }, `${seed}`);
   }
 });
+
+t.test('a storm in which servers fail by themselves twice has nothing sound held', async (t) => {
+  // Guards against two ends beside one content that are taken for its doing.
+  for (const seed of [2_145, 4_357]) {
+    t.same(await playStorm(t, { seed, calmRounds: 0 }), { heldSound: [], sentOn: [] }, `${seed}`);
+  }
+});
--- a/src/domain/crashes/_end_counts.ts
+++ b/src/domain/crashes/_end_counts.ts
@@ -36,6 +36,11 @@
     });
   }
 
+  /** @param suspect - a content. @returns whether any server has ended where it did not run */
+  hasEndWithout({ runs }: Suspect): boolean {
+    return [...this.#counts.keys()].some((crashId) => !runs.has(crashId));
+  }
+
   /** @param suspect - a content. @param crashId - an end. @returns others that may have caused it */
   countRivals(suspect: Suspect, crashId: string): number {
     const { suspects } = this.#counts.get(crashId) ?? NONE;
--- a/src/domain/crashes/_judge.ts
+++ b/src/domain/crashes/_judge.ts
@@ -12,6 +12,12 @@
 /** Crashes, one after the other and of its own, that need no trial to hold a content. */
 const CRASHES_TO_HOLD = 3;
 
+/**
+ * Ends of its own, one of them under a trial, that hold a content while servers also end without
+ * it: one may end by itself under a trial. While none does, the trial's end is enough.
+ */
+const ENDS_TO_PROVE_AMID_OTHERS = 2;
+
 /** By how much times of two notes may differ that came from different entry hosts, in milliseconds. */
 const NOTE_TOLERANCE_MS = 250;
 
@@ -61,7 +67,8 @@
 /**
  * Judges a content. Three ends put it in doubt, whatever else ran there. It is held once several
  * ends in turn are most likely its doing, once a server has ended under a trial of it and nothing
- * else is likely to have caused that, and when the trials are used up and none was answered.
+ * else is likely to have caused that, and when the trials are used up and none was
+ * answered.
  *
  * @param suspect - a content
  * @param evidence - what is known of all ends
@@ -123,10 +130,12 @@
   const [first] = listTrials(suspect);
   if (!first) return false;
   const sinceMs = first.startedAtMs - NOTE_TOLERANCE_MS;
-  const tried = ends.slice(CRASHES_TO_DOUBT).filter(({ startedAtMs }) => startedAtMs >= sinceMs);
-  return listOwnEnds(suspect, tried, counts).some(
-    (run) => !counts.hasEndedTogether(run, SAME_MOMENT_MS),
-  );
+  const own = listOwnEnds(suspect, ends, counts);
+  const tried = own
+    .filter((run) => ends.indexOf(run) >= CRASHES_TO_DOUBT && run.startedAtMs >= sinceMs)
+    .filter((run) => !counts.hasEndedTogether(run, SAME_MOMENT_MS));
+  const needed = counts.hasEndWithout(suspect) ? ENDS_TO_PROVE_AMID_OTHERS : 1;
+  return tried.length > 0 && countInTurn(own) >= needed;
 }
 
 function listOwnEnds(
