Tell callers whose time ends before a connection is open that nothing has run

Cause: a request counted as one that may have run from the moment it was given to a server. A connection to a server that has lost power takes up to 400 ms to fail, and callers of plain services wait 600 ms.

Change: an exchange says whether anything may have left; while its connection is still being opened nothing has, and nothing can once it is closed. A call whose time, caller or process ends there is answered as not run.

Evidence: direct_call_test and direct_backend_http_test; without the look the first fails (answer_timeout, may have run).

--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -74,6 +74,10 @@
     this.#request.end(request.request.body);
   }
 
+  get mayHaveLeft(): boolean {
+    return this.#isConnected;
+  }
+
   cancel(): void {
     this.#hasEnded = true;
     this.#stop();
--- a/src/adapters/direct_http/direct_backend_http_test.ts
+++ b/src/adapters/direct_http/direct_backend_http_test.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
 import t from 'tap';
 import { BackendFailure } from '../../ports/mod.js';
-import type { BackendListener } from '../../ports/mod.js';
+import type { BackendExchange, BackendListener } from '../../ports/mod.js';
 import { HttpDirectBackend } from './direct_backend_http.js';
 import { buildRequest, collect, startRawServer, TestDialect } from './_test_servers.js';
 import type { RawServer, Seen } from './_test_servers.js';
@@ -159,3 +159,20 @@
   backend.close();
   server.close();
 });
+
+t.test('HttpDirectBackend knows that nothing has left before its connection is open', async (t) => {
+  const server = await startRawServer((socket) =>
+    socket.end('HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Mark: m\r\nContent-Length: 2\r\n\r\nok'),
+  );
+  const backend = new HttpDirectBackend(new TestDialect());
+  let exchange: BackendExchange | undefined;
+  let mayHaveLeftAtFirst: boolean | undefined;
+  await collect((listener) => {
+    exchange = send(backend, server)(listener) as BackendExchange;
+    mayHaveLeftAtFirst = exchange.mayHaveLeft;
+  });
+  t.equal(mayHaveLeftAtFirst, false);
+  t.equal(exchange?.mayHaveLeft, true);
+  backend.close();
+  server.close();
+});
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -119,6 +119,11 @@
     this.#watch.start();
   }
 
+  /** Whether the backend server may have any of the request. */
+  get mayHaveLeft(): boolean {
+    return this.#exchange?.mayHaveLeft !== false;
+  }
+
   /** @param outcome - how the try counts for the backend server */
   cancel(outcome: ServerOutcome): void {
     if (this.#hasEnded) return;
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -213,20 +213,12 @@
     });
   }
 
-  /**
-   * Takes note that a life of a backend server has ended.
-   *
-   * @param lifeId - which one
-   */
+  /** @param lifeId - a life of a backend server that has ended */
   noteServerEnded(lifeId: string): void {
     if (this.#attempt?.lifeId === lifeId) this.#attempt.abandonEnded();
   }
 
-  /**
-   * Takes note that a content is sent to no server any more.
-   *
-   * @param contentId - which content
-   */
+  /** @param contentId - a content that is sent to no server any more */
   noteHeld(contentId: string): void {
     if (contentId !== this.#options.contentId || this.#attempt) return;
     const refusal = this.#options.checkDispatch();
@@ -235,7 +227,7 @@
 
   /** Ends it because this process ends. */
   stop(): void {
-    this.#attempt?.cancel(ServerOutcome.Cancelled);
+    this.#cancelAttempt();
     this.fail(new SchedulerError(ErrorKind.EntryHostStopping));
   }
 
@@ -274,15 +266,21 @@
     else this.giveUp(0);
   }
 
-  #handleTimeout(): void {
+  #cancelAttempt(): void {
+    // What has not left can't arrive any more: its connection is closed before it is open.
+    if (this.#attempt?.mayHaveLeft === false) this.#tries.noteNotRun();
     this.#attempt?.cancel(ServerOutcome.Cancelled);
+  }
+
+  #handleTimeout(): void {
+    this.#cancelAttempt();
     const kind = this.mayHaveRun ? ErrorKind.AnswerTimeout : ErrorKind.DeadlineUnreachable;
     this.fail(new SchedulerError(kind));
   }
 
   #handleGone(): void {
     if (this.#hasEnded) return;
-    this.#attempt?.cancel(ServerOutcome.Cancelled);
+    this.#cancelAttempt();
     this.#end('caller_gone', { wasSent: this.#attempt !== undefined });
   }
 
--- a/src/application/direct/direct_call_test.ts
+++ b/src/application/direct/direct_call_test.ts
@@ -154,6 +154,17 @@
   t.ok(host.sent(0).isCancelled);
 });
 
+t.test('a call whose time ends before its connection is open has not run', async (t) => {
+  // Guards against callers who may not repeat what has reached no server.
+  const host = await startDirectHost(t, {}, ['s-1']);
+  const reply = host.call();
+  host.sent(0).mayHaveLeft = false;
+  await host.clock.advance(2_000);
+  t.equal(reply.error?.kind, ErrorKind.DeadlineUnreachable);
+  t.equal(reply.error?.run, 'not_run');
+  t.ok(host.sent(0).isCancelled);
+});
+
 t.test("the route's timeout ends a call whose caller would wait longer", async (t) => {
   const host = await startDirectHost(t, { route: { timeoutMs: 500 } });
   const reply = host.call({ deadlineMs: 9_000 });
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -129,6 +129,8 @@
 
 /** A request that is under way. */
 export interface BackendExchange {
+  /** Whether any of the request may have left: not while its connection is still being opened. */
+  readonly mayHaveLeft: boolean;
   /** Ends it: the connection is closed, so that the server stops working. No handler is called any more. */
   cancel(): void;
 }
--- a/test/support/direct_ends.ts
+++ b/test/support/direct_ends.ts
@@ -24,6 +24,8 @@
 export class FakeExchange implements BackendExchange {
   isCancelled = false;
 
+  mayHaveLeft = true;
+
   constructor(
     readonly request: BackendRequest,
     readonly listener: BackendListener,
