--- a/src/application/direct/_warmup_guard.ts
+++ b/src/application/direct/_warmup_guard.ts
@@ -51,24 +51,21 @@
     this.#options = options;
   }
 
-  /** @param entry - as it was just read. @returns whether it tells that its server is cold */
-  noteEntry({ id, serviceId, warmupLeftMs }: BackendServerEntry): boolean {
+  /** @param entry - a server's entry as it was just read */
+  noteEntry({ id, serviceId, warmupLeftMs }: BackendServerEntry): void {
     const { clock, log, findWarmupBound } = this.#options;
     const wasCold = this.#warmAtMs.has(id);
     if (warmupLeftMs === 0) {
       this.#warmAtMs.delete(id);
-      return false;
+      return;
     }
     this.#warmAtMs.set(id, clock.nowMs() + warmupLeftMs);
-    if (!wasCold) {
-      const warmupMs = findWarmupBound(serviceId)?.durationMs;
-      log.write(LogLevel.Info, 'backend_server_cold', {
-        backendServer: id,
-        warmupLeftMs,
-        warmupMs,
-      });
-    }
-    return true;
+    if (wasCold) return;
+    log.write(LogLevel.Info, 'backend_server_cold', {
+      backendServer: id,
+      warmupLeftMs,
+      warmupMs: findWarmupBound(serviceId)?.durationMs,
+    });
   }
 
   /** @param id - a life that is over */
--- a/src/domain/places/warmup_share.ts
+++ b/src/domain/places/warmup_share.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * Entry hosts that share one server. Some of them may be down, and with more of them each
- * would send so seldom that its turn is lost while it has nothing to send.
+ * Entry hosts that share one server: enough that some of them live, and few enough that each
+ * may send often.
  */
 const MAX_SENDERS = 8;
 
