Have one check of allowed regions and one look-up of a zone's region

The check stood twice (choice of a server, refusal of a call that none may serve), and a zone's region was looked up in two ways. Whether a service is closed looks at the kept candidates first, so that a call walks its servers again only where there are none.

--- a/src/application/direct/_call_obstacle.ts
+++ b/src/application/direct/_call_obstacle.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { ErrorKind } from '../../domain/errors/mod.js';
+import { isAllowedRegion } from '../../domain/places/mod.js';
 import type { Regions } from '../../domain/places/mod.js';
 import type { ServerKeeper } from './server_keeper.js';
 
@@ -23,8 +24,6 @@
   if (servers.isClosed(serviceId)) return ErrorKind.ServiceClosed;
   if (regions === undefined) return undefined;
   const candidates = servers.listCandidates(serviceId);
-  const isAllowed = candidates.some(
-    ({ region }) => region !== undefined && regions.includes(region),
-  );
+  const isAllowed = candidates.some(({ region }) => isAllowedRegion(regions, region));
   return candidates.length === 0 || isAllowed ? undefined : ErrorKind.RegionUnavailable;
 }
--- a/src/application/direct/server_keeper.ts
+++ b/src/application/direct/server_keeper.ts
@@ -97,8 +97,8 @@
    * @returns whether nothing may be sent to it for that reason
    */
   isClosed(serviceId: string): boolean {
-    const entries = this.#directory.listUsable(serviceId, this.#options.clock.nowMs());
-    return entries.length > 0 && this.listCandidates(serviceId).length === 0;
+    if (this.listCandidates(serviceId).length > 0) return false;
+    return this.#directory.listUsable(serviceId, this.#options.clock.nowMs()).length > 0;
   }
 
   /** @param id - a life. @returns whether it may be given work at this moment */
--- a/src/application/direct/store_knowledge.ts
+++ b/src/application/direct/store_knowledge.ts
@@ -60,7 +60,7 @@
   /** @param options - what the knowledge needs */
   constructor(options: StoreKnowledgeOptions) {
     this.#options = options;
-    const { layout, zoneRegions } = options;
+    const { layout } = options;
     this.routing = new RoutingKeeper({
       ...options,
       key: layout.configurationKey,
@@ -74,10 +74,16 @@
       places: this.places,
       findWarmupBound: (serviceId) => this.#findWarmupBound(serviceId),
       isEngine: (id) => this.routing.table?.findService(id)?.isEngine === true,
-      findRegion: (zone) => (Object.hasOwn(zoneRegions, zone) ? zoneRegions[zone] : undefined),
+      findRegion: (zone) => this.findRegion(zone),
     });
   }
 
+  /** @param zone - an availability zone. @returns its region; undefined for a zone that nobody knows */
+  findRegion(zone: string): string | undefined {
+    const { zoneRegions } = this.#options;
+    return Object.hasOwn(zoneRegions, zone) ? zoneRegions[zone] : undefined;
+  }
+
   /**
    * Takes in everything there is. Zones go before servers, which are given work at once.
    *
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -178,11 +178,10 @@
   listAddresses(caller: AddressQuery): readonly string[] {
     const hosts = this.#reports.listHeard().filter(({ isServing }) => isServing);
     const serving = this.isServing ? [...hosts, this.#reports.self] : hosts;
-    const { zoneRegions } = this.#adapters.settings;
     const near = pickNearHosts(serving, {
       callerRegion: caller.region,
       homeRegions: this.#knowledge.routing.table?.findRegions(caller.hostName),
-      findRegion: (zone) => zoneRegions[zone],
+      findRegion: (zone) => this.#knowledge.findRegion(zone),
     });
     return pickAddresses(near, caller.address);
   }
--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { isAllowedRegion } from '../places/mod.js';
 import type { Regions } from '../places/mod.js';
 import type { RequestWork, ServerLoad } from './server_load.js';
 import { ROUND_MS } from './slot_share.js';
@@ -75,7 +76,7 @@
   const { excluded, regions, nowMs, nextFraction } = options;
   const free = candidates.filter(
     ({ id, load, region }) =>
-      load.countOpenSlots(nowMs) > 0 && !excluded.has(id) && isAllowed(region, regions),
+      load.countOpenSlots(nowMs) > 0 && !excluded.has(id) && isAllowedRegion(regions, region),
   );
   const sound = pickSound(candidates, free, nowMs);
   const pool = pickOwn(listAble(sound, options), options);
@@ -85,11 +86,6 @@
   return near[Math.floor(nextFraction() * near.length)]?.candidate;
 }
 
-/** A server of which nobody knows where it stands is in none of the allowed regions. */
-function isAllowed(region: string | undefined, regions: Regions): boolean {
-  return regions === undefined || (region !== undefined && regions.includes(region));
-}
-
 /** Servers that fail are left out; with all failing there is nothing to lose by asking one. */
 function pickSound(
   candidates: readonly Candidate[],
--- a/src/domain/places/allowed_regions.ts
+++ b/src/domain/places/allowed_regions.ts
@@ -19,3 +19,15 @@
   if (other === undefined) return one;
   return one.filter((region) => other.includes(region));
 }
+
+/**
+ * Tells whether something may be used under a restriction. What stands in a region that nobody
+ * knows is in none of the allowed ones.
+ *
+ * @param regions - regions that are allowed
+ * @param region - where it stands; undefined: unknown
+ * @returns whether it may be used
+ */
+export function isAllowedRegion(regions: Regions, region: string | undefined): boolean {
+  return regions === undefined || (region !== undefined && regions.includes(region));
+}
--- a/src/domain/places/mod.ts
+++ b/src/domain/places/mod.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-export { intersectRegions } from './allowed_regions.js';
+export { intersectRegions, isAllowedRegion } from './allowed_regions.js';
 export type { Regions } from './allowed_regions.js';
 export { ClosedZones } from './closed_zones.js';
 export { deriveWarmupShare, isWarmupSender } from './warmup_share.js';
