Log and count the rate limits that backend servers name

What callers saw: nothing yet; servers that had named a limit went on receiving what they had received before.

The platform's header becomes a notice (none, limited, invalid) in platform/, is reported for every answer of the server that was meant (success, error, stream, decline; not for those of another server or to another request), and is logged when it changes, counted by kind, and told in call_dispatched. Decisions are unchanged. A value that is no rate counts, and writes one line in ten seconds.

--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -114,6 +114,7 @@
     const status = response.statusCode ?? 0;
     const info = dialect.readAnswer(status, response.headers);
     if (!this.#checkAnswer(info, status)) return;
+    listener.onRateLimit(info.rateLimit, info.isAuthentic);
     this.#recordIdleTimeout(response);
     const excluded = response.headers['transfer-encoding'] ? NO_HEADERS : LENGTH_HEADERS;
     listener.onHead({
@@ -157,6 +158,7 @@
     } else if (info.isMisdirected) {
       this.#fail(BackendFailure.Misdirected, 'another incarnation answers at this address');
     } else if (info.hasNotRun) {
+      this.#options.listener.onRateLimit(info.rateLimit, info.isAuthentic);
       this.#handleDecline(status);
     } else if (info.requestId === undefined) {
       this.#fail(BackendFailure.Broken, 'answer without a request ID');
--- a/src/adapters/direct_http/_test_servers.ts
+++ b/src/adapters/direct_http/_test_servers.ts
@@ -6,12 +6,14 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import type { IncomingHttpHeaders } from 'node:http';
+import { RateLimitKind } from '../../ports/mod.js';
 import type {
   BackendFailure,
   BackendHead,
   BackendListener,
   BackendRequest,
   DirectRequest,
+  RateLimitNotice,
 } from '../../ports/mod.js';
 import { DirectDialect } from './direct_dialect.js';
 import type { AnswerInfo, CallInfo } from './direct_dialect.js';
@@ -42,6 +44,7 @@
       hasNotRun: headers['x-not-run'] !== undefined,
       isMisdirected: status === 421,
       load: undefined,
+      rateLimit: readRateLimit(headers['x-rate']),
     };
   }
 
@@ -50,6 +53,12 @@
   }
 }
 
+function readRateLimit(value: string | string[] | undefined): RateLimitNotice {
+  return value === undefined
+    ? { kind: RateLimitKind.None }
+    : { kind: RateLimitKind.Limited, requestsPerSecond: Number(value) };
+}
+
 /** A server that answers requests with scripted bytes. */
 export interface RawServer {
   readonly address: string;
@@ -106,6 +115,8 @@
   readonly head: BackendHead | undefined;
   readonly body: string;
   readonly failure: BackendFailure | undefined;
+  /** What the answers said about the server's rate limit, in order. */
+  readonly rateLimits: readonly RateLimitNotice[];
 }
 
 /** Sends a request with a listener that collects the result. */
@@ -115,15 +126,19 @@
   return new Promise((resolve) => {
     let head: BackendHead | undefined;
     let body = '';
+    const rateLimits: RateLimitNotice[] = [];
     send({
+      onRateLimit: (notice) => {
+        rateLimits.push(notice);
+      },
       onHead: (received) => {
         head = received;
       },
       onBody: (bytes) => {
         body += bytes.toString('latin1');
       },
-      onComplete: () => resolve({ head, body, failure: undefined }),
-      onFailure: (failure) => resolve({ head, body, failure }),
+      onComplete: () => resolve({ head, body, rateLimits, failure: undefined }),
+      onFailure: (failure) => resolve({ head, body, rateLimits, failure }),
     });
   });
 }
--- a/src/adapters/direct_http/http_direct_backend_client_test.ts
+++ b/src/adapters/direct_http/http_direct_backend_client_test.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import t from 'tap';
-import { BackendFailure } from '../../ports/mod.js';
+import { BackendFailure, RateLimitKind } from '../../ports/mod.js';
 import type { BackendExchange, BackendListener } from '../../ports/mod.js';
 import { HttpDirectBackendClient } from './http_direct_backend_client.js';
 import { buildRequest, collectResult, startRawServer, TestDialect } from './_test_servers.js';
@@ -178,3 +178,26 @@
   backend.close();
   server.close();
 });
+
+t.test('HttpDirectBackend reports the rate limit in any answer of the server', async (t) => {
+  // Guards against a limit that is overlooked because the answer that names it is no success.
+  const limited = [{ kind: RateLimitKind.Limited, requestsPerSecond: 1.5 }];
+  const cases = {
+    success: `${HEAD}X-Rate: 1.5\r\nContent-Length: 2\r\n\r\nok`,
+    stream: `${HEAD}X-Rate: 1.5\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n`,
+    error: 'HTTP/1.1 500 No\r\nX-Id: r-1\r\nX-Rate: 1.5\r\nContent-Length: 0\r\n\r\n',
+    decline: 'HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nX-Rate: 1.5\r\nContent-Length: 0\r\n\r\n',
+  };
+  for (const [name, answer] of Object.entries(cases)) {
+    const seen = await exchangeOnce((socket) => socket.write(answer));
+    t.same(seen.rateLimits, limited, name);
+  }
+  const strangers = {
+    'another request': 'HTTP/1.1 200 OK\r\nX-Id: r-0\r\nX-Mark: m\r\nX-Rate: 1.5\r\n\r\n',
+    'another server': 'HTTP/1.1 421 No\r\nX-Id: r-1\r\nX-Rate: 1.5\r\nContent-Length: 0\r\n\r\n',
+  };
+  for (const [name, answer] of Object.entries(strangers)) {
+    const seen = await exchangeOnce((socket) => socket.write(answer));
+    t.same(seen.rateLimits, [], name);
+  }
+});
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -13,12 +13,12 @@
   BackendHead,
   BackendListener,
   BackendRequest,
-  Clock,
-  DirectBackendClient,
   DirectReply,
+  RateLimitNotice,
 } from '../../ports/mod.js';
 import { StreamRelay, BufferedRelay } from './_answer_relay.js';
 import type { AnswerRelay } from './_answer_relay.js';
+import type { DirectServices } from './direct_services.js';
 import { StallDetector } from './_stall_detector.js';
 
 /**
@@ -53,8 +53,7 @@
 
 /** Dependencies and request of an attempt. */
 export interface DirectAttemptOptions {
-  readonly backend: DirectBackendClient;
-  readonly clock: Clock;
+  readonly services: Pick<DirectServices, 'backend' | 'clock' | 'servers'>;
   readonly reply: DirectReply;
   readonly route: Route;
   readonly load: ServerLoad;
@@ -100,10 +99,11 @@
     this.#options = options;
     this.#stream = options.stream;
     this.#initialEventCount = options.stream?.eventCount ?? 0;
-    this.#startedAtMs = options.clock.nowMs();
+    this.#startedAtMs = options.services.clock.nowMs();
     this.#predictedFirstByteMs = options.load.predictFirstByteMs(this.#work);
     this.#stallDetector = new StallDetector({
       ...options,
+      clock: options.services.clock,
       predictedFirstByteMs: this.#predictedFirstByteMs,
       onStall: () =>
         this.#abandon('no data arrived within the stall limit', ServerOutcome.TimedOut),
@@ -112,7 +112,11 @@
 
   /** Sends the request. */
   start(): void {
-    const { backend, request, load, clock } = this.#options;
+    const {
+      services: { backend, clock },
+      request,
+      load,
+    } = this.#options;
     load.recordStart(this.#work);
     load.warmup.recordSent(clock.nowMs());
     try {
@@ -154,16 +158,25 @@
     if (!this.#hasEnded) this.#abandon('the backend server restarted');
   }
 
+  onRateLimit(notice: RateLimitNotice, isAuthentic: boolean): void {
+    this.#options.services.servers.rateLimits.recordAnswer({
+      incarnationId: this.incarnationId,
+      notice,
+      isAuthentic,
+      sentAtMs: this.#startedAtMs,
+    });
+  }
+
   onHead(head: BackendHead): void {
     this.#status = head.status;
     this.#isFramed = head.isFramed;
-    const { reply, clock, route } = this.#options;
+    const { reply, services, route } = this.#options;
     if (!head.isEventStream || head.status !== 200) {
       if (reply.hasStarted) this.#abandon(`status ${head.status} cannot continue the stream`);
       else this.#relay = new BufferedRelay(head, reply);
       return;
     }
-    this.#stream ??= new StreamRelay(head, reply, () => clock.nowMs());
+    this.#stream ??= new StreamRelay(head, reply, () => services.clock.nowMs());
     this.#stream.restart();
     this.#relay = this.#stream;
     if (!route.isStream) this.#recordFirstByte();
@@ -226,8 +239,8 @@
 
   #recordFirstByte(): void {
     if (this.#firstByteMs > 0) return;
-    const { clock, load } = this.#options;
-    this.#firstByteMs = Math.max(0.1, clock.nowMs() - this.#startedAtMs);
+    const { services, load } = this.#options;
+    this.#firstByteMs = Math.max(0.1, services.clock.nowMs() - this.#startedAtMs);
     load.recordFirstByte(this.#work);
     this.#stallDetector.recordFirstByte(this.#stream);
   }
@@ -240,8 +253,8 @@
   ): void {
     if (this.#hasEnded) return;
     this.#finish(outcome);
-    const { clock, load, onEnd } = this.#options;
-    const totalMs = clock.nowMs() - this.#startedAtMs;
+    const { services, load, onEnd } = this.#options;
+    const totalMs = services.clock.nowMs() - this.#startedAtMs;
     const outputTokens = this.#countOutputTokens();
     if (failure === undefined && this.#status < 300) {
       load.speed.observe({
@@ -275,9 +288,9 @@
   #finish(outcome: ServerOutcome): void {
     this.#hasEnded = true;
     this.#stallDetector.stop();
-    const { clock, load } = this.#options;
+    const { services, load } = this.#options;
     if (this.#firstByteMs === 0) load.recordFirstByte(this.#work);
-    load.recordEnd(outcome, clock.nowMs());
+    load.recordEnd(outcome, services.clock.nowMs());
   }
 }
 
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -145,10 +145,10 @@
       isReturning: this.isLate,
       promptTokens: this.work.promptTokens,
       expectedTokens: Math.round(this.expectedTokens),
+      requestsPerSecond: services.servers.rateLimits.find(id),
     });
     this.#attempt = new DirectAttempt({
-      backend: services.backend,
-      clock: services.clock,
+      services,
       reply: this.#options.reply,
       route,
       load,
--- /dev/null
+++ b/src/application/direct/rate_limit_tracker_test.ts
@@ -0,0 +1,33 @@
+import t from 'tap';
+import { startDirectHost } from '../../../test/support/direct_host.js';
+import { RateLimitKind } from '../../ports/mod.js';
+
+t.test('a limit in an answer is logged, counted and told with the next dispatch', async (t) => {
+  const host = await startDirectHost(t, {}, ['s-1']);
+  host.call();
+  host.getSent(0).sendRateLimit(1.5);
+  host.getSent(0).sendResponse();
+  t.match(host.log.list('backend_server_limit_changed'), [
+    { backendServer: 's-1', requestsPerSecond: 1.5, source: 'answer' },
+  ]);
+  t.equal(host.metrics.counts.get('backend_server_limits_read_total{"kind":"limited"}'), 1);
+  t.equal(host.servers.rateLimits.limitedCount, 1);
+});
+
+t.test('a value that is no rate changes nothing but a counter and one line', async (t) => {
+  // Guards against a flood of lines, and against a limit lost or made up by a malformed value.
+  const host = await startDirectHost(t, {}, ['s-1']);
+  host.call();
+  const { listener } = host.getSent(0);
+  listener.onRateLimit({ kind: RateLimitKind.Limited, requestsPerSecond: 2 }, true);
+  const invalid = { kind: RateLimitKind.Invalid, text: `many${'!'.repeat(500)}` } as const;
+  Array.from({ length: 20 }, () => listener.onRateLimit(invalid, true));
+  t.equal(host.servers.rateLimits.find('s-1'), 2);
+  t.equal(host.metrics.counts.get('backend_server_limits_read_total{"kind":"invalid"}'), 20);
+  const lines = host.log.list('backend_server_limit_refused');
+  t.equal(lines.length, 1);
+  t.equal(String(lines[0]?.value).length, 40);
+  await host.clock.advance(10_000);
+  listener.onRateLimit(invalid, true);
+  t.equal(host.log.list('backend_server_limit_refused').length, 2);
+});
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -14,6 +14,7 @@
 import type { EntryReaderOptions } from './_entry_reader.js';
 import { WarmupTracker } from './_warmup_tracker.js';
 import type { WarmupTrackerOptions } from './_warmup_tracker.js';
+import { RateLimitTracker } from './_rate_limit_tracker.js';
 import { PeerStatsTable } from './_peer_stats.js';
 import type { PeerStats } from './_peer_stats.js';
 
@@ -40,6 +41,9 @@
   /** Newest stats that peers report. */
   readonly peers = new PeerStatsTable();
 
+  /** Rate limits that backend servers name. */
+  readonly rateLimits: RateLimitTracker;
+
   readonly #endedIncarnations = new EndedIncarnations();
 
   readonly #warmupGuard: WarmupTracker;
@@ -55,6 +59,7 @@
     this.#options = options;
     this.#reader = new EntryReader(options);
     this.#warmupGuard = new WarmupTracker(options);
+    this.rateLimits = new RateLimitTracker(options);
     this.#candidateLists = new CandidateCache(options.clock, (id) => this.#buildCandidates(id));
   }
 
@@ -287,6 +292,7 @@
     expired.forEach((id) => {
       this.#loads.delete(id);
       this.#warmupGuard.forget(id);
+      this.rateLimits.forget(id);
     });
     this.#endedIncarnations.forget(expired);
     this.#changeHandlers.forEach((handler) => handler());
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -99,6 +99,25 @@
   readonly slots: number;
 }
 
+/** What an answer says about the rate at which its backend server takes requests. */
+export enum RateLimitKind {
+  /** The answer names no limit. */
+  None = 'none',
+  Limited = 'limited',
+  /** The answer holds a value that is no rate. */
+  Invalid = 'invalid',
+}
+
+/** Rate limit in the head of a backend server's answer. */
+export type RateLimitNotice =
+  | { readonly kind: RateLimitKind.None }
+  | {
+      readonly kind: RateLimitKind.Limited;
+      /** Requests a second that the server takes from all entry hosts together; 0 or more. */
+      readonly requestsPerSecond: number;
+    }
+  | { readonly kind: RateLimitKind.Invalid; readonly text: string };
+
 /** Head of a backend server's answer. */
 export interface BackendHead extends DirectHead {
   /** Whether it carries the backend server's own mark; a success without the mark is invalid. */
@@ -131,6 +150,14 @@
 
 /** Receives the answer to a request. Either its completion or its failure is reported, once. */
 export interface BackendListener {
+  /**
+   * The answer tells the server's rate limit. Called before any other handler, also for
+   * answers that decline the request; never for answers of another server.
+   *
+   * @param notice - the limit, if the answer names one
+   * @param isAuthentic - whether the answer carries the server's own mark
+   */
+  onRateLimit(notice: RateLimitNotice, isAuthentic: boolean): void;
   /** @param head - head of the answer */
   onHead(head: BackendHead): void;
   /** @param bytes - next bytes of the body */
--- a/src/ports/mod.ts
+++ b/src/ports/mod.ts
@@ -29,7 +29,7 @@
 } from './backend_server_client.js';
 export { ChangeFeed, HistoryLostError } from './change_feed.js';
 export type { FeedChange, FeedChanges, FeedItem, FeedSnapshot } from './change_feed.js';
-export { BackendFailure, DirectBackendClient, DirectReply } from './direct_calls.js';
+export { BackendFailure, DirectBackendClient, DirectReply, RateLimitKind } from './direct_calls.js';
 export type {
   BackendExchange,
   BackendHead,
@@ -37,6 +37,7 @@
   BackendRequest,
   DirectHead,
   DirectRequest,
+  RateLimitNotice,
   RawHeaders,
   ReportedLoad,
 } from './direct_calls.js';
--- a/test/support/direct_ends.ts
+++ b/test/support/direct_ends.ts
@@ -9,6 +9,7 @@
   BackendFailure,
   DirectBackendClient,
   DirectReply,
+  RateLimitKind,
   Reachability,
   ServerProbe,
 } from '../../src/ports/mod.js';
@@ -48,6 +49,15 @@
     });
   }
 
+  /** Names a rate limit, as the head of each answer does; undefined: names none. */
+  sendRateLimit(requestsPerSecond: number | undefined, isAuthentic = true): void {
+    const notice =
+      requestsPerSecond === undefined
+        ? ({ kind: RateLimitKind.None } as const)
+        : ({ kind: RateLimitKind.Limited, requestsPerSecond } as const);
+    this.listener.onRateLimit(notice, isAuthentic);
+  }
+
   /** Sends the events of a stream with the IDs in a range, both ends included. */
   events(from: number, to: number): void {
     for (let id = from; id <= to; id += 1) {
