--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -6,24 +6,22 @@
 import type { Test } from 'tap';
 import {
   AccountSpending,
+  buildReportStats,
   DirectGateway,
   FeedFollower,
   FAST_RETRY_BACKOFF,
+  HostReports,
   StoreView,
 } from '../../src/application/direct/mod.js';
 import type { RoutingView, ServerRegistry, StoreLayout } from '../../src/application/direct/mod.js';
 import { CrashQuarantine, MeshCrashPaths } from '../../src/application/crashes/mod.js';
 import type { BackendServerEntry } from '../../src/domain/backend_servers/mod.js';
 import type { EntryHostIdentity } from '../../src/domain/membership/mod.js';
-import type {
-  AccountLimit,
-  ClientAccount,
-  Route,
-  RoutingDocument,
-  ServiceWarmup,
-} from '../../src/domain/routing/mod.js';
+import type { RoutingDocument } from '../../src/domain/routing/mod.js';
 import type { HostState } from '../../src/domain/overlay/mod.js';
 import type { DirectRequest } from '../../src/ports/mod.js';
+import { buildDocument, buildServer } from './direct_documents.js';
+import type { DocumentChanges } from './direct_documents.js';
 import { FakeBackend, FakeProbe, FakeReply } from './direct_ends.js';
 import type { FakeExchange } from './direct_ends.js';
 import { buildIdentity, FakePeerHub, FakePeerNetwork } from './fake_peer_network.js';
@@ -31,69 +29,8 @@
 import { FakeLog, FakeMetrics, SeededRandom } from './fakes.js';
 import { settle, VirtualClock } from './virtual_clock.js';
 
-/** Overrides for {@link buildDocument}. */
-export interface DocumentChanges {
-  readonly keys?: readonly string[];
-  readonly limit?: AccountLimit;
-  readonly route?: Partial<Route>;
-  readonly warmup?: ServiceWarmup;
-}
-
-const ROUTE: Route = {
-  name: 'r',
-  hostName: 'api.example',
-  prefix: '/a/',
-  services: [{ serviceId: 'engines', weight: 1 }],
-  isRepeatable: false,
-  isStream: false,
-  isResumable: false,
-  timeoutMs: 2_000,
-  targetMs: 200,
-  targetGapMs: 100,
-  rank: 0,
-  maxAttempts: 2,
-  mayBeAnonymous: false,
-};
-
-const ENGINES = { id: 'engines', maxConnections: 10, isEngine: true, tokensPerEvent: 1 };
-
-/** @returns a routing document with one route, one service and one client account */
-export function buildDocument(version: number, changes: DocumentChanges = {}): RoutingDocument {
-  const account: ClientAccount = {
-    id: 'firm-a',
-    keys: changes.keys ?? ['key-a'],
-    rank: undefined,
-    limit: changes.limit,
-  };
-  return {
-    version,
-    routes: [{ ...ROUTE, ...changes.route }],
-    services: [{ ...ENGINES, warmup: changes.warmup }],
-    accounts: [account],
-    callerLimits: {
-      maxHeaderBytes: 1_000,
-      maxBodyBytes: 1_000,
-      headerTimeoutMs: 1_000,
-      idleTimeoutMs: 1_000,
-    },
-  };
-}
-
-/** @returns the registry entry of a backend server, as the fake feed stores it */
-export function buildServer(id: string, changes: Partial<BackendServerEntry> = {}): object {
-  return {
-    id,
-    serverId: id,
-    bornAtMs: 0,
-    serviceId: 'engines',
-    address: '10.0.0.1:80',
-    availabilityZone: 'hall-a',
-    slots: 2,
-    isLeaving: false,
-    warmupLeftMs: 0,
-    ...changes,
-  };
-}
+export { buildDocument, buildServer } from './direct_documents.js';
+export type { DocumentChanges } from './direct_documents.js';
 
 /** Region of each availability zone in tests. */
 export const TEST_ZONE_REGIONS = { 'hall-a': 'north', 'hall-b': 'north', 'far-a': 'south' };
@@ -120,6 +57,8 @@
   readonly hub?: FakePeerHub;
   readonly probe?: FakeProbe;
   readonly identity?: EntryHostIdentity;
+  /** Peer URLs where the host begins to exchange reports. Default: it exchanges none. */
+  readonly seeds?: readonly string[];
 }
 
 /** Paths of crash notes in a full mesh; the incarnation of a server is the ID of its crash. */
@@ -159,6 +98,9 @@
 
   readonly follower: FeedFollower;
 
+  /** Exchange of reports with peers; undefined for a host that knows no others. */
+  readonly reports: HostReports | undefined;
+
   /** Whether the host has had the time to receive reports of all other hosts. */
   isSettled = true;
 
@@ -179,8 +121,12 @@
       layout: TEST_LAYOUT,
       zoneRegions: TEST_ZONE_REGIONS,
       warmupTolerance: { factor: 1, slack: 0 },
-      hosts: { selfId: identity.id, listKnown: () => NO_HOSTS, isSettled: () => this.isSettled },
-      countServing: () => 1,
+      hosts: {
+        selfId: identity.id,
+        listKnown: () => this.reports?.listKnown() ?? NO_HOSTS,
+        isSettled: () => this.isSettled && this.reports?.isSettled !== false,
+      },
+      countServing: () => (this.reports?.countServing() ?? 0) + 1,
     });
     this.routing = this.storeView.routing;
     this.servers = this.storeView.servers;
@@ -207,8 +153,9 @@
       retryBounds: { ratio: 0.2, slack: 50, windowMs: 10_000 },
       maxKeyAgeMs: MAX_KEY_AGE_MS,
       sureAgeMs: 2_000,
-      countEntryHosts: () => 1,
+      countEntryHosts: () => this.reports?.knownCount ?? 1,
     });
+    if (options.seeds) this.reports = this.#createReports(options.seeds);
     this.follower = new FeedFollower({
       ...shared,
       feed,
@@ -233,6 +180,7 @@
     serverIds.forEach((id) => this.feed.put(`servers/${id}`, buildServer(id)));
     this.follower.start();
     this.crashes.start();
+    this.reports?.start();
     await settle();
   }
 
@@ -240,6 +188,28 @@
   stop(): void {
     this.follower.stop();
     this.crashes.stop();
+    this.reports?.stop();
+  }
+
+  #createReports(seeds: readonly string[]): HostReports {
+    const { clock, log, peers, servers, gateway, spending } = this;
+    return new HostReports({
+      self: peers.identity,
+      cores: 1,
+      peers,
+      seedPeerUrls: seeds,
+      clock,
+      log,
+      getState: () => ({ isServing: true, isInTouch: true, isLeaving: false }),
+      buildStats: (sources) => buildReportStats({ servers, gateway, spending }, sources),
+      onReport: (counted) => {
+        spending.applyReport(counted);
+        servers.applyPeerStats(counted.identity.incarnation, counted.report);
+        gateway.dispatchWaiting();
+      },
+      onSilent: ({ incarnation }) => servers.applyPeerStats(incarnation, undefined),
+      onReachableFraction: (fraction) => spending.setReach(fraction),
+    });
   }
 
   /** Sends one call through the gateway. @returns the recorded reply */
