Use what a limit allows at large fleets, and share it by the part of the fleet that is present

Cause: all senders of a server began at the same moment and so gave their turns to the same calls; turns went to relays whose word is a second old before members that wait here; each check that came late lengthened the interval for good.

Change: senders begin one after the other within an interval; of equally urgent calls one that a peer reports of itself goes first; a request that was late by one check may be followed earlier by as much. Each side of a partition shares out only the part of the rate that corresponds to its part of the known hosts.

--- a/src/application/direct/_pace_roles.ts
+++ b/src/application/direct/_pace_roles.ts
@@ -51,18 +51,24 @@
     this.#listHosts = listHosts;
   }
 
-  /** Number of entry hosts that share a server, including this one. */
-  get hostCount(): number {
-    return this.#listHosts().length + 1;
-  }
-
   /**
    * @param id - a server incarnation
    * @param senderCount - number of hosts that share it
    * @returns whether this entry host is one of them
    */
   isSender(id: string, senderCount: number): boolean {
-    return this.#hosts.isSettled() && this.#computePosition(id) < senderCount;
+    return this.findPosition(id, senderCount) !== undefined;
+  }
+
+  /**
+   * @param id - a server incarnation
+   * @param senderCount - number of hosts that share it
+   * @returns position of this entry host among them, from 0; undefined if it is none of them
+   */
+  findPosition(id: string, senderCount: number): number | undefined {
+    if (!this.#hosts.isSettled()) return undefined;
+    const position = this.#computePosition(id);
+    return position < senderCount ? position : undefined;
   }
 
   /** @param id - ID of an incarnation that has ended */
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -8,7 +8,13 @@
 /** Part of a peer's report that describes backend servers and the calls that wait for them. */
 export type PeerStats = Pick<
   HostReportMessage,
-  'inFlight' | 'waitingCalls' | 'firstWaiting' | 'avoidedBy' | 'endedServers' | 'rateLimits'
+  | 'inFlight'
+  | 'waitingCalls'
+  | 'firstWaiting'
+  | 'avoidedBy'
+  | 'endedServers'
+  | 'rateLimits'
+  | 'hostCount'
 >;
 
 const SUMMED_FIELDS = ['avoidedBy', 'inFlight', 'waitingCalls'] as const;
@@ -122,11 +128,16 @@
    */
   findFirstWaiting(serviceId: string, excluded?: string): FirstWaiting | undefined {
     let first: FirstWaiting | undefined;
-    this.#stats.forEach(({ firstWaiting, waitingCalls }, source) => {
+    let firstHostCount = 0;
+    this.#stats.forEach(({ firstWaiting, waitingCalls, hostCount }, source) => {
       const urgency = firstWaiting[serviceId];
       const isWaiting = (waitingCalls[serviceId] ?? 0) > 0 && source !== excluded;
       if (urgency === undefined || !isWaiting) return;
-      if (!first || urgency < first.urgency) first = { source, urgency };
+      // Of equally urgent calls, one that a peer reports of itself is known most recently.
+      const isCloser = urgency === first?.urgency && hostCount < firstHostCount;
+      if (first && urgency >= first.urgency && !isCloser) return;
+      first = { source, urgency };
+      firstHostCount = hostCount;
     });
     return first;
   }
--- a/src/application/direct/_rate_limit_tracker.ts
+++ b/src/application/direct/_rate_limit_tracker.ts
@@ -6,6 +6,7 @@
  */
 import type { ServerLoad } from '../../domain/backend_servers/mod.js';
 import { computeTotalRate, deriveNamedPace, RateLimitRecord } from '../../domain/places/mod.js';
+import type { PaceShare } from '../../domain/places/mod.js';
 import { RateLimitKind } from '../../ports/mod.js';
 import type {
   Clock,
@@ -24,6 +25,9 @@
  */
 const END_REPORTED_MS = 30_000;
 
+/** How late a request may be without lowering the rate, in milliseconds: one check for turns. */
+const CATCH_UP_MS = 25;
+
 /** An answer that tells the rate limit of its backend server. */
 export interface RateLimitEvidence {
   readonly incarnationId: string;
@@ -152,13 +156,20 @@
       limit.wasSender = false;
       return;
     }
-    const share = deriveNamedPace(requestsPerSecond, this.#roles.hostCount);
-    const isSender = this.#roles.isSender(id, share.senderCount);
-    const intervalMs = isSender ? share.intervalMs : Infinity;
-    load.pace.rateLimit.configure(Infinity, intervalMs, computeTotalRate(share));
-    // The host that it takes the share over from may just have sent.
-    if (isSender && !limit.wasSender)
-      load.pace.rateLimit.restartInterval(this.#options.clock.nowMs());
+    const share = this.#deriveShare(requestsPerSecond);
+    const position = this.#roles.findPosition(id, share.senderCount);
+    const isSender = position !== undefined;
+    load.pace.rateLimit.configure(Infinity, isSender ? share.intervalMs : Infinity, {
+      totalPerSecond: computeTotalRate(share),
+      catchUpMs: CATCH_UP_MS,
+    });
+    if (isSender && !limit.wasSender) {
+      // The host that it takes the share over from may just have sent, and the other senders
+      // begin at the same moment.
+      const waitMs = (share.intervalMs * (position + 1)) / share.senderCount;
+      const nowMs = this.#options.clock.nowMs();
+      load.pace.rateLimit.restartInterval(nowMs + waitMs - share.intervalMs);
+    }
     limit.wasSender = isSender;
   }
 
@@ -169,6 +180,13 @@
     this.#log.forget(id);
   }
 
+  #deriveShare(requestsPerSecond: number): PaceShare {
+    const { hosts } = this.#options;
+    const knownCount = hosts.listKnown().filter(({ isLeaving }) => !isLeaving).length + 1;
+    const presentCount = hosts.listPresent().length + 1;
+    return deriveNamedPace(requestsPerSecond, { presentCount, knownCount });
+  }
+
   #getOrCreate(id: string): TrackedLimit {
     const existing = this.#limits.get(id);
     if (existing) return existing;
@@ -188,17 +206,14 @@
     const { requestsPerSecond, version } = record.state;
     Object.assign(limit, { reportedUntilMs: clock.nowMs() + END_REPORTED_MS });
     metrics.count('backend_server_limit_changes_total');
-    const pace =
-      requestsPerSecond === undefined
-        ? undefined
-        : deriveNamedPace(requestsPerSecond, this.#roles.hostCount);
+    const pace = requestsPerSecond === undefined ? undefined : this.#deriveShare(requestsPerSecond);
     this.#log.recordChange(id, {
       previous,
       requestsPerSecond,
       version,
       source,
       evidenceAgeMs: Math.round(record.computeEvidenceAgeMs(clock.nowMs())),
-      entryHosts: this.#roles.hostCount,
+      entryHosts: this.#options.hosts.listPresent().length + 1,
       isSender: pace && this.#roles.isSender(id, pace.senderCount),
       intervalMs: pace && Math.round(pace.intervalMs),
     });
--- a/src/application/direct/_warmup_tracker.ts
+++ b/src/application/direct/_warmup_tracker.ts
@@ -91,7 +91,7 @@
     const share = deriveWarmupPace(limit.requestsPerSecond);
     const isSender = this.#roles.isSender(entry.id, share.senderCount);
     const intervalMs = isSender ? share.intervalMs : Infinity;
-    load.pace.warmup.configure(warmAtMs, intervalMs, computeTotalRate(share));
+    load.pace.warmup.configure(warmAtMs, intervalMs, { totalPerSecond: computeTotalRate(share) });
   }
 
   /**
--- a/src/domain/places/mod.ts
+++ b/src/domain/places/mod.ts
@@ -15,8 +15,9 @@
   deriveWarmupPace,
   isPaceSender,
 } from './pace_share.js';
-export type { WarmupLimit, PaceShare } from './pace_share.js';
+export type { PaceFleet, PaceShare, WarmupLimit } from './pace_share.js';
 export { RateLimitRecord } from './rate_limit_record.js';
 export type { RateLimitState } from './rate_limit_record.js';
 export { ServerPace } from './server_pace.js';
 export { ServerPacer } from './server_pacer.js';
+export type { PacerOptions } from './server_pacer.js';
--- a/src/domain/places/pace_share.ts
+++ b/src/domain/places/pace_share.ts
@@ -66,17 +66,32 @@
   return { senderCount: senders, intervalMs: (MS_PER_SECOND * INTERVAL_MARGIN) / perSender };
 }
 
+/** Entry hosts among which a named limit is shared. */
+export interface PaceFleet {
+  /** Number of hosts that are present, including this one. */
+  readonly presentCount: number;
+  /** Number of hosts that are known, also those that have been silent for some time. */
+  readonly knownCount: number;
+}
+
 /**
  * Computes the share of one entry host in a limit that a server names. In any window, all senders
  * together send at most `senderCount` requests and `requestsPerSecond * NAMED_FRACTION` a second.
+ * Hosts that are cut off from each other keep to that together: each side shares out only the
+ * fraction of the rate that corresponds to its part of the known hosts.
  *
  * @param requestsPerSecond - the rate limit; 0 or more
- * @param hostCount - number of known entry hosts, including this one
+ * @param fleet - the entry hosts that share it
  * @returns the share
  */
-export function deriveNamedPace(requestsPerSecond: number, hostCount: number): PaceShare {
-  const rate = Math.max(MIN_NAMED_RATE, requestsPerSecond) * NAMED_FRACTION;
-  const senderCount = Math.max(1, Math.min(MAX_SENDERS, hostCount, Math.floor(rate)));
+export function deriveNamedPace(
+  requestsPerSecond: number,
+  { presentCount, knownCount }: PaceFleet,
+): PaceShare {
+  const total = Math.max(MIN_NAMED_RATE, requestsPerSecond) * NAMED_FRACTION;
+  const rate = total * Math.min(1, presentCount / knownCount);
+  const maxSenders = Math.min(MAX_SENDERS, presentCount, Math.floor(rate));
+  const senderCount = Math.max(1, maxSenders);
   return { senderCount, intervalMs: (MS_PER_SECOND * senderCount) / rate };
 }
 
--- a/src/domain/places/server_pacer.ts
+++ b/src/domain/places/server_pacer.ts
@@ -4,6 +4,17 @@
  * @module
  */
 
+/** Further settings of {@link ServerPacer.configure}. */
+export interface PacerOptions {
+  /** Requests a second that all entry hosts together send. Default: no bound. */
+  readonly totalPerSecond?: number;
+  /**
+   * How much earlier the request after a late one may be sent, in milliseconds, so that late
+   * checks don't add up to a lower rate. Default: 0.
+   */
+  readonly catchUpMs?: number;
+}
+
 /** Tracks until when a server is paced and when this entry host may send to it next. */
 export class ServerPacer {
   #pacedUntilMs = Number.NEGATIVE_INFINITY;
@@ -12,6 +23,8 @@
 
   #totalPerSecond = Infinity;
 
+  #catchUpMs = 0;
+
   #sentAtMs = Number.NEGATIVE_INFINITY;
 
   /** Until when the turn that another entry host has passed on may be used. */
@@ -21,13 +34,17 @@
    * @param pacedUntilMs - when the pace ends, on the monotonic clock
    * @param intervalMs - shortest time between two requests of this entry host until then;
    *   Infinity if it may send none
-   * @param totalPerSecond - requests a second that all entry hosts together send. Default: no
-   *   bound
+   * @param options - further settings of the pace
    */
-  configure(pacedUntilMs: number, intervalMs: number, totalPerSecond = Infinity): void {
+  configure(
+    pacedUntilMs: number,
+    intervalMs: number,
+    { totalPerSecond = Infinity, catchUpMs = 0 }: PacerOptions = {},
+  ): void {
     this.#pacedUntilMs = pacedUntilMs;
     this.#intervalMs = intervalMs;
     this.#totalPerSecond = totalPerSecond;
+    this.#catchUpMs = catchUpMs;
   }
 
   /**
@@ -57,12 +74,14 @@
   recordSent(nowMs: number): void {
     const usesTurn = nowMs < this.#turnUntilMs && !this.#isIntervalOver(nowMs);
     this.#turnUntilMs = Number.NEGATIVE_INFINITY;
-    if (!usesTurn) this.#sentAtMs = nowMs;
+    if (usesTurn) return;
+    const lateMs = this.#intervalMs < Infinity ? nowMs - this.#sentAtMs - this.#intervalMs : 0;
+    this.#sentAtMs = nowMs - Math.max(0, Math.min(lateMs, this.#catchUpMs));
   }
 
-  /** @param nowMs - monotonic time from which a whole interval must pass before the next request */
-  restartInterval(nowMs: number): void {
-    this.#sentAtMs = Math.max(this.#sentAtMs, nowMs);
+  /** @param fromMs - monotonic time from which an interval must pass before the next request */
+  restartInterval(fromMs: number): void {
+    this.#sentAtMs = Math.max(this.#sentAtMs, fromMs);
   }
 
   /**
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -16,6 +16,7 @@
   avoidedBy: {},
   endedServers: [],
   rateLimits: {},
+  hostCount: 1,
 };
 
 /** Context of a feed read under normal conditions. */
