Let urgent calls go first to servers that name a limit

What callers would have seen (own test, 7 hosts, four servers at 3 a second): of urgent calls at two hosts 22 of 32 were served while hosts with calls of low rank used most turns.

Cause: a host used the turns that it made itself for its own calls, whoever waited elsewhere, as its queue is checked more often than turns are offered; and a call was refused for calls at peers that it goes before.

Change: a host leaves a turn of its own to a peer whose first call is more urgent; only peers whose first call is at least as urgent count as ahead.

Measured: the test asks for four fifths of the urgent calls and passes now.

--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -142,6 +142,22 @@
     return first;
   }
 
+  /**
+   * Counts calls that may go before one of this entry host. Peers tell the urgency of their first
+   * call only, so either all calls of a peer count or none.
+   *
+   * @param serviceId - service that the calls wait for
+   * @param urgency - urgency of the call of this entry host
+   * @returns calls of the peers whose first call is at least as urgent
+   */
+  countCallsAhead(serviceId: string, urgency: number): number {
+    let count = 0;
+    this.#stats.forEach(({ firstWaiting, waitingCalls }) => {
+      if ((firstWaiting[serviceId] ?? Infinity) <= urgency) count += waitingCalls[serviceId] ?? 0;
+    });
+    return count;
+  }
+
   /**
    * Adjusts a peer's slot count until its next report, after it has taken or freed slots.
    *
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -209,6 +209,7 @@
       onWaiting: () => this.#waitingNotices.notifyPeers(serviceId, queue),
       forwardFreedSlot: (serverId) => this.#freedSlotForwarder.forward(serverId),
       countWaitingAtPeers: () => servers.countWaitingAtPeers(serviceId),
+      countPeerCallsAhead: (urgency) => servers.peers.countCallsAhead(serviceId, urgency),
       getPeerUrgency: () => servers.peers.findFirstWaiting(serviceId)?.urgency ?? Infinity,
     });
     return queue;
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -73,6 +73,8 @@
   readonly forwardFreedSlot: (serverId: string) => void;
   /** @returns number of calls that wait for the same slots at peers */
   readonly countWaitingAtPeers: () => number;
+  /** @param urgency - urgency of a call. @returns calls at peers that may go before it */
+  readonly countPeerCallsAhead: (urgency: number) => number;
   /** @returns urgency of the first call that waits at a peer; Infinity when none waits */
   readonly getPeerUrgency: () => number;
 }
@@ -190,7 +192,7 @@
 
   /** Estimates the wait for a turn; 0 if any backend server needs none. */
   #estimatePacedWaitMs(call: QueuedCall): number {
-    const { clock, listCandidates, countWaitingAtPeers, getPeerUrgency } = this.#options;
+    const { clock, listCandidates, countPeerCallsAhead } = this.#options;
     const nowMs = clock.nowMs();
     const requestsPerSecond = listCandidates().reduce(
       (sum, { load }) => sum + load.pace.computeTotalPerSecond(nowMs),
@@ -200,9 +202,7 @@
     if (requestsPerSecond === 0) return 0;
     return estimatePacedWaitMs({
       ownCallsAhead: this.#queue.countAhead(call),
-      ownWaitingCalls: this.#queue.size,
-      peerWaitingCalls: countWaitingAtPeers(),
-      isPeerCallAhead: getPeerUrgency() <= computeUrgency(call),
+      peerCallsAhead: countPeerCallsAhead(computeUrgency(call)),
       requestsPerSecond,
     });
   }
@@ -225,11 +225,9 @@
     return candidate !== undefined;
   }
 
-  #pickCandidate(
-    { work, expectedTokens, deadlineAtMs, excluded, regions }: QueuedCall,
-    ownWaitingCalls: number,
-  ): Candidate | undefined {
-    const { clock, random, listCandidates, countWaitingAtPeers } = this.#options;
+  #pickCandidate(call: QueuedCall, ownWaitingCalls: number): Candidate | undefined {
+    const { work, expectedTokens, deadlineAtMs, excluded, regions } = call;
+    const { clock, random, listCandidates, countWaitingAtPeers, getPeerUrgency } = this.#options;
     const nowMs = clock.nowMs();
     return pickServer(listCandidates(), {
       work,
@@ -243,6 +241,7 @@
         holdMs: this.#averageHoldMs,
         ownWaitingCalls,
         peerWaitingCalls: countWaitingAtPeers(),
+        isPeerMoreUrgent: getPeerUrgency() < computeUrgency(call),
       },
     });
   }
--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -30,6 +30,8 @@
   readonly peerWaitingCalls: number;
   /** Time for which a request holds a slot, in milliseconds. */
   readonly holdMs: number;
+  /** Whether a more urgent call waits at a peer. */
+  readonly isPeerMoreUrgent?: boolean;
 }
 
 /** The request and the circumstances of the selection. */
@@ -74,12 +76,15 @@
   candidates: readonly Candidate[],
   options: PickOptions,
 ): Candidate | undefined {
-  const { excluded, regions, nowMs, nextFraction } = options;
+  const { contention, excluded, regions, nowMs, nextFraction } = options;
   const free = candidates.filter(
     ({ id, load, region }) =>
       load.countOpenSlots(nowMs) > 0 && !excluded.has(id) && isAllowedRegion(regions, region),
   );
-  const healthy = filterHealthy(candidates, free, nowMs);
+  const allowed = contention.isPeerMoreUrgent
+    ? free.filter(({ load }) => !load.pace.hasOwnTurn(nowMs))
+    : free;
+  const healthy = filterHealthy(candidates, allowed, nowMs);
   const pool = filterDueRefreshes(
     filterByShare(filterByDeadline(healthy, options), options),
     nowMs,
--- a/src/domain/direct/paced_wait.ts
+++ b/src/domain/direct/paced_wait.ts
@@ -10,27 +10,19 @@
 export interface PacedWaitOptions {
   /** Calls on this entry host that go before the call. */
   readonly ownCallsAhead: number;
-  /** All calls that wait on this entry host. */
-  readonly ownWaitingCalls: number;
-  /** Calls that wait on other entry hosts, by their last reports. */
-  readonly peerWaitingCalls: number;
-  /** Whether the first call that waits elsewhere goes before the call. */
-  readonly isPeerCallAhead: boolean;
+  /** Calls on other entry hosts that go before it, by their last reports. */
+  readonly peerCallsAhead: number;
   /** Requests a second that all entry hosts together may send to the service. */
   readonly requestsPerSecond: number;
 }
 
 /**
- * Estimates the wait. Peers report how many calls wait, but only the urgency of the first one, so
- * their other calls are taken to be as urgent as the calls that wait here.
+ * Estimates the wait.
  *
  * @param options - waiting calls and rate
  * @returns milliseconds; 0 if no call goes first, since a turn may be unused somewhere
  */
 export function estimatePacedWaitMs(options: PacedWaitOptions): number {
-  const { ownCallsAhead, ownWaitingCalls, peerWaitingCalls, isPeerCallAhead } = options;
-  const peerFraction =
-    ownWaitingCalls > 0 ? ownCallsAhead / ownWaitingCalls : Number(isPeerCallAhead);
-  const callsAhead = ownCallsAhead + peerWaitingCalls * peerFraction;
-  return (callsAhead / options.requestsPerSecond) * MS_PER_SECOND;
+  const { ownCallsAhead, peerCallsAhead, requestsPerSecond } = options;
+  return ((ownCallsAhead + peerCallsAhead) / requestsPerSecond) * MS_PER_SECOND;
 }
--- a/src/domain/places/server_pace.ts
+++ b/src/domain/places/server_pace.ts
@@ -26,6 +26,14 @@
     return this.warmup.maySend(nowMs) && this.rateLimit.maySend(nowMs);
   }
 
+  /**
+   * @param nowMs - monotonic time in milliseconds
+   * @returns whether the next request uses a turn of this host's own, which it may pass on
+   */
+  hasOwnTurn(nowMs: number): boolean {
+    return this.isPaced(nowMs) && this.maySend(nowMs) && !this.rateLimit.hasPassedTurn(nowMs);
+  }
+
   /** @param nowMs - monotonic time at which a request is sent, or a turn is passed on */
   recordSent(nowMs: number): void {
     this.warmup.recordSent(nowMs);
--- a/src/domain/places/server_pacer.ts
+++ b/src/domain/places/server_pacer.ts
@@ -67,12 +67,17 @@
 
   /** @param nowMs - monotonic time in milliseconds. @returns whether a request may be sent now */
   maySend(nowMs: number): boolean {
-    return !this.isPaced(nowMs) || nowMs < this.#turnUntilMs || this.#isIntervalOver(nowMs);
+    return !this.isPaced(nowMs) || this.hasPassedTurn(nowMs) || this.#isIntervalOver(nowMs);
+  }
+
+  /** @param nowMs - monotonic time in milliseconds. @returns whether a passed turn may be used */
+  hasPassedTurn(nowMs: number): boolean {
+    return nowMs < this.#turnUntilMs;
   }
 
   /** @param nowMs - monotonic time at which a request is sent, or a turn is passed on */
   recordSent(nowMs: number): void {
-    const usesTurn = nowMs < this.#turnUntilMs && !this.#isIntervalOver(nowMs);
+    const usesTurn = this.hasPassedTurn(nowMs) && !this.#isIntervalOver(nowMs);
     this.#turnUntilMs = Number.NEGATIVE_INFINITY;
     if (usesTurn) return;
     const lateMs = this.#intervalMs < Infinity ? nowMs - this.#sentAtMs - this.#intervalMs : 0;
@@ -99,7 +104,7 @@
    * @returns age of the turn that the next request uses; 0 for a turn of this host's own
    */
   computeTurnAgeMs(nowMs: number, lifetimeMs: number): number {
-    if (nowMs >= this.#turnUntilMs || this.#isIntervalOver(nowMs)) return 0;
+    if (!this.hasPassedTurn(nowMs) || this.#isIntervalOver(nowMs)) return 0;
     return lifetimeMs - (this.#turnUntilMs - nowMs);
   }
 
