Show operators which servers name a limit, and what this host makes of it

What operators saw: nothing; a server that is used little looks like one that nobody needs. A gauge (backend_servers_limited), a status of each entry host that `monsoonhall status` reads at the metrics port, with limit, age of the evidence, senders and interval by server, and the same values in the log line of each change.

--- a/src/application/direct/_rate_limit_log.ts
+++ b/src/application/direct/_rate_limit_log.ts
@@ -26,9 +26,9 @@
   readonly source: string;
   /** Age of the answer that showed the limit, in milliseconds. */
   readonly evidenceAgeMs: number;
-  /** Number of entry hosts among which the limit is shared. */
-  readonly entryHosts: number;
-  /** Whether this entry host sends to the server at its own pace; undefined without a limit. */
+  /** Number of entry hosts that send to the server at their own pace; undefined: no limit. */
+  readonly senders: number | undefined;
+  /** Whether this entry host is one of them. */
   readonly isSender: boolean | undefined;
   /** Shortest time between two requests of a host that does, in milliseconds. */
   readonly intervalMs: number | undefined;
--- a/src/application/direct/_rate_limit_tracker.ts
+++ b/src/application/direct/_rate_limit_tracker.ts
@@ -46,6 +46,20 @@
   readonly hosts: PaceHosts;
 }
 
+/** What operators are shown of a limit. */
+export interface RateLimitDescription {
+  /** The limit in requests per second. */
+  readonly requestsPerSecond: number;
+  /** Time since an answer last showed it, as far as this host knows, in milliseconds. */
+  readonly limitAgeMs: number;
+  /** Number of entry hosts that send to the server at their own pace. */
+  readonly senders: number;
+  /** Whether this entry host is one of them. */
+  readonly isSender: boolean;
+  /** Shortest time between two requests of such a host, in milliseconds. */
+  readonly intervalMs: number;
+}
+
 interface TrackedLimit {
   readonly record: RateLimitRecord;
   /** Until when peers are told the state, on the monotonic clock in milliseconds. */
@@ -90,6 +104,21 @@
     return this.#limits.get(id)?.record.state.requestsPerSecond;
   }
 
+  /** @param id - a server incarnation. @returns its limit for operators, if it names one */
+  describe(id: string): RateLimitDescription | undefined {
+    const record = this.#limits.get(id)?.record;
+    const requestsPerSecond = record?.state.requestsPerSecond;
+    if (!record || requestsPerSecond === undefined) return undefined;
+    const { senderCount, intervalMs } = this.#deriveShare(requestsPerSecond);
+    return {
+      requestsPerSecond,
+      limitAgeMs: Math.round(record.computeEvidenceAgeMs(this.#options.clock.nowMs())),
+      senders: senderCount,
+      isSender: this.#roles.isSender(id, senderCount),
+      intervalMs: Math.round(intervalMs),
+    };
+  }
+
   /** @param evidence - an answer to a request of this entry host */
   recordAnswer({ incarnationId, notice, isAuthentic, sentAtMs }: RateLimitEvidence): void {
     const { metrics, clock } = this.#options;
@@ -105,7 +134,8 @@
     const limit = this.#getOrCreate(incarnationId);
     const previous = limit.record.state.requestsPerSecond;
     if (limit.record.observe(named, sentAtMs, clock.nowMs())) {
-      this.#handleChange(incarnationId, limit, previous, 'answer');
+      limit.reportedUntilMs = clock.nowMs() + END_REPORTED_MS;
+      this.#handleChange(incarnationId, limit.record, previous, 'answer');
     }
   }
 
@@ -121,11 +151,11 @@
     const limit = this.#getOrCreate(id);
     const previous = limit.record.state.requestsPerSecond;
     const state = { version: reported.version, requestsPerSecond: reported.requestsPerSecond };
-    if (limit.record.merge(state, reported.ageMs, nowMs)) {
-      this.#handleChange(id, limit, previous, source);
-    } else if (reported.version < limit.record.state.version) {
+    const hasChanged = limit.record.merge(state, reported.ageMs, nowMs);
+    if (hasChanged || reported.version < limit.record.state.version) {
       limit.reportedUntilMs = nowMs + END_REPORTED_MS;
     }
+    if (hasChanged) this.#handleChange(id, limit.record, previous, source);
   }
 
   /** @returns the states that peers should know, by incarnation ID */
@@ -197,25 +227,23 @@
 
   #handleChange(
     id: string,
-    limit: TrackedLimit,
+    record: RateLimitRecord,
     previous: number | undefined,
     source: string,
   ): void {
     const { clock, metrics } = this.#options;
-    const { record } = limit;
     const { requestsPerSecond, version } = record.state;
-    Object.assign(limit, { reportedUntilMs: clock.nowMs() + END_REPORTED_MS });
     metrics.count('backend_server_limit_changes_total');
-    const pace = requestsPerSecond === undefined ? undefined : this.#deriveShare(requestsPerSecond);
+    const { senders, isSender, intervalMs } = this.describe(id) ?? {};
     this.#log.recordChange(id, {
       previous,
       requestsPerSecond,
       version,
       source,
       evidenceAgeMs: Math.round(record.computeEvidenceAgeMs(clock.nowMs())),
-      entryHosts: this.#options.hosts.listPresent().length + 1,
-      isSender: pace && this.#roles.isSender(id, pace.senderCount),
-      intervalMs: pace && Math.round(pace.intervalMs),
+      senders,
+      isSender,
+      intervalMs,
     });
     this.#changeHandlers.forEach((handler) => handler());
   }
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -132,11 +132,16 @@
     return zone !== undefined && !this.#options.places.isClosed(zone) && this.#isActive(id);
   }
 
-  /** Returns whether an incarnation is usable, regardless of whether its zone is closed. */
+  /** Tells whether an incarnation is usable, whether or not its zone is closed. */
   #isActive(id: string): boolean {
     return this.#directory.isUsable(id, this.#options.clock.nowMs());
   }
 
+  /** @returns entries of all known servers, also of those that shut down */
+  listEntries(): readonly BackendServerEntry[] {
+    return this.#directory.list();
+  }
+
   /** @param id - a server incarnation. @returns its entry */
   findEntry(id: string): BackendServerEntry | undefined {
     return this.#directory.find(id);
@@ -152,12 +157,7 @@
     return this.#endedIncarnations.list();
   }
 
-  /**
-   * Applies a peer's report.
-   *
-   * @param source - incarnation of the peer's process
-   * @param stats - the reported stats; undefined when the process is gone
-   */
+  /** @param source - a peer's process. @param stats - its report; undefined when it is gone */
   applyPeerStats(source: string, stats: PeerStats | undefined): void {
     this.peers.set(source, stats);
     this.loads.applyPeerTotals(this.#options.countServing());
--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -35,5 +35,6 @@
   metrics.set('passes_reports_on', reports.isRelay ? 1 : 0);
   metrics.set('zones_closed', storeView.places.closedCount);
   metrics.set('backend_servers_cold', storeView.servers.coldCount);
+  metrics.set('backend_servers_limited', storeView.servers.rateLimits.listLimitedIds().length);
   metrics.set('requests_held', crashes.quarantinedCount);
 }
--- /dev/null
+++ b/src/commands/_direct_status.ts
@@ -0,0 +1,58 @@
+/**
+ * Builds the status of an entry host whose calls carry their own request ID, as
+ * `monsoonhall status` reads it.
+ *
+ * @module
+ */
+import type { GaugeSources } from './_direct_gauges.js';
+import type { EntryHostStatus } from './_status_report.js';
+
+/**
+ * Builds the status.
+ *
+ * @param sources - components that the values are read from
+ * @returns the status; times are in milliseconds, rates in requests per second
+ */
+export function buildDirectStatus(sources: GaugeSources): EntryHostStatus {
+  const { gateway, isServing, reports, storeView } = sources;
+  const { table } = storeView.routing;
+  const ageMs = Math.round(storeView.routing.computeAgeMs());
+  return {
+    health: { callsUnderWay: gateway.callCount, isRelay: reports.isRelay },
+    readiness: { ready: isServing, reasons: isServing ? [] : ['not serving callers'] },
+    configuration: {
+      revision: table?.version ?? 0,
+      hash: '',
+      ...(Number.isFinite(ageMs) && { platformSilentMs: ageMs }),
+      rejected: [],
+    },
+    entryHosts: listEntryHosts(sources),
+    backendServers: listBackendServers(sources),
+    queues: { waiting: gateway.countWaiting() },
+    refusals: {},
+  };
+}
+
+function listEntryHosts({ reports }: GaugeSources): Record<string, unknown>[] {
+  const heardIds = new Set(reports.listHeard().map(({ identity }) => identity.id));
+  return reports.listKnown().map(({ identity, isServing, isLeaving }) => ({
+    id: identity.id,
+    zone: identity.availabilityZone,
+    isHeard: heardIds.has(identity.id),
+    isServing,
+    isLeaving,
+  }));
+}
+
+function listBackendServers({ storeView }: GaugeSources): Record<string, unknown>[] {
+  const { servers } = storeView;
+  return servers.listEntries().map(({ id, serviceId, availabilityZone, slots }) => ({
+    id,
+    service: serviceId,
+    zone: availabilityZone,
+    usable: servers.isUsable(id),
+    inFlight: servers.loads.find(id)?.inFlight ?? 0,
+    slots,
+    ...servers.rateLimits.describe(id),
+  }));
+}
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -24,7 +24,6 @@
 } from '../application/direct/mod.js';
 import type { CountedReport, DirectGateway, StoreLayout } from '../application/direct/mod.js';
 import { LogLevel } from '../domain/errors/mod.js';
-import { pickAddresses, pickNearbyHosts } from '../domain/overlay/mod.js';
 import type { EntryHostIdentity } from '../domain/membership/mod.js';
 import type { CallerLimits } from '../domain/routing/mod.js';
 import type { ChangeFeed, Clock, EventLog } from '../ports/mod.js';
@@ -34,11 +33,17 @@
   formatPeerUrl,
   splitAddress,
 } from './_direct_peers.js';
+import { listNearbyAddresses } from './_direct_addresses.js';
+import type { AddressQuery } from './_direct_addresses.js';
 import { createDirectGateway } from './_direct_gateway.js';
 import { updateGauges } from './_direct_gauges.js';
+import type { GaugeSources } from './_direct_gauges.js';
+import { buildDirectStatus } from './_direct_status.js';
+import type { EntryHostStatus } from './_status_report.js';
 import type { DirectSettings } from './direct_settings.js';
 
 export { splitAddress } from './_direct_peers.js';
+export type { AddressQuery } from './_direct_addresses.js';
 
 /** Limits on callers until the first configuration is read. */
 const INITIAL_LIMITS: CallerLimits = {
@@ -58,16 +63,6 @@
   readonly layout: StoreLayout;
 }
 
-/** Request of a caller for the addresses of entry hosts to use. */
-export interface AddressQuery {
-  /** IP address of the caller. */
-  readonly address: string;
-  /** Region that the caller states; empty if it states none. */
-  readonly region: string;
-  /** Host name that the caller's calls will address. */
-  readonly hostName: string;
-}
-
 /** One running entry host. */
 export class DirectEntry {
   readonly clock = new SystemClock();
@@ -177,28 +172,20 @@
    * @returns addresses of nearby entry hosts that serve, as far as this one knows
    */
   listAddresses(query: AddressQuery): readonly string[] {
-    const hosts = this.#reports.listHeard().filter(({ isServing }) => isServing);
-    const serving = this.isServing ? [...hosts, this.#reports.self] : hosts;
-    const nearbyHosts = pickNearbyHosts(serving, {
-      callerRegion: query.region,
-      homeRegions: this.#storeView.routing.table?.findAllowedRegions(query.hostName),
-      findRegion: (zone) => this.#storeView.findRegion(zone),
-    });
-    return pickAddresses(nearbyHosts, query.address);
+    return listNearbyAddresses(this.#listSources(), query);
   }
 
   /** @returns counters, gauges and histograms as text */
   exportMetrics(): string {
-    updateGauges(this.metrics, {
-      storeView: this.#storeView,
-      gateway: this.#gateway,
-      reports: this.#reports,
-      crashes: this.#crashes,
-      isServing: this.isServing,
-    });
+    updateGauges(this.metrics, this.#listSources());
     return this.metrics.exportPrometheus();
   }
 
+  /** @returns what this entry host believes at present, for operators */
+  buildStatus(): EntryHostStatus {
+    return buildDirectStatus(this.#listSources());
+  }
+
   /**
    * Applies the seed addresses of changed settings. All other settings, such as this host's own
    * addresses, keep their values from the start of the process.
@@ -246,6 +233,16 @@
     });
   }
 
+  #listSources(): GaugeSources {
+    return {
+      storeView: this.#storeView,
+      gateway: this.#gateway,
+      reports: this.#reports,
+      crashes: this.#crashes,
+      isServing: this.isServing,
+    };
+  }
+
   #createReports(): HostReports {
     return new HostReports({
       self: this.#self,
