--- a/src/application/direct/freed_slot_forwarder.ts
+++ b/src/application/direct/freed_slot_forwarder.ts
@@ -1,5 +1,5 @@
 /**
- * Forwards freed slots, and turns at paced backend servers, to the entry host whose waiting call is
+ * Forwards freed slots, and turns at limited backend servers, to the entry host whose waiting call is
  * the most urgent.
  *
  * @module
@@ -63,7 +63,7 @@
 }
 
 /**
- * Forwards slots that this entry host's requests give back, and turns at paced servers that it
+ * Forwards slots that this entry host's requests give back, and turns at limited servers that it
  * does not need itself.
  *
  * Entry hosts learn of each other's requests from periodic reports, so a freed slot is known
@@ -73,7 +73,7 @@
  * there any more, that host keeps the slot for its next call, and the others learn of it from
  * its reports.
  *
- * A paced server is sent requests by a few entry hosts only, and the calls may be elsewhere. So
+ * A limited server is sent requests by a few entry hosts only, and the calls may be elsewhere. So
  * these hosts pass on the right to send one request: the sum of what all hosts send stays the same.
  *
  * Measured with nine entry hosts and six engines at a third more load than the engines can
@@ -114,14 +114,14 @@
     servers.loads.find(serverId)?.pace.grantTurn(now.steadyMs + TURN_LIFETIME_MS - passedMs);
   }
 
-  /** Offers turns for as long as any server is paced. */
+  /** Offers turns for as long as any server names a limit. */
   #scheduleTurns(): void {
     const { clock, servers } = this.#options;
-    if (this.#turnTimer || servers.listPacedIds().length === 0) return;
+    if (this.#turnTimer || servers.listLimitedIds().length === 0) return;
     this.#turnTimer = clock.setTimer(TURN_CHECK_INTERVAL_MS, () => {
       this.#turnTimer = undefined;
       servers
-        .listPacedIds()
+        .listLimitedIds()
         .filter((serverId) => this.#mayForward(serverId))
         .forEach((serverId) => this.#forwardOrDispatch(serverId, 0));
       this.#scheduleTurns();
@@ -149,7 +149,9 @@
   #mayForward(serverId: string): boolean {
     const { clock, servers } = this.#options;
     const load = servers.loads.find(serverId);
-    return servers.isUsable(serverId) && (load?.countOpenSlots(clock.nowMs()) ?? 0) > 0;
+    const nowMs = clock.nowMs();
+    if (!load || load.pace.warmup.isPaced(nowMs)) return false;
+    return servers.isUsable(serverId) && load.countOpenSlots(nowMs) > 0;
   }
 
   /** Counts a slot that a peer took or gave back, which the peer itself reports only later. */
--- a/src/application/direct/freed_slot_forwarder_test.ts
+++ b/src/application/direct/freed_slot_forwarder_test.ts
@@ -149,3 +149,48 @@
   await settle();
   t.ok(countForwarded(hub) <= 3, String(countForwarded(hub)));
 });
+
+const LIMIT = { version: 1, requestsPerSecond: 2, ageMs: 0 };
+
+interface PassedTurn {
+  readonly clock: VirtualClock;
+  readonly hub: FakePeerHub;
+  readonly to: SlotHost;
+}
+
+/** Starts a host that may send to a limited server, and one where a call waits for it. */
+async function passTurn(reportAgeMs: number): Promise<PassedTurn> {
+  const clock = new VirtualClock();
+  const hub = new FakePeerHub();
+  const from = new SlotHost(hub, clock, 'a');
+  const to = new SlotHost(hub, clock, 'b');
+  [from, to].forEach(({ servers }) => servers.rateLimits.applyReported('s-1', LIMIT, 'c/1'));
+  to.reportSentAt.set(1, {
+    steadyMs: clock.nowMs() + 1_000 - reportAgeMs,
+    wallMs: clock.wallMs() + 1_000 - reportAgeMs,
+  });
+  await clock.advance(1_000);
+  from.servers.peers.set(to.incarnation, {
+    ...NO_STATS,
+    waitingCalls: { engines: 1 },
+    firstWaiting: { engines: 0 },
+  });
+  await clock.advance(50);
+  return { clock, hub, to };
+}
+
+function hasTurn({ clock, to }: PassedTurn): boolean {
+  const load = to.servers.loads.find('s-1');
+  return load?.pace.rateLimit.hasPassedTurn(clock.nowMs()) === true;
+}
+
+t.test('a host that needs no turn passes it on, once in each interval', async (t) => {
+  const passed = await passTurn(100);
+  t.equal(hasTurn(passed), true);
+  t.equal(countForwarded(passed.hub), 1);
+});
+
+t.test('a turn that waited on its way for long gives no right', async (t) => {
+  // Guards against turns that a link or a paused process delivers all at once, seconds late.
+  t.equal(hasTurn(await passTurn(1_600)), false);
+});
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -107,17 +107,11 @@
       });
   }
 
-  /** @returns usable backend servers to which requests must keep a pace */
-  listPacedIds(): readonly string[] {
-    const limitedIds = new Set(this.rateLimits.listLimitedIds());
-    return this.#directory
-      .list()
-      .filter((entry) => limitedIds.has(entry.id) || this.#warmups.isCold(entry))
-      .filter(({ id }) => this.isUsable(id))
-      .map((entry) => {
-        this.#updatePace(entry);
-        return entry.id;
-      });
+  /** @returns usable backend servers that name a rate limit; updates their pace */
+  listLimitedIds(): readonly string[] {
+    const ids = this.rateLimits.listLimitedIds().filter((id) => this.isUsable(id));
+    ids.flatMap((id) => this.findEntry(id) ?? []).forEach((entry) => this.#updatePace(entry));
+    return ids;
   }
 
   /** @param serviceId - a service. @returns whether only closed zones keep requests from it */
--- a/src/domain/places/server_pace.ts
+++ b/src/domain/places/server_pace.ts
@@ -31,7 +31,8 @@
    * @returns whether the next request uses a turn of this host's own, which it may pass on
    */
   hasOwnTurn(nowMs: number): boolean {
-    return this.isPaced(nowMs) && this.maySend(nowMs) && !this.rateLimit.hasPassedTurn(nowMs);
+    const { rateLimit } = this;
+    return rateLimit.isPaced(nowMs) && this.maySend(nowMs) && !rateLimit.hasPassedTurn(nowMs);
   }
 
   /** @param nowMs - monotonic time at which a request is sent, or a turn is passed on */
@@ -40,9 +41,13 @@
     this.rateLimit.recordSent(nowMs);
   }
 
-  /** @param untilMs - when the right to send one request ends, on the monotonic clock */
+  /**
+   * Takes over a turn. It ends no wait for a warming server: turns may arrive late and together,
+   * and such a server has no room for that.
+   *
+   * @param untilMs - when the right to send one request ends, on the monotonic clock
+   */
   grantTurn(untilMs: number): void {
-    this.warmup.grantTurn(untilMs);
     this.rateLimit.grantTurn(untilMs);
   }
 
@@ -52,10 +57,7 @@
    * @returns age of the turn that the next request uses, in milliseconds
    */
   computeTurnAgeMs(nowMs: number, lifetimeMs: number): number {
-    return Math.max(
-      this.warmup.computeTurnAgeMs(nowMs, lifetimeMs),
-      this.rateLimit.computeTurnAgeMs(nowMs, lifetimeMs),
-    );
+    return this.rateLimit.computeTurnAgeMs(nowMs, lifetimeMs);
   }
 
   /**
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -52,7 +52,7 @@
   readonly heardScope: ReportScope | undefined;
 }
 
-/** Right to send one request to a paced backend server, which the sender passes on. */
+/** Right to send one request to a limited backend server, which the sender passes on. */
 export interface DispatchTurn {
   /**
    * Newest report that the sender received from the receiver's process. The turn was sent later
@@ -65,7 +65,7 @@
 
 /**
  * Forwards a slot to a receiver that has a more urgent waiting call: one that a request of the
- * sender has just released, or a turn at a paced backend server.
+ * sender has just released, or a turn at a backend server that names a limit.
  */
 export interface FreedSlotMessage {
   readonly type: PeerMessageType.FreedSlot;
@@ -73,7 +73,7 @@
   readonly serverId: string;
   /** How often the slot was forwarded before. */
   readonly hops: number;
-  /** Set if the backend server is paced; then the slot may be used only with this right. */
+  /** Set if the backend server is limited; then the slot may be used only with this right. */
   readonly turn?: DispatchTurn | undefined;
 }
 
