--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -159,7 +159,7 @@
   }
 
   onRateLimit(notice: RateLimitNotice, isAuthentic: boolean): void {
-    this.#options.services.servers.rateLimits.recordAnswer({
+    this.#options.services.servers.recordRateLimit({
       incarnationId: this.incarnationId,
       notice,
       isAuthentic,
--- a/src/application/direct/rate_limit_tracker_test.ts
+++ b/src/application/direct/rate_limit_tracker_test.ts
@@ -31,3 +31,14 @@
   listener.onRateLimit(invalid, true);
   t.equal(host.log.list('backend_server_limit_refused').length, 2);
 });
+
+t.test('an answer of a server that has gone from the registry is not kept', async (t) => {
+  // Guards against records that pile up, one for each late answer of an ended server.
+  const host = await startDirectHost(t, {}, ['s-1']);
+  host.call();
+  host.feed.remove('servers/s-1');
+  await host.clock.advance(3_000);
+  host.getSent(0).sendRateLimit(1.5);
+  t.equal(host.servers.findEntry('s-1'), undefined);
+  t.same(host.servers.rateLimits.listReported(), {});
+});
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -19,6 +19,7 @@
 import { WarmupTracker } from './_warmup_tracker.js';
 import type { WarmupTrackerOptions } from './_warmup_tracker.js';
 import { RateLimitTracker } from './_rate_limit_tracker.js';
+import type { RateLimitEvidence } from './_rate_limit_tracker.js';
 import { PeerStatsTable } from './_peer_stats.js';
 import type { PeerStats } from './_peer_stats.js';
 import { ServerLoads } from './_server_loads.js';
@@ -161,6 +162,11 @@
     });
   }
 
+  /** @param evidence - an answer that tells the rate limit of its server */
+  recordRateLimit(evidence: RateLimitEvidence): void {
+    if (this.findEntry(evidence.incarnationId)) this.rateLimits.recordAnswer(evidence);
+  }
+
   /** @param id - a server incarnation whose address has answered as another one */
   recordEnded(id: string): void {
     if (this.#directory.find(id)) this.#endedIncarnations.add(id);
