List a fault: the end of a limit that no call can show

What callers see: a server whose limit has ended stays shut out where all calls arrive at hosts that do not send to it, while other servers are free.

Cause: only senders ask the server anew after two seconds, by a call of their own, and turns go only to hosts where calls wait.

--- a/src/application/direct/server_limits_test.ts
+++ b/src/application/direct/server_limits_test.ts
@@ -141,6 +141,21 @@
   t.ok(fleet.hosts.every(({ servers }) => servers.rateLimits.find('s-1') === undefined));
 });
 
+t.test('the end of a limit is noticed where no call reaches its senders', async (t) => {
+  // Guards against a server that stays shut out since calls arrive at other hosts only.
+  const fleet = new LimitFleet(t, { hosts: 3, servers: 2, route: ROUTE, seed: 37 });
+  await fleet.start();
+  fleet.limits.set('s-1', 1.5);
+  await fleet.run({ callsPerSecond: 20, durationMs: 3_000 });
+  const others = fleet.hosts.filter(
+    ({ servers }) => servers.rateLimits.describe('s-1')?.isSender === false,
+  );
+  t.equal(others.length, 2);
+  fleet.limits.delete('s-1');
+  await fleet.run({ callsPerSecond: 20, durationMs: 10_000, hosts: others });
+  t.ok(fleet.hosts.every(({ servers }) => servers.rateLimits.find('s-1') === undefined));
+});
+
 t.test('a new life of a server carries no limit of the one before', async (t) => {
   const fleet = new LimitFleet(t, { hosts: 6, servers: 1, slots: 50, route: ROUTE });
   await fleet.start();
