Log and count the era that the store names, the revision held, and changes left out

What callers saw: work reached a server that had said it leaves, and an outdated configuration was in force. The logs could not tell whether the store had come back from a copy (its answers name an era, which nobody read), which revision each entry host holds, or whether a host left changes out as known already. So the hypotheses of the incident could not be told apart.

Types of the follower move to a file of their own, and the fleet of followers to test support, both unchanged.

Decisions are unchanged. One test of the follower let a peer tell a revision that its store never had; the stand-in now refuses such a watch, as the platform's page says, so that the test writes it to the store too. It still checks that the older change is not applied again.

--- a/src/application/direct/feed_distributor.ts
+++ b/src/application/direct/feed_distributor.ts
@@ -10,13 +10,8 @@
 import { PeerMessageType } from '../../ports/mod.js';
 import type { Clock, FeedUpdateMessage, Metrics, PeerNetwork } from '../../ports/mod.js';
 import { PROBE_WAIT_MS } from './feed_follower.js';
-import type {
-  FeedContext,
-  FeedFollower,
-  FeedUpdate,
-  ReadPlan,
-  RetryBackoff,
-} from './feed_follower.js';
+import type { FeedFollower } from './feed_follower.js';
+import type { FeedContext, FeedUpdate, ReadPlan, RetryBackoff } from './feed_follower_options.js';
 import type { HostReports } from './host_reports.js';
 
 /**
--- a/src/application/direct/feed_distributor_test.ts
+++ b/src/application/direct/feed_distributor_test.ts
@@ -1,132 +1,12 @@
 import t from 'tap';
-import type { Test } from 'tap';
-import { FakeFeed } from '../../../test/support/fake_feed.js';
-import {
-  buildIdentity,
-  FakePeerHub,
-  FakePeerNetwork,
-} from '../../../test/support/fake_peer_network.js';
-import { FakeLog, FakeMetrics, SeededRandom } from '../../../test/support/fakes.js';
-import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
-import { ConfirmedAge } from '../../domain/freshness/mod.js';
-import { FeedFollower, FeedDistributor, HostReports, NO_STATS } from './mod.js';
-import type { FeedContext } from './mod.js';
-
-/** An entry host that follows the store and tracks the age of its state. */
-class FollowerHost {
-  readonly network: FakePeerNetwork;
-
-  readonly follower: FeedFollower;
-
-  readonly reports: HostReports;
-
-  readonly distributor: FeedDistributor;
-
-  readonly storeViewAge = new ConfirmedAge();
-
-  readonly keys = new Set<string>();
-
-  readonly #clock: VirtualClock;
-
-  constructor(id: string, hub: FakePeerHub, clock: VirtualClock, feed: FakeFeed) {
-    this.#clock = clock;
-    this.network = new FakePeerNetwork(hub, buildIdentity(id));
-    const shared = { clock, log: new FakeLog(), metrics: new FakeMetrics() };
-    const self = this.network.identity;
-    this.reports = new HostReports({
-      ...shared,
-      self,
-      cores: 1,
-      peers: this.network,
-      seedPeerUrls: [],
-      getState: () => ({
-        isServing: true,
-        isInTouch: this.follower.isInTouch,
-        isLeaving: false,
-      }),
-      buildStats: () => NO_STATS,
-      onReport: () => undefined,
-      onSilent: () => undefined,
-      onReachableFraction: () => undefined,
-    });
-    this.follower = new FeedFollower({
-      ...shared,
-      feed,
-      random: new SeededRandom(),
-      getReadPlan: () => this.distributor.getReadPlan(),
-      getRetryBackoff: () => this.distributor.getRetryBackoff(),
-      onSnapshot: (items, context) => {
-        this.keys.clear();
-        items.forEach(({ key }) => this.keys.add(key));
-        this.#confirm(context);
-      },
-      onChanges: (changes, context) => {
-        changes.forEach(({ key, value }) => {
-          if (value) this.keys.add(key);
-          else this.keys.delete(key);
-        });
-        this.#confirm(context);
-      },
-      onStoreRead: (update, context) => this.distributor.sendUpdate(update, context),
-    });
-    this.distributor = new FeedDistributor({
-      ...shared,
-      peers: this.network,
-      reports: this.reports,
-      follower: this.follower,
-    });
-  }
-
-  get ageMs(): number {
-    return this.storeViewAge.computeAgeMs(this.#readClock());
-  }
-
-  start(): void {
-    this.follower.start();
-    this.reports.start();
-  }
-
-  stop(): void {
-    this.follower.stop();
-    this.reports.stop();
-  }
-
-  #confirm({ askedAt, ageMs }: FeedContext): void {
-    this.storeViewAge.confirm(askedAt, this.#readClock(), ageMs);
-  }
-
-  #readClock(): { readonly steadyMs: number; readonly wallMs: number } {
-    return { steadyMs: this.#clock.nowMs(), wallMs: this.#clock.wallMs() };
-  }
-}
-
-interface Fleet {
-  readonly hub: FakePeerHub;
-  readonly clock: VirtualClock;
-  readonly feed: FakeFeed;
-  readonly hosts: readonly FollowerHost[];
-}
-
-async function startFleet(t: Test, count: number): Promise<Fleet> {
-  const hub = new FakePeerHub();
-  const clock = new VirtualClock();
-  const feed = new FakeFeed(clock);
-  feed.put('a', 1);
-  const hosts = Array.from(
-    { length: count },
-    (_, index) => new FollowerHost(`h${index}`, hub, clock, feed),
-  );
-  hosts.forEach((host) => host.start());
-  t.teardown(() => hosts.forEach((host) => host.stop()));
-  await settle();
-  await clock.advance(5_000);
-  return { hub, clock, feed, hosts };
-}
+import { settle } from '../../../test/support/virtual_clock.js';
+import { startFollowerFleet } from '../../../test/support/follower_fleet.js';
+import type { FollowerHost } from '../../../test/support/follower_fleet.js';
 
 t.test('the number of calls to the store does not grow with the entry hosts', async (t) => {
   const counts: number[] = [];
   for (const count of [3, 12]) {
-    const { clock, feed } = await startFleet(t, count);
+    const { clock, feed } = await startFollowerFleet(t, count);
     const before = feed.readCount;
     await clock.advance(20_000);
     counts.push(feed.readCount - before);
@@ -141,7 +21,7 @@
   // make 80. The store drops its history, the readers read everything and resume, and all other
   // hosts find a gap before the readers' next update. Unless a reader sends what has changed in
   // between, each of them reads everything itself.
-  const { clock, feed, hosts } = await startFleet(t, 12);
+  const { clock, feed, hosts } = await startFollowerFleet(t, 12);
   feed.isDown = true;
   await clock.advance(900);
   feed.put('b', 1);
@@ -160,7 +40,7 @@
   // back for a second, and another one when the store cuts them off. The readers' requests stay
   // open, and after 1.2 s without updates all hosts take over at the same moment unless
   // takeovers are staggered.
-  const { clock, feed } = await startFleet(t, 24);
+  const { clock, feed } = await startFollowerFleet(t, 24);
   feed.isSilent = true;
   const before = feed.readCount;
   await clock.advance(1_900);
@@ -174,7 +54,7 @@
   // seconds. Each host retried as often as if no other host would report the store's return.
   const counts: number[] = [];
   for (const count of [4, 24]) {
-    const { clock, feed, hosts } = await startFleet(t, count);
+    const { clock, feed, hosts } = await startFollowerFleet(t, count);
     feed.isDown = true;
     const before = feed.readCount;
     await clock.advance(5_000);
@@ -189,7 +69,7 @@
 });
 
 t.test('all entry hosts get a change at once and know that it is fresh', async (t) => {
-  const { clock, feed, hosts } = await startFleet(t, 6);
+  const { clock, feed, hosts } = await startFollowerFleet(t, 6);
   feed.put('b', 1);
   await settle();
   t.ok(hosts.every(({ keys }) => keys.has('b')));
@@ -203,7 +83,7 @@
     // Guards against a configuration that is not in force on most entry hosts within two
     // seconds. The entry hosts that read the store lose power, an operator publishes, and the
     // other hosts must not keep waiting for updates from them.
-    const { hub, clock, feed, hosts } = await startFleet(t, 6);
+    const { hub, clock, feed, hosts } = await startFollowerFleet(t, 6);
     const [first, second, ...others] = hosts as [FollowerHost, FollowerHost, ...FollowerHost[]];
     [first, second].forEach((reader) => {
       hosts.forEach((host) => {
@@ -218,7 +98,7 @@
 );
 
 t.test('an entry host that gets the state only from peers stays fresh', async (t) => {
-  const { hub, clock, feed, hosts } = await startFleet(t, 3);
+  const { hub, clock, feed, hosts } = await startFollowerFleet(t, 3);
   const [, , isolatedHost] = hosts as [FollowerHost, FollowerHost, FollowerHost];
   t.ok(hub.isOpen('h0', 'h2'));
   isolatedHost.follower.stop();
@@ -233,7 +113,7 @@
   // Guards against a revoked key that is accepted by a machine that was suspended. A reader's
   // update waits in a buffer while the receiver is suspended for ten seconds, and is handled
   // after the resume before anything newer. Its age must not be counted from its arrival.
-  const { clock, hosts } = await startFleet(t, 3);
+  const { clock, hosts } = await startFollowerFleet(t, 3);
   const [reader, , receiver] = hosts as [FollowerHost, FollowerHost, FollowerHost];
   const heardSequence = reader.reports.findHeardSequence(receiver.network.identity.incarnation);
   const sentAt = receiver.reports.findSentAt(heardSequence);
--- a/src/application/direct/feed_follower.ts
+++ b/src/application/direct/feed_follower.ts
@@ -6,33 +6,11 @@
 import { formatReason, LogLevel } from '../../domain/errors/mod.js';
 import type { ClockReading } from '../../domain/freshness/mod.js';
 import { HistoryLostError } from '../../ports/mod.js';
-import type {
-  ChangeFeed,
-  Clock,
-  EventLog,
-  FeedChange,
-  FeedItem,
-  Metrics,
-  RandomSource,
-} from '../../ports/mod.js';
+import type { FeedItem } from '../../ports/mod.js';
 import { settle, startProcess } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
-
-/** Backoff delays after failed reads; each delay is twice the one before it. */
-export interface RetryBackoff {
-  /** First delay, in milliseconds. */
-  readonly minMs: number;
-  /** Longest delay, in milliseconds. */
-  readonly maxMs: number;
-}
-
-/** What a follower does next. */
-export interface ReadPlan {
-  /** Longest wait of the next read, in milliseconds; undefined while peers read. */
-  readonly waitMs: number | undefined;
-  /** Time until the plan is checked again while peers read, in milliseconds. */
-  readonly recheckAfterMs: number;
-}
+import { EraTracker } from './_era_tracker.js';
+import type { FeedContext, FeedFollowerOptions, FeedUpdate } from './feed_follower_options.js';
 
 /** Wait of a read that probes the store after a failure or a gap, in milliseconds. */
 export const PROBE_WAIT_MS = 1;
@@ -43,47 +21,14 @@
  */
 const REREGISTRATION_MS = 2_000;
 
-/** When a response was requested, and under which circumstances. */
-export interface FeedContext {
-  /** When the request was sent; the response reflects this moment or a later one. */
-  readonly askedAt: ClockReading;
-  /** Age of the response at that moment, in milliseconds; 0 for a response of the store. */
-  readonly ageMs: number;
-  /** Whether entries may be missing only because the store was unavailable. */
-  readonly wasAway: boolean;
-}
-
-/** Changes between two revisions, read by this entry host or by a peer. */
-export interface FeedUpdate {
-  readonly fromRevision: number;
-  readonly toRevision: number;
-  readonly changes: readonly FeedChange[];
-}
-
-/** Dependencies and callbacks of a {@link FeedFollower}. */
-export interface FeedFollowerOptions {
-  readonly feed: ChangeFeed;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly log: EventLog;
-  readonly metrics: Metrics;
-  readonly getReadPlan: () => ReadPlan;
-  /** @returns backoff delays after failed reads */
-  readonly getRetryBackoff: () => RetryBackoff;
-  /** Called with all items of the store, at the start and after lost history. */
-  readonly onSnapshot: (items: readonly FeedItem[], context: FeedContext) => void;
-  /** Called with changes; the list is empty when the store confirms that nothing has changed. */
-  readonly onChanges: (changes: readonly FeedChange[], context: FeedContext) => void;
-  /** Called with each update that this follower has read from the store itself. */
-  readonly onStoreRead: (update: FeedUpdate, context: FeedContext) => void;
-}
-
 /** Reads everything once and then follows changes; reads everything again when history is lost. */
 export class FeedFollower {
   readonly #options: FeedFollowerOptions;
 
   #revision: number | undefined;
 
+  readonly #eras: EraTracker;
+
   /** Whether a peer's update has shown that changes before it are missing. */
   #hasGap = false;
 
@@ -106,6 +51,7 @@
   /** @param options - dependencies and callbacks */
   constructor(options: FeedFollowerOptions) {
     this.#options = options;
+    this.#eras = new EraTracker(options.log);
   }
 
   /** Whether this follower's last own read reached the store. */
@@ -174,7 +120,8 @@
   *#readSnapshot(): Step<void> {
     const { feed, onSnapshot, onStoreRead } = this.#options;
     const askedAt = this.#readClock();
-    const { items, revision } = yield* settle(feed.readAll(''));
+    const { items, revision, era } = yield* settle(feed.readAll(''));
+    this.#reportEra(era);
     const wasFilledByPeer = this.#revision !== undefined && !this.#hasLostHistory;
     if (wasFilledByPeer) {
       // While this read was under way, a peer sent the missing changes and possibly newer ones.
@@ -216,7 +163,8 @@
     const askedAt = this.#readClock();
     // The first read after a failure doesn't wait, to notice the store's return at once.
     const maxWaitMs = this.#failureCount > 0 ? PROBE_WAIT_MS : waitMs;
-    const { changes, revision } = yield* settle(feed.readChanges('', after, maxWaitMs));
+    const { changes, revision, era } = yield* settle(feed.readChanges('', after, maxWaitMs));
+    this.#reportEra(era);
     const update = { fromRevision: after, toRevision: Math.max(after, revision), changes };
     const context = { askedAt, ageMs: 0, wasAway: this.#wasStoreAway() };
     this.#hasGap = false;
@@ -235,6 +183,9 @@
     // The update starts at or before the known revision, so it contains the missing changes.
     this.#hasLostHistory = false;
     const newChanges = changes.filter(({ revision }) => revision > knownRevision);
+    const skippedCount = changes.length - newChanges.length;
+    this.#options.metrics.count('feed_changes_skipped_total', {}, skippedCount);
+    this.#options.metrics.set('feed_revision', this.#revision);
     newChanges.forEach(({ key, value }) => {
       if (value) this.#presentKeys.add(key);
       else this.#presentKeys.delete(key);
@@ -242,6 +193,15 @@
     this.#options.onChanges(newChanges, context);
   }
 
+  #reportEra(named: number | undefined): void {
+    const { log, metrics } = this.#options;
+    const fromEra = this.#eras.newest;
+    const toEra = this.#eras.resolve(named, fromEra);
+    metrics.set('feed_era', toEra);
+    if (toEra !== fromEra)
+      log.write(LogLevel.Warn, 'feed_era_changed', { fromEra, toEra, revision: this.#revision });
+  }
+
   *#handleFailure(error: unknown): Step<void> {
     const { log, metrics } = this.#options;
     metrics.count('feed_reads_failed_total');
--- a/src/application/direct/feed_follower_test.ts
+++ b/src/application/direct/feed_follower_test.ts
@@ -212,6 +212,7 @@
   await settle();
   harness.feed.put('p/a', 1);
   t.ok(harness.follower.applyUpdate(buildUpdate(0, ['p/a', 'p/b']), FROM_PEER));
+  harness.feed.put('p/b', 1);
   await settle();
   t.same(harness.calls, ['all ', 'changes p/a,p/b', 'changes ']);
 });
--- a/src/application/direct/mod.ts
+++ b/src/application/direct/mod.ts
@@ -17,7 +17,7 @@
   FeedUpdate,
   ReadPlan,
   RetryBackoff,
-} from './feed_follower.js';
+} from './feed_follower_options.js';
 export { FeedDistributor, FAST_RETRY_BACKOFF } from './feed_distributor.js';
 export type { FeedDistributorOptions } from './feed_distributor.js';
 export { HostReports } from './host_reports.js';
--- a/src/ports/change_feed.ts
+++ b/src/ports/change_feed.ts
@@ -17,6 +17,8 @@
   readonly items: readonly FeedItem[];
   /** Revision after which to read changes; not newer than any page of the snapshot. */
   readonly revision: number;
+  /** Era that the store names in its answer; see {@link FeedChanges.era}. */
+  readonly era: number | undefined;
 }
 
 /** One change; `value` is undefined if the key was removed. */
@@ -31,6 +33,11 @@
   readonly changes: readonly FeedChange[];
   /** Revision after which to read the next changes. */
   readonly revision: number;
+  /**
+   * Era that the store names in its answer; it rises each time that the store comes back from a
+   * copy, and revisions may go back then. Undefined if the answer names none that can be read.
+   */
+  readonly era: number | undefined;
 }
 
 /** The store no longer has the requested changes; the caller must read a new snapshot. */
--- a/test/support/fake_feed.ts
+++ b/test/support/fake_feed.ts
@@ -6,7 +6,14 @@
 import { ChangeFeed, HistoryLostError } from '../../src/ports/mod.js';
 import type { Clock, FeedChange, FeedChanges, FeedSnapshot } from '../../src/ports/mod.js';
 
-/** A change feed whose keys tests write. It can be down, silent or without history. */
+/** The content of a {@link FakeFeed} at one moment, from which it can be restored. */
+export interface FeedCopy {
+  readonly items: ReadonlyMap<string, FeedChange>;
+  readonly history: readonly FeedChange[];
+  readonly revision: number;
+}
+
+/** A change feed whose keys tests write. It can be down, silent, without history or restored. */
 export class FakeFeed extends ChangeFeed {
   /** Whether reads fail. */
   isDown = false;
@@ -16,9 +23,12 @@
 
   readCount = 0;
 
+  /** Era that answers name, by the actual one. */
+  namedEra: (era: number) => number | undefined = (era) => era;
+
   readonly #clock: Clock;
 
-  readonly #items = new Map<string, FeedChange>();
+  #items = new Map<string, FeedChange>();
 
   #history: FeedChange[] = [];
 
@@ -27,8 +37,10 @@
 
   #revision = 0;
 
-  /** Callbacks that wake the reads that wait for a change. */
-  readonly #waiters = new Set<() => void>();
+  #era = 1;
+
+  /** Callbacks that end the waits of reads, with or without an error. */
+  readonly #waiters = new Set<(error?: Error) => void>();
 
   #snapshotsReleased: Promise<void> = Promise.resolve();
 
@@ -52,6 +64,42 @@
     this.#history = [];
   }
 
+  /** Number of times that the feed was restored, plus one. */
+  get era(): number {
+    return this.#era;
+  }
+
+  /** Revision of the newest write. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Value of a key as text; undefined if there is none. */
+  getText(key: string): string | undefined {
+    const value = this.#items.get(key)?.value;
+    return value && Buffer.from(value).toString();
+  }
+
+  /** All keys with their values as text. */
+  listTexts(): [key: string, text: string][] {
+    return [...this.#items.keys()].map((key) => [key, this.getText(key) ?? '']);
+  }
+
+  /** @returns the current content, for {@link FakeFeed.restore} */
+  copy(): FeedCopy {
+    return { items: new Map(this.#items), history: [...this.#history], revision: this.#revision };
+  }
+
+  /** Replaces the content by a copy, which begins a new era, and cuts all waiting reads. */
+  restore({ items, history, revision }: FeedCopy): void {
+    this.#items = new Map(items);
+    this.#history = [...history];
+    this.#revision = revision;
+    this.#discardedRevision = Math.min(this.#discardedRevision, revision);
+    this.#era += 1;
+    [...this.#waiters].forEach((wake) => wake(new Error('Cannot read: the feed was restored')));
+  }
+
   /** Delays the responses to snapshot reads. @returns the function that releases them */
   holdSnapshots(): { release: () => void } {
     let release = (): void => undefined;
@@ -67,6 +115,7 @@
         .filter(({ key }) => key.startsWith(prefix))
         .flatMap(({ key, value, revision }) => (value ? [{ key, value, revision }] : [])),
       revision: this.#revision,
+      era: this.namedEra(this.#era),
     }));
     await this.#snapshotsReleased;
     return snapshot;
@@ -77,13 +126,14 @@
     afterRevision: number,
     waitMs: number,
   ): Promise<FeedChanges> {
-    if (afterRevision < this.#discardedRevision)
-      throw new HistoryLostError('Cannot follow: forgotten');
     await this.#read(() => undefined);
+    if (afterRevision < this.#discardedRevision || afterRevision > this.#revision)
+      throw new HistoryLostError('Cannot follow: forgotten');
     if (this.#listChanges(prefix, afterRevision).length === 0) await this.#wait(waitMs);
     return this.#read(() => ({
       changes: this.#listChanges(prefix, afterRevision),
       revision: this.#revision,
+      era: this.namedEra(this.#era),
     }));
   }
 
@@ -108,12 +158,13 @@
   }
 
   #wait(waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = (): void => {
+    return new Promise((resolve, reject) => {
+      const wake = (error?: Error): void => {
         this.#waiters.delete(wake);
-        resolve();
+        if (error) reject(error);
+        else resolve();
       };
-      this.#clock.setTimer(waitMs, wake);
+      this.#clock.setTimer(waitMs, () => wake());
       this.#waiters.add(wake);
     });
   }
--- /dev/null
+++ b/test/support/follower_fleet.ts
@@ -0,0 +1,143 @@
+/**
+ * Entry hosts that follow one store, by their own reads or by peers' updates, over fakes.
+ *
+ * @module
+ */
+import type { Test } from 'tap';
+import {
+  FeedDistributor,
+  FeedFollower,
+  HostReports,
+  NO_STATS,
+} from '../../src/application/direct/mod.js';
+import type { FeedContext } from '../../src/application/direct/mod.js';
+import { ConfirmedAge } from '../../src/domain/freshness/mod.js';
+import { FakeFeed } from './fake_feed.js';
+import { buildIdentity, FakePeerHub, FakePeerNetwork } from './fake_peer_network.js';
+import { FakeLog, FakeMetrics, SeededRandom } from './fakes.js';
+import { settle, VirtualClock } from './virtual_clock.js';
+
+/** Time until all hosts know each other and the readers read, in milliseconds. */
+const DISCOVERY_MS = 5_000;
+
+/** An entry host that follows the store, holds its keys and tracks the age of its state. */
+export class FollowerHost {
+  readonly network: FakePeerNetwork;
+
+  readonly follower: FeedFollower;
+
+  readonly reports: HostReports;
+
+  readonly distributor: FeedDistributor;
+
+  readonly storeViewAge = new ConfirmedAge();
+
+  /** Values by key, as text. */
+  readonly values = new Map<string, string>();
+
+  readonly log = new FakeLog();
+
+  readonly metrics = new FakeMetrics();
+
+  readonly #clock: VirtualClock;
+
+  constructor(id: string, hub: FakePeerHub, clock: VirtualClock, feed: FakeFeed) {
+    this.#clock = clock;
+    this.network = new FakePeerNetwork(hub, buildIdentity(id));
+    const shared = { clock, log: this.log, metrics: this.metrics };
+    const self = this.network.identity;
+    this.reports = new HostReports({
+      ...shared,
+      self,
+      cores: 1,
+      peers: this.network,
+      seedPeerUrls: [],
+      getState: () => ({
+        isServing: true,
+        isInTouch: this.follower.isInTouch,
+        isLeaving: false,
+      }),
+      buildStats: () => NO_STATS,
+      onReport: () => undefined,
+      onSilent: () => undefined,
+      onReachableFraction: () => undefined,
+    });
+    this.follower = new FeedFollower({
+      ...shared,
+      feed,
+      random: new SeededRandom(),
+      getReadPlan: () => this.distributor.getReadPlan(),
+      getRetryBackoff: () => this.distributor.getRetryBackoff(),
+      onSnapshot: (items, context) => {
+        this.values.clear();
+        items.forEach(({ key, value }) => this.values.set(key, Buffer.from(value).toString()));
+        this.#confirm(context);
+      },
+      onChanges: (changes, context) => {
+        changes.forEach(({ key, value }) => {
+          if (value) this.values.set(key, Buffer.from(value).toString());
+          else this.values.delete(key);
+        });
+        this.#confirm(context);
+      },
+      onStoreRead: (update, context) => this.distributor.sendUpdate(update, context),
+    });
+    this.distributor = new FeedDistributor({
+      ...shared,
+      peers: this.network,
+      reports: this.reports,
+      follower: this.follower,
+    });
+  }
+
+  get keys(): ReadonlySet<string> {
+    return new Set(this.values.keys());
+  }
+
+  get ageMs(): number {
+    return this.storeViewAge.computeAgeMs(this.#readClock());
+  }
+
+  start(): void {
+    this.follower.start();
+    this.reports.start();
+  }
+
+  stop(): void {
+    this.follower.stop();
+    this.reports.stop();
+  }
+
+  #confirm({ askedAt, ageMs }: FeedContext): void {
+    this.storeViewAge.confirm(askedAt, this.#readClock(), ageMs);
+  }
+
+  #readClock(): { readonly steadyMs: number; readonly wallMs: number } {
+    return { steadyMs: this.#clock.nowMs(), wallMs: this.#clock.wallMs() };
+  }
+}
+
+/** Entry hosts that follow one store. */
+export interface FollowerFleet {
+  readonly hub: FakePeerHub;
+  readonly clock: VirtualClock;
+  readonly feed: FakeFeed;
+  readonly hosts: readonly FollowerHost[];
+}
+
+/** Starts entry hosts that follow a store with one key, and waits until they know each other. */
+export async function startFollowerFleet(t: Test, count: number): Promise<FollowerFleet> {
+  const hub = new FakePeerHub();
+  const clock = new VirtualClock();
+  const feed = new FakeFeed(clock);
+  feed.put('a', 1);
+  const hosts = Array.from(
+    { length: count },
+    (_, index) => new FollowerHost(`h${index}`, hub, clock, feed),
+  );
+  hosts.forEach((host) => host.start());
+  t.teardown(() => hosts.forEach((host) => host.stop()));
+  await settle();
+  await clock.advance(DISCOVERY_MS);
+  return { hub, clock, feed, hosts };
+}
