Show that changes are missed after the store came back from a copy: red tests, listed

What callers saw: work for a server that had said it leaves, and a configuration that others had replaced 15 s before.

The tests bring a store back from a copy that lacks its last writes, after 0.6 s and after 2.4 s, at 6 and at 66 entry hosts, and make two changes. On the present code, after 0.6 s, the hosts that did not read everything anew keep the former revision and leave out the first change (6 hosts), and the second too (66). Where new writes pass the former revisions before anyone looks, nobody ever reads the changes in between. After 2.4 s all hosts have failed to read and read anew, so that these two tests pass on the present code; they stay as a guard.

--- /dev/null
+++ b/src/application/direct/restored_feed_test.ts
@@ -0,0 +1,71 @@
+import t from 'tap';
+import type { Test } from 'tap';
+import { startFollowerFleet } from '../../../test/support/follower_fleet.js';
+import type { FollowerFleet } from '../../../test/support/follower_fleet.js';
+
+/** Time within which a change must have reached every entry host, in milliseconds. */
+const SPREAD_MS = 1_000;
+
+/** Asserts that every entry host has the keys and values of the store. */
+function checkValues(t: Test, { feed, hosts }: FollowerFleet, name: string): void {
+  const expected = JSON.stringify(feed.listTexts().sort());
+  const outdated = hosts
+    .filter(({ values }) => JSON.stringify([...values].sort()) !== expected)
+    .map(({ network }) => network.identity.id);
+  t.same(outdated, [], name);
+}
+
+/** Writes keys, loses the last writes in an outage, and brings the store back from a copy. */
+async function restoreStore({ clock, feed }: FollowerFleet, outageMs: number): Promise<void> {
+  feed.put('configuration', 'version 1');
+  feed.put('servers/s-1', 'ready');
+  const copy = feed.copy();
+  feed.put('configuration', 'version 2');
+  feed.put('other', '1');
+  feed.put('other', '2');
+  await clock.advance(SPREAD_MS);
+  feed.isDown = true;
+  feed.restore(copy);
+  await clock.advance(outageMs);
+  feed.isDown = false;
+}
+
+[
+  { count: 6, outageMs: 600 },
+  { count: 6, outageMs: 2_400 },
+  { count: 66, outageMs: 600 },
+  { count: 66, outageMs: 2_400 },
+].forEach(({ count, outageMs }) => {
+  // Guards against work for a server that leaves, and against an outdated configuration: a store
+  // that came back from a copy counts its revisions anew, and the first changes are missed.
+  t.test(`${count} hosts get all changes after ${outageMs} ms and a restore`, async (t) => {
+    const fleet = await startFollowerFleet(t, count);
+    await restoreStore(fleet, outageMs);
+    await fleet.clock.advance(SPREAD_MS);
+    fleet.feed.put('servers/s-1', 'leaving');
+    await fleet.clock.advance(SPREAD_MS);
+    checkValues(t, fleet, 'the first change');
+    fleet.feed.put('configuration', 'version 3');
+    await fleet.clock.advance(SPREAD_MS);
+    checkValues(t, fleet, 'the second change');
+  });
+});
+
+// Guards against the same where new writes have passed the former revisions before anyone looks.
+t.test('hosts get all changes when the revisions of a restored store pass', async (t) => {
+  const fleet = await startFollowerFleet(t, 6);
+  const { clock, feed } = fleet;
+  feed.put('servers/s-1', 'ready');
+  const copy = feed.copy();
+  feed.put('other', '1');
+  await clock.advance(SPREAD_MS);
+  feed.isDown = true;
+  feed.restore(copy);
+  feed.put('servers/s-1', 'leaving');
+  feed.put('configuration', 'version 2');
+  feed.put('configuration', 'version 3');
+  await clock.advance(SPREAD_MS);
+  feed.isDown = false;
+  await clock.advance(SPREAD_MS);
+  checkValues(t, fleet, 'after the restore');
+});
