Order what the store has written by era, then by revision

What callers saw: in a drill the store came back from a copy some seconds old. On a small site a request reached a server 2.2 s after it had said that it leaves; on a large one a host served version 85 for 15 s after others had 97, with a fresh age all the while.

Cause: revisions were taken to rise for good. A host that kept the higher revision of before left out each change with a revision that was given out again, and still counted the update that brought it as a confirmation. Where new writes passed the old revisions before anyone looked, nobody noticed at all. Class: an order that an outside system can turn round.

Change: StorePosition (era, revision) with one comparison in the domain. An answer that names a later era makes its reader read everything; it passes all of it to its peers as one update, which replaces what they hold. Updates of a former era are ignored, changes of a later one are a gap that a peer fills, or the store after a quarter of a second. A missing, unreadable or lower era leaves an answer in the era that was known when it was asked, with a log line. Pages from before and after a copy are not joined. After a restore, missing entries may have lapsed, as after an outage.

The test of feed_distributor and the follower's former tests pass; their applyUpdate() checks name the effect now instead of a truth value.

Why it holds: a host moves only to a later position, and what it holds is the store's content at that position, because an update either continues from a position of the same era or replaces all.

--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -105,6 +105,9 @@
   [PeerMessageType.WaitingNotice]: waitingNoticeSchema,
   [PeerMessageType.FeedUpdate]: z.object({
     type: z.literal(PeerMessageType.FeedUpdate),
+    // Senders of the former format know no eras.
+    era: revision.default(0),
+    isComplete: z.boolean().default(false),
     fromRevision: revision,
     toRevision: revision,
     changes: z
--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -83,6 +83,8 @@
   },
   [PeerMessageType.FeedUpdate]: {
     type: PeerMessageType.FeedUpdate,
+    era: 2,
+    isComplete: false,
     fromRevision: 3,
     toRevision: 4,
     changes: [{ key: 'servers/a', value: Buffer.from('{}'), revision: 4 }],
--- a/src/application/direct/feed_distributor.ts
+++ b/src/application/direct/feed_distributor.ts
@@ -3,14 +3,21 @@
  *
  * @module
  */
-import { computeElapsedMs, ConfirmedAge } from '../../domain/freshness/mod.js';
-import type { ClockReading } from '../../domain/freshness/mod.js';
+import {
+  comparePositions,
+  computeElapsedMs,
+  ConfirmedAge,
+  pickLater,
+} from '../../domain/freshness/mod.js';
+import type { ClockReading, StorePosition } from '../../domain/freshness/mod.js';
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
 import type { HostState } from '../../domain/overlay/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type { Clock, FeedUpdateMessage, Metrics, PeerNetwork } from '../../ports/mod.js';
+import { UpdateEffect } from './_feed_state.js';
 import { PROBE_WAIT_MS } from './feed_follower.js';
 import type { FeedFollower } from './feed_follower.js';
+import { getEndPosition } from './feed_follower_options.js';
 import type { FeedContext, FeedUpdate, ReadPlan, RetryBackoff } from './feed_follower_options.js';
 import type { HostReports } from './host_reports.js';
 
@@ -109,8 +116,8 @@
   /** Age of the state that was last sent to peers. */
   readonly #sentAge = new ConfirmedAge();
 
-  /** Newest revision that was sent to peers. */
-  #sentRevision = 0;
+  /** Latest state that was sent to peers. */
+  #sentPosition: StorePosition = { era: 0, revision: 0 };
 
   #lastUpdateAtMs = Number.NEGATIVE_INFINITY;
 
@@ -162,12 +169,14 @@
 
   #sendTo(
     targets: readonly EntryHostIdentity[],
-    { fromRevision, toRevision, changes }: FeedUpdate,
+    { era, isComplete, fromRevision, toRevision, changes }: FeedUpdate,
     { askedAt, ageMs, wasAway }: FeedContext,
   ): void {
     const { peers, reports } = this.#options;
     const message = {
       type: PeerMessageType.FeedUpdate,
+      era,
+      isComplete,
       fromRevision,
       toRevision,
       changes,
@@ -235,9 +244,9 @@
     if (!askedAt) return;
     const { ageMs, wasAway } = message;
     const context = { askedAt, ageMs, wasAway };
-    const isApplied = follower.applyUpdate(message, context);
-    metrics.count('feed_updates_total', { result: isApplied ? 'applied' : 'gap' });
-    if (!isApplied) return;
+    const effect = follower.applyUpdate(message, context);
+    metrics.count('feed_updates_total', { result: effect });
+    if (effect === UpdateEffect.Gap || effect === UpdateEffect.Outdated) return;
     this.#lastUpdateAtMs = this.#options.clock.nowMs();
     this.#forward(from, message, context);
   }
@@ -249,18 +258,23 @@
    */
   #forward(from: EntryHostIdentity, update: FeedUpdate, context: FeedContext): void {
     const { reports } = this.#options;
-    if (this.#recordSent(update, context)) {
-      this.#sendTo(reports.listForwardTargets(from), update, context);
-    }
+    const hasChanges = this.#hasChanges(update);
+    if (!this.#recordSent(update, context)) return;
+    const forwarded = hasChanges ? update : buildConfirmation(update);
+    this.#sendTo(reports.listForwardTargets(from), forwarded, context);
+  }
+
+  #hasChanges(update: FeedUpdate): boolean {
+    return comparePositions(getEndPosition(update), this.#sentPosition) > 0;
   }
 
   /**
    * @returns whether the update contains changes, or a confirmation much fresher than the last
    *   one sent
    */
-  #recordSent({ toRevision }: FeedUpdate, { askedAt, ageMs }: FeedContext): boolean {
-    const hasChanges = toRevision > this.#sentRevision;
-    this.#sentRevision = Math.max(this.#sentRevision, toRevision);
+  #recordSent(update: FeedUpdate, { askedAt, ageMs }: FeedContext): boolean {
+    const hasChanges = this.#hasChanges(update);
+    this.#sentPosition = pickLater(getEndPosition(update), this.#sentPosition);
     const nowAt = this.#readClock();
     const ageGainMs = this.#sentAge.computeAgeMs(nowAt) - ageMs - computeElapsedMs(askedAt, nowAt);
     if (ageGainMs < MIN_AGE_GAIN_MS) return hasChanges;
@@ -273,3 +287,8 @@
     return { steadyMs: clock.nowMs(), wallMs: clock.wallMs() };
   }
 }
+
+/** Reduces an update that was sent before to the confirmation that nothing follows it. */
+function buildConfirmation({ era, toRevision }: FeedUpdate): FeedUpdate {
+  return { era, isComplete: false, fromRevision: toRevision, toRevision, changes: [] };
+}
--- a/src/application/direct/feed_follower.ts
+++ b/src/application/direct/feed_follower.ts
@@ -4,45 +4,56 @@
  * @module
  */
 import { formatReason, LogLevel } from '../../domain/errors/mod.js';
-import type { ClockReading } from '../../domain/freshness/mod.js';
+import { compareEras } from '../../domain/freshness/mod.js';
+import type { ClockReading, StorePosition } from '../../domain/freshness/mod.js';
 import { HistoryLostError } from '../../ports/mod.js';
 import type { FeedItem } from '../../ports/mod.js';
 import { settle, startProcess } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
 import { EraTracker } from './_era_tracker.js';
+import { FeedState, UpdateEffect } from './_feed_state.js';
+import { StoreAvailability } from './_store_availability.js';
+import { getEndPosition } from './feed_follower_options.js';
 import type { FeedContext, FeedFollowerOptions, FeedUpdate } from './feed_follower_options.js';
 
 /** Wait of a read that probes the store after a failure or a gap, in milliseconds. */
 export const PROBE_WAIT_MS = 1;
 
 /**
- * Time after an outage in which missing entries may only have lapsed, in milliseconds: servers
- * write them again within about two seconds of the store's return.
+ * Time for which a host waits for a peer to send all items of a new era, in milliseconds. A peer's
+ * first change may overtake them, and not every host should read everything for that.
  */
-const REREGISTRATION_MS = 2_000;
+const ERA_WAIT_MS = 250;
 
-/** Reads everything once and then follows changes; reads everything again when history is lost. */
+/** Where the first state of a new era came from. */
+enum EraSource {
+  Store = 'store',
+  Peer = 'peer',
+}
+
+/**
+ * Reads everything once and then follows changes; reads everything again when history is lost or
+ * the store has come back from a copy.
+ */
 export class FeedFollower {
   readonly #options: FeedFollowerOptions;
 
-  #revision: number | undefined;
+  readonly #state = new FeedState();
 
   readonly #eras: EraTracker;
 
   /** Whether a peer's update has shown that changes before it are missing. */
   #hasGap = false;
 
-  /** Whether the store has dropped the changes after the known revision. */
-  #hasLostHistory = false;
+  /** Whether the changes after the known state can't be had, so that everything is read again. */
+  #mustReadAll = false;
 
-  /** Keys that exist at the known revision. */
-  readonly #presentKeys = new Set<string>();
+  /** When to read everything of a new era unless a peer sends it; Infinity if none is missing. */
+  #readEraAtMs = Infinity;
 
   #firstReadAtMs = Infinity;
 
-  #failureCount = 0;
-
-  #reregisteredAtMs = Number.NEGATIVE_INFINITY;
+  readonly #availability: StoreAvailability;
 
   #isRunning = false;
 
@@ -52,11 +63,12 @@
   constructor(options: FeedFollowerOptions) {
     this.#options = options;
     this.#eras = new EraTracker(options.log);
+    this.#availability = new StoreAvailability(options);
   }
 
   /** Whether this follower's last own read reached the store. */
   get isInTouch(): boolean {
-    return this.#failureCount === 0;
+    return this.#availability.failureCount === 0;
   }
 
   /** Monotonic time of the first complete read, in milliseconds; Infinity before it. */
@@ -64,6 +76,11 @@
     return this.#firstReadAtMs;
   }
 
+  /** The known state of the store; undefined before the first complete read. */
+  get position(): StorePosition | undefined {
+    return this.#state.position;
+  }
+
   /** Starts to follow the feed. */
   start(): void {
     this.#isRunning = true;
@@ -86,156 +103,176 @@
    *
    * @param update - the changes
    * @param context - when and how the peer read them
-   * @returns false when earlier changes are missing, which are then read from the store
+   * @returns what the update did
    */
-  applyUpdate(update: FeedUpdate, context: FeedContext): boolean {
-    if (this.#revision === undefined) return false;
-    if (update.fromRevision > this.#revision) {
-      this.#hasGap = true;
-      this.#cancelIdleWait();
-      return false;
+  applyUpdate(update: FeedUpdate, context: FeedContext): UpdateEffect {
+    const effect = this.#state.classify(update);
+    if (effect === UpdateEffect.Continues) this.#append(update, context);
+    else if (effect === UpdateEffect.Gap) this.#handleGap(update);
+    else if (effect === UpdateEffect.Replaces) {
+      this.#eras.note(update.era);
+      const items = update.changes.flatMap(({ key, value, revision }) =>
+        value ? [{ key, value, revision }] : [],
+      );
+      this.#replace(items, getEndPosition(update), context, EraSource.Peer);
     }
-    this.#apply(update, context);
-    return true;
+    return effect;
   }
 
   *#run(): Step<void> {
     while (this.#isRunning) {
+      const { position } = this.#state;
       try {
         yield* this.#runStep();
       } catch (error) {
-        yield* this.#handleFailure(error);
+        yield* this.#handleFailure(error, position);
       }
     }
   }
 
   *#runStep(): Step<void> {
+    const { position } = this.#state;
+    const eraDelayMs = this.#readEraAtMs - this.#options.clock.nowMs();
+    if (eraDelayMs <= 0) this.#mustReadAll = true;
+    if (!position || this.#mustReadAll) yield* this.#readSnapshot();
+    else if (Number.isFinite(eraDelayMs)) yield* settle(this.#waitIdle(eraDelayMs));
+    else yield* this.#followChanges(position);
+  }
+
+  *#followChanges(position: StorePosition): Step<void> {
     const plan = this.#options.getReadPlan();
     const waitMs = this.#hasGap ? PROBE_WAIT_MS : plan.waitMs;
-    if (this.#revision === undefined || this.#hasLostHistory) yield* this.#readSnapshot();
-    else if (waitMs === undefined) yield* settle(this.#waitIdle(plan.recheckAfterMs));
-    else yield* this.#readChanges(this.#revision, waitMs);
+    if (waitMs === undefined) yield* settle(this.#waitIdle(plan.recheckAfterMs));
+    else yield* this.#readChanges(position, waitMs);
   }
 
   *#readSnapshot(): Step<void> {
-    const { feed, onSnapshot, onStoreRead } = this.#options;
+    const { feed, onStoreRead } = this.#options;
     const askedAt = this.#readClock();
-    const { items, revision, era } = yield* settle(feed.readAll(''));
-    this.#reportEra(era);
-    const wasFilledByPeer = this.#revision !== undefined && !this.#hasLostHistory;
-    if (wasFilledByPeer) {
-      // While this read was under way, a peer sent the missing changes and possibly newer ones.
-      this.#recordSuccess();
+    const eraBefore = this.#eras.newest;
+    const positionBefore = this.#state.position;
+    const { items, revision, era: namedEra } = yield* settle(feed.readAll(''));
+    const position = { era: this.#eras.resolve(namedEra, eraBefore), revision };
+    if (this.#wasFilledByPeer(positionBefore, position)) {
+      this.#availability.recordSuccess(this.#state.position);
       return;
     }
-    const context = { askedAt, ageMs: 0, wasAway: this.#wasStoreAway() };
-    const update = this.#buildCatchUp(items, revision);
-    this.#revision = revision;
+    const context = { askedAt, ageMs: 0, wasAway: this.#availability.mayHaveLapsed };
+    const update = this.#state.buildCatchUp(items, position);
     this.#firstReadAtMs = Math.min(this.#firstReadAtMs, this.#options.clock.nowMs());
-    this.#hasGap = false;
-    this.#hasLostHistory = false;
-    this.#presentKeys.clear();
-    items.forEach(({ key }) => this.#presentKeys.add(key));
-    onSnapshot(items, context);
-    if (update) onStoreRead(update, context);
-    this.#recordSuccess();
+    const applied = this.#replace(items, position, context, EraSource.Store);
+    if (update) onStoreRead(update, applied);
+    this.#availability.recordSuccess(this.#state.position);
   }
 
   /**
-   * Builds the update for peers after history loss. Without it, each peer finds a gap, requests
-   * the changes, learns that they are gone and reads everything: at least two calls for each
-   * entry host.
+   * Tells whether peers have sent the missing changes, and possibly newer ones, while this host
+   * read everything itself.
    */
-  #buildCatchUp(items: readonly FeedItem[], toRevision: number): FeedUpdate | undefined {
-    const fromRevision = this.#revision;
-    if (fromRevision === undefined) return undefined;
-    const snapshotKeys = new Set(items.map(({ key }) => key));
-    const removedKeys = [...this.#presentKeys].filter((key) => !snapshotKeys.has(key));
-    const changes = [
-      ...items.filter(({ revision }) => revision > fromRevision),
-      ...removedKeys.map((key) => ({ key, value: undefined, revision: toRevision })),
-    ];
-    return { fromRevision, toRevision: Math.max(fromRevision, toRevision), changes };
+  #wasFilledByPeer(before: StorePosition | undefined, read: StorePosition): boolean {
+    const known = this.#state.position;
+    if (!known || known === before) return false;
+    return !this.#mustReadAll || compareEras(read, known) < 0;
   }
 
-  *#readChanges(after: number, waitMs: number): Step<void> {
+  *#readChanges(after: StorePosition, waitMs: number): Step<void> {
     const { feed, onStoreRead } = this.#options;
     const askedAt = this.#readClock();
     // The first read after a failure doesn't wait, to notice the store's return at once.
-    const maxWaitMs = this.#failureCount > 0 ? PROBE_WAIT_MS : waitMs;
-    const { changes, revision, era } = yield* settle(feed.readChanges('', after, maxWaitMs));
-    this.#reportEra(era);
-    const update = { fromRevision: after, toRevision: Math.max(after, revision), changes };
-    const context = { askedAt, ageMs: 0, wasAway: this.#wasStoreAway() };
-    this.#hasGap = false;
-    this.#apply(update, context);
+    const maxWaitMs = this.#availability.failureCount > 0 ? PROBE_WAIT_MS : waitMs;
+    const answer = yield* settle(feed.readChanges('', after.revision, maxWaitMs));
+    // A peer has told of a new era meanwhile, so the answer's revisions can't be compared.
+    if (this.#state.hasLeftEra(after)) return;
+    const era = this.#eras.resolve(answer.era, after.era);
+    if (compareEras({ era }, after) !== 0) {
+      this.#mustReadAll = true;
+      return;
+    }
+    const update = {
+      era,
+      isComplete: false,
+      fromRevision: after.revision,
+      toRevision: Math.max(after.revision, answer.revision),
+      changes: answer.changes,
+    };
+    const context = { askedAt, ageMs: 0, wasAway: this.#availability.mayHaveLapsed };
+    this.#append(update, context);
     onStoreRead(update, context);
-    this.#recordSuccess();
+    this.#availability.recordSuccess(this.#state.position);
   }
 
-  /**
-   * Applies the changes after the known revision. A peer may have sent newer ones during this
-   * follower's own read, and an older change must not undo a newer one.
-   */
-  #apply({ toRevision, changes }: FeedUpdate, context: FeedContext): void {
-    const knownRevision = this.#revision ?? 0;
-    this.#revision = Math.max(knownRevision, toRevision);
-    // The update starts at or before the known revision, so it contains the missing changes.
-    this.#hasLostHistory = false;
-    const newChanges = changes.filter(({ revision }) => revision > knownRevision);
-    const skippedCount = changes.length - newChanges.length;
-    this.#options.metrics.count('feed_changes_skipped_total', {}, skippedCount);
-    this.#options.metrics.set('feed_revision', this.#revision);
-    newChanges.forEach(({ key, value }) => {
-      if (value) this.#presentKeys.add(key);
-      else this.#presentKeys.delete(key);
-    });
+  #append(update: FeedUpdate, context: FeedContext): void {
+    // The update starts at or before the known state, so it contains the missing changes.
+    this.#hasGap = false;
+    this.#mustReadAll = compareEras({ era: this.#eras.newest }, update) > 0;
+    const newChanges = this.#state.append(update);
+    this.#reportPosition();
     this.#options.onChanges(newChanges, context);
   }
 
-  #reportEra(named: number | undefined): void {
-    const { log, metrics } = this.#options;
-    const fromEra = this.#eras.newest;
-    const toEra = this.#eras.resolve(named, fromEra);
-    metrics.set('feed_era', toEra);
-    if (toEra !== fromEra)
-      log.write(LogLevel.Warn, 'feed_era_changed', { fromEra, toEra, revision: this.#revision });
+  /** Puts a complete state in place of the known one. @returns the context that applies to it */
+  #replace(
+    items: readonly FeedItem[],
+    position: StorePosition,
+    context: FeedContext,
+    source: EraSource,
+  ): FeedContext {
+    const { log, onSnapshot } = this.#options;
+    const former = this.#state.position;
+    const isRestored = former !== undefined && compareEras(position, former) > 0;
+    if (isRestored) {
+      this.#availability.recordReturn();
+      log.write(LogLevel.Warn, 'feed_era_changed', {
+        fromEra: former.era,
+        fromRevision: former.revision,
+        toEra: position.era,
+        toRevision: position.revision,
+        items: items.length,
+        source,
+      });
+    }
+    this.#state.replace(items, position);
+    this.#hasGap = false;
+    this.#mustReadAll = false;
+    this.#readEraAtMs = Infinity;
+    this.#reportPosition();
+    const applied = { ...context, wasAway: context.wasAway || isRestored };
+    onSnapshot(items, { ...applied, isRestored });
+    return applied;
+  }
+
+  /** Has the missing changes read; those of a new era only if no peer sends them soon. */
+  #handleGap({ era }: FeedUpdate): void {
+    const known = this.#state.position;
+    if (!known) return;
+    this.#eras.note(era);
+    if (compareEras({ era }, known) === 0) this.#hasGap = true;
+    else this.#readEraAtMs = Math.min(this.#readEraAtMs, this.#options.clock.nowMs() + ERA_WAIT_MS);
+    this.#cancelIdleWait();
   }
 
-  *#handleFailure(error: unknown): Step<void> {
+  #reportPosition(): void {
+    const { position } = this.#state;
+    if (!position) return;
+    this.#options.metrics.set('feed_era', position.era);
+    this.#options.metrics.set('feed_revision', position.revision);
+  }
+
+  *#handleFailure(error: unknown, askedAfter: StorePosition | undefined): Step<void> {
     const { log, metrics } = this.#options;
     metrics.count('feed_reads_failed_total');
     if (error instanceof HistoryLostError) {
-      log.write(LogLevel.Info, 'feed_history_lost', { revision: this.#revision });
-      this.#hasLostHistory = true;
+      log.write(LogLevel.Info, 'feed_history_lost', { ...askedAfter });
+      // Without a known position everything is read anyway.
+      this.#mustReadAll = askedAfter === undefined || !this.#state.hasLeftEra(askedAfter);
       return;
     }
-    this.#failureCount += 1;
-    if (this.#failureCount === 1) {
-      const reason = formatReason(error);
-      log.write(LogLevel.Warn, 'dependency_lost', { dependency: 'store', reason });
-    }
+    this.#availability.recordFailure(error);
     const { minMs, maxMs } = this.#options.getRetryBackoff();
-    const maxDelayMs = Math.min(maxMs, minMs * 2 ** (this.#failureCount - 1));
+    const maxDelayMs = Math.min(maxMs, minMs * 2 ** (this.#availability.failureCount - 1));
     yield* settle(this.#wait(maxDelayMs * (0.5 + this.#options.random.nextFraction() / 2)));
   }
 
-  #recordSuccess(): void {
-    if (this.#failureCount === 0) return;
-    const { log, clock } = this.#options;
-    log.write(LogLevel.Info, 'dependency_regained', {
-      dependency: 'store',
-      failedReads: this.#failureCount,
-      revision: this.#revision,
-    });
-    this.#failureCount = 0;
-    this.#reregisteredAtMs = clock.nowMs() + REREGISTRATION_MS;
-  }
-
-  #wasStoreAway(): boolean {
-    return this.#failureCount > 0 || this.#options.clock.nowMs() < this.#reregisteredAtMs;
-  }
-
   #readClock(): ClockReading {
     const { clock } = this.#options;
     return { steadyMs: clock.nowMs(), wallMs: clock.wallMs() };
--- a/src/application/direct/feed_follower_options.ts
+++ b/src/application/direct/feed_follower_options.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { ClockReading } from '../../domain/freshness/mod.js';
+import type { ClockReading, StorePosition } from '../../domain/freshness/mod.js';
 import type {
   ChangeFeed,
   Clock,
@@ -40,14 +40,28 @@
   readonly wasAway: boolean;
 }
 
-/** Changes between two revisions, read by this entry host or by a peer. */
+/** When a snapshot was requested, and under which circumstances. */
+export interface SnapshotContext extends FeedContext {
+  /**
+   * Whether the store has come back from a copy since this host's last state. Writes that this
+   * host knows may then be missing until they are written again.
+   */
+  readonly isRestored: boolean;
+}
+
+/** Changes between two revisions of one era, read by this entry host or by a peer. */
 export interface FeedUpdate {
+  /** Era of all revisions of the update. */
+  readonly era: number;
+  /** Whether the changes are all items of the store, which replace whatever was known. */
+  readonly isComplete: boolean;
+  /** Revision after which the changes start; 0 for a complete update. */
   readonly fromRevision: number;
   readonly toRevision: number;
   readonly changes: readonly FeedChange[];
 }
 
-/** Dependencies and callbacks of a {@link FeedFollower}. */
+/** Dependencies and callbacks of a follower. */
 export interface FeedFollowerOptions {
   readonly feed: ChangeFeed;
   readonly clock: Clock;
@@ -57,10 +71,15 @@
   readonly getReadPlan: () => ReadPlan;
   /** @returns backoff delays after failed reads */
   readonly getRetryBackoff: () => RetryBackoff;
-  /** Called with all items of the store, at the start and after lost history. */
-  readonly onSnapshot: (items: readonly FeedItem[], context: FeedContext) => void;
+  /** Called with all items of the store: at the start, after lost history and in a new era. */
+  readonly onSnapshot: (items: readonly FeedItem[], context: SnapshotContext) => void;
   /** Called with changes; the list is empty when the store confirms that nothing has changed. */
   readonly onChanges: (changes: readonly FeedChange[], context: FeedContext) => void;
   /** Called with each update that this follower has read from the store itself. */
   readonly onStoreRead: (update: FeedUpdate, context: FeedContext) => void;
 }
+
+/** @param update - an update. @returns the state of the store up to which it is complete */
+export function getEndPosition({ era, toRevision }: FeedUpdate): StorePosition {
+  return { era, revision: toRevision };
+}
--- a/src/application/direct/feed_follower_test.ts
+++ b/src/application/direct/feed_follower_test.ts
@@ -1,58 +1,7 @@
 import t from 'tap';
-import type { Test } from 'tap';
-import { FakeFeed } from '../../../test/support/fake_feed.js';
-import { FakeLog, FakeMetrics, SeededRandom } from '../../../test/support/fakes.js';
-import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
-import { FeedFollower, FAST_RETRY_BACKOFF } from './mod.js';
-import type { FeedContext, FeedUpdate } from './mod.js';
-
-/** Runs a follower on a fake store, and records its callbacks in order. */
-class FollowerHarness {
-  readonly clock = new VirtualClock();
-
-  readonly feed = new FakeFeed(this.clock);
-
-  readonly log = new FakeLog();
-
-  readonly calls: string[] = [];
-
-  readonly contexts: FeedContext[] = [];
-
-  /** Longest wait of each read; undefined while peers read instead. */
-  waitMs: number | undefined = 1_000;
-
-  readonly updates: FeedUpdate[] = [];
-
-  readonly follower: FeedFollower;
-
-  constructor(t: Test) {
-    const { clock, feed, log } = this;
-    this.follower = new FeedFollower({
-      clock,
-      feed,
-      log,
-      getReadPlan: () => ({ waitMs: this.waitMs, recheckAfterMs: 100 }),
-      getRetryBackoff: () => FAST_RETRY_BACKOFF,
-      onStoreRead: (update) => this.updates.push(update),
-      random: new SeededRandom(),
-      metrics: new FakeMetrics(),
-      onSnapshot: (items, context) => {
-        this.calls.push(`all ${items.map(({ key }) => key).join()}`);
-        this.contexts.push(context);
-      },
-      onChanges: (changes, context) => {
-        const parts = changes.map(({ key, value }) => (value ? key : `-${key}`));
-        this.calls.push(`changes ${parts.join()}`);
-        this.contexts.push(context);
-      },
-    });
-    t.teardown(() => this.follower.stop());
-  }
-
-  countLogEvents(event: string): number {
-    return this.log.lines.filter((line) => line.event === event).length;
-  }
-}
+import { buildUpdate, FollowerHarness, FROM_PEER } from '../../../test/support/follower_harness.js';
+import { settle } from '../../../test/support/virtual_clock.js';
+import { UpdateEffect } from './mod.js';
 
 t.test('FeedFollower reads everything, then each change as it comes', async (t) => {
   const harness = new FollowerHarness(t);
@@ -110,7 +59,10 @@
   harness.feed.put('p/b', 1);
   await harness.clock.advance(1_000);
   harness.follower.applyUpdate(
-    { fromRevision: 1, toRevision: 9, changes: [{ key: 'p/a', value: undefined, revision: 9 }] },
+    {
+      ...{ era: 1, isComplete: false, fromRevision: 1, toRevision: 9 },
+      changes: [{ key: 'p/a', value: undefined, revision: 9 }],
+    },
     { askedAt: { steadyMs: 0, wallMs: 0 }, ageMs: 0, wasAway: false },
   );
   heldRead.release();
@@ -160,21 +112,6 @@
   t.equal(harness.contexts.at(-1)?.wasAway, false);
 });
 
-function buildUpdate(fromRevision: number, keys: readonly string[]): FeedUpdate {
-  const changes = keys.map((key, index) => ({
-    key,
-    value: Buffer.from('1'),
-    revision: fromRevision + index + 1,
-  }));
-  return { fromRevision, toRevision: fromRevision + keys.length, changes };
-}
-
-const FROM_PEER: FeedContext = {
-  askedAt: { steadyMs: 0, wallMs: 0 },
-  ageMs: 10,
-  wasAway: false,
-};
-
 t.test('FeedFollower reads nothing while peers read, and applies their updates', async (t) => {
   const harness = new FollowerHarness(t);
   harness.feed.put('p/a', 1);
@@ -183,7 +120,10 @@
   harness.waitMs = undefined;
   await harness.clock.advance(1_100);
   const { readCount } = harness.feed;
-  t.ok(harness.follower.applyUpdate(buildUpdate(1, ['p/b', 'p/c']), FROM_PEER));
+  t.equal(
+    harness.follower.applyUpdate(buildUpdate(1, ['p/b', 'p/c']), FROM_PEER),
+    UpdateEffect.Continues,
+  );
   await harness.clock.advance(3_000);
   t.equal(harness.feed.readCount, readCount);
   t.equal(harness.calls.at(-1), 'changes p/b,p/c');
@@ -201,7 +141,7 @@
   await harness.clock.advance(1_100);
   harness.feed.put('p/b', 1);
   harness.feed.put('p/c', 1);
-  t.notOk(harness.follower.applyUpdate(buildUpdate(2, ['p/c']), FROM_PEER));
+  t.equal(harness.follower.applyUpdate(buildUpdate(2, ['p/c']), FROM_PEER), UpdateEffect.Gap);
   await harness.clock.advance(200);
   t.equal(harness.calls.at(-1), 'changes p/b,p/c');
 });
@@ -211,7 +151,10 @@
   harness.follower.start();
   await settle();
   harness.feed.put('p/a', 1);
-  t.ok(harness.follower.applyUpdate(buildUpdate(0, ['p/a', 'p/b']), FROM_PEER));
+  t.equal(
+    harness.follower.applyUpdate(buildUpdate(0, ['p/a', 'p/b']), FROM_PEER),
+    UpdateEffect.Continues,
+  );
   harness.feed.put('p/b', 1);
   await settle();
   t.same(harness.calls, ['all ', 'changes p/a,p/b', 'changes ']);
--- a/src/application/direct/mod.ts
+++ b/src/application/direct/mod.ts
@@ -17,7 +17,9 @@
   FeedUpdate,
   ReadPlan,
   RetryBackoff,
+  SnapshotContext,
 } from './feed_follower_options.js';
+export { UpdateEffect } from './_feed_state.js';
 export { FeedDistributor, FAST_RETRY_BACKOFF } from './feed_distributor.js';
 export type { FeedDistributorOptions } from './feed_distributor.js';
 export { HostReports } from './host_reports.js';
--- a/src/application/direct/restored_feed_test.ts
+++ b/src/application/direct/restored_feed_test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import type { Test } from 'tap';
+import { FakePeerHub } from '../../../test/support/fake_peer_network.js';
 import { startFollowerFleet } from '../../../test/support/follower_fleet.js';
 import type { FollowerFleet } from '../../../test/support/follower_fleet.js';
 
@@ -16,7 +17,8 @@
 }
 
 /** Writes keys, loses the last writes in an outage, and brings the store back from a copy. */
-async function restoreStore({ clock, feed }: FollowerFleet, outageMs: number): Promise<void> {
+async function restoreStore(fleet: FollowerFleet, outageMs: number): Promise<void> {
+  const { clock, feed } = fleet;
   feed.put('configuration', 'version 1');
   feed.put('servers/s-1', 'ready');
   const copy = feed.copy();
@@ -69,3 +71,45 @@
   await clock.advance(SPREAD_MS);
   checkValues(t, fleet, 'after the restore');
 });
+
+// Guards against calls to the store that grow with the hosts, and against a fleet that falls apart.
+[6, 66, 195].forEach((count) => {
+  t.test(`${count} hosts follow two restores in a row with few calls`, async (t) => {
+    const fleet = await startFollowerFleet(t, count, new FakePeerHub(count > 12));
+    const { clock, feed, hosts } = fleet;
+    const { readCount } = feed;
+    for (const outageMs of [0, 300]) {
+      feed.put('servers/s-1', 'ready');
+      const copy = feed.copy();
+      feed.put('servers/s-1', 'leaving');
+      await clock.advance(SPREAD_MS);
+      feed.isDown = outageMs > 0;
+      feed.restore(copy);
+      await clock.advance(outageMs);
+      feed.isDown = false;
+      feed.put('configuration', `after ${outageMs}`);
+    }
+    await clock.advance(2 * SPREAD_MS);
+    checkValues(t, fleet, 'after both');
+    hosts.forEach(({ ageMs }, index) => t.ok(ageMs <= 2_000, `${index}: ${ageMs}`));
+    const calls = feed.readCount - readCount;
+    // Two readers make about 2 calls a second, of which the fake counts each as two reads.
+    t.ok(calls <= 80, `${calls} reads`);
+  });
+});
+
+// Guards against a host that keeps the former era since it missed the news of the new one.
+t.test('hosts that were cut off, or started amid it, follow into the new era', async (t) => {
+  const fleet = await startFollowerFleet(t, 6);
+  const { clock, feed, hosts, hub } = fleet;
+  const [cutOff, ...others] = hosts.map(({ network }) => network.identity.id) as [string];
+  hub.partition([cutOff], others);
+  const restored = restoreStore(fleet, 1_500);
+  await restored;
+  feed.put('configuration', 'version 3');
+  await clock.advance(200);
+  hub.healAll();
+  feed.put('servers/s-1', 'leaving');
+  await clock.advance(2 * SPREAD_MS);
+  checkValues(t, fleet, 'after the partition');
+});
--- a/src/ports/change_feed.ts
+++ b/src/ports/change_feed.ts
@@ -52,6 +52,7 @@
    *
    * @param prefix - the key prefix
    * @returns a snapshot of the items
+   * @throws HistoryLostError if the store came back from a copy in between
    * @throws Error if the store can't be read
    */
   abstract readAll(prefix: string): Promise<FeedSnapshot>;
--- a/src/ports/peer_messages.ts
+++ b/src/ports/peer_messages.ts
@@ -67,6 +67,10 @@
 /** Changes that one entry host has read from the shared store. */
 export interface FeedUpdateMessage {
   readonly type: PeerMessageType.FeedUpdate;
+  /** Era of all revisions of the message. */
+  readonly era: number;
+  /** Whether the changes are all items of the store, which replace whatever was known. */
+  readonly isComplete: boolean;
   /** Revision after which the changes start. */
   readonly fromRevision: number;
   /** Revision up to which the changes are complete. */
--- a/test/support/fake_feed.ts
+++ b/test/support/fake_feed.ts
@@ -44,6 +44,8 @@
 
   #snapshotsReleased: Promise<void> = Promise.resolve();
 
+  #changesReleased: Promise<void> = Promise.resolve();
+
   constructor(clock: Clock) {
     super();
     this.#clock = clock;
@@ -102,10 +104,15 @@
 
   /** Delays the responses to snapshot reads. @returns the function that releases them */
   holdSnapshots(): { release: () => void } {
-    let release = (): void => undefined;
-    this.#snapshotsReleased = new Promise((resolve) => {
-      release = resolve;
-    });
+    const { released, release } = createHold();
+    this.#snapshotsReleased = released;
+    return { release };
+  }
+
+  /** Delays the responses to reads of changes. @returns the function that releases them */
+  holdChanges(): { release: () => void } {
+    const { released, release } = createHold();
+    this.#changesReleased = released;
     return { release };
   }
 
@@ -129,12 +136,15 @@
     await this.#read(() => undefined);
     if (afterRevision < this.#discardedRevision || afterRevision > this.#revision)
       throw new HistoryLostError('Cannot follow: forgotten');
-    if (this.#listChanges(prefix, afterRevision).length === 0) await this.#wait(waitMs);
-    return this.#read(() => ({
+    const mustWait = waitMs > 0 && this.#listChanges(prefix, afterRevision).length === 0;
+    if (mustWait) await this.#wait(waitMs);
+    const answer = await this.#read(() => ({
       changes: this.#listChanges(prefix, afterRevision),
       revision: this.#revision,
       era: this.namedEra(this.#era),
     }));
+    await this.#changesReleased;
+    return answer;
   }
 
   #write(key: string, value: Uint8Array | undefined): void {
@@ -169,3 +179,11 @@
     });
   }
 }
+
+function createHold(): { readonly released: Promise<void>; readonly release: () => void } {
+  let release = (): void => undefined;
+  const released = new Promise<void>((resolve) => {
+    release = resolve;
+  });
+  return { released, release };
+}
--- a/test/support/follower_fleet.ts
+++ b/test/support/follower_fleet.ts
@@ -17,6 +17,9 @@
 import { FakeLog, FakeMetrics, SeededRandom } from './fakes.js';
 import { settle, VirtualClock } from './virtual_clock.js';
 
+/** Addresses by which hosts find each other in a fleet whose links are dialled. */
+const SEED_URLS = ['ws://h0.test', 'ws://h1.test', 'ws://h2.test'];
+
 /** Time until all hosts know each other and the readers read, in milliseconds. */
 const DISCOVERY_MS = 5_000;
 
@@ -51,7 +54,7 @@
       self,
       cores: 1,
       peers: this.network,
-      seedPeerUrls: [],
+      seedPeerUrls: hub.isDialled ? SEED_URLS : [],
       getState: () => ({
         isServing: true,
         isInTouch: this.follower.isInTouch,
@@ -126,8 +129,11 @@
 }
 
 /** Starts entry hosts that follow a store with one key, and waits until they know each other. */
-export async function startFollowerFleet(t: Test, count: number): Promise<FollowerFleet> {
-  const hub = new FakePeerHub();
+export async function startFollowerFleet(
+  t: Test,
+  count: number,
+  hub = new FakePeerHub(),
+): Promise<FollowerFleet> {
   const clock = new VirtualClock();
   const feed = new FakeFeed(clock);
   feed.put('a', 1);
