Confirm no configuration that a restored store lacks, or that a peer knows to be old

What callers would see: a revoked key that is accepted again. A copy of the store may lack the version in force; its reads then renewed the age of a configuration that the store no longer held. A host that starts from the copy put the older version in force with a fresh age.

Cause: a read confirmed whatever was in force, as versions in the store were taken to rise for good.

Change: after a restore reads confirm nothing until the store holds the version in force again, or a newer one. Reports carry the newest version that any host has had in force, and a host with an older one does not count it as confirmed. Calls with keys are refused as not run once the age says so, as in an outage. The version in force never goes back, as before. Log lines configuration_missing_in_store and configuration_written_again.

--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -51,6 +51,7 @@
     avoidedBy: { 'engine-3': 1 },
     spentUnits: { 'franchise-a': 1200 },
     endedServers: ['engine-2'],
+    configurationVersion: 12,
     rateLimits: { 'engine-4': { version: 3, requestsPerSecond: 1.4, ageMs: 250 } },
     roster: [
       {
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -57,8 +57,9 @@
   avoidedBy: countsSchema,
   spentUnits: numbersSchema,
   endedServers: names,
-  // Reports of earlier versions hold none.
+  // Reports of earlier versions lack the next two fields.
   rateLimits: z.record(name, rateLimitSchema).default({}),
+  configurationVersion: count.default(0),
   roster: z.array(rosterEntrySchema).max(MAX_LIST_LENGTH),
   rosterRevision: count,
   heardRosterRevision: count,
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -8,6 +8,7 @@
 import type { HostReportMessage } from '../../ports/mod.js';
 import type { AccountSpending } from './account_spending.js';
 import type { DirectGateway } from './direct_gateway.js';
+import type { RoutingView } from './routing_view.js';
 import type { ServerRegistry } from './server_registry.js';
 
 /** Stats of one entry host, or sums over several. */
@@ -20,6 +21,7 @@
   | 'spentUnits'
   | 'endedServers'
   | 'rateLimits'
+  | 'configurationVersion'
 >;
 
 /** Stats without any counts. */
@@ -31,6 +33,7 @@
   spentUnits: {},
   endedServers: [],
   rateLimits: {},
+  configurationVersion: 0,
 };
 
 /** Which entry hosts' stats a report contains in addition to those of this entry host. */
@@ -53,6 +56,7 @@
 /** Components of an entry host that supply its stats. */
 export interface StatsProviders {
   readonly servers: ServerRegistry;
+  readonly routing: RoutingView;
   readonly gateway: DirectGateway;
   readonly spending: AccountSpending;
 }
@@ -65,7 +69,7 @@
  * @returns the sums
  */
 export function buildReportStats(
-  { servers, gateway, spending }: StatsProviders,
+  { servers, routing, gateway, spending }: StatsProviders,
   { scope, incarnations, receiver }: StatsSources,
 ): ReportStats {
   return {
@@ -76,5 +80,6 @@
     spentUnits: spending.listSpentUnits(scope, receiver),
     endedServers: servers.listEndedIds(),
     rateLimits: servers.rateLimits.listReported(),
+    configurationVersion: routing.newestKnownVersion,
   };
 }
--- /dev/null
+++ b/src/application/direct/restored_views_test.ts
@@ -0,0 +1,78 @@
+import t from 'tap';
+import type { Test } from 'tap';
+import { buildDocument, DirectHost, startDirectHost } from '../../../test/support/direct_host.js';
+import { buildIdentity, FakePeerHub } from '../../../test/support/fake_peer_network.js';
+import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
+import { ErrorKind } from '../../domain/errors/mod.js';
+
+/** Time within which a host notices that the store has come back, in milliseconds. */
+const NOTICE_MS = 500;
+
+/** Brings the store back from a copy that lacks what a callback writes. */
+async function restoreWithout(host: DirectHost, write: () => void): Promise<void> {
+  const copy = host.feed.copy();
+  write();
+  await host.clock.advance(NOTICE_MS);
+  host.feed.restore(copy);
+  await host.clock.advance(NOTICE_MS);
+}
+
+function publish(host: DirectHost, version: number, key = 'key-a'): void {
+  host.feed.put('configuration', buildDocument(version, { keys: [key] }));
+}
+
+// Guards against a revoked key that is accepted again since a copy lacks its revocation.
+t.test('no version goes back when a copy lacks it, and its age is not renewed', async (t) => {
+  const host = await startDirectHost(t);
+  await restoreWithout(host, () => publish(host, 2, 'key-b'));
+  t.equal(host.routing.table?.version, 2);
+  await host.clock.advance(4_000);
+  t.ok(host.routing.computeAgeMs() >= 4_000, String(host.routing.computeAgeMs()));
+  t.equal(host.gateway.isServing, false);
+  publish(host, 2, 'key-b');
+  await settle();
+  t.equal(host.routing.table?.version, 2);
+  t.ok(host.routing.computeAgeMs() <= 2_000, String(host.routing.computeAgeMs()));
+  publish(host, 3);
+  await settle();
+  t.equal(host.routing.table?.version, 3);
+});
+
+t.test('a copy that holds the version in effect confirms it at once', async (t) => {
+  const host = await startDirectHost(t);
+  await restoreWithout(host, () => host.feed.put('other', 1));
+  await host.clock.advance(4_000);
+  t.ok(host.routing.computeAgeMs() <= 2_000, String(host.routing.computeAgeMs()));
+});
+
+/** Starts two entry hosts that report to each other, each with a store of its own. */
+async function startPair(t: Test): Promise<readonly [DirectHost, DirectHost]> {
+  const shared = {
+    clock: new VirtualClock(),
+    hub: new FakePeerHub(true),
+    seeds: ['ws://h-1.test'],
+  };
+  const hosts = ['h-1', 'h-2'].map(
+    (id) => new DirectHost({ ...shared, identity: buildIdentity(id, `${id}-1`) }),
+  ) as [DirectHost, DirectHost];
+  t.teardown(() => hosts.forEach((host) => host.stop()));
+  const [first, second] = hosts;
+  await first.start();
+  publish(first, 2, 'key-b');
+  await shared.clock.advance(1_000);
+  await second.start();
+  await shared.clock.advance(2_000);
+  return hosts;
+}
+
+// Guards against a revoked key that is accepted by a host that starts from the copy.
+t.test('a host that starts from a copy accepts no key while a peer knows more', async (t) => {
+  const [, started] = await startPair(t);
+  t.equal(started.routing.table?.version, 1);
+  await started.clock.advance(3_000);
+  t.equal(started.gateway.isServing, false);
+  t.equal(started.call().error?.kind, ErrorKind.EntryHostCutOff);
+  publish(started, 2, 'key-b');
+  await started.clock.advance(10);
+  t.equal(started.gateway.isServing, true);
+});
--- a/src/application/direct/routing_view.ts
+++ b/src/application/direct/routing_view.ts
@@ -7,8 +7,8 @@
 import { ConfirmedAge } from '../../domain/freshness/mod.js';
 import { RouteTable } from '../../domain/routing/mod.js';
 import type { RoutingDocument } from '../../domain/routing/mod.js';
-import type { Clock, EventLog, Metrics } from '../../ports/mod.js';
-import type { FeedContext } from './feed_follower_options.js';
+import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
+import type { FeedContext, SnapshotContext } from './feed_follower_options.js';
 
 /** Dependencies of {@link RoutingView}, and where the store holds the configuration. */
 export interface RoutingViewOptions {
@@ -25,6 +25,9 @@
   readonly decode: (value: Uint8Array) => RoutingDocument;
 }
 
+/** A key of the store; its value is undefined if the key was removed. */
+type StoredValue = Pick<FeedChange, 'key' | 'value'>;
+
 /** Applies each newer configuration as a whole, and never an older one. */
 export class RoutingView {
   readonly #options: RoutingViewOptions;
@@ -35,6 +38,12 @@
 
   #table: RouteTable | undefined;
 
+  /** When the store came back from a copy without the version in effect; undefined if it has it. */
+  #missingSinceMs: number | undefined;
+
+  /** Newest version that this or another entry host is known to have had in effect. */
+  #newestKnownVersion = 0;
+
   /** @param options - dependencies and key */
   constructor(options: RoutingViewOptions) {
     this.#options = options;
@@ -45,6 +54,25 @@
     return this.#table;
   }
 
+  /** Newest version that any entry host is known to have had in effect; 0 before the first. */
+  get newestKnownVersion(): number {
+    return this.#newestKnownVersion;
+  }
+
+  /**
+   * Whether the store, which came back from a copy, may lack a newer configuration than the one in
+   * effect. Reads then confirm nothing until that configuration is written again.
+   */
+  get isUnconfirmed(): boolean {
+    const { version } = this.#table ?? { version: 0 };
+    return this.#missingSinceMs !== undefined || version < this.#newestKnownVersion;
+  }
+
+  /** @param version - newest version that another entry host knows */
+  noteKnownVersion(version: number): void {
+    this.#newestKnownVersion = Math.max(this.#newestKnownVersion, version);
+  }
+
   /** @param handler - called when another configuration has come into effect */
   onChange(handler: () => void): void {
     this.#changeHandlers.push(handler);
@@ -56,43 +84,69 @@
     return this.#confirmedAge.computeAgeMs({ steadyMs: clock.nowMs(), wallMs: clock.wallMs() });
   }
 
+  /**
+   * Applies a full read of the store.
+   *
+   * @param items - all items
+   * @param context - when the read was requested, and whether the store came back from a copy
+   */
+  applySnapshot(items: readonly FeedItem[], context: SnapshotContext): void {
+    const documents = this.#decodeDocuments(items);
+    if (context.isRestored) this.#checkCopy(documents);
+    this.#applyDocuments(documents, context);
+  }
+
   /**
    * Applies what was read from the store. A read confirms the configuration in effect even if it
    * contains no configuration.
    *
-   * @param values - a snapshot or all changes
+   * @param values - all changes
    * @param context - when the read was requested, and how old its data was at that time
    */
-  applyValues(
-    values: readonly { readonly key: string; readonly value: Uint8Array | undefined }[],
+  applyValues(values: readonly StoredValue[], context: FeedContext): void {
+    this.#applyDocuments(this.#decodeDocuments(values), context);
+  }
+
+  #applyDocuments(
+    documents: readonly (RoutingDocument | undefined)[],
     { askedAt, ageMs }: FeedContext,
   ): void {
-    const { clock, key } = this.#options;
-    const areAllUsable = values
-      .filter((item) => item.key === key && item.value !== undefined)
-      .map(({ value }) => this.#applyConfiguration(value as Uint8Array))
-      .every((accepted) => accepted);
+    const { clock } = this.#options;
+    documents.forEach((document) => document && this.#applyDocument(document));
     // An unreadable configuration may revoke a key. The one in effect is then no longer
     // confirmed, and calls with a key are refused once it is too old.
-    if (!areAllUsable) return;
+    if (documents.includes(undefined) || this.isUnconfirmed) return;
     this.#confirmedAge.confirm(askedAt, { steadyMs: clock.nowMs(), wallMs: clock.wallMs() }, ageMs);
   }
 
-  #applyConfiguration(value: Uint8Array): boolean {
+  /** @returns the configurations among the values; undefined for each that can't be decoded */
+  #decodeDocuments(values: readonly StoredValue[]): readonly (RoutingDocument | undefined)[] {
+    return values.flatMap(({ key, value }) =>
+      key === this.#options.key && value !== undefined ? [this.#decodeDocument(value)] : [],
+    );
+  }
+
+  #decodeDocument(value: Uint8Array): RoutingDocument | undefined {
     const { log, metrics, decode } = this.#options;
-    let document: RoutingDocument;
     try {
-      document = decode(value);
+      return decode(value);
     } catch (error) {
       log.write(LogLevel.Error, 'configuration_refused', {
         reason: formatReason(error),
         versionInForce: this.#table?.version,
       });
       metrics.count('configurations_refused_total');
-      return false;
+      return undefined;
     }
-    if (this.#table && document.version <= this.#table.version) return true;
+  }
+
+  #applyDocument(document: RoutingDocument): void {
+    const { log, metrics } = this.#options;
+    if (this.#table && document.version < this.#table.version) return;
+    this.#recordStored(document);
+    if (document.version === this.#table?.version) return;
     this.#table = new RouteTable(document);
+    this.noteKnownVersion(document.version);
     log.write(LogLevel.Info, 'configuration_in_force', {
       version: document.version,
       routes: document.routes.length,
@@ -100,6 +154,29 @@
     });
     metrics.set('configuration_version', document.version);
     this.#changeHandlers.forEach((handler) => handler());
-    return true;
+  }
+
+  /** Notes whether a copy from which the store came back lacks the version in effect. */
+  #checkCopy(documents: readonly (RoutingDocument | undefined)[]): void {
+    const { clock, log } = this.#options;
+    const versionInForce = this.#table?.version ?? 0;
+    const versions = documents.flatMap((document) => document?.version ?? []);
+    if (versions.some((version) => version >= versionInForce)) return;
+    this.#missingSinceMs = clock.nowMs();
+    log.write(LogLevel.Warn, 'configuration_missing_in_store', {
+      versionInForce,
+      versionInStore: versions.at(-1),
+    });
+  }
+
+  /** Records that the store has the version in effect, or a newer one. */
+  #recordStored({ version }: RoutingDocument): void {
+    if (this.#missingSinceMs === undefined) return;
+    const { clock, log } = this.#options;
+    log.write(LogLevel.Info, 'configuration_written_again', {
+      version,
+      missingMs: Math.round(clock.nowMs() - this.#missingSinceMs),
+    });
+    this.#missingSinceMs = undefined;
   }
 }
--- a/src/application/direct/zone_view_test.ts
+++ b/src/application/direct/zone_view_test.ts
@@ -85,7 +85,7 @@
   await closeZone(host, 'hall-a');
   host.storeView.applySnapshot(
     [{ key: 'servers/s-1', value: Buffer.from(JSON.stringify(buildServer('s-1'))), revision: 9 }],
-    { askedAt: { steadyMs: 0, wallMs: 0 }, ageMs: 0, wasAway: false },
+    { askedAt: { steadyMs: 0, wallMs: 0 }, ageMs: 0, wasAway: false, isRestored: false },
   );
   t.same(listIds(host), ['s-1']);
 });
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -258,7 +258,7 @@
       }),
       buildStats: (sources) =>
         buildReportStats(
-          { servers: this.#storeView.servers, gateway: this.#gateway, spending: this.#spending },
+          { ...this.#storeView, gateway: this.#gateway, spending: this.#spending },
           sources,
         ),
       onReport: (report) => this.#handleReport(report),
@@ -285,6 +285,7 @@
   #handleReport(counted: CountedReport): void {
     const { identity, report } = counted;
     this.#spending.applyReport(counted);
+    this.#storeView.routing.noteKnownVersion(report.configurationVersion);
     this.#storeView.servers.applyPeerStats(identity.incarnation, report);
     this.#gateway.dispatchWaiting();
   }
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -42,6 +42,8 @@
   readonly endedServers: readonly string[];
   /** Rate limits that backend servers name, and recent ends of such limits, by backend server. */
   readonly rateLimits: Readonly<Record<string, ReportedRateLimit>>;
+  /** Newest configuration version that the sender or a host it has heard of had in effect. */
+  readonly configurationVersion: number;
   /** Roster entries that changed since the revision that the receiver is known to have. */
   readonly roster: readonly RosterEntry[];
   /** Revision of the sender's roster that the receiver has after applying these entries. */
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -197,7 +197,7 @@
   }
 
   #createReports(seeds: readonly string[]): HostReports {
-    const { clock, log, peers, servers, gateway, spending } = this;
+    const { clock, log, peers, servers, routing, gateway, spending } = this;
     return new HostReports({
       self: peers.identity,
       cores: 1,
@@ -206,9 +206,10 @@
       clock,
       log,
       getState: () => ({ isServing: true, isInTouch: true, isLeaving: false }),
-      buildStats: (sources) => buildReportStats({ servers, gateway, spending }, sources),
+      buildStats: (sources) => buildReportStats({ servers, routing, gateway, spending }, sources),
       onReport: (counted) => {
         spending.applyReport(counted);
+        routing.noteKnownVersion(counted.report.configurationVersion);
         servers.applyPeerStats(counted.identity.incarnation, counted.report);
         gateway.dispatchWaiting();
       },
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -22,6 +22,7 @@
 /** Context of a feed read under normal conditions. */
 export const NORMAL_READ_CONTEXT = {
   wasAway: false,
+  isRestored: false,
   ageMs: 0,
   askedAt: { steadyMs: 0, wallMs: 0 },
 };
