Use no server that was removed, when a copy of the store lists it again

What callers would see: calls that reach a server which left without a word, and fail there.

Cause: an entry in a full read made its server usable, whenever it had been written.

Change: a server whose entry was removed, and that stands in the copy, waits for 5 s, longer than the store keeps the entry of a server that no longer reports. If it writes its entry again it is used at once, and if its entry still stands after that time it is live. Peers are not told that it has ended. A server that said it leaves stays out for its lifetime, as before (test).

--- a/src/application/direct/restored_views_test.ts
+++ b/src/application/direct/restored_views_test.ts
@@ -1,6 +1,11 @@
 import t from 'tap';
 import type { Test } from 'tap';
-import { buildDocument, DirectHost, startDirectHost } from '../../../test/support/direct_host.js';
+import {
+  buildDocument,
+  buildServer,
+  DirectHost,
+  startDirectHost,
+} from '../../../test/support/direct_host.js';
 import { buildIdentity, FakePeerHub } from '../../../test/support/fake_peer_network.js';
 import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
 import { ErrorKind } from '../../domain/errors/mod.js';
@@ -76,3 +81,43 @@
   await started.clock.advance(10);
   t.equal(started.gateway.isServing, true);
 });
+
+// Guards against work for a server that left without a word, and that a copy lists again.
+t.test('a server that was removed stays unused when a copy lists it, for a while', async (t) => {
+  const host = await startDirectHost(t);
+  await restoreWithout(host, () => host.feed.remove('servers/s-1'));
+  t.equal(host.servers.isUsable('s-1'), false);
+  t.same(host.servers.listEndedIds(), []);
+  await host.clock.advance(4_000);
+  t.equal(host.servers.isUsable('s-1'), false);
+  await host.clock.advance(1_500);
+  t.equal(host.servers.isUsable('s-1'), true, 'a server that is gone would have lost its entry');
+});
+
+t.test('a server that was removed is used at once when it is written again', async (t) => {
+  const host = await startDirectHost(t);
+  await restoreWithout(host, () => host.feed.remove('servers/s-1'));
+  host.feed.put('servers/s-1', buildServer('s-1'));
+  await settle();
+  t.equal(host.servers.isUsable('s-1'), true);
+});
+
+t.test('a server that said it leaves stays unused when a copy says it is ready', async (t) => {
+  const host = await startDirectHost(t);
+  await restoreWithout(host, () =>
+    host.feed.put('servers/s-1', buildServer('s-1', { isLeaving: true })),
+  );
+  await host.clock.advance(10_000);
+  t.equal(host.servers.isUsable('s-1'), false);
+});
+
+t.test('a server that a copy lacks is used until it may have written itself again', async (t) => {
+  const host = await startDirectHost(t);
+  await restoreWithout(host, () => host.feed.put('servers/s-3', buildServer('s-3')));
+  t.equal(host.servers.isUsable('s-3'), true);
+  await host.clock.advance(1_500);
+  t.equal(host.servers.isUsable('s-3'), false);
+  host.feed.put('servers/s-3', buildServer('s-3'));
+  await settle();
+  t.equal(host.servers.isUsable('s-3'), true);
+});
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -11,7 +11,7 @@
 } from '../../domain/backend_servers/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { FeedChange, FeedItem } from '../../ports/mod.js';
-import type { FeedContext } from './feed_follower_options.js';
+import type { FeedContext, SnapshotContext } from './feed_follower_options.js';
 import { CandidateCache } from './_candidate_cache.js';
 import { EndedIncarnations } from './_ended_incarnations.js';
 import { EntryReader } from './_entry_reader.js';
@@ -191,18 +191,18 @@
    * @param items - all items that were read
    * @param context - circumstances of the read
    */
-  applySnapshot(items: readonly FeedItem[], { wasAway }: FeedContext): void {
-    const serverItems = items.filter(({ key }) => key.startsWith(this.#options.prefix));
+  applySnapshot(items: readonly FeedItem[], { wasAway, isRestored }: SnapshotContext): void {
+    const { prefix, clock } = this.#options;
+    const serverItems = items.filter(({ key }) => key.startsWith(prefix));
     const entries = serverItems.flatMap(({ key, value }) => this.#reader.read(key, value) ?? []);
     const presentIds = new Set(serverItems.map(({ key }) => this.#reader.getServerId(key)));
-    const nowMs = this.#options.clock.nowMs();
     // A name whose value can't be decoded was overwritten, so its server may still be running.
     const mayReturn = (serverId: string): boolean => wasAway || presentIds.has(serverId);
-    const endedIds = this.#directory.replaceAll(entries, nowMs, mayReturn);
+    const endedIds = this.#directory.replaceAll(entries, clock.nowMs(), mayReturn, isRestored);
     this.#options.log.write(LogLevel.Info, 'backend_servers_read', { count: entries.length });
     this.#endedIncarnations.clearEntries();
     entries.forEach((entry) => {
-      this.#endedIncarnations.recordEntry(entry, this.#isActive(entry.id));
+      this.#recordEntryState(entry);
       this.#warmups.recordEntry(entry);
     });
     endedIds.forEach((id) => this.#handleRestart(id));
@@ -244,17 +244,23 @@
     const nowMs = this.#options.clock.nowMs();
     const entry = this.#reader.read(key, value);
     if (!entry) {
-      this.#endedIncarnations.recordRemoval(this.#reader.getServerId(key));
-      this.#directory.applyRemoval(this.#reader.getServerId(key), nowMs, true);
+      const serverId = this.#reader.getServerId(key);
+      this.#endedIncarnations.recordRemoval(serverId);
+      this.#directory.applyRemoval(serverId, nowMs, true);
       return;
     }
     const { effect, endedId } = this.#directory.applyEntry(entry, nowMs);
     if (effect !== EntryEffect.None) this.#logEntry(entry, effect);
     if (effect !== EntryEffect.Outdated) this.#warmups.recordEntry(entry);
-    this.#endedIncarnations.recordEntry(entry, this.#isActive(entry.id));
+    this.#recordEntryState(entry);
     if (endedId !== undefined) this.#handleRestart(endedId);
   }
 
+  #recordEntryState(entry: BackendServerEntry): void {
+    const isHeldBack = this.#directory.isHeldBack(entry.id, this.#options.clock.nowMs());
+    this.#endedIncarnations.recordEntry(entry, isHeldBack || this.#isActive(entry.id));
+  }
+
   #logEntry({ id, serviceId, isLeaving }: BackendServerEntry, effect: EntryEffect): void {
     const readinessEvent = isLeaving ? 'backend_server_leaving' : 'backend_server_ready';
     const event =
@@ -262,10 +268,7 @@
     this.#options.log.write(LogLevel.Info, event, { backendServer: id, service: serviceId });
   }
 
-  /**
-   * Ends everything that was sent to the former incarnation. Its connections may stay silent for
-   * long, so the requests that wait there are notified.
-   */
+  /** Ends what was sent to a former incarnation, whose connections may stay silent for long. */
   #handleRestart(endedId: string): void {
     this.#endedIncarnations.add(endedId);
     this.#handleEnded(endedId);
--- a/src/domain/backend_servers/server_directory.ts
+++ b/src/domain/backend_servers/server_directory.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { BoundedMap } from '../collections/mod.js';
+import { RESTORE_HOLD_MS } from '../freshness/mod.js';
 import type { BackendServerEntry } from './backend_server_entry.js';
 
 /**
@@ -37,6 +38,16 @@
   Outdated = 'outdated',
 }
 
+/** How a registry entry became known. */
+enum EntrySource {
+  /** It was written since the last read. */
+  Change = 'change',
+  /** It stands in the registry. */
+  Snapshot = 'snapshot',
+  /** It stands in a registry that has come back from an older copy. */
+  Copy = 'copy',
+}
+
 /** Result of applying a registry entry. */
 export interface EntryResult {
   readonly effect: EntryEffect;
@@ -48,6 +59,8 @@
 
 interface KnownIncarnation {
   entry: BackendServerEntry;
+  /** Time from which the incarnation is usable; later than the present only after a restore. */
+  usableFromMs: number;
   /** Time from which the incarnation is unusable; Infinity while its entry exists. */
   usableUntilMs: number;
 }
@@ -70,6 +83,9 @@
     MAX_REMEMBERED_INCARNATIONS,
   );
 
+  /** IDs of incarnations whose entry was removed and not written again since. */
+  readonly #removedIds = new BoundedMap<true>(MAX_REMEMBERED_INCARNATIONS);
+
   readonly #entriesByService = new Map<string, BackendServerEntry[]>();
 
   /**
@@ -78,9 +94,10 @@
    *
    * @param entry - the entry
    * @param nowMs - monotonic time in milliseconds
+   * @param source - how the entry became known
    * @returns the effect of the entry
    */
-  applyEntry(entry: BackendServerEntry, nowMs: number): EntryResult {
+  applyEntry(entry: BackendServerEntry, nowMs: number, source = EntrySource.Change): EntryResult {
     const { id, serverId, bornAtMs } = entry;
     const newest = this.#newestByServer.get(serverId);
     if (newest && bornAtMs < newest.bornAtMs) {
@@ -91,7 +108,8 @@
     const endedId = isNewIncarnation && this.#supersede(newest.id, nowMs) ? newest.id : undefined;
     if (entry.isLeaving) this.#endedIds.set(id, true);
     const previous = this.#incarnations.get(id);
-    this.#incarnations.set(id, { entry, usableUntilMs: Infinity });
+    const usableFromMs = this.#computeUsableFromMs(id, nowMs, source);
+    this.#incarnations.set(id, { entry, usableFromMs, usableUntilMs: Infinity });
     this.#entriesByService.clear();
     const isUnchanged =
       previous?.entry.isLeaving === entry.isLeaving && previous.usableUntilMs === Infinity;
@@ -110,6 +128,7 @@
     const incarnation = this.#incarnations.get(this.#newestByServer.get(serverId)?.id ?? '');
     if (!incarnation) return;
     const usableUntilMs = mayReturn ? nowMs + EXPIRED_ENTRY_GRACE_MS : nowMs;
+    if (!mayReturn) this.#removedIds.set(incarnation.entry.id, true);
     incarnation.usableUntilMs = Math.min(incarnation.usableUntilMs, usableUntilMs);
   }
 
@@ -120,14 +139,17 @@
    * @param nowMs - monotonic time in milliseconds
    * @param mayReturn - tells whether the entry of a server name missing from the snapshot may
    *   soon be rewritten
+   * @param isRestored - whether the registry has come back from a copy since the last read
    * @returns IDs of incarnations that the entries show to have ended
    */
   replaceAll(
     entries: readonly BackendServerEntry[],
     nowMs: number,
     mayReturn: (serverId: string) => boolean,
+    isRestored = false,
   ): string[] {
-    const results = entries.map((entry) => this.applyEntry(entry, nowMs));
+    const source = isRestored ? EntrySource.Copy : EntrySource.Snapshot;
+    const results = entries.map((entry) => this.applyEntry(entry, nowMs, source));
     // A late entry of an older incarnation doesn't prove that the newer one still exists.
     const current = entries.filter(
       (_entry, index) => results[index]?.effect !== EntryEffect.Outdated,
@@ -159,7 +181,17 @@
    */
   isUsable(id: string, nowMs: number): boolean {
     const known = this.#incarnations.get(id);
-    return known !== undefined && nowMs < known.usableUntilMs && !this.#endedIds.has(id);
+    if (known === undefined || this.#endedIds.has(id)) return false;
+    return nowMs >= known.usableFromMs && nowMs < known.usableUntilMs;
+  }
+
+  /**
+   * @param id - ID of the incarnation
+   * @param nowMs - monotonic time in milliseconds
+   * @returns whether a copy lists it again after its removal, so that it isn't used for a while
+   */
+  isHeldBack(id: string, nowMs: number): boolean {
+    return nowMs < (this.#incarnations.get(id)?.usableFromMs ?? nowMs);
   }
 
   /** @param id - incarnation ID. @returns its entry, even while the server shuts down */
@@ -197,6 +229,18 @@
     return expired;
   }
 
+  /**
+   * Computes from when on an incarnation with an entry is usable. A copy may list one that has been
+   * removed since; unless it writes its entry again, it waits until the registry would have dropped
+   * the entry of one that is gone.
+   */
+  #computeUsableFromMs(id: string, nowMs: number, source: EntrySource): number {
+    const wasRemoved = this.#removedIds.delete(id);
+    if (source === EntrySource.Change) return nowMs;
+    if (source === EntrySource.Copy && wasRemoved) return nowMs + RESTORE_HOLD_MS;
+    return this.#incarnations.get(id)?.usableFromMs ?? nowMs;
+  }
+
   /** @returns whether the superseded incarnation was in the directory */
   #supersede(id: string, nowMs: number): boolean {
     const incarnation = this.#incarnations.get(id);
--- a/src/domain/collections/bounded_map.ts
+++ b/src/domain/collections/bounded_map.ts
@@ -36,4 +36,9 @@
     const oldest = this.#values.keys().next();
     if (!oldest.done) this.#values.delete(oldest.value);
   }
+
+  /** @param key - key to remove. @returns whether the map held it */
+  delete(key: string): boolean {
+    return this.#values.delete(key);
+  }
 }
--- a/src/domain/freshness/mod.ts
+++ b/src/domain/freshness/mod.ts
@@ -9,5 +9,5 @@
 export { ConfirmedAge } from './confirmed_age.js';
 export { computeElapsedMs } from './clock_reading.js';
 export type { ClockReading } from './clock_reading.js';
-export { compareEras, comparePositions, pickLater } from './store_position.js';
+export { compareEras, comparePositions, pickLater, RESTORE_HOLD_MS } from './store_position.js';
 export type { StorePosition } from './store_position.js';
--- a/src/domain/freshness/store_position.ts
+++ b/src/domain/freshness/store_position.ts
@@ -4,6 +4,13 @@
  * @module
  */
 
+/**
+ * Time after a restore for which a copy isn't believed where it contradicts what is known, in
+ * milliseconds: longer than operators and servers need to write again what was lost, and than the
+ * store keeps the entry of a server that no longer reports.
+ */
+export const RESTORE_HOLD_MS = 5_000;
+
 /** A state of the store. */
 export interface StorePosition {
   /** Rises each time that the store comes back from a copy; 0 for a store that names none. */
