Keep zones closed that a copy of the store lacks, until that may have been written again

What callers would see: calls sent to a zone that operators have evacuated.

Cause: a full read opened each zone whose key it lacked.

Change: after a restore a closed zone stays closed for 5 s, or until its key is written or removed. A zone that the copy closes is closed at once, which is the safe side.

--- a/src/application/direct/restored_views_test.ts
+++ b/src/application/direct/restored_views_test.ts
@@ -3,6 +3,7 @@
 import {
   buildDocument,
   buildServer,
+  CLOSED_ZONES_PREFIX,
   DirectHost,
   startDirectHost,
 } from '../../../test/support/direct_host.js';
@@ -121,3 +122,26 @@
   await settle();
   t.equal(host.servers.isUsable('s-3'), true);
 });
+
+// Guards against work for a zone that operators have closed, since a copy lacks the closure.
+t.test('a zone that was closed stays closed when a copy lacks that, for a while', async (t) => {
+  const host = await startDirectHost(t);
+  const key = `${CLOSED_ZONES_PREFIX}hall-a`;
+  await restoreWithout(host, () => host.feed.put(key, {}));
+  await host.clock.advance(4_000);
+  t.equal(host.servers.isUsable('s-1'), false);
+  await host.clock.advance(2_500);
+  t.equal(host.servers.isUsable('s-1'), true, 'the closure was not written again');
+});
+
+t.test('a zone that was closed is opened at once when that is written again', async (t) => {
+  const host = await startDirectHost(t);
+  const key = `${CLOSED_ZONES_PREFIX}hall-a`;
+  await restoreWithout(host, () => host.feed.put(key, {}));
+  host.feed.put(key, {});
+  await host.clock.advance(8_000);
+  t.equal(host.servers.isUsable('s-1'), false);
+  host.feed.remove(key);
+  await settle();
+  t.equal(host.servers.isUsable('s-1'), true);
+});
--- a/src/application/direct/zone_view.ts
+++ b/src/application/direct/zone_view.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import { LogLevel } from '../../domain/errors/mod.js';
-import { computeElapsedMs } from '../../domain/freshness/mod.js';
+import { computeElapsedMs, RESTORE_HOLD_MS } from '../../domain/freshness/mod.js';
 import { ClosedZones } from '../../domain/places/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
-import type { FeedContext } from './feed_follower_options.js';
+import type { FeedContext, SnapshotContext } from './feed_follower_options.js';
 
 /** Dependencies of {@link ZoneView}, and where the store holds the closed zones. */
 export interface ZoneViewOptions {
@@ -27,6 +27,9 @@
   /** When each zone was last seen to be reopened, on the monotonic clock in milliseconds. */
   readonly #openedAtMs = new Map<string, number>();
 
+  /** Until when each closed zone stays closed that a copy of the store lacks, in milliseconds. */
+  readonly #heldUntilMs = new Map<string, number>();
+
   /** @param options - dependencies and key prefix */
   constructor(options: ZoneViewOptions) {
     this.#options = options;
@@ -54,11 +57,14 @@
    * Applies a snapshot of the store.
    *
    * @param items - all entries of the snapshot
-   * @param context - when the snapshot was requested, and how current it is
+   * @param context - when the snapshot was requested, and whether the store came back from a copy
    */
-  applyAll(items: readonly FeedItem[], context: FeedContext): void {
-    const zones = items.flatMap(({ key }) => this.#readZone(key) ?? []);
-    const { closed, opened } = this.#closedZones.replace(new Set(zones));
+  applyAll(items: readonly FeedItem[], context: SnapshotContext): void {
+    const zones = new Set(items.flatMap(({ key }) => this.#readZone(key) ?? []));
+    if (context.isRestored) this.#holdMissing(zones);
+    zones.forEach((zone) => this.#heldUntilMs.delete(zone));
+    const held = [...this.#heldUntilMs.keys()];
+    const { closed, opened } = this.#closedZones.replace(new Set([...zones, ...held]));
     closed.forEach((zone) => this.#logClosed(zone, context));
     opened.forEach((zone) => this.#recordOpened(zone, context));
   }
@@ -73,10 +79,31 @@
     changes.forEach(({ key, value }) => {
       const zone = this.#readZone(key);
       if (zone === undefined) return;
+      this.#heldUntilMs.delete(zone);
       // The existence of the key closes the zone, even if its value can't be read.
       if (value !== undefined && this.#closedZones.close(zone)) this.#logClosed(zone, context);
       if (value === undefined && this.#closedZones.open(zone)) this.#recordOpened(zone, context);
     });
+    this.#openExpired(context);
+  }
+
+  /** Keeps closed zones that a copy lacks until the closure may have been written again. */
+  #holdMissing(zones: ReadonlySet<string>): void {
+    const untilMs = this.#options.clock.nowMs() + RESTORE_HOLD_MS;
+    this.#closedZones
+      .list()
+      .filter((zone) => !zones.has(zone))
+      .forEach((zone) => this.#heldUntilMs.set(zone, untilMs));
+  }
+
+  #openExpired(context: FeedContext): void {
+    const nowMs = this.#options.clock.nowMs();
+    [...this.#heldUntilMs]
+      .filter(([, untilMs]) => untilMs <= nowMs)
+      .forEach(([zone]) => {
+        this.#heldUntilMs.delete(zone);
+        if (this.#closedZones.open(zone)) this.#recordOpened(zone, context);
+      });
   }
 
   #readZone(key: string): string | undefined {
--- a/src/domain/places/closed_zones.ts
+++ b/src/domain/places/closed_zones.ts
@@ -19,6 +19,11 @@
     return this.#closed.size;
   }
 
+  /** @returns the closed zones */
+  list(): readonly string[] {
+    return [...this.#closed];
+  }
+
   /**
    * @param zone - an availability zone
    * @returns whether it is closed, so that its backend servers get no new requests
