Show operators which state of the store each host has reached, and what it lacks

What callers saw: refusals and old answers after the store came back from a copy, which operators could not tell from the status of any host.

monsoonhall status has a section 'Store' with era and revision, whether the host is in touch, whether its configuration waits to be written again, and the newest version that any host has had in force. Gauge configuration_unconfirmed.

--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -5,11 +5,17 @@
  */
 import type { HdrMetrics } from '../adapters/metrics/mod.js';
 import type { CrashQuarantine } from '../application/crashes/mod.js';
-import type { DirectGateway, HostReports, StoreView } from '../application/direct/mod.js';
+import type {
+  DirectGateway,
+  FeedFollower,
+  HostReports,
+  StoreView,
+} from '../application/direct/mod.js';
 
 /** Components whose current state the gauges report. */
 export interface GaugeSources {
   readonly storeView: StoreView;
+  readonly follower: FeedFollower;
   readonly gateway: DirectGateway;
   readonly reports: HostReports;
   readonly crashes: CrashQuarantine;
@@ -27,6 +33,7 @@
   { storeView, gateway, reports, crashes, isServing }: GaugeSources,
 ): void {
   metrics.set('configuration_age_ms', Math.round(storeView.routing.computeAgeMs()));
+  metrics.set('configuration_unconfirmed', storeView.routing.isUnconfirmed ? 1 : 0);
   metrics.set('calls_under_way', gateway.callCount);
   metrics.set('calls_waiting', gateway.waitingCount);
   metrics.set('entry_hosts_known', reports.knownCount);
--- a/src/commands/_direct_status.ts
+++ b/src/commands/_direct_status.ts
@@ -26,6 +26,7 @@
       ...(Number.isFinite(ageMs) && { platformSilentMs: ageMs }),
       rejected: [],
     },
+    store: [buildStoreRow(sources)],
     entryHosts: listEntryHosts(sources),
     backendServers: listBackendServers(sources),
     queues: { waiting: gateway.countWaiting() },
@@ -33,6 +34,12 @@
   };
 }
 
+/** Builds the state of the store that the entry host has reached. */
+function buildStoreRow({ follower, storeView }: GaugeSources): Record<string, unknown> {
+  const { isUnconfirmed, newestKnownVersion } = storeView.routing;
+  return { ...follower.position, isInTouch: follower.isInTouch, isUnconfirmed, newestKnownVersion };
+}
+
 function listEntryHosts({ reports }: GaugeSources): Record<string, unknown>[] {
   const heardIds = new Set(reports.listHeard().map(({ identity }) => identity.id));
   return reports.listKnown().map(({ identity, isServing, isLeaving }) => ({
--- a/src/commands/_status_report.ts
+++ b/src/commands/_status_report.ts
@@ -29,6 +29,8 @@
       z.object({ key: z.string(), revision: z.number(), reasons: z.array(z.string()) }),
     ),
   }),
+  /** State of the store that was reached; absent if the host follows none. */
+  store: rowsSchema.optional(),
   entryHosts: rowsSchema,
   backendServers: rowsSchema,
   queues: rowsSchema,
@@ -155,8 +157,10 @@
     const rows = mergeRows(results, selectSection);
     return `\n${title}\n${rows.length === 0 ? 'none\n' : formatTable(rows)}`;
   };
+  const hasStore = results.some(({ status }) => status?.store);
   return [
     overview,
+    hasStore ? formatSection('Store', ({ store }) => store ?? []) : '',
     formatSection('Rejected documents', listRejectedDocuments),
     formatSection('Entry hosts', ({ entryHosts }) => entryHosts),
     formatSection('Backend servers', ({ backendServers }) => backendServers),
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -236,6 +236,7 @@
   #listSources(): GaugeSources {
     return {
       storeView: this.#storeView,
+      follower: this.#feedFollower,
       gateway: this.#gateway,
       reports: this.#reports,
       crashes: this.#crashes,
