--- a/test/support/follower_fleet.ts
+++ b/test/support/follower_fleet.ts
@@ -11,6 +11,8 @@
   NO_STATS,
 } from '../../src/application/direct/mod.js';
 import type { FeedContext } from '../../src/application/direct/mod.js';
+import { ChangeFeed } from '../../src/ports/mod.js';
+import type { FeedChanges, FeedSnapshot } from '../../src/ports/mod.js';
 import { ConfirmedAge } from '../../src/domain/freshness/mod.js';
 import { FakeFeed } from './fake_feed.js';
 import { buildIdentity, FakePeerHub, FakePeerNetwork } from './fake_peer_network.js';
@@ -23,6 +25,32 @@
 /** Time until all hosts know each other and the readers read, in milliseconds. */
 const DISCOVERY_MS = 5_000;
 
+/** The path of one entry host to the store, which may be cut. */
+class StorePath extends ChangeFeed {
+  isCut = false;
+
+  readonly #feed: ChangeFeed;
+
+  constructor(feed: ChangeFeed) {
+    super();
+    this.#feed = feed;
+  }
+
+  override readAll(prefix: string): Promise<FeedSnapshot> {
+    return this.#pass(() => this.#feed.readAll(prefix));
+  }
+
+  override readChanges(prefix: string, after: number, waitMs: number): Promise<FeedChanges> {
+    return this.#pass(() => this.#feed.readChanges(prefix, after, waitMs));
+  }
+
+  async #pass<T>(read: () => Promise<T>): Promise<T> {
+    const answer = this.isCut ? undefined : await read();
+    if (answer === undefined || this.isCut) throw new Error('Cannot read: the path is cut');
+    return answer;
+  }
+}
+
 /** An entry host that follows the store, holds its keys and tracks the age of its state. */
 export class FollowerHost {
   readonly network: FakePeerNetwork;
@@ -42,11 +70,20 @@
 
   readonly metrics = new FakeMetrics();
 
+  readonly storePath: StorePath;
+
   readonly #clock: VirtualClock;
 
-  constructor(id: string, hub: FakePeerHub, clock: VirtualClock, feed: FakeFeed) {
+  constructor(
+    id: string,
+    hub: FakePeerHub,
+    clock: VirtualClock,
+    feed: FakeFeed,
+    incarnation = `${id}/1`,
+  ) {
     this.#clock = clock;
-    this.network = new FakePeerNetwork(hub, buildIdentity(id));
+    this.storePath = new StorePath(feed);
+    this.network = new FakePeerNetwork(hub, buildIdentity(id, incarnation));
     const shared = { clock, log: this.log, metrics: this.metrics };
     const self = this.network.identity;
     this.reports = new HostReports({
@@ -67,7 +104,7 @@
     });
     this.follower = new FeedFollower({
       ...shared,
-      feed,
+      feed: this.storePath,
       random: new SeededRandom(),
       getReadPlan: () => this.distributor.getReadPlan(),
       getRetryBackoff: () => this.distributor.getRetryBackoff(),
@@ -125,7 +162,7 @@
   readonly hub: FakePeerHub;
   readonly clock: VirtualClock;
   readonly feed: FakeFeed;
-  readonly hosts: readonly FollowerHost[];
+  readonly hosts: FollowerHost[];
 }
 
 /** Starts entry hosts that follow a store with one key, and waits until they know each other. */
