Teach the soak the drill in which the store comes back from a copy

What callers saw: the incident's faults, which no soak could bring about.

A new kind of fault takes the store away and brings it back from a copy some two seconds old; operators and live replicas write again after 0.3 s, entries of replicas that no longer report expire. A further kind changes what other seeds draw; no test holds a seed of the generated plans.

--- a/soak/fault_table.ts
+++ b/soak/fault_table.ts
@@ -41,6 +41,15 @@
   };
 }
 
+/** Takes the store away; when it returns, it has come back from a copy. */
+function restoreStore(fleet: SoakFleet): Revert {
+  const end = setStoreFault(fleet, StoreFault.Reset);
+  return () => {
+    fleet.restoreStore();
+    end?.();
+  };
+}
+
 function pauseHost(host: SoakHost): Revert {
   const { process } = host.entry;
   process.kill('SIGSTOP');
@@ -99,6 +108,7 @@
   [FaultKind.StoreReset]: (fleet) => setStoreFault(fleet, StoreFault.Reset),
   [FaultKind.StoreNonsense]: (fleet) => setStoreFault(fleet, StoreFault.InvalidJson),
   [FaultKind.StoreForgets]: runOnce((fleet) => fleet.fleet.store.compact()),
+  [FaultKind.StoreRestored]: restoreStore,
   [FaultKind.ReplicaCrashed]: runOnce((fleet, index) => fleet.endReplica(index, false)),
   [FaultKind.ReplicaMute]: (fleet, index) =>
     setReplicaFault(getReplica(fleet, index), { isMute: true }),
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -27,6 +27,7 @@
   StoreReset = 'store-reset',
   StoreNonsense = 'store-nonsense',
   StoreForgets = 'store-forgets',
+  StoreRestored = 'store-restored',
   ReplicaCrashed = 'replica-crashed',
   ReplicaMute = 'replica-mute',
   ReplicaRefuses = 'replica-refuses',
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -13,6 +13,7 @@
 import type { EntryProcess } from '../platform/test/fleet.js';
 import { TestReplica } from '../platform/test/replica.js';
 import type { TestRun } from '../platform/test/replica.js';
+import { COPY_INTERVAL_MS, StoreCopies } from './store_copies.js';
 
 /** API key that a run may revoke. */
 export const REVOCABLE_KEY = 'key-to-be-revoked';
@@ -33,6 +34,9 @@
 /** Time in milliseconds until a crashed replica's entry expires; three of its report intervals. */
 const ENTRY_EXPIRY_MS = 3_600;
 
+/** Time in milliseconds after a restore until operators and replicas have written again. */
+const REWRITE_DELAY_MS = 300;
+
 /** Number of requests that a replica runs concurrently. */
 const REPLICA_SLOTS = 6;
 
@@ -88,6 +92,8 @@
 
   #isOver = false;
 
+  readonly #copies = new StoreCopies(this.fleet.store);
+
   readonly #timers = new Set<NodeJS.Timeout>();
 
   /** @param folder - receives the entry hosts' logs */
@@ -105,6 +111,7 @@
   async start(hosts: number, replicas: number): Promise<void> {
     await this.fleet.start(0, []);
     this.#publish();
+    this.#copyStore();
     for (let index = 0; index < replicas; index += 1) await this.#addReplica();
     for (let index = 0; index < hosts; index += 1) await this.#addHost(index);
     const seedPeerAddresses = this.hosts
@@ -174,6 +181,27 @@
     this.#publish();
   }
 
+  /**
+   * Brings the store back from a copy. Operators and live replicas then write again what they wrote
+   * last, and entries of replicas that no longer report expire.
+   */
+  restoreStore(): void {
+    const { store } = this.fleet;
+    this.#copies.restoreOldest();
+    this.schedule(REWRITE_DELAY_MS, () => {
+      this.#writeConfiguration();
+      this.replicas.forEach(({ replica, isAway }) => {
+        if (!isAway) replica.register('ready');
+        else if (this.leftAtMs.has(replica.id)) replica.register('draining');
+      });
+    });
+    this.schedule(ENTRY_EXPIRY_MS, () => {
+      const liveKeys = new Set(this.replicas.map(({ replica }) => `servers/${replica.id}`));
+      const staleKeys = store.listKeys('servers/').filter((key) => !liveKeys.has(key));
+      staleKeys.forEach((key) => store.remove(key));
+    });
+  }
+
   /** Schedules a callback, which is skipped if the run is over by then. */
   schedule(delayMs: number, run: () => void): void {
     const timer = setTimeout(() => {
@@ -205,8 +233,17 @@
     this.schedule(RESTART_DELAY_MS, () => this.startHost(host));
   }
 
+  #copyStore(): void {
+    this.#copies.add();
+    this.schedule(COPY_INTERVAL_MS, () => this.#copyStore());
+  }
+
   #publish(): void {
     this.#version += 1;
+    this.#writeConfiguration();
+  }
+
+  #writeConfiguration(): void {
     const apiKeys = this.revokedAtMs === Infinity ? [TEST_KEY, REVOCABLE_KEY] : [TEST_KEY];
     const added = Array.from({ length: this.#addedRoutes }, (_, index) => `/added-${index}/`);
     this.fleet.store.put(
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -18,6 +18,18 @@
   { kind: FaultKind.HostStopped, atMs: 2_200, forMs: 0, index: 2 },
 ];
 
+/** A short plan in which the store comes back from a copy twice, beside other faults. */
+const RESTORE_PLAN: readonly PlannedFault[] = [
+  { kind: FaultKind.KeyRevoked, atMs: 300, forMs: 0, index: 0 },
+  { kind: FaultKind.StoreRestored, atMs: 500, forMs: 700, index: 0 },
+  { kind: FaultKind.HostPaused, atMs: 600, forMs: 1_500, index: 0 },
+  { kind: FaultKind.HostKilled, atMs: 1_100, forMs: 0, index: 1 },
+  { kind: FaultKind.ReplicaDrained, atMs: 1_600, forMs: 0, index: 1 },
+  { kind: FaultKind.StoreRestored, atMs: 2_000, forMs: 500, index: 0 },
+  { kind: FaultKind.PeerLinkCut, atMs: 2_100, forMs: 900, index: 2 },
+  { kind: FaultKind.RouteAdded, atMs: 2_900, forMs: 0, index: 0 },
+];
+
 t.test('buildPlan() returns the same plan for the same seed', async (t) => {
   const options = { seed: 7, hosts: 4, replicas: 4, lengthMs: 10_000 };
   t.same(buildPlan(options), buildPlan(options));
@@ -34,9 +46,11 @@
   t.same([...kinds].sort(), Object.values(FaultKind).sort());
 });
 
-t.test(
-  'real processes violate no guarantee under a short series of overlapping faults',
-  async (t) => {
+[
+  { name: 'a short series of overlapping faults', plan: SHORT_PLAN },
+  { name: 'restores of the store among other faults', plan: RESTORE_PLAN },
+].forEach(({ name, plan }) => {
+  t.test(`real processes violate no guarantee under ${name}`, async (t) => {
     const folder = mkdtempSync(path.join(tmpdir(), 'monsoonhall-soak-'));
     t.teardown(() => rmSync(folder, { recursive: true, force: true }));
     const verdict = await runSoak({
@@ -45,11 +59,11 @@
       replicas: 3,
       callers: 4,
       lengthMs: 0,
-      plan: SHORT_PLAN,
+      plan,
       folder,
       onProgress: () => undefined,
     });
     t.same(verdict.broken, []);
     t.ok(verdict.served > 0);
-  },
-);
+  });
+});
--- /dev/null
+++ b/soak/store_copies.ts
@@ -0,0 +1,36 @@
+/**
+ * Copies of the store of a soak run, from which it comes back.
+ *
+ * @module
+ */
+import type { StoreCopy, TestStore } from '../platform/test/store.js';
+
+/** Interval between two copies, in milliseconds. */
+export const COPY_INTERVAL_MS = 500;
+
+/** Number of copies kept; the oldest is some seconds old. */
+const KEPT_COPIES = 5;
+
+/** Keeps the last copies of a store. */
+export class StoreCopies {
+  readonly #store: TestStore;
+
+  #copies: StoreCopy[] = [];
+
+  /** @param store - the store */
+  constructor(store: TestStore) {
+    this.#store = store;
+  }
+
+  /** Takes a copy of the present content. */
+  add(): void {
+    this.#copies = [...this.#copies.slice(1 - KEPT_COPIES), this.#store.copy()];
+  }
+
+  /** Brings the store back from the oldest copy. */
+  restoreOldest(): void {
+    const [oldest] = this.#copies;
+    if (oldest) this.#store.restore(oldest);
+    this.#copies = [];
+  }
+}
