Ask of other orders that are taken to rise for good what turns them round; list one as red

Red, listed: a server that keeps its ID and starts anew with its clock set back looks older than its former process, and gets no work for as long as its start looks earlier. A late entry of a former process looks the same to a host, so that it can't just be believed; and hosts tell each other of such entries, so that a wait alone doesn't mend it. On the users' platform each start has an ID of its own.

--- a/src/application/direct/restored_views_test.ts
+++ b/src/application/direct/restored_views_test.ts
@@ -9,6 +9,7 @@
 } from '../../../test/support/direct_host.js';
 import { buildIdentity, FakePeerHub } from '../../../test/support/fake_peer_network.js';
 import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
+import { formatIncarnationId } from '../../domain/backend_servers/mod.js';
 import { ErrorKind } from '../../domain/errors/mod.js';
 
 /** Time within which a host notices that the store has come back, in milliseconds. */
@@ -145,3 +146,35 @@
   await settle();
   t.equal(host.servers.isUsable('s-1'), true);
 });
+
+function register(host: DirectHost, bornAtMs: number): string {
+  const id = formatIncarnationId('s-9', bornAtMs);
+  host.feed.put('servers/s-9', buildServer(id, { serverId: 's-9', bornAtMs }));
+  return id;
+}
+
+// Guards against work for a former process of a server, which a copy lists as ready.
+t.test('a former incarnation that a copy lists stays unused', async (t) => {
+  const host = await startDirectHost(t);
+  const former = register(host, 100);
+  let current = '';
+  await restoreWithout(host, () => {
+    current = register(host, 200);
+  });
+  t.equal(host.servers.isUsable(former), false);
+  await host.clock.advance(10_000);
+  t.equal(host.servers.isUsable(former), false);
+  register(host, 200);
+  await settle();
+  t.equal(host.servers.isUsable(current), true);
+});
+
+// Guards against a live server that nobody uses, since its start looks older than its former one.
+t.test('a server that restarts with its clock set back is used again', async (t) => {
+  const host = await startDirectHost(t);
+  register(host, 200);
+  await host.clock.advance(1_000);
+  const current = register(host, 100);
+  await host.clock.advance(10_000);
+  t.equal(host.servers.isUsable(current), true);
+});
