--- a/src/application/direct/routing_view.ts
+++ b/src/application/direct/routing_view.ts
@@ -60,8 +60,8 @@
   }
 
   /**
-   * Whether the store, which came back from a copy, may lack a newer configuration than the one in
-   * effect. Reads then confirm nothing until that configuration is written again.
+   * Whether reads confirm nothing at present: the store came back from a copy that lacks the version
+   * in effect, or another entry host has had a newer one.
    */
   get isUnconfirmed(): boolean {
     const { version } = this.#table ?? { version: 0 };
