Hold a server back, too, whose entry lapsed before another restore of the store

What callers would see: calls that reach a server which is gone, after two drills in a row: its entry was removed within two seconds of the first return, so that it counted as lapsed, and the second copy lists it again.

Cause: only entries that were removed at once were remembered.

Change: an entry whose grace time has passed is remembered as removed as well.

Evidence: 'a server that lapsed and did not return stays unused when a copy lists it' failed without the change and passes with it; the property of server_incarnations_test passes.

--- a/src/application/direct/restored_views_test.ts
+++ b/src/application/direct/restored_views_test.ts
@@ -96,6 +96,21 @@
   t.equal(host.servers.isUsable('s-1'), true, 'a server that is gone would have lost its entry');
 });
 
+// Guards against the same where the entry lapsed with an outage, shortly before another restore.
+t.test('a server that lapsed and did not return stays unused when a copy lists it', async (t) => {
+  const host = await startDirectHost(t);
+  const copy = host.feed.copy();
+  host.feed.isDown = true;
+  await host.clock.advance(1_000);
+  host.feed.isDown = false;
+  host.feed.remove('servers/s-1');
+  await host.clock.advance(3_000);
+  t.equal(host.servers.isUsable('s-1'), false);
+  host.feed.restore(copy);
+  await host.clock.advance(NOTICE_MS);
+  t.equal(host.servers.isUsable('s-1'), false);
+});
+
 t.test('a server that was removed is used at once when it is written again', async (t) => {
   const host = await startDirectHost(t);
   await restoreWithout(host, () => host.feed.remove('servers/s-1'));
--- a/src/domain/backend_servers/server_directory.ts
+++ b/src/domain/backend_servers/server_directory.ts
@@ -224,7 +224,10 @@
     const expired = [...this.#incarnations]
       .filter(([, { usableUntilMs }]) => usableUntilMs <= nowMs)
       .map(([id]) => id);
-    expired.forEach((id) => this.#incarnations.delete(id));
+    expired.forEach((id) => {
+      this.#incarnations.delete(id);
+      this.#removedIds.set(id, true);
+    });
     if (expired.length > 0) this.#entriesByService.clear();
     return expired;
   }
