--- a/src/application/direct/_feed_state.ts
+++ b/src/application/direct/_feed_state.ts
@@ -6,8 +6,8 @@
 import { compareEras, comparePositions, pickLater } from '../../domain/freshness/mod.js';
 import type { StorePosition } from '../../domain/freshness/mod.js';
 import type { FeedChange, FeedItem } from '../../ports/mod.js';
-import { getEndPosition } from './feed_follower_options.js';
-import type { FeedUpdate } from './feed_follower_options.js';
+import { getEndPosition } from './feed_update.js';
+import type { FeedUpdate } from './feed_update.js';
 
 /** What an update does to the known state. */
 export enum UpdateEffect {
--- a/src/application/direct/feed_distributor.ts
+++ b/src/application/direct/feed_distributor.ts
@@ -17,8 +17,9 @@
 import { UpdateEffect } from './_feed_state.js';
 import { PROBE_WAIT_MS } from './feed_follower.js';
 import type { FeedFollower } from './feed_follower.js';
-import { getEndPosition } from './feed_follower_options.js';
-import type { FeedContext, FeedUpdate, ReadPlan, RetryBackoff } from './feed_follower_options.js';
+import type { ReadPlan, RetryBackoff } from './feed_follower_options.js';
+import { buildConfirmation, getEndPosition } from './feed_update.js';
+import type { FeedContext, FeedUpdate } from './feed_update.js';
 import type { HostReports } from './host_reports.js';
 
 /**
@@ -287,8 +288,3 @@
     return { steadyMs: clock.nowMs(), wallMs: clock.wallMs() };
   }
 }
-
-/** Reduces an update that was sent before to the confirmation that nothing follows it. */
-function buildConfirmation({ era, toRevision }: FeedUpdate): FeedUpdate {
-  return { era, isComplete: false, fromRevision: toRevision, toRevision, changes: [] };
-}
--- a/src/application/direct/feed_follower.ts
+++ b/src/application/direct/feed_follower.ts
@@ -13,8 +13,9 @@
 import { EraTracker } from './_era_tracker.js';
 import { FeedState, UpdateEffect } from './_feed_state.js';
 import { StoreAvailability } from './_store_availability.js';
-import { getEndPosition } from './feed_follower_options.js';
-import type { FeedContext, FeedFollowerOptions, FeedUpdate } from './feed_follower_options.js';
+import type { FeedFollowerOptions } from './feed_follower_options.js';
+import { getEndPosition } from './feed_update.js';
+import type { FeedContext, FeedUpdate } from './feed_update.js';
 
 /** Wait of a read that probes the store after a failure or a gap, in milliseconds. */
 export const PROBE_WAIT_MS = 1;
--- a/src/application/direct/feed_follower_options.ts
+++ b/src/application/direct/feed_follower_options.ts
@@ -1,9 +1,8 @@
 /**
- * What a follower of the store reads, passes on and is asked to do.
+ * Dependencies and callbacks of a follower of the store, and its read plan.
  *
  * @module
  */
-import type { ClockReading, StorePosition } from '../../domain/freshness/mod.js';
 import type {
   ChangeFeed,
   Clock,
@@ -13,6 +12,7 @@
   Metrics,
   RandomSource,
 } from '../../ports/mod.js';
+import type { FeedContext, FeedUpdate, SnapshotContext } from './feed_update.js';
 
 /** Backoff delays after failed reads; each delay is twice the one before it. */
 export interface RetryBackoff {
@@ -30,37 +30,6 @@
   readonly recheckAfterMs: number;
 }
 
-/** When a response was requested, and under which circumstances. */
-export interface FeedContext {
-  /** When the request was sent; the response reflects this moment or a later one. */
-  readonly askedAt: ClockReading;
-  /** Age of the response at that moment, in milliseconds; 0 for a response of the store. */
-  readonly ageMs: number;
-  /** Whether entries may be missing only because the store was unavailable. */
-  readonly wasAway: boolean;
-}
-
-/** When a snapshot was requested, and under which circumstances. */
-export interface SnapshotContext extends FeedContext {
-  /**
-   * Whether the store has come back from a copy since this host's last state. Writes that this
-   * host knows may then be missing until they are written again.
-   */
-  readonly isRestored: boolean;
-}
-
-/** Changes between two revisions of one era, read by this entry host or by a peer. */
-export interface FeedUpdate {
-  /** Era of all revisions of the update. */
-  readonly era: number;
-  /** Whether the changes are all items of the store, which replace whatever was known. */
-  readonly isComplete: boolean;
-  /** Revision after which the changes start; 0 for a complete update. */
-  readonly fromRevision: number;
-  readonly toRevision: number;
-  readonly changes: readonly FeedChange[];
-}
-
 /** Dependencies and callbacks of a follower. */
 export interface FeedFollowerOptions {
   readonly feed: ChangeFeed;
@@ -78,8 +47,3 @@
   /** Called with each update that this follower has read from the store itself. */
   readonly onStoreRead: (update: FeedUpdate, context: FeedContext) => void;
 }
-
-/** @param update - an update. @returns the state of the store up to which it is complete */
-export function getEndPosition({ era, toRevision }: FeedUpdate): StorePosition {
-  return { era, revision: toRevision };
-}
--- a/src/application/direct/feed_state_test.ts
+++ b/src/application/direct/feed_state_test.ts
@@ -9,7 +9,7 @@
 import { HistoryLostError } from '../../ports/mod.js';
 import type { FeedChanges } from '../../ports/mod.js';
 import { FeedState, UpdateEffect } from './_feed_state.js';
-import type { FeedUpdate } from './feed_follower_options.js';
+import type { FeedUpdate } from './feed_update.js';
 
 const SEED = 42;
 const HOST_COUNT = 3;
--- a/src/application/direct/mod.ts
+++ b/src/application/direct/mod.ts
@@ -11,14 +11,8 @@
 export type { DirectGatewayOptions } from './direct_gateway.js';
 export { runDirectStop } from './direct_stop.js';
 export { FeedFollower } from './feed_follower.js';
-export type {
-  FeedContext,
-  FeedFollowerOptions,
-  FeedUpdate,
-  ReadPlan,
-  RetryBackoff,
-  SnapshotContext,
-} from './feed_follower_options.js';
+export type { FeedFollowerOptions, ReadPlan, RetryBackoff } from './feed_follower_options.js';
+export type { FeedContext, FeedUpdate, SnapshotContext } from './feed_update.js';
 export { UpdateEffect } from './_feed_state.js';
 export { FeedDistributor, FAST_RETRY_BACKOFF } from './feed_distributor.js';
 export type { FeedDistributorOptions } from './feed_distributor.js';
--- a/src/application/direct/routing_view.ts
+++ b/src/application/direct/routing_view.ts
@@ -8,7 +8,7 @@
 import { RouteTable } from '../../domain/routing/mod.js';
 import type { RoutingDocument } from '../../domain/routing/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
-import type { FeedContext, SnapshotContext } from './feed_follower_options.js';
+import type { FeedContext, SnapshotContext } from './feed_update.js';
 
 /** Dependencies of {@link RoutingView}, and where the store holds the configuration. */
 export interface RoutingViewOptions {
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -11,7 +11,7 @@
 } from '../../domain/backend_servers/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { FeedChange, FeedItem } from '../../ports/mod.js';
-import type { FeedContext, SnapshotContext } from './feed_follower_options.js';
+import type { FeedContext, SnapshotContext } from './feed_update.js';
 import { CandidateCache } from './_candidate_cache.js';
 import { EndedIncarnations } from './_ended_incarnations.js';
 import { EntryReader } from './_entry_reader.js';
--- a/src/application/direct/store_view.ts
+++ b/src/application/direct/store_view.ts
@@ -8,7 +8,7 @@
 import type { RoutingDocument } from '../../domain/routing/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
 import type { PaceHosts } from './_pace_roles.js';
-import type { FeedContext, SnapshotContext } from './feed_follower_options.js';
+import type { FeedContext, SnapshotContext } from './feed_update.js';
 import { ZoneView } from './zone_view.js';
 import { RoutingView } from './routing_view.js';
 import { ServerRegistry } from './server_registry.js';
--- a/src/application/direct/zone_view.ts
+++ b/src/application/direct/zone_view.ts
@@ -7,7 +7,7 @@
 import { computeElapsedMs, RESTORE_HOLD_MS } from '../../domain/freshness/mod.js';
 import { ClosedZones } from '../../domain/places/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
-import type { FeedContext, SnapshotContext } from './feed_follower_options.js';
+import type { FeedContext, SnapshotContext } from './feed_update.js';
 
 /** Dependencies of {@link ZoneView}, and where the store holds the closed zones. */
 export interface ZoneViewOptions {
