Give all hosts of a test the same configuration version

A test let two of seven hosts have version 2 of the configuration, with another rank, and the others version 1, each from a store of its own. Since hosts tell each other the newest version, the others rightly take theirs for outdated, and refuse after four seconds. All have version 2 now, with the rank of before; what the test checks is unchanged.

--- a/src/application/direct/server_limits_test.ts
+++ b/src/application/direct/server_limits_test.ts
@@ -83,8 +83,9 @@
   const fleet = new LimitFleet(t, { hosts: 7, servers: 4, route: { ...ROUTE, rank: 3 }, seed: 7 });
   await fleet.start();
   const urgentHosts = fleet.hosts.slice(0, 2);
-  urgentHosts.forEach((host) => {
-    host.feed.put('configuration', buildDocument(2, { route: { ...ROUTE, rank: 0 } }));
+  fleet.hosts.forEach((host) => {
+    const rank = urgentHosts.includes(host) ? 0 : 3;
+    host.feed.put('configuration', buildDocument(2, { route: { ...ROUTE, rank } }));
   });
   fleet.serverIds.forEach((id) => fleet.limits.set(id, 3));
   await fleet.run({ callsPerSecond: 40, durationMs: 5_000 });
