List a fault: a host without the store that missed a restore stays in the former era

What callers would see: all calls with keys refused at one host, for as long as it can't reach the store, after it was cut off from its peers just while the store came back from a copy.

Cause: the news of a new era is sent once; a host that missed it reads everything from the store, which it can't reach. The same holds for any missed update within an era, as before.

--- a/src/application/direct/restored_feed_test.ts
+++ b/src/application/direct/restored_feed_test.ts
@@ -2,7 +2,7 @@
 import type { Test } from 'tap';
 import { FakePeerHub } from '../../../test/support/fake_peer_network.js';
 import { startFollowerFleet } from '../../../test/support/follower_fleet.js';
-import type { FollowerFleet } from '../../../test/support/follower_fleet.js';
+import type { FollowerFleet, FollowerHost } from '../../../test/support/follower_fleet.js';
 
 /** Time within which a change must have reached every entry host, in milliseconds. */
 const SPREAD_MS = 1_000;
@@ -113,3 +113,18 @@
   await clock.advance(2 * SPREAD_MS);
   checkValues(t, fleet, 'after the partition');
 });
+
+// Guards against a host that refuses all calls with keys since it missed the news of a new era.
+t.test('a host without the store that missed a restore learns of it from peers', async (t) => {
+  const fleet = await startFollowerFleet(t, 6);
+  const { clock, hosts, hub } = fleet;
+  const [cutOff, ...others] = hosts as [FollowerHost, ...FollowerHost[]];
+  const otherIds = others.map(({ network }) => network.identity.id);
+  cutOff.storePath.isCut = true;
+  hub.partition([cutOff.network.identity.id], otherIds);
+  await restoreStore(fleet, 300);
+  await clock.advance(SPREAD_MS);
+  hub.healAll();
+  await clock.advance(2 * SPREAD_MS);
+  checkValues(t, fleet, 'after the links are back');
+});
