Log and count each retry that a service's budget grants or refuses

A retry left no line of its own: neither which part of the budget granted it nor by how many entry hosts the additional retries were divided could be told from logs, so that hosts that know few peers looked like any others. The counts that decided are logged now; decisions are unchanged.

--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { RetryDecision } from '../../domain/direct/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { ClientAccount, Route } from '../../domain/routing/mod.js';
 import type { DirectRequest, LogFields } from '../../ports/mod.js';
@@ -61,6 +62,18 @@
     this.#options.services.metrics.count('attempts_failed_total', { failure: String(failure) });
   }
 
+  /**
+   * Records whether the retry budget of a service grants the call another attempt.
+   *
+   * @param service - ID of the service
+   * @param decision - the decision and the counts that it used
+   */
+  recordRetry(service: string, { isGranted, ...counts }: RetryDecision): void {
+    this.#write(isGranted ? 'retry_granted' : 'retry_refused', { service, ...counts });
+    const result = isGranted ? 'granted' : 'refused';
+    this.#options.services.metrics.count('retries_decided_total', { result });
+  }
+
   /**
    * Records the end of the call.
    *
--- a/src/application/direct/_call_rejection.ts
+++ b/src/application/direct/_call_rejection.ts
@@ -1,13 +1,24 @@
 /**
- * Finds calls that no backend server can take, however long they wait.
+ * Refusals of calls that can't be started in time, or that no backend server can take.
  *
  * @module
  */
-import { ErrorKind } from '../../domain/errors/mod.js';
+import { computeDirectRetryAfterMs, WAIT_FRACTION } from '../../domain/direct/mod.js';
+import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { isAllowedRegion } from '../../domain/places/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
+import type { DirectCallOptions } from './direct_call_options.js';
 import type { ServerRegistry } from './server_registry.js';
 
+/** State of a call that is refused. */
+export interface ShedCall {
+  readonly arrivedAtMs: number;
+  readonly deadlineAtMs: number;
+  /** Whether the call's target can't be met any more. */
+  readonly isLate: boolean;
+  readonly regions: AllowedRegions;
+}
+
 /**
  * Finds why no backend server can take a call: all servers of the service are in closed zones,
  * or none is in a region in which the call may be handled.
@@ -28,3 +39,28 @@
   const isAllowed = candidates.some(({ region }) => isAllowedRegion(regions, region));
   return candidates.length === 0 || isAllowed ? undefined : ErrorKind.RegionUnavailable;
 }
+
+/**
+ * Builds the refusal of a call that can't be started in time.
+ *
+ * @param options - the call's route, service and dependencies
+ * @param call - state of the call
+ * @param estimatedWaitMs - estimated wait for a slot, in milliseconds
+ * @returns the error, with the time after which the caller should come back
+ */
+export function buildShedError(
+  { services, serviceId, route }: DirectCallOptions,
+  { arrivedAtMs, deadlineAtMs, isLate, regions }: ShedCall,
+  estimatedWaitMs: number,
+): SchedulerError {
+  const nowMs = services.clock.nowMs();
+  const targetEndsAtMs = isLate ? nowMs : arrivedAtMs + route.targetMs * WAIT_FRACTION;
+  const retryAfterMs = computeDirectRetryAfterMs({
+    estimatedWaitMs,
+    timeLeftMs: deadlineAtMs - nowMs,
+    targetLeftMs: targetEndsAtMs - nowMs,
+    randomFraction: services.random.nextFraction(),
+  });
+  const kind = findRejection(services.servers, serviceId, regions) ?? ErrorKind.QueueFull;
+  return new SchedulerError(kind, { retryAfterMs });
+}
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -5,12 +5,7 @@
  */
 import { ServerOutcome } from '../../domain/backend_servers/mod.js';
 import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
-import {
-  WAIT_FRACTION,
-  computeMaxFailoverWaitMs,
-  computeDirectRetryAfterMs,
-  computeMaxWaitMs,
-} from '../../domain/direct/mod.js';
+import { computeMaxFailoverWaitMs, computeMaxWaitMs } from '../../domain/direct/mod.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { intersectRegions } from '../../domain/places/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
@@ -20,7 +15,7 @@
 import { PermitKind } from '../crashes/mod.js';
 import type { Permit } from '../crashes/mod.js';
 import { buildBackendRequest } from './_backend_request.js';
-import { findRejection } from './_call_rejection.js';
+import { buildShedError, findRejection } from './_call_rejection.js';
 import { CallRecorder, buildAnswerFields } from './_call_recorder.js';
 import { AttemptBudget } from './_attempt_budget.js';
 import { DirectAttempt } from './_direct_attempt.js';
@@ -109,12 +104,9 @@
 
   /** Sends the call, queues it, or refuses it. */
   start(): void {
-    if (this.#findRejection()) this.shed(0);
-    else this.#options.queue.submit(this);
-  }
-
-  #findRejection(): ErrorKind | undefined {
-    return findRejection(this.#options.services.servers, this.#options.serviceId, this.regions);
+    const { services, serviceId, queue } = this.#options;
+    if (findRejection(services.servers, serviceId, this.regions)) this.shed(0);
+    else queue.submit(this);
   }
 
   grant({ id, load }: Candidate): void {
@@ -181,17 +173,7 @@
   }
 
   shed(estimatedWaitMs: number): void {
-    const { services, route } = this.#options;
-    const nowMs = services.clock.nowMs();
-    const targetEndsAtMs = this.isLate ? nowMs : this.arrivedAtMs + route.targetMs * WAIT_FRACTION;
-    const retryAfterMs = computeDirectRetryAfterMs({
-      estimatedWaitMs,
-      timeLeftMs: this.#attempts.timeLeftMs,
-      targetLeftMs: targetEndsAtMs - nowMs,
-      randomFraction: services.random.nextFraction(),
-    });
-    const kind = this.#findRejection() ?? ErrorKind.QueueFull;
-    this.fail(new SchedulerError(kind, { retryAfterMs }), { clearMs: estimatedWaitMs });
+    this.fail(buildShedError(this.#options, this, estimatedWaitMs), { clearMs: estimatedWaitMs });
   }
 
   /**
@@ -253,7 +235,7 @@
   }
 
   #handleFailure(serverId: string, { failure, sendFallback }: DirectAttemptResult): void {
-    const { services, serviceId } = this.#options;
+    const { services } = this.#options;
     const mayHaveRun = mayAttemptHaveRun({ failure });
     if (!mayHaveRun) this.#attempts.recordNotRun();
     if (failure === BackendFailure.Misdirected) services.servers.recordEnded(serverId);
@@ -261,7 +243,7 @@
     const canResume = !this.#options.reply.hasStarted || this.#stream?.lastEventId !== undefined;
     // A request that was never written costs the service nothing; all other retries are counted.
     const isUncountedRetry = failure === BackendFailure.NotSent;
-    if (isAllowed && canResume && (isUncountedRetry || services.takeRetry(serviceId))) {
+    if (isAllowed && canResume && (isUncountedRetry || this.#takeRetry())) {
       this.#resubmit();
     } else if (sendFallback && !this.#options.reply.hasStarted) {
       sendFallback();
@@ -270,6 +252,12 @@
     else this.shed(0);
   }
 
+  #takeRetry(): boolean {
+    const decision = this.#options.services.takeRetry(this.#options.serviceId);
+    this.#recorder.recordRetry(this.#options.serviceId, decision);
+    return decision.isGranted;
+  }
+
   #cancelAttempt(): void {
     // An unsent request can't arrive any more: its connection is closed before it opens.
     if (this.#attempt?.mayHaveBeenSent === false) this.#attempts.recordNotRun();
--- a/src/application/direct/direct_services.ts
+++ b/src/application/direct/direct_services.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { RetryDecision } from '../../domain/direct/mod.js';
 import type {
   Clock,
   DirectBackendClient,
@@ -26,6 +27,6 @@
   readonly crashes: CrashQuarantine;
   /** @param serviceId - ID of the service to which a call is sent for the first time */
   readonly recordFirstAttempt: (serviceId: string) => void;
-  /** @param serviceId - ID of the service. @returns whether the retry budget allows a retry */
-  readonly takeRetry: (serviceId: string) => boolean;
+  /** @param serviceId - ID of the service. @returns whether the retry budget grants a retry */
+  readonly takeRetry: (serviceId: string) => RetryDecision;
 }
--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -8,7 +8,7 @@
 export { estimatePacedWaitMs } from './paced_wait.js';
 export { OutputEstimator } from './output_estimator.js';
 export { RetryBudgetShare } from './retry_budget_share.js';
-export type { RetryBounds } from './retry_budget_share.js';
+export type { RetryBounds, RetryDecision } from './retry_budget_share.js';
 export { computeReturningThresholdMs, computeDirectRetryAfterMs } from './retry_after.js';
 export {
   WAIT_FRACTION,
--- a/src/domain/direct/retry_budget_share.ts
+++ b/src/domain/direct/retry_budget_share.ts
@@ -23,6 +23,17 @@
  */
 const USED_FRACTION = 0.6;
 
+/** Whether a retry is granted, and the counts in the window that decided it. */
+export interface RetryDecision {
+  readonly isGranted: boolean;
+  /** First attempts of this entry host in the window. */
+  readonly attempts: number;
+  /** Retries of this entry host in the window, without the one decided on. */
+  readonly retries: number;
+  /** Number of entry hosts among which the additional retries are divided. */
+  readonly entryHostCount: number;
+}
+
 interface Slice {
   index: number;
   attempts: number;
@@ -54,17 +65,17 @@
    *
    * @param nowMs - monotonic time in milliseconds
    * @param entryHostCount - number of entry hosts that share the slack
-   * @returns false if the share is used up
+   * @returns the decision; not granted if the share is used up
    */
-  takeRetry(nowMs: number, entryHostCount: number): boolean {
+  takeRetry(nowMs: number, entryHostCount: number): RetryDecision {
     const current = this.#getCurrentSlice(nowMs);
     const attempts = this.#slices.reduce((sum, slice) => sum + slice.attempts, 0);
     const retries = this.#slices.reduce((sum, slice) => sum + slice.retries, 0);
     const { ratio, slack } = this.#bounds;
     const allowed = USED_FRACTION * (ratio * attempts + slack / Math.max(1, entryHostCount));
-    if (retries + 1 > allowed) return false;
-    current.retries += 1;
-    return true;
+    const isGranted = retries + 1 <= allowed;
+    if (isGranted) current.retries += 1;
+    return { isGranted, attempts, retries, entryHostCount };
   }
 
   #getCurrentSlice(nowMs: number): Slice {
--- a/src/domain/direct/retry_budget_share_test.ts
+++ b/src/domain/direct/retry_budget_share_test.ts
@@ -8,15 +8,15 @@
 t.test('an idle service gets its share of the slack', async (t) => {
   const share = new RetryBudgetShare(BOUNDS);
   let taken = 0;
-  while (share.takeRetry(1_000, 5)) taken += 1;
+  while (share.takeRetry(1_000, 5).isGranted) taken += 1;
   t.equal(taken, 6);
 });
 
 t.test('retries older than a window no longer count', async (t) => {
   const share = new RetryBudgetShare(BOUNDS);
-  while (share.takeRetry(0, 5));
-  t.notOk(share.takeRetry(9_000, 5));
-  t.ok(share.takeRetry(12_000, 5));
+  while (share.takeRetry(0, 5).isGranted);
+  t.notOk(share.takeRetry(9_000, 5).isGranted);
+  t.ok(share.takeRetry(12_000, 5).isGranted);
 });
 
 t.test('all entry hosts together keep the limit in every window, despite restarts', async () => {
@@ -42,7 +42,8 @@
         if (kind === 'attempt') {
           share.recordAttempt(nowMs);
           log.push({ atMs: nowMs, isRetry: false });
-        } else if (share.takeRetry(nowMs, hosts.length)) log.push({ atMs: nowMs, isRetry: true });
+        } else if (share.takeRetry(nowMs, hosts.length).isGranted)
+          log.push({ atMs: nowMs, isRetry: true });
       });
       return log.every(({ atMs }) => {
         const window = log.filter((other) => other.atMs >= atMs && other.atMs < atMs + 10_000);
