Ask that hosts that share nothing keep the retry budget together; it fails

Up to nine hosts that restart at will, know nobody for their first half second and may be cut into two sides; first attempts are learnt of, and retries arrive, up to a second late.

--- a/src/domain/direct/retry_budget_share_test.ts
+++ b/src/domain/direct/retry_budget_share_test.ts
@@ -1,8 +1,23 @@
 import fc from 'fast-check';
 import t from 'tap';
+import {
+  measureRetryExcess,
+  RetryEventKind,
+  RetryFleet,
+} from '../../../test/support/retry_fleet.js';
 import { RetryBudgetShare } from './mod.js';
 
 const BOUNDS = { ratio: 0.2, slack: 50, windowMs: 10_000 };
+/** Kinds of events, each as often as it is listed. */
+const EVENT_KINDS = [
+  RetryEventKind.Attempt,
+  RetryEventKind.Attempt,
+  RetryEventKind.Attempt,
+  RetryEventKind.Retries,
+  RetryEventKind.Retries,
+  RetryEventKind.Restart,
+];
+
 const RUNS = { seed: 22, numRuns: 200 };
 
 t.test('an idle service gets its share of the slack', async (t) => {
@@ -19,6 +34,26 @@
   t.ok(share.takeRetry(12_000, 5).isGranted);
 });
 
+t.test('hosts that restart at will and know few others keep the budget together', async () => {
+  // Guards against hosts that each take the slack of all: after a restart, or behind a partition.
+  const event = fc.record({
+    kind: fc.constantFrom(...EVENT_KINDS),
+    host: fc.nat(8),
+    passMs: fc.nat(100),
+    count: fc.integer({ min: 1, max: 20 }),
+    delayMs: fc.nat(1_000),
+  });
+  const sizes = fc.record({ hosts: fc.integer({ min: 1, max: 9 }), sides: fc.constantFrom(1, 2) });
+  fc.assert(
+    fc.property(sizes, fc.array(event, { minLength: 100, maxLength: 400 }), (size, events) => {
+      const fleet = new RetryFleet({ bounds: BOUNDS, ...size });
+      fleet.play(events);
+      return measureRetryExcess(fleet, BOUNDS) <= 0;
+    }),
+    RUNS,
+  );
+});
+
 t.test('all entry hosts together keep the limit in every window, despite restarts', async () => {
   const event = fc.record({
     host: fc.nat(4),
