Keep the retry budget whatever restarts, and however few peers a host knows

Cause: each host divided the additional retries by the hosts that it knew. One that had just started knew itself alone and took all of them, each of five that were killed together; and a process had its whole share again after each restart. Class: a bound that is a sum over hosts, divided by what one of them knows.

Change: a host retries for half of the ratio of its own arrived attempts, and has its share of two fifths of the slack once it has run for a window, divided by the largest number of hosts that it has known. A retry counts from its grant until a window after its sending; one that is not sent is given back.

Why it holds: docs/design/platform.md states the sum of all hosts as a formula; attempts of two processes are different ones, and no window sees the slack of two processes of one host.

The test of an idle service's share began in the first window, in which there is none now; it asks for both, exactly.

--- /dev/null
+++ b/src/application/direct/_attempt_result.ts
@@ -0,0 +1,31 @@
+/**
+ * Result of one attempt of a call.
+ *
+ * @module
+ */
+import type { BackendFailure } from '../../ports/mod.js';
+import type { StreamRelay } from './_answer_relay.js';
+
+/** Result of an attempt. */
+export interface DirectAttemptResult {
+  /** Why the attempt failed; undefined when the caller has the complete answer. */
+  readonly failure: BackendFailure | undefined;
+  /** Whether the backend server's answer arrived completely, whatever its status. */
+  readonly isComplete: boolean;
+  /** Whether the answer marked its own end; if not, a crash looks like the end of the answer. */
+  readonly isFramed: boolean;
+  readonly reason: string;
+  readonly status: number;
+  /** Time from the start to the first byte, in milliseconds; 0 when no byte arrived. */
+  readonly firstByteMs: number;
+  /** Time to the first byte that was predicted at the start, in milliseconds. */
+  readonly predictedFirstByteMs: number;
+  /** Duration of the attempt, in milliseconds. */
+  readonly totalMs: number;
+  /** Output tokens that this attempt generated; 0 for an answer that is no stream. */
+  readonly outputTokens: number;
+  /** The stream as far as the caller received it. */
+  readonly stream: StreamRelay | undefined;
+  /** Sends the backend server's error answer, for the case that no other server is tried. */
+  readonly sendFallback: (() => void) | undefined;
+}
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -7,7 +7,7 @@
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { ClientAccount, Route } from '../../domain/routing/mod.js';
 import type { DirectRequest, LogFields } from '../../ports/mod.js';
-import type { DirectAttemptResult } from './_direct_attempt.js';
+import type { DirectAttemptResult } from './_attempt_result.js';
 import type { DirectServices } from './direct_services.js';
 
 /** The call to record, and where the log and metrics go. */
--- a/src/application/direct/_crash_evidence.ts
+++ b/src/application/direct/_crash_evidence.ts
@@ -5,7 +5,7 @@
  */
 import { BackendFailure } from '../../ports/mod.js';
 import { isSuccess } from '../crashes/mod.js';
-import type { DirectAttemptResult } from './_direct_attempt.js';
+import type { DirectAttemptResult } from './_attempt_result.js';
 import type { DirectServices } from './direct_services.js';
 
 const NOT_RUN_FAILURES: ReadonlySet<BackendFailure> = new Set([
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -18,6 +18,7 @@
 } from '../../ports/mod.js';
 import { StreamRelay, BufferedRelay } from './_answer_relay.js';
 import type { AnswerRelay } from './_answer_relay.js';
+import type { DirectAttemptResult } from './_attempt_result.js';
 import type { DirectServices } from './direct_services.js';
 import { StallDetector } from './_stall_detector.js';
 
@@ -27,30 +28,6 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Result of an attempt. */
-export interface DirectAttemptResult {
-  /** Why the attempt failed; undefined when the caller has the complete answer. */
-  readonly failure: BackendFailure | undefined;
-  /** Whether the backend server's answer arrived completely, whatever its status. */
-  readonly isComplete: boolean;
-  /** Whether the answer marked its own end; if not, a crash looks like the end of the answer. */
-  readonly isFramed: boolean;
-  readonly reason: string;
-  readonly status: number;
-  /** Time from the start to the first byte, in milliseconds; 0 when no byte arrived. */
-  readonly firstByteMs: number;
-  /** Time to the first byte that was predicted at the start, in milliseconds. */
-  readonly predictedFirstByteMs: number;
-  /** Duration of the attempt, in milliseconds. */
-  readonly totalMs: number;
-  /** Output tokens that this attempt generated; 0 for an answer that is no stream. */
-  readonly outputTokens: number;
-  /** The stream as far as the caller received it. */
-  readonly stream: StreamRelay | undefined;
-  /** Sends the backend server's error answer, for the case that no other server is tried. */
-  readonly sendFallback: (() => void) | undefined;
-}
-
 /** Dependencies and request of an attempt. */
 export interface DirectAttemptOptions {
   readonly services: Pick<DirectServices, 'backend' | 'clock' | 'servers'>;
@@ -64,6 +41,8 @@
   readonly tokensPerEvent: number;
   /** @returns whether the call may be moved to another backend server */
   readonly mayFailOver: () => boolean;
+  /** Called with each sign that the backend server received the request. */
+  readonly onArrival: () => void;
   readonly onEnd: (end: DirectAttemptResult) => void;
 }
 
@@ -159,6 +138,7 @@
   }
 
   onRateLimit(notice: RateLimitNotice, isAuthentic: boolean): void {
+    this.#options.onArrival();
     this.#options.services.servers.recordRateLimit({
       incarnationId: this.incarnationId,
       notice,
@@ -168,6 +148,7 @@
   }
 
   onHead(head: BackendHead): void {
+    this.#options.onArrival();
     this.#status = head.status;
     this.#isFramed = head.isFramed;
     const { reply, services, route } = this.#options;
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -17,9 +17,10 @@
 import { buildBackendRequest } from './_backend_request.js';
 import { buildShedError, findRejection } from './_call_rejection.js';
 import { CallRecorder, buildAnswerFields } from './_call_recorder.js';
+import { CallRetries } from './_call_retries.js';
 import { AttemptBudget } from './_attempt_budget.js';
 import { DirectAttempt } from './_direct_attempt.js';
-import type { DirectAttemptResult } from './_direct_attempt.js';
+import type { DirectAttemptResult } from './_attempt_result.js';
 import { ProbationWait } from './_probation_wait.js';
 import { mayAttemptHaveRun, CrashEvidence } from './_crash_evidence.js';
 import type { StreamRelay } from './_answer_relay.js';
@@ -63,6 +64,8 @@
 
   readonly #recorder: CallRecorder;
 
+  readonly #retries: CallRetries;
+
   readonly #crashEvidence: CrashEvidence;
 
   /** @param options - the call and what it depends on */
@@ -82,6 +85,7 @@
       this.arrivedAtMs +
       computeMaxWaitMs({ isLate: this.isLate, timeLeftMs: timeoutMs, targetMs: route.targetMs });
     this.#recorder = new CallRecorder({ ...options, arrivedAtMs: this.arrivedAtMs });
+    this.#retries = new CallRetries(services, options.serviceId, this.#recorder);
     this.#crashEvidence = new CrashEvidence(services, options.contentId);
     this.#timer = services.clock.setTimer(timeoutMs, () => this.#handleTimeout());
     reply.onDisconnect(() => this.#handleDisconnect());
@@ -130,7 +134,7 @@
       return;
     }
     this.#attempts.recordSent();
-    if (this.#attempts.count === 1) services.recordFirstAttempt(server.serviceId);
+    this.#retries.recordSent();
     this.#recorder.recordDispatch(id, {
       inFlight: load.inFlight,
       attempt: this.#attempts.count,
@@ -152,6 +156,7 @@
         { request, account, timeLeftMs: this.#attempts.timeLeftMs, stream: this.#stream },
         server,
       ),
+      onArrival: () => this.#retries.recordArrival(),
       onEnd: (end) => this.#handleAttemptResult(id, end, permit),
     });
     this.#attempt.start();
@@ -243,7 +248,7 @@
     const canResume = !this.#options.reply.hasStarted || this.#stream?.lastEventId !== undefined;
     // A request that was never written costs the service nothing; all other retries are counted.
     const isUncountedRetry = failure === BackendFailure.NotSent;
-    if (isAllowed && canResume && (isUncountedRetry || this.#takeRetry())) {
+    if (isAllowed && canResume && (isUncountedRetry || this.#retries.take())) {
       this.#resubmit();
     } else if (sendFallback && !this.#options.reply.hasStarted) {
       sendFallback();
@@ -252,12 +257,6 @@
     else this.shed(0);
   }
 
-  #takeRetry(): boolean {
-    const decision = this.#options.services.takeRetry(this.#options.serviceId);
-    this.#recorder.recordRetry(this.#options.serviceId, decision);
-    return decision.isGranted;
-  }
-
   #cancelAttempt(): void {
     // An unsent request can't arrive any more: its connection is closed before it opens.
     if (this.#attempt?.mayHaveBeenSent === false) this.#attempts.recordNotRun();
@@ -282,6 +281,7 @@
     this.#timer.cancel();
     this.#probationWait?.cancel();
     this.#options.queue.remove(this);
+    this.#retries.release();
     this.#recorder.recordEnd(event, fields);
     this.#options.onEnd();
   }
--- a/src/application/direct/direct_call_test.ts
+++ b/src/application/direct/direct_call_test.ts
@@ -34,6 +34,20 @@
   t.equal(reply.body, 'second');
 });
 
+t.test('requests that show no sign of arrival earn no retries', async (t) => {
+  // Guards against a budget that grows while nothing arrives, just when retries do most harm.
+  const servers = ['s-1', 's-2', 's-3', 's-4'];
+  const host = await startDirectHost(t, { route: { isRepeatable: true } }, servers);
+  host.backend.onSend = (exchange) =>
+    host.clock.setTimer(1, () => exchange.fail(BackendFailure.Lost));
+  for (let count = 0; count < 200; count += 1) {
+    host.call();
+    await host.clock.advance(20);
+  }
+  const slackShare = 0.4 * 50;
+  t.equal(host.backend.sent.length - 200, slackShare);
+});
+
 t.test("a call that may have run isn't sent to its server's next incarnation", async (t) => {
   // Guards against sending a notice twice. A backend server loses power while it works on the
   // notice, and restarts under the same name; the connection to its previous incarnation stays
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -27,7 +27,7 @@
 import { FreedSlotForwarder } from './freed_slot_forwarder.js';
 import type { ReportTimes } from './freed_slot_forwarder.js';
 import { DirectCall } from './direct_call.js';
-import type { DirectServices } from './direct_services.js';
+import type { DirectServices, RetryServices } from './direct_services.js';
 import { LazyMap } from './_lazy_map.js';
 import type { ServerRegistry } from './server_registry.js';
 import { ServiceQueue } from './service_queue.js';
@@ -44,6 +44,8 @@
   readonly servers: ServerRegistry;
   readonly spending: AccountSpending;
   readonly retryBounds: RetryBounds;
+  /** When this process started, on the monotonic clock in milliseconds. */
+  readonly startedAtMs: number;
   readonly reportTimes: ReportTimes;
   /** @returns number of entry hosts that share the retry budget */
   readonly countEntryHosts: () => number;
@@ -65,7 +67,9 @@
   readonly #waitingNotices: WaitingNotices;
 
   /** Shares of the retry budget by service ID. */
-  readonly #retryShares = new LazyMap(() => new RetryBudgetShare(this.#options.retryBounds));
+  readonly #retryShares = new LazyMap(
+    () => new RetryBudgetShare(this.#options.retryBounds, this.#options.startedAtMs),
+  );
 
   readonly #calls = new Set<DirectCall>();
 
@@ -81,15 +85,7 @@
   constructor(options: DirectGatewayOptions) {
     this.#options = options;
     this.#checks = new CallChecks(options);
-    this.#services = {
-      ...options,
-      recordFirstAttempt: (serviceId) =>
-        this.#retryShares.getOrCreate(serviceId).recordAttempt(options.clock.nowMs()),
-      takeRetry: (serviceId) =>
-        this.#retryShares
-          .getOrCreate(serviceId)
-          .takeRetry(options.clock.nowMs(), options.countEntryHosts()),
-    };
+    this.#services = { ...options, ...this.#buildRetryServices() };
     this.#freedSlotForwarder = new FreedSlotForwarder({
       ...options,
       getFirstUrgency: (serviceId) => this.#queues.get(serviceId)?.firstUrgency ?? Infinity,
@@ -200,6 +196,17 @@
     call.start();
   }
 
+  #buildRetryServices(): RetryServices {
+    const { clock, countEntryHosts } = this.#options;
+    const shares = this.#retryShares;
+    return {
+      recordFirstArrival: (id) => shares.getOrCreate(id).recordAttempt(clock.nowMs()),
+      takeRetry: (id) => shares.getOrCreate(id).takeRetry(clock.nowMs(), countEntryHosts()),
+      recordRetrySent: (id) => shares.getOrCreate(id).recordRetrySent(clock.nowMs()),
+      releaseRetry: (id) => shares.getOrCreate(id).releaseRetry(),
+    };
+  }
+
   #createQueue(serviceId: string): ServiceQueue {
     const { clock, random, servers } = this.#options;
     const queue: ServiceQueue = new ServiceQueue({
--- a/src/application/direct/direct_services.ts
+++ b/src/application/direct/direct_services.ts
@@ -15,8 +15,20 @@
 import type { RoutingView } from './routing_view.js';
 import type { ServerRegistry } from './server_registry.js';
 
+/** Retry budgets of the services. */
+export interface RetryServices {
+  /** @param serviceId - ID of the service that has received a call for the first time */
+  readonly recordFirstArrival: (serviceId: string) => void;
+  /** @param serviceId - ID of the service. @returns whether the retry budget grants a retry */
+  readonly takeRetry: (serviceId: string) => RetryDecision;
+  /** @param serviceId - ID of the service to which a granted retry is sent */
+  readonly recordRetrySent: (serviceId: string) => void;
+  /** @param serviceId - ID of the service to which a granted retry is not sent */
+  readonly releaseRetry: (serviceId: string) => void;
+}
+
 /** Dependencies that all calls of an entry host share. */
-export interface DirectServices {
+export interface DirectServices extends RetryServices {
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
@@ -25,8 +37,4 @@
   readonly routing: RoutingView;
   readonly servers: ServerRegistry;
   readonly crashes: CrashQuarantine;
-  /** @param serviceId - ID of the service to which a call is sent for the first time */
-  readonly recordFirstAttempt: (serviceId: string) => void;
-  /** @param serviceId - ID of the service. @returns whether the retry budget grants a retry */
-  readonly takeRetry: (serviceId: string) => RetryDecision;
 }
--- a/src/commands/_direct_gateway.ts
+++ b/src/commands/_direct_gateway.ts
@@ -19,7 +19,13 @@
 const MS_PER_SECOND = 1_000;
 
 type DerivedOptions =
-  'backend' | 'retryBounds' | 'reportTimes' | 'maxKeyAgeMs' | 'sureAgeMs' | 'countEntryHosts';
+  | 'backend'
+  | 'retryBounds'
+  | 'startedAtMs'
+  | 'reportTimes'
+  | 'maxKeyAgeMs'
+  | 'sureAgeMs'
+  | 'countEntryHosts';
 
 /** Settings and collaborators of the gateway; all other options are derived from them. */
 export interface DirectGatewayParts extends Omit<DirectGatewayOptions, DerivedOptions> {
@@ -44,6 +50,7 @@
       slack: settings.retrySlack,
       windowMs: settings.retryWindowS * MS_PER_SECOND,
     },
+    startedAtMs: parts.clock.nowMs(),
     reportTimes: reports,
     maxKeyAgeMs: settings.keyRevocationMs * MAX_KEY_AGE_FRACTION,
     sureAgeMs: settings.configurationApplyMs,
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -51,6 +51,9 @@
 /** Age up to which an API key from the store is accepted in tests, in milliseconds. */
 export const MAX_KEY_AGE_MS = 4_000;
 
+/** Retry budget of each service in tests. Hosts start with their share of the slack. */
+const RETRY_BOUNDS = { ratio: 0.2, slack: 50, windowMs: 10_000 };
+
 /** Objects that several hosts may share; by default each host has its own. */
 export interface DirectHostOptions {
   readonly clock?: VirtualClock;
@@ -155,7 +158,8 @@
         findHeardSequence: (incarnation) => this.reports?.findHeardSequence(incarnation) ?? 0,
         findSentAt: (sequence) => this.reports?.findSentAt(sequence),
       },
-      retryBounds: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+      retryBounds: RETRY_BOUNDS,
+      startedAtMs: this.clock.nowMs() - RETRY_BOUNDS.windowMs,
       maxKeyAgeMs: MAX_KEY_AGE_MS,
       sureAgeMs: 2_000,
       countEntryHosts: () => this.reports?.knownCount ?? 1,
--- a/test/support/retry_fleet.ts
+++ b/test/support/retry_fleet.ts
@@ -19,6 +19,12 @@
   Restart = 'restart',
 }
 
+/** Longest time of {@link RetryEvent.delayMs}. */
+export const MAX_DELAY_MS = 1_000;
+
+/** Longest time of {@link RetryEvent.lagMs}: one slice of a window of ten seconds. */
+export const MAX_LAG_MS = 500;
+
 /** One event. */
 export interface RetryEvent {
   readonly kind: RetryEventKind;
@@ -27,8 +33,10 @@
   readonly passMs: number;
   /** Number of retries that the host asks for. */
   readonly count: number;
-  /** Time until a retry arrives, or until the host learns that an attempt arrived. */
+  /** Time until a retry is sent, or until the host learns that an attempt arrived. */
   readonly delayMs: number;
+  /** Time from a retry's sending to its arrival. */
+  readonly lagMs: number;
 }
 
 /** How the hosts of a {@link RetryFleet} find each other. */
@@ -56,8 +64,8 @@
 
   readonly #hosts: SimulatedHost[];
 
-  /** Attempts whose arrival the hosts have not learned yet. */
-  #unlearned: { readonly atMs: number; readonly share: RetryBudgetShare }[] = [];
+  /** What the hosts do later, in any order. */
+  #scheduled: { readonly atMs: number; readonly run: () => void }[] = [];
 
   #nowMs = 0;
 
@@ -70,27 +78,36 @@
   play(events: readonly RetryEvent[]): void {
     events.forEach((event) => {
       this.#nowMs += event.passMs;
-      this.#learnArrivals();
+      this.#runScheduled();
       this.#apply(event);
     });
   }
 
-  #apply({ kind, host: index, count, delayMs }: RetryEvent): void {
+  #apply({ kind, host: index, count, delayMs, lagMs }: RetryEvent): void {
     const host = this.#hosts[index % this.#hosts.length] as SimulatedHost;
+    const { share } = host;
+    const atMs = this.#nowMs + delayMs;
     if (kind === RetryEventKind.Restart) Object.assign(host, this.#createHost());
     else if (kind === RetryEventKind.Attempt) {
       this.attemptTimes.push(this.#nowMs);
-      this.#unlearned.push({ atMs: this.#nowMs + delayMs, share: host.share });
+      this.#scheduled.push({ atMs, run: () => share.recordAttempt(atMs) });
     } else {
       const known = this.#countKnown(index, host);
       for (let left = count; left > 0; left -= 1) {
-        if (host.share.takeRetry(this.#nowMs, known).isGranted) {
-          this.retryTimes.push(this.#nowMs + delayMs);
+        if (share.takeRetry(this.#nowMs, known).isGranted) {
+          this.#scheduled.push({ atMs, run: () => this.#sendRetry(host, share, atMs, lagMs) });
         }
       }
     }
   }
 
+  /** Sends a retry, unless its host's process has ended. */
+  #sendRetry(host: SimulatedHost, share: RetryBudgetShare, atMs: number, lagMs: number): void {
+    if (host.share !== share) return;
+    share.recordRetrySent(atMs);
+    this.retryTimes.push(atMs + lagMs);
+  }
+
   /** Hosts that have just started know themselves alone, and later those of their side. */
   #countKnown(index: number, { startedAtMs }: SimulatedHost): number {
     const { hosts, sides } = this.#options;
@@ -101,14 +118,15 @@
     ).length;
   }
 
-  #learnArrivals(): void {
-    const due = this.#unlearned.filter(({ atMs }) => atMs <= this.#nowMs);
-    due.forEach(({ atMs, share }) => share.recordAttempt(atMs));
-    this.#unlearned = this.#unlearned.filter(({ atMs }) => atMs > this.#nowMs);
+  #runScheduled(): void {
+    const due = this.#scheduled.filter(({ atMs }) => atMs <= this.#nowMs);
+    this.#scheduled = this.#scheduled.filter(({ atMs }) => atMs > this.#nowMs);
+    due.sort((a, b) => a.atMs - b.atMs).forEach(({ run }) => run());
   }
 
   #createHost(): SimulatedHost {
-    return { share: new RetryBudgetShare(this.#options.bounds), startedAtMs: this.#nowMs };
+    const share = new RetryBudgetShare(this.#options.bounds, this.#nowMs);
+    return { share, startedAtMs: this.#nowMs };
   }
 }
 
@@ -138,3 +156,28 @@
   });
   return Math.max(0, ...excesses);
 }
+
+/**
+ * Computes by how much the worst window exceeds what the hosts can send at most: half of the ratio
+ * for the first attempts of the window and of the one before it, and two fifths of the slack for
+ * each side. Attempts count earlier by the time in which hosts learn of them and retries arrive.
+ *
+ * @param fleet - what has arrived
+ * @param bounds - budget of the service
+ * @param sides - number of groups of hosts that never hear of each other
+ * @returns retries beyond that; 0 or less if the formula holds
+ */
+export function measureFormulaExcess(
+  { attemptTimes, retryTimes }: RetryFleet,
+  { ratio, slack, windowMs }: RetryBounds,
+  sides: number,
+): number {
+  const excesses = retryTimes.map((fromMs) => {
+    const untilMs = fromMs + windowMs;
+    const earliestMs = fromMs - windowMs - MAX_DELAY_MS - MAX_LAG_MS;
+    const attempts = countWithin(attemptTimes, earliestMs, untilMs);
+    const retries = countWithin(retryTimes, fromMs, untilMs);
+    return retries - 0.5 * ratio * attempts - 0.4 * slack * sides;
+  });
+  return Math.max(0, ...excesses);
+}
