--- a/test/support/direct_ends.ts
+++ b/test/support/direct_ends.ts
@@ -100,6 +100,9 @@
   /** Whether every address counts as refusing connections. */
   isCut = false;
 
+  /** Result for every address; undefined: as configured per address. */
+  fixedResult: Reachability | undefined;
+
   /** @param ended - result by address; several entry hosts may share the map */
   constructor(readonly ended = new Map<string, Reachability>()) {
     super();
@@ -108,6 +111,7 @@
   override async check(address: string): Promise<Reachability> {
     this.checkedAddresses.push(address);
     if (this.isCut) return Reachability.Refused;
+    if (this.fixedResult !== undefined) return this.fixedResult;
     return this.ended.get(address) ?? Reachability.Open;
   }
 }
--- a/test/support/limit_fleet.ts
+++ b/test/support/limit_fleet.ts
@@ -6,25 +6,14 @@
  */
 import type { Test } from 'tap';
 import { BackendFailure } from '../../src/ports/mod.js';
-import type { DirectRequest } from '../../src/ports/mod.js';
-import type { FakeExchange, FakeReply } from './direct_ends.js';
-import { buildDocument, buildServer, DirectHost } from './direct_host.js';
-import type { DocumentChanges } from './direct_host.js';
-import { SeededRandom } from './fakes.js';
-import { buildIdentity, FakePeerHub } from './fake_peer_network.js';
-import { settle, VirtualClock } from './virtual_clock.js';
+import type { FakeExchange } from './direct_ends.js';
+import { DirectFleet } from './direct_fleet.js';
+import type { DirectFleetOptions } from './direct_fleet.js';
+import type { SeededRandom } from './fakes.js';
+import { settle } from './virtual_clock.js';
 
 const MS_PER_SECOND = 1_000;
 
-/** Interval at which calls are sent to the entry hosts, in milliseconds. */
-const LOAD_STEP_MS = 10;
-
-/** Number of entry hosts that the others find each other by. */
-const SEED_COUNT = 3;
-
-/** Time until all entry hosts know each other, in milliseconds. */
-const DISCOVERY_MS = 2_500;
-
 /** How a server answers. */
 export enum AnswerKind {
   Success = 'success',
@@ -35,14 +24,9 @@
 }
 
 /** Options of a {@link LimitFleet}. */
-export interface LimitFleetOptions extends DocumentChanges {
-  readonly hosts: number;
-  readonly servers: number;
-  /** Slots of each server. Default: 11. */
-  readonly slots?: number;
+export interface LimitFleetOptions extends DirectFleetOptions {
   /** Average duration of a request, in milliseconds. Default: 200. */
   readonly runMs?: number;
-  readonly seed?: number;
   /** Picks how a server answers a request. Default: success. */
   readonly pickAnswer?: (random: SeededRandom) => AnswerKind;
 }
@@ -54,27 +38,10 @@
   readonly hostId: string;
 }
 
-/** Load on the fleet. */
-export interface FleetLoad {
-  readonly callsPerSecond: number;
-  readonly durationMs: number;
-  readonly request?: Partial<DirectRequest>;
-  /** Picks the entry host of a call. Default: any. */
-  readonly hosts?: readonly DirectHost[];
-}
-
 /** Entry hosts and servers that name the rate limits that a test sets. */
-export class LimitFleet {
-  readonly clock = new VirtualClock();
-
-  readonly hub = new FakePeerHub(true);
-
-  readonly hosts: DirectHost[] = [];
-
+export class LimitFleet extends DirectFleet {
   readonly arrivals: LimitedArrival[] = [];
 
-  readonly replies: FakeReply[] = [];
-
   /** Requests a second that each server names in its answers at present. */
   readonly limits = new Map<string, number>();
 
@@ -86,77 +53,9 @@
 
   readonly #options: LimitFleetOptions;
 
-  readonly #random: SeededRandom;
-
-  readonly #test: Test;
-
-  #callCount = 0;
-
   constructor(t: Test, options: LimitFleetOptions) {
+    super(t, options);
     this.#options = options;
-    this.#random = new SeededRandom(options.seed);
-    this.#test = t;
-  }
-
-  /** IDs of all servers. */
-  get serverIds(): string[] {
-    return Array.from({ length: this.#options.servers }, (_, index) => `s-${index + 1}`);
-  }
-
-  /** Starts all entry hosts and waits until they know each other. */
-  async start(): Promise<void> {
-    for (let index = 1; index <= this.#options.hosts; index += 1) await this.addHost(`h-${index}`);
-    await this.clock.advance(DISCOVERY_MS);
-  }
-
-  /** Starts one entry host. */
-  async addHost(id: string, incarnation = `${id}-1`): Promise<DirectHost> {
-    const seeds = Array.from({ length: SEED_COUNT }, (_, index) => `ws://h-${index + 1}.test`);
-    const host = new DirectHost({
-      clock: this.clock,
-      hub: this.hub,
-      identity: buildIdentity(id, incarnation),
-      seeds,
-    });
-    this.#test.teardown(() => host.stop());
-    host.backend.onSend = (exchange) => this.#serve(id, exchange);
-    host.feed.put('configuration', buildDocument(1, this.#options));
-    this.serverIds.forEach((serverId) => {
-      host.feed.put(
-        `servers/${serverId}`,
-        buildServer(serverId, { slots: this.#options.slots ?? 11 }),
-      );
-    });
-    this.hosts.push(host);
-    await host.start(this.#options, []);
-    return host;
-  }
-
-  /** Ends the process of an entry host. */
-  async removeHost(host: DirectHost): Promise<void> {
-    this.hosts.splice(this.hosts.indexOf(host), 1);
-    host.stop();
-    await host.peers.close();
-  }
-
-  /** Sends calls to the entry hosts at random moments, at a steady rate. */
-  async run({ callsPerSecond, durationMs, request, hosts }: FleetLoad): Promise<void> {
-    const callsPerStep = (callsPerSecond * LOAD_STEP_MS) / MS_PER_SECOND;
-    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += LOAD_STEP_MS) {
-      for (let left = callsPerStep; this.#random.nextFraction() < left; left -= 1) {
-        this.call(request, hosts);
-      }
-      await this.clock.advance(LOAD_STEP_MS);
-    }
-  }
-
-  /** Sends one call to a random entry host. */
-  call(request: Partial<DirectRequest> = {}, hosts: readonly DirectHost[] = this.hosts): FakeReply {
-    const host = hosts[Math.floor(this.#random.nextFraction() * hosts.length)] as DirectHost;
-    this.#callCount += 1;
-    const reply = host.call({ body: Buffer.from(`call ${this.#callCount}`), ...request });
-    this.replies.push(reply);
-    return reply;
   }
 
   /** @returns the arrivals at a server from a given time on */
@@ -186,12 +85,12 @@
     return most;
   }
 
-  #serve(hostId: string, exchange: FakeExchange): void {
+  protected override serve(hostId: string, exchange: FakeExchange): void {
     const { serverId } = exchange.request;
     this.arrivals.push({ atMs: this.clock.nowMs(), serverId, hostId });
     const { runMs = 200, pickAnswer = () => AnswerKind.Success } = this.#options;
-    const kind = pickAnswer(this.#random);
-    const durationMs = runMs * (0.5 + this.#random.nextFraction());
+    const kind = pickAnswer(this.random);
+    const durationMs = runMs * (0.5 + this.random.nextFraction());
     this.clock.setTimer(durationMs, () => {
       if (!exchange.isCancelled) this.#answer(hostId, exchange, kind);
     });
