Send requests through a peer where a host has lost its own links to servers

Class: a fault of the observer that is held against what it observes.

Change: ServerPaths tells a cut link from a dead server. After a connection that can't be opened, one that is reset, or silence, a server is probed over the own link and through peers. If a peer reaches it, requests to it go through peers from then on, with one event of the exchange a message; two such servers with no sign of any other, and all do. Decisions stay where they were: choice, budgets, limits, crash notes. A peer uses its own links alone, so that nothing is passed on twice, sends 96 requests for others at a time, the most urgent first, and says truly when it has sent nothing. A host reports a failure, or a crash, only if it has heard from a server since, or a peer confirms it. Hosts that are cut off are left out of the directory while at least half of all are not. A server that nobody reaches is not tried again for a second.

--- a/src/adapters/direct_http/_backend_agent.ts
+++ b/src/adapters/direct_http/_backend_agent.ts
@@ -44,6 +44,14 @@
     pooled.closeAfterIdleMs = idleTimeoutMs * USED_IDLE_FRACTION;
   }
 
+  /** @param incarnationId - a server whose idle connections are closed */
+  closeIdle(incarnationId: string): void {
+    Object.entries(this.freeSockets)
+      .filter(([name]) => name.endsWith(`:${incarnationId}`))
+      .flatMap(([, sockets]) => [...(sockets ?? [])])
+      .forEach((socket) => socket.destroy());
+  }
+
   /**
    * Called by Node for each request; requests share the connections of the same name. A
    * connection to a former incarnation of a server at the same address may be dead without
--- a/src/adapters/direct_http/http_direct_backend_client.ts
+++ b/src/adapters/direct_http/http_direct_backend_client.ts
@@ -31,6 +31,10 @@
     return new BackendCall({ agent: this.#agent, dialect: this.#dialect, request, listener });
   }
 
+  override closeIdle(incarnationId: string): void {
+    this.#agent.closeIdle(incarnationId);
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#agent.destroy();
--- a/src/adapters/direct_http/http_direct_backend_client_test.ts
+++ b/src/adapters/direct_http/http_direct_backend_client_test.ts
@@ -22,6 +22,7 @@
         accountId: 'firm-a',
         deadlineMs: 900,
         lastEventId: undefined,
+        urgency: 0,
       },
       listener,
     );
--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -14,6 +14,13 @@
   SlotOutcome,
 } from '../../ports/mod.js';
 import type { PeerMessage, PeerMessageOf } from '../../ports/mod.js';
+import {
+  proxyCancelSchema,
+  proxyProbeReplySchema,
+  proxyProbeSchema,
+  proxyReplySchema,
+  proxyRequestSchema,
+} from './_proxy_schemas.js';
 import { MAX_NAME_LENGTH } from './_record_checks.js';
 import {
   freedSlotSchema,
@@ -240,6 +247,11 @@
     type: z.literal(PeerMessageType.ForwardCancel),
     callId: count,
   }),
+  [PeerMessageType.ProxyRequest]: proxyRequestSchema,
+  [PeerMessageType.ProxyReply]: proxyReplySchema,
+  [PeerMessageType.ProxyCancel]: proxyCancelSchema,
+  [PeerMessageType.ProxyProbe]: proxyProbeSchema,
+  [PeerMessageType.ProxyProbeReply]: proxyProbeReplySchema,
 };
 
 const KNOWN_TYPES: ReadonlySet<unknown> = new Set(Object.values(PeerMessageType));
--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -7,6 +7,8 @@
   CrashUpdateKind,
   ForwardOperation,
   PeerMessageType,
+  ProxyEventKind,
+  Reachability,
   SlotOutcome,
 } from '../../ports/mod.js';
 import type { PeerMessage } from '../../ports/mod.js';
@@ -62,6 +64,7 @@
           cores: 0.3,
           isServing: true,
           isInTouch: true,
+          isCutOff: false,
           isLeaving: false,
         },
         isHeard: true,
@@ -212,6 +215,51 @@
   },
   [PeerMessageType.ForwardCredit]: { type: PeerMessageType.ForwardCredit, callId: 1, bytes: 9 },
   [PeerMessageType.ForwardCancel]: { type: PeerMessageType.ForwardCancel, callId: 1 },
+  [PeerMessageType.ProxyRequest]: {
+    type: PeerMessageType.ProxyRequest,
+    exchangeId: 4,
+    request: {
+      requestId: 'r-1',
+      method: 'POST',
+      target: '/a/1?b=2',
+      headers: ['Host', 'api.example'],
+      body: Uint8Array.of(1, 2),
+      address: '10.0.0.1:80',
+      serverId: 's-1',
+      incarnationId: 's-1@5',
+      accountId: 'firm-a',
+      deadlineMs: 900,
+      lastEventId: '12',
+      urgency: 3,
+    },
+  },
+  [PeerMessageType.ProxyReply]: {
+    type: PeerMessageType.ProxyReply,
+    exchangeId: 4,
+    index: 1,
+    event: {
+      kind: ProxyEventKind.Head,
+      head: {
+        status: 200,
+        headers: ['Content-Type', 'text/plain'],
+        isAuthentic: true,
+        isEventStream: false,
+        isFramed: true,
+        load: { running: 1, waiting: 2, slots: 3 },
+      },
+    },
+  },
+  [PeerMessageType.ProxyCancel]: { type: PeerMessageType.ProxyCancel, exchangeId: 4 },
+  [PeerMessageType.ProxyProbe]: {
+    type: PeerMessageType.ProxyProbe,
+    probeId: 5,
+    address: '10.0.0.1:80',
+  },
+  [PeerMessageType.ProxyProbeReply]: {
+    type: PeerMessageType.ProxyProbeReply,
+    probeId: 5,
+    reachability: Reachability.Open,
+  },
 };
 
 Object.values(SAMPLES).forEach((sample) => {
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -33,6 +33,8 @@
     cores: amount,
     isServing: z.boolean(),
     isInTouch: z.boolean(),
+    // Entries of earlier versions lack it.
+    isCutOff: z.boolean().default(false),
     isLeaving: z.boolean(),
   }),
   isHeard: z.boolean(),
--- a/src/application/direct/_backend_request.ts
+++ b/src/application/direct/_backend_request.ts
@@ -16,6 +16,8 @@
   readonly timeLeftMs: number;
   /** The stream that this attempt continues; undefined on a first attempt. */
   readonly stream: StreamRelay | undefined;
+  /** 0 is the most urgent. */
+  readonly urgency: number;
 }
 
 /**
@@ -26,7 +28,7 @@
  * @returns the request
  */
 export function buildBackendRequest(
-  { request, account, timeLeftMs, stream }: OutgoingCall,
+  { request, account, timeLeftMs, stream, urgency }: OutgoingCall,
   { id, serverId, address }: BackendServerEntry,
 ): BackendRequest {
   return {
@@ -37,5 +39,6 @@
     accountId: account?.id,
     deadlineMs: Math.max(1, Math.floor(timeLeftMs)),
     lastEventId: stream?.lastEventId ?? request.lastEventId,
+    urgency,
   };
 }
--- a/src/application/direct/_server_loads.ts
+++ b/src/application/direct/_server_loads.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { ServerLoad } from '../../domain/backend_servers/mod.js';
+import type { ServerPaths } from '../../domain/paths/mod.js';
 import type { Clock } from '../../ports/mod.js';
 import type { PeerStatsTable } from './_peer_stats.js';
 
@@ -18,6 +19,7 @@
 export interface ServerLoadsOptions {
   readonly clock: Clock;
   readonly peers: PeerStatsTable;
+  readonly paths: ServerPaths;
   /** @param id - a server incarnation. @returns its properties, with defaults if it is unknown */
   readonly findTraits: (id: string) => ServerTraits;
 }
@@ -82,7 +84,10 @@
    */
   countAvoiding(sources: readonly string[] = []): Record<string, number> {
     const nowMs = this.#options.clock.nowMs();
-    const avoidedLoads = [...this.#loads].filter(([, load]) => load.hasFailedRecently(nowMs));
+    const { lastReachedAtMs } = this.#options.paths;
+    const avoidedLoads = [...this.#loads].filter(([, load]) =>
+      load.hasFailedRecently(nowMs, lastReachedAtMs),
+    );
     const counts = Object.fromEntries(avoidedLoads.map(([id]) => [id, 1]));
     return this.#options.peers.sum('avoidedBy', counts, sources);
   }
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -5,7 +5,11 @@
  */
 import { ServerOutcome } from '../../domain/backend_servers/mod.js';
 import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
-import { computeMaxFailoverWaitMs, computeMaxWaitMs } from '../../domain/direct/mod.js';
+import {
+  computeMaxFailoverWaitMs,
+  computeMaxWaitMs,
+  computeUrgency,
+} from '../../domain/direct/mod.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { intersectRegions } from '../../domain/places/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
@@ -153,7 +157,13 @@
       // A trial stays where it is: its result is worth more than a server that may be faster.
       mayFailOver: () => permit.kind !== PermitKind.Trial && this.#attempts.mayRunAgain(),
       request: buildBackendRequest(
-        { request, account, timeLeftMs: this.#attempts.timeLeftMs, stream: this.#stream },
+        {
+          request,
+          account,
+          timeLeftMs: this.#attempts.timeLeftMs,
+          stream: this.#stream,
+          urgency: computeUrgency(this),
+        },
         server,
       ),
       onArrival: () => this.#retries.recordArrival(),
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -9,12 +9,14 @@
 import { ReportScope, Roster } from '../../domain/overlay/mod.js';
 import type { HostState } from '../../domain/overlay/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
-import type { Clock, EventLog, HostReportMessage, PeerNetwork } from '../../ports/mod.js';
+import type { HostReportMessage } from '../../ports/mod.js';
 import { CountedPeers } from './_counted_peers.js';
+import type { HostReportsOptions } from './host_reports_options.js';
 import { PeerLinks } from './_peer_links.js';
+import { pickProxyHosts } from './_proxy_hosts.js';
 import { PresentHosts } from './_present_hosts.js';
 import { ReportBuilder } from './_report_builder.js';
-import type { CountedReport, StatsSources, ReportStats } from './report_stats.js';
+import type { CountedReport } from './report_stats.js';
 import { ReportRole } from './_report_role.js';
 import { RosterLog } from './_roster_log.js';
 import { ReportScheduler } from './_report_scheduler.js';
@@ -22,26 +24,6 @@
 import { SentReports } from './_sent_reports.js';
 import { isCounted, ReceivedReports } from './_received_reports.js';
 
-/** Dependencies and callbacks of {@link HostReports}. */
-export interface HostReportsOptions {
-  readonly self: EntryHostIdentity;
-  /** Number of processor cores that this process may use. */
-  readonly cores: number;
-  readonly peers: PeerNetwork;
-  /** URLs of the seed peers, where discovery starts. */
-  readonly seedPeerUrls: readonly string[];
-  readonly clock: Clock;
-  readonly log: EventLog;
-  readonly getState: () => Pick<HostState, 'isServing' | 'isInTouch' | 'isLeaving'>;
-  readonly buildStats: (sources: StatsSources) => ReportStats;
-  /** Called with each report that counts. */
-  readonly onReport: (report: CountedReport) => void;
-  /** Called when the reports of a process no longer count. */
-  readonly onSilent: (identity: EntryHostIdentity) => void;
-  /** Called after each round with the fraction of the known entry hosts that is reachable. */
-  readonly onReachableFraction: (reach: number) => void;
-}
-
 /** Sends reports in regular rounds, and at once on request. */
 export class HostReports {
   readonly #options: HostReportsOptions;
@@ -82,6 +64,7 @@
       cores,
       isServing: false,
       isInTouch: false,
+      isCutOff: false,
       isLeaving: false,
     });
     const shared = { roster: this.#roster, received: this.#received };
@@ -236,10 +219,16 @@
         entryHosts: this.knownCount,
       });
     }
+    const mustUseProxies = this.#options.mustUseProxies?.() === true;
+    const proxies = mustUseProxies ? pickProxyHosts(this.self.identity.id, this.listHeard()) : [];
     this.#links.update({
-      wantedUrls: this.#role.listLinkTargets().map(({ identity }) => identity.peerUrl),
+      wantedUrls: [...this.#role.listLinkTargets(), ...proxies].map(
+        ({ identity }) => identity.peerUrl,
+      ),
       heard: this.#roster.listHeard(),
-      isUsed: (peer) => this.#received.find(peer.incarnation) !== undefined,
+      isUsed: ({ incarnation }) =>
+        this.#received.find(incarnation) !== undefined ||
+        this.#options.isProxyFor?.(incarnation) === true,
     });
     this.#notifyUncounted();
   }
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -15,25 +15,14 @@
 import { CandidateCache } from './_candidate_cache.js';
 import { EndedIncarnations } from './_ended_incarnations.js';
 import { EntryReader } from './_entry_reader.js';
-import type { EntryReaderOptions } from './_entry_reader.js';
 import { WarmupTracker } from './_warmup_tracker.js';
-import type { WarmupTrackerOptions } from './_warmup_tracker.js';
 import { RateLimitTracker } from './_rate_limit_tracker.js';
 import type { RateLimitEvidence } from './_rate_limit_tracker.js';
 import { PeerStatsTable } from './_peer_stats.js';
 import type { PeerStats } from './_peer_stats.js';
 import { ServerLoads } from './_server_loads.js';
 import type { ServerTraits } from './_server_loads.js';
-
-/** Dependencies and settings of a {@link ServerRegistry}. */
-export interface ServerRegistryOptions extends EntryReaderOptions, WarmupTrackerOptions {
-  /** @returns number of entry hosts that serve callers, including this one */
-  readonly countServing: () => number;
-  /** @returns whether a service's backend servers are model engines */
-  readonly isEngine: (serviceId: string) => boolean;
-  /** @returns region of a zone; undefined for an unknown zone */
-  readonly findRegion: (zone: string) => string | undefined;
-}
+import type { ServerRegistryOptions } from './server_registry_options.js';
 
 /** Combines registrations, stats from peers and the outcomes of own requests. */
 export class ServerRegistry {
@@ -72,6 +61,7 @@
     this.loads = new ServerLoads({
       clock: options.clock,
       peers: this.peers,
+      paths: options.paths,
       findTraits: (id) => this.#findTraits(id),
     });
     this.#candidateLists = new CandidateCache(options.clock, (id) => this.#buildCandidates(id));
@@ -281,6 +271,7 @@
       this.loads.delete(id);
       this.#warmups.forget(id);
       this.rateLimits.forget(id);
+      this.#options.paths.forget(id);
     });
     this.#endedIncarnations.forget(expired);
     this.#notifyChange();
--- a/src/application/direct/store_view.ts
+++ b/src/application/direct/store_view.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { BackendServerEntry } from '../../domain/backend_servers/mod.js';
+import type { ServerPaths } from '../../domain/paths/mod.js';
 import type { WarmupLimit } from '../../domain/places/mod.js';
 import type { RoutingDocument } from '../../domain/routing/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
@@ -43,6 +44,8 @@
   readonly zoneRegions: Readonly<Record<string, string>>;
   readonly warmupTolerance: WarmupTolerance;
   readonly hosts: PaceHosts;
+  /** What is known of this host's links to the backend servers. */
+  readonly paths: ServerPaths;
   /** @returns number of entry hosts that serve callers, including this one */
   readonly countServing: () => number;
 }
--- /dev/null
+++ b/src/application/paths/_proxied_exchange.ts
@@ -0,0 +1,171 @@
+/**
+ * One request that this entry host sends to a backend server for a peer.
+ *
+ * @module
+ */
+import type { GatedJob, UrgencyGate } from '../../domain/paths/mod.js';
+import { BackendFailure, ProxyEventKind } from '../../ports/mod.js';
+import type {
+  BackendExchange,
+  BackendHead,
+  BackendListener,
+  BackendRequest,
+  Clock,
+  DirectBackendClient,
+  ProxiedRequest,
+  ProxyEvent,
+  RateLimitNotice,
+  Timer,
+} from '../../ports/mod.js';
+
+/** Longest time for which a request waits for room, in milliseconds. */
+const MAX_WAIT_MS = 250;
+
+/** Options of a {@link ProxiedExchange}. */
+export interface ProxiedExchangeOptions {
+  readonly request: ProxiedRequest;
+  readonly clock: Clock;
+  readonly backend: DirectBackendClient;
+  readonly gate: UrgencyGate;
+  /** Sends an event to the peer. Returns false if that was not possible. */
+  readonly reply: (index: number, event: ProxyEvent) => boolean;
+  /** Called once, when the exchange has ended. */
+  readonly onEnd: (result: string) => void;
+}
+
+/** Waits for room, sends the request, and reports each event in order. */
+export class ProxiedExchange implements BackendListener {
+  readonly #options: ProxiedExchangeOptions;
+
+  readonly #arrivedAtMs: number;
+
+  readonly #job: GatedJob;
+
+  #waitTimer: Timer | undefined;
+
+  #exchange: BackendExchange | undefined;
+
+  #isRunning = false;
+
+  #nextIndex = 0;
+
+  #hasEnded = false;
+
+  /** @param options - the request, and the way back to the peer */
+  constructor(options: ProxiedExchangeOptions) {
+    this.#options = options;
+    this.#arrivedAtMs = options.clock.nowMs();
+    this.#job = {
+      urgency: options.request.urgency,
+      start: () => this.#send(),
+      refuse: () => this.#refuseBusy(),
+    };
+  }
+
+  /** Sends the request as soon as there is room. */
+  start(): void {
+    const { gate, clock } = this.#options;
+    gate.submit(this.#job);
+    if (this.#isRunning || this.#hasEnded) return;
+    this.#waitTimer = clock.setTimer(MAX_WAIT_MS, () => {
+      if (gate.remove(this.#job)) this.#refuseBusy();
+    });
+  }
+
+  /** @param reason - why the request is not sent */
+  refuse(reason: string): void {
+    this.#report({
+      kind: ProxyEventKind.Failure,
+      failure: BackendFailure.NotSent,
+      reason,
+      isBusy: false,
+    });
+    this.#end('refused');
+  }
+
+  /** Ends the exchange without a reply. */
+  cancel(): void {
+    this.#exchange?.cancel();
+    this.#options.gate.remove(this.#job);
+    this.#end('cancelled');
+  }
+
+  onRateLimit(notice: RateLimitNotice, isAuthentic: boolean): void {
+    this.#report({ kind: ProxyEventKind.RateLimit, notice, isAuthentic });
+  }
+
+  onHead(head: BackendHead): void {
+    this.#report({ kind: ProxyEventKind.Head, head });
+  }
+
+  onBody(bytes: Buffer): void {
+    this.#report({ kind: ProxyEventKind.Body, bytes });
+  }
+
+  onComplete(): void {
+    this.#report({ kind: ProxyEventKind.Complete });
+    this.#end('complete');
+  }
+
+  onFailure(failure: BackendFailure, reason: string): void {
+    this.#report({ kind: ProxyEventKind.Failure, failure, reason, isBusy: false });
+    this.#end(failure);
+  }
+
+  #send(): void {
+    this.#isRunning = true;
+    this.#waitTimer?.cancel();
+    const { backend, clock, request } = this.#options;
+    const waitedMs = clock.nowMs() - this.#arrivedAtMs;
+    this.#exchange = backend.send(buildRequest(request, waitedMs), this);
+  }
+
+  #refuseBusy(): void {
+    this.#report({
+      kind: ProxyEventKind.Failure,
+      failure: BackendFailure.NotSent,
+      reason: 'the peer has no room',
+      isBusy: true,
+    });
+    this.#end('busy');
+  }
+
+  /** An event that the peer doesn't get would leave a gap, so the exchange ends instead. */
+  #report(event: ProxyEvent): void {
+    if (this.#hasEnded) return;
+    const isSent = this.#options.reply(this.#nextIndex, event);
+    this.#nextIndex += 1;
+    if (!isSent) this.cancel();
+  }
+
+  #end(result: string): void {
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    this.#waitTimer?.cancel();
+    if (this.#isRunning) this.#options.gate.release();
+    this.#options.onEnd(result);
+  }
+}
+
+function buildRequest(proxied: ProxiedRequest, waitedMs: number): BackendRequest {
+  const { requestId, method, target, headers, body, ...rest } = proxied;
+  const [path = target] = target.split('?');
+  return {
+    ...rest,
+    deadlineMs: Math.max(1, Math.floor(rest.deadlineMs - waitedMs)),
+    request: {
+      requestId,
+      method,
+      target,
+      path,
+      hostName: '',
+      headers,
+      body: Buffer.from(body),
+      key: undefined,
+      deadlineMs: undefined,
+      lastEventId: undefined,
+      work: { promptTokens: 0, outputTokens: 0 },
+      isSized: false,
+    },
+  };
+}
--- /dev/null
+++ b/src/application/paths/proxy_server.ts
@@ -0,0 +1,118 @@
+/**
+ * Sends requests to backend servers for peers that can't reach them.
+ *
+ * @module
+ */
+import { UrgencyGate } from '../../domain/paths/mod.js';
+import type { EntryHostIdentity } from '../../domain/membership/mod.js';
+import { PeerMessageType } from '../../ports/mod.js';
+import type {
+  Clock,
+  DirectBackendClient,
+  Metrics,
+  PeerNetwork,
+  ProxyRequestMessage,
+  ServerProbe,
+} from '../../ports/mod.js';
+import { ProxiedExchange } from './_proxied_exchange.js';
+
+/** Maximum number of requests that are sent for peers at a time. */
+const MAX_RUNNING = 96;
+
+/** Maximum number of requests of peers that wait. */
+const MAX_WAITING = 64;
+
+/** Time for which a peer's link counts as used after its last request, in milliseconds. */
+const LINK_USE_MS = 10_000;
+
+/** Dependencies of {@link ProxyServer}. */
+export interface ProxyServerOptions {
+  readonly peers: PeerNetwork;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly probe: ServerProbe;
+  /** Sends a request over this host's own links only, so that no request is passed on twice. */
+  readonly backend: DirectBackendClient;
+  /** @param id - a server incarnation. @returns false if it must get no work */
+  readonly mayReceive: (id: string) => boolean;
+}
+
+/** Serves peers, the most urgent requests first and never more than a bounded number. */
+export class ProxyServer {
+  readonly #options: ProxyServerOptions;
+
+  readonly #gate = new UrgencyGate({ maxRunning: MAX_RUNNING, maxWaiting: MAX_WAITING });
+
+  readonly #exchanges = new Map<string, ProxiedExchange>();
+
+  /** When each peer process sent its last request, on the monotonic clock in milliseconds. */
+  readonly #usedAtMs = new Map<string, number>();
+
+  /** @param options - dependencies */
+  constructor(options: ProxyServerOptions) {
+    this.#options = options;
+    const { peers } = options;
+    peers.handle(PeerMessageType.ProxyRequest, (from, message) => this.#handle(from, message));
+    peers.handle(PeerMessageType.ProxyCancel, (from, { exchangeId }) => {
+      this.#exchanges.get(formatKey(from, exchangeId))?.cancel();
+    });
+    peers.handle(PeerMessageType.ProxyProbe, (from, { probeId, address }) => {
+      this.#probe(from, probeId, address);
+    });
+    peers.onLinkChange(({ peer, up }) => {
+      if (!up) this.#cancelAll(peer);
+    });
+  }
+
+  /** Number of requests of peers that are in flight or wait. */
+  get exchangeCount(): number {
+    return this.#exchanges.size;
+  }
+
+  /** @param incarnation - a peer's process. @returns whether it has sent requests recently */
+  isUsedBy(incarnation: string): boolean {
+    const usedAtMs = this.#usedAtMs.get(incarnation);
+    return usedAtMs !== undefined && this.#options.clock.nowMs() - usedAtMs < LINK_USE_MS;
+  }
+
+  #handle(from: EntryHostIdentity, { exchangeId, request }: ProxyRequestMessage): void {
+    const { peers, clock, backend, metrics, mayReceive } = this.#options;
+    const key = formatKey(from, exchangeId);
+    this.#usedAtMs.set(from.incarnation, clock.nowMs());
+    const exchange = new ProxiedExchange({
+      request,
+      clock,
+      backend,
+      gate: this.#gate,
+      reply: (index, event) => {
+        const reply = { type: PeerMessageType.ProxyReply, exchangeId, index, event } as const;
+        return peers.send(from.incarnation, reply);
+      },
+      onEnd: (result) => {
+        this.#exchanges.delete(key);
+        metrics.count('requests_sent_for_peers_total', { result });
+      },
+    });
+    this.#exchanges.set(key, exchange);
+    if (mayReceive(request.incarnationId)) exchange.start();
+    else exchange.refuse('the backend server may receive no work');
+  }
+
+  async #probe(from: EntryHostIdentity, probeId: number, address: string): Promise<void> {
+    const { peers, probe } = this.#options;
+    const reachability = await probe.check(address);
+    peers.send(from.incarnation, { type: PeerMessageType.ProxyProbeReply, probeId, reachability });
+  }
+
+  #cancelAll(peer: EntryHostIdentity): void {
+    this.#usedAtMs.delete(peer.incarnation);
+    const prefix = formatKey(peer, '');
+    [...this.#exchanges]
+      .filter(([key]) => key.startsWith(prefix))
+      .forEach(([, exchange]) => exchange.cancel());
+  }
+}
+
+function formatKey({ incarnation }: EntryHostIdentity, exchangeId: number | string): string {
+  return `${incarnation}/${exchangeId}`;
+}
--- a/src/commands/_direct_gateway.ts
+++ b/src/commands/_direct_gateway.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import { HttpDirectBackendClient } from '../adapters/direct_http/mod.js';
-import type { DirectDialect } from '../adapters/direct_http/mod.js';
 import { DirectGateway } from '../application/direct/mod.js';
 import type { DirectGatewayOptions, HostReports } from '../application/direct/mod.js';
 import type { DirectSettings } from './direct_settings.js';
@@ -19,18 +17,11 @@
 const MS_PER_SECOND = 1_000;
 
 type DerivedOptions =
-  | 'backend'
-  | 'retryBounds'
-  | 'startedAtMs'
-  | 'reportTimes'
-  | 'maxKeyAgeMs'
-  | 'sureAgeMs'
-  | 'countEntryHosts';
+  'retryBounds' | 'startedAtMs' | 'reportTimes' | 'maxKeyAgeMs' | 'sureAgeMs' | 'countEntryHosts';
 
 /** Settings and collaborators of the gateway; all other options are derived from them. */
 export interface DirectGatewayParts extends Omit<DirectGatewayOptions, DerivedOptions> {
   readonly settings: DirectSettings;
-  readonly dialect: DirectDialect;
   readonly reports: HostReports;
 }
 
@@ -41,10 +32,9 @@
  * @returns the gateway
  */
 export function createDirectGateway(parts: DirectGatewayParts): DirectGateway {
-  const { settings, dialect, reports } = parts;
+  const { settings, reports } = parts;
   return new DirectGateway({
     ...parts,
-    backend: new HttpDirectBackendClient(dialect),
     retryBounds: {
       ratio: settings.retryRatio,
       slack: settings.retrySlack,
--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -11,6 +11,8 @@
   HostReports,
   StoreView,
 } from '../application/direct/mod.js';
+import type { HostPaths } from '../application/paths/mod.js';
+import type { ServerPaths } from '../domain/paths/mod.js';
 
 /** Components whose current state the gauges report. */
 export interface GaugeSources {
@@ -19,6 +21,8 @@
   readonly gateway: DirectGateway;
   readonly reports: HostReports;
   readonly crashes: CrashQuarantine;
+  readonly paths: ServerPaths;
+  readonly hostPaths: HostPaths;
   readonly isServing: boolean;
 }
 
@@ -30,7 +34,7 @@
  */
 export function updateGauges(
   metrics: HdrMetrics,
-  { storeView, gateway, reports, crashes, isServing }: GaugeSources,
+  { storeView, gateway, reports, crashes, paths, hostPaths, isServing }: GaugeSources,
 ): void {
   metrics.set('configuration_age_ms', Math.round(storeView.routing.computeAgeMs()));
   metrics.set('configuration_unconfirmed', storeView.routing.isUnconfirmed ? 1 : 0);
@@ -44,4 +48,8 @@
   metrics.set('backend_servers_cold', storeView.servers.coldCount);
   metrics.set('backend_servers_limited', storeView.servers.rateLimits.listLimitedIds().length);
   metrics.set('requests_held', crashes.quarantinedCount);
+  metrics.set('backend_servers_cut', paths.cutCount);
+  metrics.set('backend_servers_all_cut', paths.isCutOff ? 1 : 0);
+  metrics.set('requests_through_peers', hostPaths.proxies.exchangeCount);
+  metrics.set('requests_for_peers', hostPaths.server.exchangeCount);
 }
--- /dev/null
+++ b/src/commands/_direct_paths.ts
@@ -0,0 +1,38 @@
+/**
+ * Creates the ways from an entry host to the backend servers.
+ *
+ * @module
+ */
+import { HttpDirectBackendClient } from '../adapters/direct_http/mod.js';
+import type { DirectDialect } from '../adapters/direct_http/mod.js';
+import { TcpServerProbe } from '../adapters/server_probe/mod.js';
+import type { ServerRegistry } from '../application/direct/mod.js';
+import { HostPaths } from '../application/paths/mod.js';
+import type { HostPathsOptions } from '../application/paths/mod.js';
+import type { DirectSettings } from './direct_settings.js';
+
+type DerivedOptions = 'availabilityZone' | 'backend' | 'mayReceive' | 'probe';
+
+/** Settings and collaborators; all other options are derived from them. */
+export interface HostPathsParts extends Omit<HostPathsOptions, DerivedOptions> {
+  readonly settings: DirectSettings;
+  readonly dialect: DirectDialect;
+  readonly servers: ServerRegistry;
+}
+
+/**
+ * Creates the ways.
+ *
+ * @param parts - settings and collaborators
+ * @returns the ways of this host's own requests and of those that it sends for peers
+ */
+export function createHostPaths(parts: HostPathsParts): HostPaths {
+  const { settings, dialect, servers } = parts;
+  return new HostPaths({
+    ...parts,
+    availabilityZone: settings.availabilityZone,
+    probe: new TcpServerProbe(),
+    backend: new HttpDirectBackendClient(dialect),
+    mayReceive: (id) => !servers.findEntry(id) || servers.isUsable(id),
+  });
+}
--- a/src/commands/_direct_status.ts
+++ b/src/commands/_direct_status.ts
@@ -42,22 +42,24 @@
 
 function listEntryHosts({ reports }: GaugeSources): Record<string, unknown>[] {
   const heardIds = new Set(reports.listHeard().map(({ identity }) => identity.id));
-  return reports.listKnown().map(({ identity, isServing, isLeaving }) => ({
+  return reports.listKnown().map(({ identity, isServing, isCutOff, isLeaving }) => ({
     id: identity.id,
     zone: identity.availabilityZone,
     isHeard: heardIds.has(identity.id),
     isServing,
+    isCutOff,
     isLeaving,
   }));
 }
 
-function listBackendServers({ storeView }: GaugeSources): Record<string, unknown>[] {
+function listBackendServers({ storeView, paths }: GaugeSources): Record<string, unknown>[] {
   const { servers } = storeView;
   return servers.listEntries().map(({ id, serviceId, availabilityZone, slots }) => ({
     id,
     service: serviceId,
     zone: availabilityZone,
     usable: servers.isUsable(id),
+    isCut: paths.isCut(id),
     inFlight: servers.loads.find(id)?.inFlight ?? 0,
     slots,
     ...servers.rateLimits.describe(id),
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -4,28 +4,25 @@
  * @module
  */
 import { SystemClock } from '../adapters/clock/mod.js';
-import { DirectListener } from '../adapters/direct_http/mod.js';
-import type { DirectDialect } from '../adapters/direct_http/mod.js';
+import type { DirectDialect, DirectListener } from '../adapters/direct_http/mod.js';
 import { RateLimitedEventLog, PinoEventLog } from '../adapters/logging/mod.js';
 import { HdrMetrics } from '../adapters/metrics/mod.js';
 import type { WsPeerNetwork } from '../adapters/peers_ws/mod.js';
 import { SystemRandom } from '../adapters/random/mod.js';
-import { TcpServerProbe } from '../adapters/server_probe/mod.js';
 import { CrashQuarantine } from '../application/crashes/mod.js';
 import {
   AccountSpending,
-  buildReportStats,
   DirectCrashPaths,
   FeedFollower,
   FeedDistributor,
-  HostReports,
   runDirectStop,
   StoreView,
 } from '../application/direct/mod.js';
-import type { CountedReport, DirectGateway, StoreLayout } from '../application/direct/mod.js';
+import type { DirectGateway, HostReports, StoreLayout } from '../application/direct/mod.js';
+import type { HostPaths } from '../application/paths/mod.js';
 import { LogLevel } from '../domain/errors/mod.js';
 import type { EntryHostIdentity } from '../domain/membership/mod.js';
-import type { CallerLimits } from '../domain/routing/mod.js';
+import { ServerPaths } from '../domain/paths/mod.js';
 import type { ChangeFeed, Clock, EventLog } from '../ports/mod.js';
 import {
   buildDirectIdentity,
@@ -36,6 +33,9 @@
 import { listNearbyAddresses } from './_direct_addresses.js';
 import type { AddressQuery } from './_direct_addresses.js';
 import { createDirectGateway } from './_direct_gateway.js';
+import { createDirectListener } from './_direct_listener.js';
+import { createHostPaths } from './_direct_paths.js';
+import { createDirectReports } from './_direct_reports.js';
 import { updateGauges } from './_direct_gauges.js';
 import type { GaugeSources } from './_direct_gauges.js';
 import { buildDirectStatus } from './_direct_status.js';
@@ -45,14 +45,6 @@
 export { splitAddress } from './_direct_peers.js';
 export type { AddressQuery } from './_direct_addresses.js';
 
-/** Limits on callers until the first configuration is read. */
-const INITIAL_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3_000,
-  idleTimeoutMs: 15_000,
-};
-
 const MS_PER_SECOND = 1_000;
 
 /** Settings and the adapters that connect an entry host to its environment. */
@@ -89,6 +81,11 @@
 
   readonly #feedDistributor: FeedDistributor;
 
+  /** What is known of this host's links to the backend servers. */
+  readonly #paths = new ServerPaths();
+
+  readonly #hostPaths: HostPaths;
+
   readonly #crashes: CrashQuarantine;
 
   readonly #gateway: DirectGateway;
@@ -111,6 +108,7 @@
     });
     this.#storeView = new StoreView({
       ...shared,
+      paths: this.#paths,
       layout: adapters.layout,
       zoneRegions: settings.zoneRegions,
       warmupTolerance: { factor: settings.warmupFactor, slack: settings.warmupSlack },
@@ -131,10 +129,20 @@
       reports: this.#reports,
       follower: this.#feedFollower,
     });
+    this.#hostPaths = createHostPaths({
+      ...shared,
+      random: this.#random,
+      settings,
+      dialect: adapters.dialect,
+      peers: this.#peers,
+      paths: this.#paths,
+      listHeard: () => this.#reports.listHeard(),
+      servers: this.#storeView.servers,
+    });
     this.#crashes = new CrashQuarantine({
       ...shared,
       peers: this.#peers,
-      probe: new TcpServerProbe(),
+      probe: this.#hostPaths.probe,
       random: this.#random,
       paths: new DirectCrashPaths(this.#reports, this.#storeView.servers),
     });
@@ -142,7 +150,7 @@
       ...shared,
       settings,
       random: this.#random,
-      dialect: adapters.dialect,
+      backend: this.#hostPaths.client,
       peers: this.#peers,
       reports: this.#reports,
       routing: this.#storeView.routing,
@@ -150,9 +158,9 @@
       spending: this.#spending,
       crashes: this.#crashes,
     });
-    this.#listener = new DirectListener({
+    this.#listener = createDirectListener({
       dialect: adapters.dialect,
-      getLimits: () => this.#storeView.routing.table?.document.callerLimits ?? INITIAL_LIMITS,
+      routing: this.#storeView.routing,
       mustClose: () => this.#isStopping,
       handle: (request, reply) => this.#gateway.handle(request, reply),
     });
@@ -228,7 +236,7 @@
       },
       refuseNewCalls: () => this.#gateway.refuseNewCalls(),
       closeIdleConnections: () => this.#listener.closeIdle(),
-      countCalls: () => this.#gateway.callCount,
+      countCalls: () => this.#gateway.callCount + this.#hostPaths.server.exchangeCount,
       stopAllCalls: () => this.#gateway.stopAllCalls(),
     });
   }
@@ -240,31 +248,28 @@
       gateway: this.#gateway,
       reports: this.#reports,
       crashes: this.#crashes,
+      paths: this.#paths,
+      hostPaths: this.#hostPaths,
       isServing: this.isServing,
     };
   }
 
   #createReports(): HostReports {
-    return new HostReports({
+    return createDirectReports({
       self: this.#self,
       peers: this.#peers,
-      seedPeerUrls: this.#adapters.settings.seedPeerAddresses.map(formatPeerUrl),
+      settings: this.#adapters.settings,
       clock: this.clock,
       log: this.log,
-      cores: this.#adapters.settings.coreShare * this.#adapters.settings.coreSpeed,
+      storeView: this.#storeView,
+      spending: this.#spending,
+      paths: this.#paths,
+      getParts: () => ({ gateway: this.#gateway, hostPaths: this.#hostPaths }),
       getState: () => ({
         isServing: this.isServing,
         isInTouch: this.#feedFollower.isInTouch,
         isLeaving: this.#isStopping,
       }),
-      buildStats: (sources) =>
-        buildReportStats(
-          { ...this.#storeView, gateway: this.#gateway, spending: this.#spending },
-          sources,
-        ),
-      onReport: (report) => this.#handleReport(report),
-      onSilent: ({ incarnation }) => this.#storeView.servers.applyPeerStats(incarnation, undefined),
-      onReachableFraction: (reachableFraction) => this.#spending.setReach(reachableFraction),
     });
   }
 
@@ -283,14 +288,6 @@
     });
   }
 
-  #handleReport(counted: CountedReport): void {
-    const { identity, report } = counted;
-    this.#spending.applyReport(counted);
-    this.#storeView.routing.noteKnownVersion(report.configurationVersion);
-    this.#storeView.servers.applyPeerStats(identity.incarnation, report);
-    this.#gateway.dispatchWaiting();
-  }
-
   #applyAccounts(): void {
     this.#spending.applyAccounts(this.#storeView.routing.table?.document.accounts ?? []);
   }
--- a/src/domain/backend_servers/pick_server_test.ts
+++ b/src/domain/backend_servers/pick_server_test.ts
@@ -168,8 +168,9 @@
   broken.load.recordStart(WORK);
   broken.load.recordEnd(ServerOutcome.Failed, 0);
   t.ok(busy.load.mustAvoid(100) && broken.load.mustAvoid(100));
-  t.notOk(busy.load.hasFailedRecently(100));
-  t.ok(broken.load.hasFailedRecently(100));
+  t.notOk(busy.load.hasFailedRecently(100, 50));
+  t.ok(broken.load.hasFailedRecently(100, 50));
+  t.notOk(broken.load.hasFailedRecently(100, -1), 'this host may have lost its own links');
 });
 
 t.test('pickServer() takes only its share while calls wait elsewhere too', async (t) => {
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -206,10 +206,14 @@
    * don't count: under overload, requests of every host wait long on some server, and if all
    * hosts avoid it because of each other's reports, the remaining servers become overloaded too.
    *
+   * Nor does a failure since which this host has heard from no server: its own links may be down.
+   *
    * @param nowMs - monotonic time in milliseconds
+   * @param reachedAtMs - when this host last received data from any backend server
    * @returns whether a request failed recently
    */
-  hasFailedRecently(nowMs: number): boolean {
+  hasFailedRecently(nowMs: number, reachedAtMs: number): boolean {
+    if (reachedAtMs < this.#lastFailedAtMs) return false;
     return nowMs < this.#pausedUntilMs && nowMs - this.#lastFailedAtMs < MAX_PAUSE_MS;
   }
 
--- a/src/domain/overlay/mod.ts
+++ b/src/domain/overlay/mod.ts
@@ -11,4 +11,4 @@
 export { Roster, PEER_TIMEOUT_MS } from './roster.js';
 export type { RosterExpiry } from './roster.js';
 export { ReportScope } from './types.js';
-export type { HostState, RosterEntry } from './types.js';
+export type { HostState, OwnState, RosterEntry } from './types.js';
--- a/src/domain/overlay/roster.ts
+++ b/src/domain/overlay/roster.ts
@@ -7,7 +7,7 @@
 import { KnownHost } from './_known_host.js';
 import { LiveSources } from './_live_sources.js';
 import { RevisionCache, RosterListName } from './_revision_cache.js';
-import type { HostState, RosterEntry } from './types.js';
+import type { HostState, OwnState, RosterEntry } from './types.js';
 
 /**
  * Silence after which an entry host counts as gone, in milliseconds: six report intervals.
@@ -86,13 +86,9 @@
   }
 
   /** @param changes - state of this process; its version rises only if a value differs */
-  updateSelf(changes: Pick<HostState, 'isServing' | 'isInTouch' | 'isLeaving'>): void {
-    const { isServing, isInTouch, isLeaving } = this.#self;
-    const isSame =
-      isServing === changes.isServing &&
-      isInTouch === changes.isInTouch &&
-      isLeaving === changes.isLeaving;
-    if (isSame) return;
+  updateSelf(changes: OwnState): void {
+    const keys = Object.keys(changes) as (keyof OwnState)[];
+    if (keys.every((key) => changes[key] === this.#self[key])) return;
     this.#self = { ...this.#self, ...changes, version: this.#self.version + 1 };
     this.#revision += 1;
     this.#selfRevision = this.#revision;
--- a/src/domain/overlay/roster_test.ts
+++ b/src/domain/overlay/roster_test.ts
@@ -21,6 +21,7 @@
     cores: 1,
     isServing: true,
     isInTouch: true,
+    isCutOff: false,
     isLeaving: false,
     ...changes,
   };
@@ -167,9 +168,9 @@
   t.equal(roster.listChanges(0, true).length, 2);
   const seen = roster.revision;
   t.same(roster.listChanges(seen, true), []);
-  roster.updateSelf({ isServing: true, isInTouch: true, isLeaving: false });
+  roster.updateSelf({ isServing: true, isInTouch: true, isCutOff: false, isLeaving: false });
   t.same(roster.listChanges(seen, true), []);
-  roster.updateSelf({ isServing: false, isInTouch: true, isLeaving: true });
+  roster.updateSelf({ isServing: false, isInTouch: true, isCutOff: false, isLeaving: true });
   t.same(
     roster.listChanges(seen, true).map(({ state }) => [state.identity.id, state.version]),
     [['self', 2]],
--- a/src/domain/overlay/types.ts
+++ b/src/domain/overlay/types.ts
@@ -28,10 +28,15 @@
   readonly isServing: boolean;
   /** Whether its reads of the shared store succeed. */
   readonly isInTouch: boolean;
+  /** Whether it has lost its links to the backend servers, and sends requests through peers. */
+  readonly isCutOff: boolean;
   /** Whether it is about to stop. */
   readonly isLeaving: boolean;
 }
 
+/** Part of the state that changes while a process runs. */
+export type OwnState = Pick<HostState, 'isServing' | 'isInTouch' | 'isCutOff' | 'isLeaving'>;
+
 /** Entry about an entry host in a report. */
 export interface RosterEntry {
   readonly state: HostState;
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -87,6 +87,8 @@
   readonly deadlineMs: number;
   /** ID of the event after which to resume a stream; undefined otherwise. */
   readonly lastEventId: string | undefined;
+  /** Urgency of the call; 0 is the most urgent. */
+  readonly urgency: number;
 }
 
 /** Load that a backend server reports in the head of its answer. */
@@ -189,4 +191,11 @@
    * @returns a handle of the request in flight
    */
   abstract send(request: BackendRequest, listener: BackendListener): BackendExchange;
+
+  /**
+   * Closes idle connections, which may stay silent after their link was cut.
+   *
+   * @param incarnationId - a server
+   */
+  abstract closeIdle(incarnationId: string): void;
 }
--- a/src/ports/mod.ts
+++ b/src/ports/mod.ts
@@ -48,4 +48,5 @@
 export * from './forward_messages.js';
 export { PeerMessageType } from './peer_message_type.js';
 export * from './peer_messages.js';
+export * from './proxy_messages.js';
 export * from './report_messages.js';
--- a/src/ports/peer_message_type.ts
+++ b/src/ports/peer_message_type.ts
@@ -29,4 +29,9 @@
   ForwardError = 'forward_error',
   ForwardCredit = 'forward_credit',
   ForwardCancel = 'forward_cancel',
+  ProxyRequest = 'proxy_request',
+  ProxyReply = 'proxy_reply',
+  ProxyCancel = 'proxy_cancel',
+  ProxyProbe = 'proxy_probe',
+  ProxyProbeReply = 'proxy_probe_reply',
 }
--- a/src/ports/peer_messages.ts
+++ b/src/ports/peer_messages.ts
@@ -19,6 +19,13 @@
   ForwardHeadMessage,
 } from './forward_messages.js';
 import type { PeerMessageType } from './peer_message_type.js';
+import type {
+  ProxyCancelMessage,
+  ProxyProbeMessage,
+  ProxyProbeReplyMessage,
+  ProxyReplyMessage,
+  ProxyRequestMessage,
+} from './proxy_messages.js';
 import type {
   FreedSlotMessage,
   HostReportMessage,
@@ -236,4 +243,9 @@
   | ForwardEndMessage
   | ForwardErrorMessage
   | ForwardCreditMessage
-  | ForwardCancelMessage;
+  | ForwardCancelMessage
+  | ProxyRequestMessage
+  | ProxyReplyMessage
+  | ProxyCancelMessage
+  | ProxyProbeMessage
+  | ProxyProbeReplyMessage;
--- a/test/support/direct_ends.ts
+++ b/test/support/direct_ends.ts
@@ -81,6 +81,9 @@
 export class FakeBackend extends DirectBackendClient {
   readonly sent: FakeExchange[] = [];
 
+  /** Servers to which idle connections were closed. */
+  readonly closedIdle: string[] = [];
+
   /** Called with each request, for tests that answer automatically. */
   onSend: (exchange: FakeExchange) => void = () => undefined;
 
@@ -90,6 +93,10 @@
     this.onSend(exchange);
     return exchange;
   }
+
+  override closeIdle(incarnationId: string): void {
+    this.closedIdle.push(incarnationId);
+  }
 }
 
 /** A server probe with a configurable result per address; other addresses are open. */
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -14,9 +14,11 @@
   StoreView,
 } from '../../src/application/direct/mod.js';
 import type { RoutingView, ServerRegistry, StoreLayout } from '../../src/application/direct/mod.js';
+import { HostPaths } from '../../src/application/paths/mod.js';
 import { CrashQuarantine, MeshCrashPaths } from '../../src/application/crashes/mod.js';
 import type { BackendServerEntry } from '../../src/domain/backend_servers/mod.js';
 import type { EntryHostIdentity } from '../../src/domain/membership/mod.js';
+import { ServerPaths } from '../../src/domain/paths/mod.js';
 import type { RoutingDocument } from '../../src/domain/routing/mod.js';
 import type { HostState } from '../../src/domain/overlay/mod.js';
 import type { DirectRequest } from '../../src/ports/mod.js';
@@ -40,6 +42,8 @@
 
 const NO_HOSTS: readonly HostState[] = [];
 
+const TEST_STATE = { isServing: true, isInTouch: true, isLeaving: false };
+
 const TEST_LAYOUT: StoreLayout = {
   configurationKey: 'configuration',
   serversPrefix: 'servers/',
@@ -99,6 +103,11 @@
 
   readonly crashes: CrashQuarantine;
 
+  /** What the host knows of its links to the backend servers. */
+  readonly paths = new ServerPaths();
+
+  readonly hostPaths: HostPaths;
+
   readonly follower: FeedFollower;
 
   /** Exchange of reports with peers; undefined for a host that knows no others. */
@@ -121,6 +130,7 @@
     const shared = { clock, log, metrics, random };
     this.storeView = new StoreView({
       ...shared,
+      paths: this.paths,
       layout: TEST_LAYOUT,
       zoneRegions: TEST_ZONE_REGIONS,
       warmupTolerance: { factor: 1, slack: 0 },
@@ -134,9 +144,19 @@
     });
     this.routing = this.storeView.routing;
     this.servers = this.storeView.servers;
-    this.crashes = new CrashQuarantine({
+    this.hostPaths = new HostPaths({
       ...shared,
+      peers: this.peers,
+      availabilityZone: identity.availabilityZone,
       probe: this.probe,
+      backend: this.backend,
+      paths: this.paths,
+      listHeard: () => this.reports?.listHeard() ?? NO_HOSTS,
+      mayReceive: (id) => !this.servers.findEntry(id) || this.servers.isUsable(id),
+    });
+    this.crashes = new CrashQuarantine({
+      ...shared,
+      probe: this.hostPaths.probe,
       peers: this.peers,
       paths: new IncarnationCrashPaths({
         peers: this.peers,
@@ -148,7 +168,7 @@
     });
     this.gateway = new DirectGateway({
       ...shared,
-      backend: this.backend,
+      backend: this.hostPaths.client,
       crashes: this.crashes,
       peers: this.peers,
       routing: this.routing,
@@ -209,7 +229,9 @@
       seedPeerUrls: seeds,
       clock,
       log,
-      getState: () => ({ isServing: true, isInTouch: true, isLeaving: false }),
+      getState: () => ({ ...TEST_STATE, isCutOff: this.paths.isCutOff }),
+      mustUseProxies: () => this.paths.cutCount > 0,
+      isProxyFor: (incarnation) => this.hostPaths.server.isUsedBy(incarnation),
       buildStats: (sources) => buildReportStats({ servers, routing, gateway, spending }, sources),
       onReport: (counted) => {
         spending.applyReport(counted);
--- a/test/support/follower_fleet.ts
+++ b/test/support/follower_fleet.ts
@@ -95,6 +95,7 @@
       getState: () => ({
         isServing: true,
         isInTouch: this.follower.isInTouch,
+        isCutOff: false,
         isLeaving: false,
       }),
       buildStats: () => NO_STATS,
--- a/test/support/report_host.ts
+++ b/test/support/report_host.ts
@@ -50,7 +50,12 @@
       seedPeerUrls: seeds,
       clock,
       log: this.log,
-      getState: () => ({ isServing: this.isServing, isInTouch: true, isLeaving: false }),
+      getState: () => ({
+        isServing: this.isServing,
+        isInTouch: true,
+        isCutOff: false,
+        isLeaving: false,
+      }),
       buildStats: ({ incarnations }) => ({
         ...NO_STATS,
         inFlight: { engine: 1 + this.#sumInFlight(incarnations) },
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -5,6 +5,7 @@
  */
 import { ZoneView, ServerRegistry } from '../../src/application/direct/mod.js';
 import type { BackendServerEntry } from '../../src/domain/backend_servers/mod.js';
+import { ServerPaths } from '../../src/domain/paths/mod.js';
 import type { Clock } from '../../src/ports/mod.js';
 import { FakeLog, FakeMetrics } from './fakes.js';
 
@@ -38,6 +39,7 @@
       if (typeof entry !== 'object') throw new Error('Cannot decode the entry');
       return entry;
     },
+    paths: new ServerPaths(),
     isEngine: () => true,
     countServing: () => hostCount,
     places: new ZoneView({ ...shared, prefix: 'closed/' }),
