Report no server as failed before the own link to it is known to be good

Hosts that are cut off told their peers of servers that had failed: a connection that was refused while others lived on counted at once, and a reset in the same millisecond as another server's answer. Found by 'a host that is cut off reports no server as failed or crashed', which failed for two of three kinds of cuts. A failure counts for peers once it is 50 ms old, so that peers have been asked, if another server was heard since, and never while the path is known as cut. Paths that are cut again and again are checked every two seconds instead of four: six seconds after the last cut some were still unused.

--- a/src/application/direct/_server_loads.ts
+++ b/src/application/direct/_server_loads.ts
@@ -84,9 +84,9 @@
    */
   countAvoiding(sources: readonly string[] = []): Record<string, number> {
     const nowMs = this.#options.clock.nowMs();
-    const { lastReachedAtMs } = this.#options.paths;
-    const avoidedLoads = [...this.#loads].filter(([, load]) =>
-      load.hasFailedRecently(nowMs, lastReachedAtMs),
+    const { paths } = this.#options;
+    const avoidedLoads = [...this.#loads].filter(
+      ([id, load]) => !paths.isCut(id) && load.hasFailedRecently(nowMs, paths.lastReachedAtMs),
     );
     const counts = Object.fromEntries(avoidedLoads.map(([id]) => [id, 1]));
     return this.#options.peers.sum('avoidedBy', counts, sources);
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -42,6 +42,9 @@
 
 const MS_PER_SECOND = 1_000;
 
+/** Time in which peers tell whether this host's own link has failed, in milliseconds. */
+const LINK_CHECK_MS = 50;
+
 /** Weight of each outcome in the moving average of the error rate. */
 const ERROR_RATE_ALPHA = 0.15;
 
@@ -102,6 +105,9 @@
 
   #lastFailedAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Whether the server itself reported its last failure. */
+  #wasFailureAnswered = false;
+
   #isAvoidedByPeers = false;
 
   /**
@@ -186,7 +192,10 @@
       this.#lastAnsweredAtMs = nowMs;
       return;
     }
-    if (outcome !== ServerOutcome.TimedOut) this.#lastFailedAtMs = nowMs;
+    if (outcome !== ServerOutcome.TimedOut) {
+      this.#lastFailedAtMs = nowMs;
+      this.#wasFailureAnswered = outcome === ServerOutcome.ServerError;
+    }
     this.#consecutiveFailures += 1;
     const pauseMs = Math.min(MAX_PAUSE_MS, PAUSE_PER_FAILURE_MS * this.#consecutiveFailures);
     this.#pausedUntilMs = nowMs + pauseMs;
@@ -213,8 +222,10 @@
    * @returns whether a request failed recently
    */
   hasFailedRecently(nowMs: number, reachedAtMs: number): boolean {
-    if (reachedAtMs < this.#lastFailedAtMs) return false;
-    return nowMs < this.#pausedUntilMs && nowMs - this.#lastFailedAtMs < MAX_PAUSE_MS;
+    const ageMs = nowMs - this.#lastFailedAtMs;
+    const isChecked = ageMs >= LINK_CHECK_MS && reachedAtMs > this.#lastFailedAtMs;
+    if (!this.#wasFailureAnswered && !isChecked) return false;
+    return nowMs < this.#pausedUntilMs && ageMs < MAX_PAUSE_MS;
   }
 
   /**
--- a/src/domain/paths/server_paths.ts
+++ b/src/domain/paths/server_paths.ts
@@ -14,7 +14,7 @@
 const CHECK_INTERVAL_MS = 500;
 
 /** Longest such time, for paths that are cut again and again, in milliseconds. */
-const MAX_CHECK_INTERVAL_MS = 4_000;
+const MAX_CHECK_INTERVAL_MS = 2_000;
 
 /** Time after its return in which a new cut of a path counts as a relapse, in milliseconds. */
 const RELAPSE_MS = 10_000;
--- a/test/support/cut_fleet.ts
+++ b/test/support/cut_fleet.ts
@@ -116,6 +116,11 @@
     return { served: calls.filter(isServed).length, sent: calls.length };
   }
 
+  /** Whether a request is in flight at its server. */
+  isOpen(exchange: FakeExchange): boolean {
+    return this.#open.has(exchange);
+  }
+
   /** Runs of the same request beyond its first one. */
   countRepeatedRuns(): number {
     return this.runs.length - new Set(this.runs.map(({ requestId }) => requestId)).size;
