Divide the slots of servers that may refuse few requests among the hosts

Servers of a service may say in their answers how many requests a second each of them bears to turn away; beyond that it fails. Nobody read it, and hosts fill servers by counts of each other that are up to 450 ms old, so that several took the same slot at once.

Change: one more part of ServerPace. While a service is brittle, its slots, but for one of each server with five or more, are dealt to all known hosts, silent ones included, in each server's own order by rendezvous and evenly over all servers; a host uses its own slots alone. A request that was broken off holds its slot for a second more; after a refusal a host pauses for so long that all together stay within the bound. Any host's answer is told to all by the reports and holds for four seconds.

--- a/src/adapters/peers_ws/_proxy_schemas.ts
+++ b/src/adapters/peers_ws/_proxy_schemas.ts
@@ -39,10 +39,16 @@
   urgency: amount,
 });
 
+const declinesPerSecond = amount.optional();
+
 const rateLimitSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal(RateLimitKind.None) }),
-  z.object({ kind: z.literal(RateLimitKind.Limited), requestsPerSecond: amount }),
-  z.object({ kind: z.literal(RateLimitKind.Invalid), text }),
+  z.object({ kind: z.literal(RateLimitKind.None), declinesPerSecond }),
+  z.object({
+    kind: z.literal(RateLimitKind.Limited),
+    requestsPerSecond: amount,
+    declinesPerSecond,
+  }),
+  z.object({ kind: z.literal(RateLimitKind.Invalid), text, declinesPerSecond }),
 ]);
 
 const headSchema = z.object({
--- a/src/adapters/peers_ws/_proxy_schemas_test.ts
+++ b/src/adapters/peers_ws/_proxy_schemas_test.ts
@@ -8,7 +8,7 @@
   { kind: ProxyEventKind.RateLimit, notice: { kind: RateLimitKind.None }, isAuthentic: true },
   {
     kind: ProxyEventKind.RateLimit,
-    notice: { kind: RateLimitKind.Limited, requestsPerSecond: 1.5 },
+    notice: { kind: RateLimitKind.Limited, requestsPerSecond: 1.5, declinesPerSecond: 4 },
     isAuthentic: false,
   },
   {
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -59,8 +59,11 @@
   avoidedBy: countsSchema,
   spentUnits: numbersSchema,
   endedServers: names,
-  // Reports of earlier versions lack the next two fields.
+  // Reports of earlier versions lack the next three fields.
   rateLimits: z.record(name, rateLimitSchema).default({}),
+  brittleServices: z
+    .record(name, z.object({ declinesPerSecond: amount, ageMs: amount }))
+    .default({}),
   configurationVersion: count.default(0),
   roster: z.array(rosterEntrySchema).max(MAX_LIST_LENGTH),
   rosterRevision: count,
--- /dev/null
+++ b/src/application/direct/_brittle_services.ts
@@ -0,0 +1,150 @@
+/**
+ * Tracks services whose backend servers fail when they must turn many requests away, and divides
+ * the slots of such servers among the entry hosts.
+ *
+ * @module
+ */
+import type { BackendServerEntry, ServerLoad } from '../../domain/backend_servers/mod.js';
+import { LogLevel } from '../../domain/errors/mod.js';
+import type { HostState } from '../../domain/overlay/mod.js';
+import { deriveSlotQuota, divideSlots } from '../../domain/places/mod.js';
+import type { DividedServer } from '../../domain/places/mod.js';
+import type { Clock, EventLog, RateLimitNotice, ReportedBrittleness } from '../../ports/mod.js';
+import type { PaceHosts } from './_pace_roles.js';
+
+/** Time after the last answer that names it for which the state holds, in milliseconds. */
+const HOLD_MS = 4_000;
+
+/** Dependencies of {@link BrittleServices}. */
+export interface BrittleServicesOptions {
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly hosts: PaceHosts;
+  /** @param serviceId - a service. @returns its servers that may be given work */
+  readonly listServers: (serviceId: string) => readonly DividedServer[];
+}
+
+/** This host's slots, and what they were computed from. */
+interface Division {
+  readonly known: readonly HostState[];
+  readonly serverKey: string;
+  /** By incarnation ID. */
+  readonly ownSlots: ReadonlyMap<string, number>;
+}
+
+interface BrittleState {
+  readonly declinesPerSecond: number;
+  /** When an answer last named it, on the monotonic clock in milliseconds. */
+  readonly namedAtMs: number;
+}
+
+/**
+ * Knows these services from answers and from peers. Their slots are dealt to all known entry hosts,
+ * silent ones included: hosts that are cut off from each other never use the same slot.
+ */
+export class BrittleServices {
+  readonly #options: BrittleServicesOptions;
+
+  /** By service ID. */
+  readonly #states = new Map<string, BrittleState>();
+
+  /** By service ID. */
+  readonly #divisions = new Map<string, Division>();
+
+  /** @param options - dependencies */
+  constructor(options: BrittleServicesOptions) {
+    this.#options = options;
+  }
+
+  /** Number of services whose servers are brittle now. */
+  get count(): number {
+    return [...this.#states.keys()].filter((id) => this.find(id) !== undefined).length;
+  }
+
+  /**
+   * @param serviceId - a service
+   * @returns refusals a second that each of its servers bears; undefined: no such limit
+   */
+  find(serviceId: string): number | undefined {
+    const state = this.#states.get(serviceId);
+    const isCurrent = state && this.#options.clock.nowMs() - state.namedAtMs < HOLD_MS;
+    return isCurrent ? state.declinesPerSecond : undefined;
+  }
+
+  /** @param serviceId - service of a server. @param notice - limits that its answer names */
+  recordAnswer(serviceId: string, { declinesPerSecond }: RateLimitNotice): void {
+    if (declinesPerSecond === undefined) return;
+    this.#record(serviceId, { declinesPerSecond, ageMs: 0 }, 'answer');
+  }
+
+  /** @param reported - states that a peer reports. @param source - incarnation of its process */
+  applyReported(reported: Readonly<Record<string, ReportedBrittleness>>, source: string): void {
+    Object.entries(reported).forEach(([id, state]) => this.#record(id, state, source));
+  }
+
+  /** @returns the current states for peers, by service ID */
+  listReported(): Record<string, ReportedBrittleness> {
+    const nowMs = this.#options.clock.nowMs();
+    return Object.fromEntries(
+      [...this.#states]
+        .filter(([id]) => this.find(id) !== undefined)
+        .map(([id, { declinesPerSecond, namedAtMs }]) => [
+          id,
+          { declinesPerSecond, ageMs: Math.round(nowMs - namedAtMs) },
+        ]),
+    );
+  }
+
+  /**
+   * Updates what this entry host may send to a backend server.
+   *
+   * @param entry - registry entry of the server
+   * @param load - its load, which holds the pace
+   */
+  updatePace({ id, serviceId }: BackendServerEntry, load: ServerLoad): void {
+    const nowMs = this.#options.clock.nowMs();
+    const declinesPerSecond = this.find(serviceId);
+    if (declinesPerSecond === undefined) {
+      if (load.pace.slots.isPaced) load.pace.slots.configure(undefined, nowMs);
+      return;
+    }
+    const { hosts } = this.#options;
+    const ownSlots = hosts.isSettled() ? (this.#divide(serviceId).get(id) ?? 0) : 0;
+    const hostCount = hosts.listKnown().length + 1;
+    const bound = { slots: load.slots, declinesPerSecond, hostCount };
+    load.pace.slots.configure(deriveSlotQuota(ownSlots, bound), nowMs);
+  }
+
+  /** Divides the slots anew after a host or server has come or gone. */
+  #divide(serviceId: string): ReadonlyMap<string, number> {
+    const { hosts, listServers } = this.#options;
+    const known = hosts.listKnown();
+    const servers = listServers(serviceId);
+    const serverKey = servers.map(({ id, slots }) => `${id} ${slots}`).join();
+    const cached = this.#divisions.get(serviceId);
+    if (cached?.known === known && cached.serverKey === serverKey) return cached.ownSlots;
+    const hostIds = [hosts.selfId, ...known.map(({ identity }) => identity.id)];
+    const ownSlots = divideSlots(servers, hostIds, hosts.selfId);
+    this.#divisions.set(serviceId, { known, serverKey, ownSlots });
+    return ownSlots;
+  }
+
+  #record(
+    serviceId: string,
+    { declinesPerSecond, ageMs }: ReportedBrittleness,
+    source: string,
+  ): void {
+    const namedAtMs = this.#options.clock.nowMs() - ageMs;
+    const known = this.#states.get(serviceId);
+    if (ageMs >= HOLD_MS || (known && known.namedAtMs >= namedAtMs)) return;
+    if (this.find(serviceId) !== declinesPerSecond) {
+      this.#options.log.write(LogLevel.Warn, 'service_brittle', {
+        service: serviceId,
+        declinesPerSecond,
+        ageMs: Math.round(ageMs),
+        source,
+      });
+    }
+    this.#states.set(serviceId, { declinesPerSecond, namedAtMs });
+  }
+}
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -14,6 +14,7 @@
   | 'avoidedBy'
   | 'endedServers'
   | 'rateLimits'
+  | 'brittleServices'
   | 'hostCount'
 >;
 
--- a/src/application/direct/freed_slot_forwarder.ts
+++ b/src/application/direct/freed_slot_forwarder.ts
@@ -150,7 +150,8 @@
     const { clock, servers } = this.#options;
     const load = servers.loads.find(serverId);
     const nowMs = clock.nowMs();
-    if (!load || load.pace.warmup.isPaced(nowMs)) return false;
+    // The slots of a server that bears few refusals belong to one host each.
+    if (!load || load.pace.warmup.isPaced(nowMs) || load.pace.slots.isPaced) return false;
     return servers.isUsable(serverId) && load.countOpenSlots(nowMs) > 0;
   }
 
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -21,6 +21,7 @@
   | 'spentUnits'
   | 'endedServers'
   | 'rateLimits'
+  | 'brittleServices'
   | 'configurationVersion'
 >;
 
@@ -33,6 +34,7 @@
   spentUnits: {},
   endedServers: [],
   rateLimits: {},
+  brittleServices: {},
   configurationVersion: 0,
 };
 
@@ -80,6 +82,7 @@
     spentUnits: spending.listSpentUnits(scope, receiver),
     endedServers: servers.listEndedIds(),
     rateLimits: servers.rateLimits.listReported(),
+    brittleServices: servers.brittleServices.listReported(),
     configurationVersion: routing.newestKnownVersion,
   };
 }
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -12,8 +12,10 @@
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { FeedChange, FeedItem } from '../../ports/mod.js';
 import type { FeedContext, SnapshotContext } from './feed_update.js';
+import { BrittleServices } from './_brittle_services.js';
 import { CandidateCache } from './_candidate_cache.js';
 import { EndedIncarnations } from './_ended_incarnations.js';
+import { logEntryChange } from './_entry_log.js';
 import { EntryReader } from './_entry_reader.js';
 import { WarmupTracker } from './_warmup_tracker.js';
 import { RateLimitTracker } from './_rate_limit_tracker.js';
@@ -41,6 +43,9 @@
   /** Rate limits that backend servers name. */
   readonly rateLimits: RateLimitTracker;
 
+  /** Services whose servers bear few refusals. */
+  readonly brittleServices: BrittleServices;
+
   readonly #endedIncarnations = new EndedIncarnations();
 
   readonly #warmups: WarmupTracker;
@@ -58,6 +63,8 @@
     this.#warmups = new WarmupTracker(options);
     this.rateLimits = new RateLimitTracker(options);
     this.rateLimits.onChange(() => this.#notifyChange());
+    const listServers = this.#listActive.bind(this);
+    this.brittleServices = new BrittleServices({ ...options, listServers });
     this.loads = new ServerLoads({
       clock: options.clock,
       peers: this.peers,
@@ -87,10 +94,13 @@
     return this.#candidateLists.get(serviceId);
   }
 
+  #listActive(serviceId: string): readonly BackendServerEntry[] {
+    return this.#directory.listUsable(serviceId, this.#options.clock.nowMs());
+  }
+
   #buildCandidates(serviceId: string): readonly Candidate[] {
-    const { clock, places, findRegion } = this.#options;
-    return this.#directory
-      .listUsable(serviceId, clock.nowMs())
+    const { places, findRegion } = this.#options;
+    return this.#listActive(serviceId)
       .filter(({ availabilityZone }) => !places.isClosed(availabilityZone))
       .map((entry) => {
         const load = this.#updatePace(entry);
@@ -108,7 +118,7 @@
   /** @param serviceId - a service. @returns whether only closed zones keep requests from it */
   hasOnlyClosedZones(serviceId: string): boolean {
     if (this.listCandidates(serviceId).length > 0) return false;
-    return this.#directory.listUsable(serviceId, this.#options.clock.nowMs()).length > 0;
+    return this.#listActive(serviceId).length > 0;
   }
 
   /** @param id - a server incarnation. @returns whether it may be given work at present */
@@ -150,11 +160,15 @@
     Object.entries(stats?.rateLimits ?? {}).forEach(([id, reported]) => {
       if (this.findEntry(id)) this.rateLimits.applyReported(id, reported, source);
     });
+    this.brittleServices.applyReported(stats?.brittleServices ?? {}, source);
   }
 
   /** @param evidence - an answer that tells the rate limit of its server */
   recordRateLimit(evidence: RateLimitEvidence): void {
-    if (this.findEntry(evidence.incarnationId)) this.rateLimits.recordAnswer(evidence);
+    const entry = this.findEntry(evidence.incarnationId);
+    if (!entry) return;
+    this.rateLimits.recordAnswer(evidence);
+    this.brittleServices.recordAnswer(entry.serviceId, evidence.notice);
   }
 
   /** @param id - a server incarnation whose address has answered as another one */
@@ -172,6 +186,7 @@
     const load = this.loads.getOrCreate(entry.id);
     this.#warmups.updatePace(entry, load);
     this.rateLimits.updatePace(entry.id, load);
+    this.brittleServices.updatePace(entry, load);
     return load;
   }
 
@@ -240,7 +255,7 @@
       return;
     }
     const { effect, endedId } = this.#directory.applyEntry(entry, nowMs);
-    if (effect !== EntryEffect.None) this.#logEntry(entry, effect);
+    if (effect !== EntryEffect.None) logEntryChange(this.#options.log, entry, effect);
     if (effect !== EntryEffect.Outdated) this.#warmups.recordEntry(entry);
     this.#recordEntryState(entry);
     if (endedId !== undefined) this.#handleRestart(endedId);
@@ -251,13 +266,6 @@
     this.#endedIncarnations.recordEntry(entry, isHeldBack || this.#isActive(entry.id));
   }
 
-  #logEntry({ id, serviceId, isLeaving }: BackendServerEntry, effect: EntryEffect): void {
-    const readinessEvent = isLeaving ? 'backend_server_leaving' : 'backend_server_ready';
-    const event =
-      effect === EntryEffect.Outdated ? 'backend_server_entry_outdated' : readinessEvent;
-    this.#options.log.write(LogLevel.Info, event, { backendServer: id, service: serviceId });
-  }
-
   /** Ends what was sent to a former incarnation, whose connections may stay silent for long. */
   #handleRestart(endedId: string): void {
     this.#endedIncarnations.add(endedId);
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -137,7 +137,7 @@
   /** @param nowMs - monotonic time in milliseconds. @returns free slots that may be filled now */
   countOpenSlots(nowMs: number): number {
     if (!this.pace.isPaced(nowMs)) return Math.max(0, this.freeSlots);
-    return this.freeSlots > 0 && this.pace.maySend(nowMs) ? 1 : 0;
+    return this.freeSlots > 0 && this.pace.maySend(nowMs, this.#ownInFlight) ? 1 : 0;
   }
 
   /** Number of failures since the last answer. */
@@ -184,6 +184,7 @@
   recordEnd(outcome: ServerOutcome, nowMs: number): void {
     this.#ownInFlight = Math.max(0, this.#ownInFlight - 1);
     this.share.recordFreed(nowMs);
+    this.#recordSlotEnd(outcome, nowMs);
     if (outcome === ServerOutcome.Cancelled) return;
     const isError = outcome === ServerOutcome.ServerError || outcome === ServerOutcome.Declined;
     this.#errorRate += ERROR_RATE_ALPHA * ((isError ? 1 : 0) - this.#errorRate);
@@ -201,6 +202,13 @@
     this.#pausedUntilMs = nowMs + pauseMs;
   }
 
+  #recordSlotEnd(outcome: ServerOutcome, nowMs: number): void {
+    const { slots } = this.pace;
+    if (outcome === ServerOutcome.Declined) slots.recordDeclined(nowMs);
+    const wasAnswered = outcome === ServerOutcome.Answered || outcome === ServerOutcome.ServerError;
+    if (!wasAnswered && outcome !== ServerOutcome.Declined) slots.recordBrokenOff(nowMs);
+  }
+
   /**
    * @param avoidingHostCount - peers that avoid the server after failures of their own requests
    * @param hostCount - entry hosts that send requests to the server, including this one
--- a/src/domain/places/mod.ts
+++ b/src/domain/places/mod.ts
@@ -21,3 +21,7 @@
 export { ServerPace } from './server_pace.js';
 export { ServerPacer } from './server_pacer.js';
 export type { PacerOptions } from './server_pacer.js';
+export { deriveSlotQuota, divideSlots } from './slot_division.js';
+export type { DividedServer, RefusalBound } from './slot_division.js';
+export { SlotPacer } from './slot_pacer.js';
+export type { SlotQuota } from './slot_pacer.js';
--- a/src/domain/places/server_pace.ts
+++ b/src/domain/places/server_pace.ts
@@ -4,11 +4,15 @@
  * @module
  */
 import { ServerPacer } from './server_pacer.js';
+import { SlotPacer } from './slot_pacer.js';
 
 /** Longest time without a request to a server that names a limit, in milliseconds. */
 const LIMIT_REFRESH_MS = 2_000;
 
-/** Combines the pace of a warming server with that of a server that names a rate limit. */
+/**
+ * Combines the pace of a warming server, of a server that names a rate limit, and of one that bears
+ * few refusals.
+ */
 export class ServerPace {
   /** Pace of this entry host while the server is warming up. */
   readonly warmup = new ServerPacer();
@@ -16,14 +20,22 @@
   /** Pace of this entry host while the server names a rate limit. */
   readonly rateLimit = new ServerPacer();
 
+  /** This entry host's part of the slots while the server bears few refusals. */
+  readonly slots = new SlotPacer();
+
   /** @param nowMs - monotonic time in milliseconds. @returns whether requests must keep a pace */
   isPaced(nowMs: number): boolean {
-    return this.warmup.isPaced(nowMs) || this.rateLimit.isPaced(nowMs);
+    return this.warmup.isPaced(nowMs) || this.rateLimit.isPaced(nowMs) || this.slots.isPaced;
   }
 
-  /** @param nowMs - monotonic time in milliseconds. @returns whether a request may be sent now */
-  maySend(nowMs: number): boolean {
-    return this.warmup.maySend(nowMs) && this.rateLimit.maySend(nowMs);
+  /**
+   * @param nowMs - monotonic time in milliseconds
+   * @param ownInFlight - requests of this entry host on the server
+   * @returns whether a request may be sent now
+   */
+  maySend(nowMs: number, ownInFlight: number): boolean {
+    const isInTurn = this.warmup.maySend(nowMs) && this.rateLimit.maySend(nowMs);
+    return isInTurn && this.slots.maySend(nowMs, ownInFlight);
   }
 
   /**
@@ -32,13 +44,15 @@
    */
   hasOwnTurn(nowMs: number): boolean {
     const { rateLimit } = this;
-    return rateLimit.isPaced(nowMs) && this.maySend(nowMs) && !rateLimit.hasPassedTurn(nowMs);
+    const isInTurn = this.warmup.maySend(nowMs) && rateLimit.maySend(nowMs);
+    return rateLimit.isPaced(nowMs) && isInTurn && !rateLimit.hasPassedTurn(nowMs);
   }
 
   /** @param nowMs - monotonic time at which a request is sent, or a turn is passed on */
   recordSent(nowMs: number): void {
     this.warmup.recordSent(nowMs);
     this.rateLimit.recordSent(nowMs);
+    this.slots.recordSent(nowMs);
   }
 
   /**
--- /dev/null
+++ b/src/domain/places/slot_pacer.ts
@@ -0,0 +1,89 @@
+/**
+ * One entry host's part of the slots of a server that may turn few requests away.
+ *
+ * @module
+ */
+
+/**
+ * Shortest time between two requests, in milliseconds: longer than a refusal takes to arrive, so
+ * that a host learns of one before it causes the next.
+ */
+const SEND_INTERVAL_MS = 10;
+
+/** Time for which a request that was broken off may still hold its slot, in milliseconds. */
+const LINGER_MS = 1_000;
+
+/**
+ * Time from the first word of such a limit in which servers may still be overfilled from before,
+ * and the pause after a refusal until then, in milliseconds.
+ */
+const SETTLE_MS = 2_500;
+const SETTLE_PAUSE_MS = 250;
+
+/** What one entry host may send to such a server. */
+export interface SlotQuota {
+  /** Number of slots that this host may use at a time. */
+  readonly slots: number;
+  /** Time without requests after a refusal, in milliseconds. */
+  readonly pauseMs: number;
+}
+
+/** Tracks whether this entry host may send another request. */
+export class SlotPacer {
+  #quota: SlotQuota | undefined;
+
+  /** When the server began to set such a limit. */
+  #pacedSinceMs = Number.NEGATIVE_INFINITY;
+
+  #sentAtMs = Number.NEGATIVE_INFINITY;
+
+  #pausedUntilMs = Number.NEGATIVE_INFINITY;
+
+  /** When requests that were broken off give their slots back, oldest first. */
+  readonly #lingerUntilMs: number[] = [];
+
+  /**
+   * @param quota - what this host may send; undefined: the server sets no such limit
+   * @param nowMs - monotonic time in milliseconds
+   */
+  configure(quota: SlotQuota | undefined, nowMs: number): void {
+    if (quota && !this.#quota) this.#pacedSinceMs = nowMs;
+    this.#quota = quota;
+  }
+
+  /** Whether this host may use only its own part of the slots. */
+  get isPaced(): boolean {
+    return this.#quota !== undefined;
+  }
+
+  /**
+   * @param nowMs - monotonic time in milliseconds
+   * @param ownInFlight - requests of this host on the server
+   * @returns whether one more request may be sent now
+   */
+  maySend(nowMs: number, ownInFlight: number): boolean {
+    if (!this.#quota) return true;
+    while ((this.#lingerUntilMs[0] ?? Infinity) <= nowMs) this.#lingerUntilMs.shift();
+    const used = ownInFlight + this.#lingerUntilMs.length;
+    const isDue = nowMs - this.#sentAtMs >= SEND_INTERVAL_MS && nowMs >= this.#pausedUntilMs;
+    return isDue && used < this.#quota.slots;
+  }
+
+  /** @param nowMs - monotonic time at which a request is sent */
+  recordSent(nowMs: number): void {
+    this.#sentAtMs = nowMs;
+  }
+
+  /** @param nowMs - monotonic time at which the server refused a request for lack of room */
+  recordDeclined(nowMs: number): void {
+    if (!this.#quota) return;
+    const isSettling = nowMs - this.#pacedSinceMs < SETTLE_MS;
+    const pauseMs = isSettling ? SETTLE_PAUSE_MS : this.#quota.pauseMs;
+    this.#pausedUntilMs = nowMs + pauseMs;
+  }
+
+  /** @param nowMs - monotonic time at which a request was broken off */
+  recordBrokenOff(nowMs: number): void {
+    if (this.#quota) this.#lingerUntilMs.push(nowMs + LINGER_MS);
+  }
+}
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -110,8 +110,14 @@
   Invalid = 'invalid',
 }
 
+/** Limits in the head of a backend server's answer. */
+export type RateLimitNotice = RateNotice & {
+  /** Requests a second that the server may turn away for lack of room; undefined: not named. */
+  readonly declinesPerSecond?: number | undefined;
+};
+
 /** Rate limit in the head of a backend server's answer. */
-export type RateLimitNotice =
+export type RateNotice =
   | { readonly kind: RateLimitKind.None }
   | {
       readonly kind: RateLimitKind.Limited;
--- a/src/ports/mod.ts
+++ b/src/ports/mod.ts
@@ -38,6 +38,7 @@
   DirectHead,
   DirectRequest,
   RateLimitNotice,
+  RateNotice,
   RawHeaders,
   ReportedLoad,
 } from './direct_calls.js';
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -14,6 +14,14 @@
   readonly ageMs: number;
 }
 
+/** Limit on refusals that the servers of a service name. */
+export interface ReportedBrittleness {
+  /** Refusals a second that each server bears. */
+  readonly declinesPerSecond: number;
+  /** Age of the answer that last named it, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /**
  * Periodic report of an entry host that serves calls with their own request ID. A relay
  * also reports the stats of other entry hosts. Each report makes up for lost earlier ones.
@@ -42,6 +50,8 @@
   readonly endedServers: readonly string[];
   /** Rate limits that backend servers name, and recent ends of such limits, by backend server. */
   readonly rateLimits: Readonly<Record<string, ReportedRateLimit>>;
+  /** Services whose servers bear few refusals, by service. */
+  readonly brittleServices: Readonly<Record<string, ReportedBrittleness>>;
   /** Newest configuration version that the sender or a host it has heard of had in effect. */
   readonly configurationVersion: number;
   /** Roster entries that changed since the revision that the receiver is known to have. */
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -17,6 +17,7 @@
   avoidedBy: {},
   endedServers: [],
   rateLimits: {},
+  brittleServices: {},
   hostCount: 1,
 };
 
