Let streams go on at a server that is silent for a second or so

A sound server may fall silent for about a second. Its streams were moved to other servers after 0.6 s without a first event or 0.8 s between events, which ended them there, cost retries, and had the server left alone. The limits are 1.4 s for streams now, still below the two seconds after which callers leave. Plain calls that may be repeated are asked elsewhere after 0.6 s as before: their callers can't wait for so long. 'a server that is silent for a second ends nothing' failed before, for both kinds of silence.

TCP ends nothing earlier: on this path no socket has a TCP_USER_TIMEOUT (read from the sockets of Node 20's http agent and server and of ws: 0 on all), and keep-alive probes of the agent (after 1 s, each second, ten of them) give up after 11 s. Links between hosts are pinged after 0.4 s and replaced after 1.2 s of silence.

--- a/src/application/direct/_stall_detector.ts
+++ b/src/application/direct/_stall_detector.ts
@@ -19,10 +19,12 @@
 const GAP_FACTOR = 4;
 
 /**
- * Minimum silence that counts as a stall, in milliseconds: network links and batches may pause
- * briefly.
+ * Minimum silence that counts as a stall, in milliseconds. Network links and batches may pause
+ * briefly, and a sound server for a second or so: its streams go on there. Callers of plain calls
+ * can't wait that long.
  */
-const MIN_SILENCE_MS = 600;
+const MIN_PLAIN_SILENCE_MS = 600;
+const MIN_STREAM_SILENCE_MS = 1_400;
 
 /** Minimum delay before the next check of a silent answer, in milliseconds. */
 const MIN_CHECK_DELAY_MS = 100;
@@ -95,13 +97,13 @@
     const { clock, route, predictedFirstByteMs } = this.#options;
     const nowMs = clock.nowMs();
     if (this.#stream) {
-      const limitMs = Math.max(GAP_FACTOR * route.targetGapMs, MIN_SILENCE_MS);
+      const limitMs = Math.max(GAP_FACTOR * route.targetGapMs, MIN_STREAM_SILENCE_MS);
       return this.#stream.lastEventsAtMs + limitMs - nowMs;
     }
     const limitMs = Math.max(
       FIRST_BYTE_FACTOR * predictedFirstByteMs,
       FIRST_BYTE_TARGET_FACTOR * route.targetMs,
-      MIN_SILENCE_MS,
+      route.isStream ? MIN_STREAM_SILENCE_MS : MIN_PLAIN_SILENCE_MS,
     );
     return this.#startedAtMs + limitMs - nowMs;
   }
