--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -30,6 +30,8 @@
   /** Slots of each server. Default: 11. */
   readonly slots?: number;
   readonly seed?: number;
+  /** Whether hosts send requests through peers where their links are cut. Default: true. */
+  readonly usesPeers?: boolean;
   /** Picks the availability zone of an entry host by its number, from 1. Default: one for all. */
   readonly pickZone?: (hostNumber: number) => string;
 }
@@ -105,6 +107,7 @@
       hub: this.hub,
       identity: { ...buildIdentity(id, incarnation), availabilityZone: zone },
       seeds,
+      usesPeers: this.#options.usesPeers,
     });
     this.#test.teardown(() => host.stop());
     host.backend.onSend = (exchange) => this.serve(id, exchange);
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -66,6 +66,8 @@
   readonly identity?: EntryHostIdentity;
   /** Peer URLs where the host begins to exchange reports. Default: it exchanges none. */
   readonly seeds?: readonly string[];
+  /** Whether the host sends requests through peers where its own links are cut. Default: true. */
+  readonly usesPeers?: boolean | undefined;
 }
 
 /** Paths of crash notes in a full mesh; the incarnation of a server is the ID of its crash. */
@@ -151,7 +153,7 @@
       probe: this.probe,
       backend: this.backend,
       paths: this.paths,
-      listHeard: () => this.reports?.listHeard() ?? NO_HOSTS,
+      listHeard: () => (options.usesPeers !== false && this.reports?.listHeard()) || NO_HOSTS,
       mayReceive: (id) => !this.servers.findEntry(id) || this.servers.isUsable(id),
     });
     this.crashes = new CrashQuarantine({
