--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -29,8 +29,8 @@
   readonly gate: UrgencyGate;
   /** Sends an event to the peer. Returns false if that was not possible. */
   readonly reply: (index: number, event: ProxyEvent) => boolean;
-  /** Called once, when the exchange has ended. */
-  readonly onEnd: (result: string) => void;
+  /** Called once, when the exchange has ended, with its result and how long it waited for room. */
+  readonly onEnd: (result: string, waitedMs: number) => void;
 }
 
 /** Waits for room, sends the request, and reports each event in order. */
@@ -47,6 +47,9 @@
 
   #isRunning = false;
 
+  /** Time for which the request waited for room, in milliseconds. */
+  #waitedMs = 0;
+
   #nextIndex = 0;
 
   #hasEnded = false;
@@ -116,8 +119,8 @@
     this.#isRunning = true;
     this.#waitTimer?.cancel();
     const { backend, clock, request } = this.#options;
-    const waitedMs = clock.nowMs() - this.#arrivedAtMs;
-    this.#exchange = backend.send(buildRequest(request, waitedMs), this);
+    this.#waitedMs = clock.nowMs() - this.#arrivedAtMs;
+    this.#exchange = backend.send(buildRequest(request, this.#waitedMs), this);
   }
 
   #refuseBusy(): void {
@@ -143,7 +146,7 @@
     this.#hasEnded = true;
     this.#waitTimer?.cancel();
     if (this.#isRunning) this.#options.gate.release();
-    this.#options.onEnd(result);
+    this.#options.onEnd(result, this.#waitedMs);
   }
 }
 
--- a/src/application/paths/proxy_client.ts
+++ b/src/application/paths/proxy_client.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { LogLevel } from '../../domain/errors/mod.js';
 import type { HostState } from '../../domain/overlay/mod.js';
 import { BackendFailure, PeerMessageType, ProxyEventKind, Reachability } from '../../ports/mod.js';
 import type {
@@ -10,6 +11,7 @@
   BackendListener,
   BackendRequest,
   Clock,
+  EventLog,
   Metrics,
   PeerNetwork,
   ProxiedRequest,
@@ -32,6 +34,7 @@
   readonly peers: PeerNetwork;
   readonly clock: Clock;
   readonly random: RandomSource;
+  readonly log: EventLog;
   readonly metrics: Metrics;
   /** Availability zone of this entry host. */
   readonly availabilityZone: string;
@@ -134,9 +137,21 @@
     Object.assign(exchange, { peer, nextIndex: 0 });
     this.#exchanges.set(exchangeId, exchange);
     metrics.count('proxied_requests_total', { event: 'offered' });
+    this.#logOffer(exchange);
     return true;
   }
 
+  #logOffer({ request, peer, offeredTo }: PendingExchange): void {
+    this.#options.log.write(LogLevel.Info, 'request_sent_through_peer', {
+      requestId: request.request.requestId,
+      backendServer: request.incarnationId,
+      peer,
+      offers: offeredTo.size,
+      urgency: request.urgency,
+      deadlineMs: Math.round(request.deadlineMs),
+    });
+  }
+
   /**
    * Lists linked peers that reach the backend servers, in random order. Those of other zones go
    * first, since the hosts of a zone often lose their links together.
--- a/src/application/paths/proxy_server.ts
+++ b/src/application/paths/proxy_server.ts
@@ -3,12 +3,14 @@
  *
  * @module
  */
+import { LogLevel } from '../../domain/errors/mod.js';
 import { UrgencyGate } from '../../domain/paths/mod.js';
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type {
   Clock,
   DirectBackendClient,
+  EventLog,
   Metrics,
   PeerNetwork,
   ProxyRequestMessage,
@@ -29,6 +31,7 @@
 export interface ProxyServerOptions {
   readonly peers: PeerNetwork;
   readonly clock: Clock;
+  readonly log: EventLog;
   readonly metrics: Metrics;
   readonly probe: ServerProbe;
   /** Sends a request over this host's own links only, so that no request is passed on twice. */
@@ -76,7 +79,7 @@
   }
 
   #handle(from: EntryHostIdentity, { exchangeId, request }: ProxyRequestMessage): void {
-    const { peers, clock, backend, metrics, mayReceive } = this.#options;
+    const { peers, clock, log, backend, metrics, mayReceive } = this.#options;
     const key = formatKey(from, exchangeId);
     this.#usedAtMs.set(from.incarnation, clock.nowMs());
     const exchange = new ProxiedExchange({
@@ -88,9 +91,17 @@
         const reply = { type: PeerMessageType.ProxyReply, exchangeId, index, event } as const;
         return peers.send(from.incarnation, reply);
       },
-      onEnd: (result) => {
+      onEnd: (result, waitedMs) => {
         this.#exchanges.delete(key);
         metrics.count('requests_sent_for_peers_total', { result });
+        log.write(LogLevel.Info, 'request_sent_for_peer', {
+          requestId: request.requestId,
+          backendServer: request.incarnationId,
+          entryHost: from.id,
+          urgency: request.urgency,
+          waitedMs: Math.round(waitedMs),
+          result,
+        });
       },
     });
     this.#exchanges.set(key, exchange);
