Teach the stand-in replica and the soak servers that bear few refusals

The stand-in names its limit, counts what it turns away and tells when that is too much; the soak then ends it, and finds a run bad in which that happens to more than two. Links between one host and a replica can't be cut there: all processes share a loopback interface.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -19,6 +19,8 @@
   readonly revokedAtMs: number;
   /** Descriptions of processes that exited without being told to, and of internal errors. */
   readonly ownEnds: readonly string[];
+  /** IDs of the replicas that had to turn away more requests than they bear. */
+  readonly overfilledIds: readonly string[];
   readonly disturbances: readonly Disturbance[];
 }
 
@@ -52,6 +54,9 @@
 /** Time in milliseconds after SIGTERM during which a host still accepts new calls. */
 const STOP_ACCEPTS_MS = 2_500;
 
+/** Number of replicas that may be overfilled in one run; the users' rule allows two and a tenth of all. */
+const MAX_OVERFILLED = 2;
+
 /** Fault kinds that disturb no entry host and therefore excuse no violation. */
 const HARMLESS_FAULTS = new Set([
   FaultKind.RouteAdded,
@@ -75,12 +80,19 @@
   );
   return [
     ...record.ownEnds.map((end) => `a process ended by itself: ${end}`),
+    ...checkOverfilled(record),
     ...callViolations,
     ...checkRuns(record),
     ...checkStops(record),
   ];
 }
 
+/** Checks that replicas that bear few refusals were rarely overfilled. */
+function checkOverfilled({ overfilledIds }: SoakRecord): string[] {
+  if (overfilledIds.length <= MAX_OVERFILLED) return [];
+  return [`replicas were overfilled: ${overfilledIds.join()}`];
+}
+
 function checkCall(call: SoakCall, runs: readonly TestRun[]): string[] {
   const violations: string[] = [];
   const report = (text: string): void => {
--- a/soak/checks_test.ts
+++ b/soak/checks_test.ts
@@ -46,6 +46,7 @@
     leftAtMs: new Map(),
     revokedAtMs: Infinity,
     ownEnds: [],
+    overfilledIds: [],
     disturbances: [],
     ...changes,
   };
@@ -97,6 +98,7 @@
     /nobody sent/,
   ],
   ['a process that ended by itself', { ownEnds: ['entry-1: 1'] }, /ended by itself/],
+  ['overfilled replicas', { overfilledIds: ['i-1', 'i-2', 'i-3'] }, /were overfilled/],
   [
     'a run with a revoked key',
     { calls: [buildCall({ key: REVOCABLE_KEY })], revokedAtMs: 4_000 },
--- a/soak/run_soak.ts
+++ b/soak/run_soak.ts
@@ -101,6 +101,7 @@
         leftAtMs: fleet.leftAtMs,
         revokedAtMs: fleet.revokedAtMs,
         ownEnds: fleet.ownEnds,
+        overfilledIds: fleet.refusalLimit.overfilledIds,
         disturbances,
       }),
     ];
--- a/soak/soak_fleet.ts
+++ b/soak/soak_fleet.ts
@@ -6,15 +6,18 @@
  */
 import { closeSync, mkdirSync, openSync } from 'node:fs';
 import path from 'node:path';
-import type { DirectSettings } from '../src/commands/direct_settings.js';
 import { CutProxy } from '../test/fleet/mod.js';
 import { buildConfiguration, TEST_KEY } from '../platform/test/documents.js';
 import { PlatformFleet } from '../platform/test/fleet.js';
 import type { EntryProcess } from '../platform/test/fleet.js';
 import { TestReplica } from '../platform/test/replica.js';
 import type { TestRun } from '../platform/test/replica.js';
+import type { SoakHost, SoakReplica } from './fleet_parts.js';
+import { RefusalLimit } from './refusal_limit.js';
 import { COPY_INTERVAL_MS, StoreCopies } from './store_copies.js';
 
+export type { SoakHost, SoakReplica } from './fleet_parts.js';
+
 /** API key that a run may revoke. */
 export const REVOCABLE_KEY = 'key-to-be-revoked';
 
@@ -43,26 +46,6 @@
 /** Delay in milliseconds before an exited process is restarted. */
 const RESTART_DELAY_MS = 300;
 
-/** One entry host across process restarts. */
-export interface SoakHost {
-  readonly settings: DirectSettings;
-  readonly peerProxy: CutProxy;
-  readonly storeProxy: CutProxy;
-  entry: EntryProcess;
-  /** Whether the run has told the current process to exit. */
-  isToldToEnd: boolean;
-}
-
-/** One replica across its incarnations. */
-export interface SoakReplica {
-  replica: TestReplica;
-  readonly proxy: CutProxy;
-  /** Port at which each incarnation listens. */
-  readonly port: number;
-  /** Whether the current incarnation is draining or crashed and its successor has not started. */
-  isAway: boolean;
-}
-
 /** Starts and stops the fleet, injects process faults and publishes configurations. */
 export class SoakFleet {
   readonly fleet = new PlatformFleet();
@@ -80,6 +63,9 @@
   /** Descriptions of processes that exited without being told to, and of internal errors. */
   readonly ownEnds: string[] = [];
 
+  /** Limit on the refusals of all replicas. */
+  readonly refusalLimit = new RefusalLimit(this.replicas, (index) => this.endReplica(index, false));
+
   readonly #formerRuns: TestRun[][] = [];
 
   readonly #folder: string;
@@ -218,10 +204,8 @@
     this.hosts.forEach((host) => Object.assign(host, { isToldToEnd: true }));
     await this.fleet.stop();
     this.replicas.forEach(({ replica }) => replica.crash());
-    const proxies = [
-      ...this.hosts.flatMap(({ peerProxy, storeProxy }) => [peerProxy, storeProxy]),
-      ...this.replicas.map(({ proxy }) => proxy),
-    ];
+    const hostProxies = this.hosts.flatMap(({ peerProxy, storeProxy }) => [peerProxy, storeProxy]);
+    const proxies = [...hostProxies, ...this.replicas.map(({ proxy }) => proxy)];
     await Promise.all(proxies.map((proxy) => proxy.close()));
   }
 
@@ -254,7 +238,7 @@
 
   #createReplica(): TestReplica {
     this.#lastIncarnation += 1;
-    return new TestReplica({
+    const replica = new TestReplica({
       id: `i-${this.#lastIncarnation}`,
       service: 'engines',
       store: this.fleet.store,
@@ -263,6 +247,8 @@
       events: STREAM_EVENTS,
       eventIntervalMs: EVENT_GAP_MS,
     });
+    this.refusalLimit.watch(replica);
+    return replica;
   }
 
   async #addReplica(): Promise<void> {
