--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { formatReason } from '../../domain/errors/mod.js';
 import type { GatedJob, UrgencyGate } from '../../domain/paths/mod.js';
 import { BackendFailure, ProxyEventKind } from '../../ports/mod.js';
 import type {
@@ -120,7 +121,11 @@
     this.#waitTimer?.cancel();
     const { backend, clock, request } = this.#options;
     this.#waitedMs = clock.nowMs() - this.#arrivedAtMs;
-    this.#exchange = backend.send(buildRequest(request, this.#waitedMs), this);
+    try {
+      this.#exchange = backend.send(buildRequest(request, this.#waitedMs), this);
+    } catch (error) {
+      this.onFailure(BackendFailure.NotSent, formatReason(error));
+    }
   }
 
   #refuseBusy(): void {
--- a/src/application/paths/path_backend_client.ts
+++ b/src/application/paths/path_backend_client.ts
@@ -44,8 +44,8 @@
       listener,
       onEnd: () => this.#exchanges.delete(exchange),
     });
-    this.#exchanges.add(exchange);
     exchange.start();
+    this.#exchanges.add(exchange);
     return exchange;
   }
 
--- a/src/application/paths/path_checks.ts
+++ b/src/application/paths/path_checks.ts
@@ -36,7 +36,7 @@
 export class PathChecks {
   readonly #options: PathChecksOptions;
 
-  /** When each server was last checked, on the monotonic clock in milliseconds. */
+  /** When servers were checked a moment ago, on the monotonic clock in milliseconds. */
   readonly #checkedAtMs = new Map<string, number>();
 
   readonly #running = new Set<string>();
@@ -65,14 +65,20 @@
     const { clock } = this.#options;
     const { incarnationId } = server;
     const nowMs = clock.nowMs();
-    const checkedAtMs = this.#checkedAtMs.get(incarnationId) ?? Number.NEGATIVE_INFINITY;
-    const isRecent = nowMs - checkedAtMs < MIN_CHECK_INTERVAL_MS;
+    this.#forgetChecksBefore(nowMs - MIN_CHECK_INTERVAL_MS);
+    const isRecent = this.#checkedAtMs.has(incarnationId);
     if (isRecent || this.#running.has(incarnationId) || this.#running.size >= MAX_CHECKS) return;
     this.#checkedAtMs.set(incarnationId, nowMs);
     this.#running.add(incarnationId);
     this.#run(server, hasFailed).finally(() => this.#running.delete(incarnationId));
   }
 
+  #forgetChecksBefore(earliestMs: number): void {
+    this.#checkedAtMs.forEach((atMs, id) => {
+      if (atMs <= earliestMs) this.#checkedAtMs.delete(id);
+    });
+  }
+
   async #run({ incarnationId, address }: CheckedServer, hasFailed: boolean): Promise<void> {
     const { probe, proxies, paths, clock } = this.#options;
     const own = hasFailed ? undefined : await probe.check(address);
--- a/src/application/paths/proxy_client.ts
+++ b/src/application/paths/proxy_client.ts
@@ -5,6 +5,7 @@
  */
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { HostState } from '../../domain/overlay/mod.js';
+import { mayProxy } from '../../domain/paths/mod.js';
 import { BackendFailure, PeerMessageType, ProxyEventKind, Reachability } from '../../ports/mod.js';
 import type {
   BackendExchange,
@@ -160,7 +161,7 @@
     const { peers, listHeard, random, availabilityZone } = this.#options;
     const linked = new Set(peers.listLinkedPeers().map(({ incarnation }) => incarnation));
     return listHeard()
-      .filter(({ isCutOff, isLeaving, isServing }) => !isCutOff && !isLeaving && isServing)
+      .filter(mayProxy)
       .filter(({ identity: { incarnation } }) => linked.has(incarnation))
       .filter(({ identity: { incarnation } }) => !excluded.has(incarnation))
       .map(({ identity }) => ({
--- a/src/domain/paths/mod.ts
+++ b/src/domain/paths/mod.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+export { mayProxy } from './may_proxy.js';
 export { ServerPaths } from './server_paths.js';
 export { UrgencyGate } from './urgency_gate.js';
 export type { GateBounds, GatedJob } from './urgency_gate.js';
