--- a/src/application/direct/_brittle_services.ts
+++ b/src/application/direct/_brittle_services.ts
@@ -7,8 +7,8 @@
 import type { BackendServerEntry, ServerLoad } from '../../domain/backend_servers/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { HostState } from '../../domain/overlay/mod.js';
-import { deriveSlotQuota, divideSlots } from '../../domain/places/mod.js';
-import type { DividedServer } from '../../domain/places/mod.js';
+import { deriveSlotQuota, splitSlots } from '../../domain/places/mod.js';
+import type { SlottedServer } from '../../domain/places/mod.js';
 import type { Clock, EventLog, RateLimitNotice, ReportedBrittleness } from '../../ports/mod.js';
 import type { PaceHosts } from './_pace_roles.js';
 
@@ -21,11 +21,11 @@
   readonly log: EventLog;
   readonly hosts: PaceHosts;
   /** @param serviceId - a service. @returns its servers that may be given work */
-  readonly listServers: (serviceId: string) => readonly DividedServer[];
+  readonly listServers: (serviceId: string) => readonly SlottedServer[];
 }
 
 /** This host's slots, and what they were computed from. */
-interface Division {
+interface SlotSplit {
   readonly known: readonly HostState[];
   readonly serverKey: string;
   /** By incarnation ID. */
@@ -49,7 +49,7 @@
   readonly #states = new Map<string, BrittleState>();
 
   /** By service ID. */
-  readonly #divisions = new Map<string, Division>();
+  readonly #splits = new Map<string, SlotSplit>();
 
   /** @param options - dependencies */
   constructor(options: BrittleServicesOptions) {
@@ -109,23 +109,23 @@
       return;
     }
     const { hosts } = this.#options;
-    const ownSlots = hosts.isSettled() ? (this.#divide(serviceId).get(id) ?? 0) : 0;
+    const ownSlots = hosts.isSettled() ? (this.#splitSlots(serviceId).get(id) ?? 0) : 0;
     const hostCount = hosts.listKnown().length + 1;
     const bound = { slots: load.slots, declinesPerSecond, hostCount };
     load.pace.slots.configure(deriveSlotQuota(ownSlots, bound), nowMs);
   }
 
   /** Divides the slots anew after a host or server has come or gone. */
-  #divide(serviceId: string): ReadonlyMap<string, number> {
+  #splitSlots(serviceId: string): ReadonlyMap<string, number> {
     const { hosts, listServers } = this.#options;
     const known = hosts.listKnown();
     const servers = listServers(serviceId);
     const serverKey = servers.map(({ id, slots }) => `${id} ${slots}`).join();
-    const cached = this.#divisions.get(serviceId);
+    const cached = this.#splits.get(serviceId);
     if (cached?.known === known && cached.serverKey === serverKey) return cached.ownSlots;
     const hostIds = [hosts.selfId, ...known.map(({ identity }) => identity.id)];
-    const ownSlots = divideSlots(servers, hostIds, hosts.selfId);
-    this.#divisions.set(serviceId, { known, serverKey, ownSlots });
+    const ownSlots = splitSlots(servers, hostIds, hosts.selfId);
+    this.#splits.set(serviceId, { known, serverKey, ownSlots });
     return ownSlots;
   }
 
--- a/src/application/paths/_path_exchange.ts
+++ b/src/application/paths/_path_exchange.ts
@@ -74,7 +74,7 @@
   }
 
   /** Goes through a peer from now on, if the path is cut and no connection is open yet. */
-  leaveCutPath(): void {
+  replaceCutPath(): void {
     const { paths, request, proxies } = this.#options;
     if (this.#hasEnded || !this.#isDirect || !paths.isCut(request.incarnationId)) return;
     if (this.mayHaveBeenSent || !proxies.hasPeers) return;
--- a/src/application/paths/path_backend_client.ts
+++ b/src/application/paths/path_backend_client.ts
@@ -33,7 +33,7 @@
     this.#options = options;
     options.checks.onCut((incarnationId) => {
       options.direct.closeIdle(incarnationId);
-      [...this.#exchanges].forEach((exchange) => exchange.leaveCutPath());
+      [...this.#exchanges].forEach((exchange) => exchange.replaceCutPath());
     });
   }
 
--- a/src/domain/places/slot_division.ts
+++ b/src/domain/places/slot_split.ts
@@ -16,7 +16,7 @@
 const MS_PER_SECOND = 1_000;
 
 /** A server and its slots. */
-export interface DividedServer {
+export interface SlottedServer {
   readonly id: string;
   readonly slots: number;
 }
@@ -31,8 +31,8 @@
  * @param selfId - ID of one of them
  * @returns number of slots of that host, by server
  */
-export function divideSlots(
-  servers: readonly DividedServer[],
+export function splitSlots(
+  servers: readonly SlottedServer[],
   hostIds: readonly string[],
   selfId: string,
 ): ReadonlyMap<string, number> {
--- a/src/domain/places/slot_division_test.ts
+++ b/src/domain/places/slot_split_test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import t from 'tap';
-import { divideSlots, SlotPacer } from './mod.js';
+import { splitSlots, SlotPacer } from './mod.js';
 
 const RUNS = { seed: 45, numRuns: 60 };
 
@@ -17,10 +17,10 @@
   fc.assert(
     fc.property(FLEET, ({ hosts, servers }) => {
       const hostIds = buildHostIds(hosts);
-      const divided = servers.map((slots, index) => ({ id: `s-${index}`, slots }));
-      const parts = hostIds.map((id) => divideSlots(divided, hostIds, id));
+      const slotted = servers.map((slots, index) => ({ id: `s-${index}`, slots }));
+      const parts = hostIds.map((id) => splitSlots(slotted, hostIds, id));
       const totals = parts.map((part) => [...part.values()].reduce((sum, count) => sum + count, 0));
-      const isFull = divided.every(({ id, slots }) => {
+      const isFull = slotted.every(({ id, slots }) => {
         const used = parts.reduce((sum, part) => sum + (part.get(id) ?? 0), 0);
         return used === (slots < 5 ? slots : slots - 1);
       });
