--- a/soak/fault_table.ts
+++ b/soak/fault_table.ts
@@ -117,7 +117,7 @@
   [FaultKind.ReplicaLosesAnswers]: (fleet, index) =>
     setReplicaFault(getReplica(fleet, index), { losesAnswers: true }),
   [FaultKind.ReplicaDrained]: runOnce((fleet, index) => fleet.endReplica(index, true)),
-  [FaultKind.ReplicasBrittle]: (fleet) => fleet.refusalLimit.start(),
+  [FaultKind.RefusalsLimited]: (fleet) => fleet.refusalLimit.start(),
   [FaultKind.ReplicaLinkSilent]: (fleet, index) =>
     setLinkFault(getReplica(fleet, index).proxy, LinkFault.Silent),
   [FaultKind.ReplicaLinkDelayed]: (fleet, index) =>
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -33,7 +33,7 @@
   ReplicaRefuses = 'replica-refuses',
   ReplicaLosesAnswers = 'replica-loses-answers',
   ReplicaDrained = 'replica-drained',
-  ReplicasBrittle = 'replicas-brittle',
+  RefusalsLimited = 'replica-refusals-limited',
   ReplicaLinkSilent = 'replica-link-silent',
   ReplicaLinkDelayed = 'replica-link-delayed',
   RouteAdded = 'route-added',
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -31,8 +31,8 @@
 ];
 
 /** A short plan in which replicas bear few refusals, one of them is silent for a second, and hosts go. */
-const BRITTLE_PLAN: readonly PlannedFault[] = [
-  { kind: FaultKind.ReplicasBrittle, atMs: 0, forMs: 6_000, index: 0 },
+const REFUSALS_PLAN: readonly PlannedFault[] = [
+  { kind: FaultKind.RefusalsLimited, atMs: 0, forMs: 6_000, index: 0 },
   { kind: FaultKind.ReplicaLinkDelayed, atMs: 800, forMs: 1_100, index: 1 },
   { kind: FaultKind.HostKilled, atMs: 1_500, forMs: 0, index: 1 },
   { kind: FaultKind.PeerLinkCut, atMs: 2_500, forMs: 1_000, index: 2 },
@@ -58,7 +58,7 @@
 [
   { name: 'a short series of overlapping faults', plan: SHORT_PLAN },
   { name: 'restores of the store among other faults', plan: RESTORE_PLAN },
-  { name: 'a limit on refusals among other faults', plan: BRITTLE_PLAN },
+  { name: 'a limit on refusals among other faults', plan: REFUSALS_PLAN },
 ].forEach(({ name, plan }) => {
   t.test(`real processes violate no guarantee under ${name}`, async (t) => {
     const folder = mkdtempSync(path.join(tmpdir(), 'monsoonhall-soak-'));
--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -54,7 +54,7 @@
     spentUnits: { 'franchise-a': 1200 },
     endedServers: ['engine-2'],
     configurationVersion: 12,
-    brittleServices: { engines: { declinesPerSecond: 4, ageMs: 120 } },
+    refusalLimits: { engines: { declinesPerSecond: 4, ageMs: 120 } },
     rateLimits: { 'engine-4': { version: 3, requestsPerSecond: 1.4, ageMs: 250 } },
     roster: [
       {
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -61,9 +61,7 @@
   endedServers: names,
   // Reports of earlier versions lack the next three fields.
   rateLimits: z.record(name, rateLimitSchema).default({}),
-  brittleServices: z
-    .record(name, z.object({ declinesPerSecond: amount, ageMs: amount }))
-    .default({}),
+  refusalLimits: z.record(name, z.object({ declinesPerSecond: amount, ageMs: amount })).default({}),
   configurationVersion: count.default(0),
   roster: z.array(rosterEntrySchema).max(MAX_LIST_LENGTH),
   rosterRevision: count,
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -14,7 +14,7 @@
   | 'avoidedBy'
   | 'endedServers'
   | 'rateLimits'
-  | 'brittleServices'
+  | 'refusalLimits'
   | 'hostCount'
 >;
 
--- a/src/application/direct/_brittle_services.ts
+++ b/src/application/direct/_refusal_limits.ts
@@ -9,14 +9,14 @@
 import type { HostState } from '../../domain/overlay/mod.js';
 import { deriveSlotQuota, splitSlots } from '../../domain/places/mod.js';
 import type { SlottedServer } from '../../domain/places/mod.js';
-import type { Clock, EventLog, RateLimitNotice, ReportedBrittleness } from '../../ports/mod.js';
+import type { Clock, EventLog, RateLimitNotice, ReportedRefusalLimit } from '../../ports/mod.js';
 import type { PaceHosts } from './_pace_roles.js';
 
 /** Time after the last answer that names it for which the state holds, in milliseconds. */
 const HOLD_MS = 4_000;
 
-/** Dependencies of {@link BrittleServices}. */
-export interface BrittleServicesOptions {
+/** Dependencies of {@link RefusalLimits}. */
+export interface RefusalLimitsOptions {
   readonly clock: Clock;
   readonly log: EventLog;
   readonly hosts: PaceHosts;
@@ -32,7 +32,7 @@
   readonly ownSlots: ReadonlyMap<string, number>;
 }
 
-interface BrittleState {
+interface NamedLimit {
   readonly declinesPerSecond: number;
   /** When an answer last named it, on the monotonic clock in milliseconds. */
   readonly namedAtMs: number;
@@ -42,21 +42,21 @@
  * Knows these services from answers and from peers. Their slots are dealt to all known entry hosts,
  * silent ones included: hosts that are cut off from each other never use the same slot.
  */
-export class BrittleServices {
-  readonly #options: BrittleServicesOptions;
+export class RefusalLimits {
+  readonly #options: RefusalLimitsOptions;
 
   /** By service ID. */
-  readonly #states = new Map<string, BrittleState>();
+  readonly #states = new Map<string, NamedLimit>();
 
   /** By service ID. */
   readonly #splits = new Map<string, SlotSplit>();
 
   /** @param options - dependencies */
-  constructor(options: BrittleServicesOptions) {
+  constructor(options: RefusalLimitsOptions) {
     this.#options = options;
   }
 
-  /** Number of services whose servers are brittle now. */
+  /** Number of services whose servers limit their refusals now. */
   get count(): number {
     return [...this.#states.keys()].filter((id) => this.find(id) !== undefined).length;
   }
@@ -78,12 +78,12 @@
   }
 
   /** @param reported - states that a peer reports. @param source - incarnation of its process */
-  applyReported(reported: Readonly<Record<string, ReportedBrittleness>>, source: string): void {
+  applyReported(reported: Readonly<Record<string, ReportedRefusalLimit>>, source: string): void {
     Object.entries(reported).forEach(([id, state]) => this.#record(id, state, source));
   }
 
   /** @returns the current states for peers, by service ID */
-  listReported(): Record<string, ReportedBrittleness> {
+  listReported(): Record<string, ReportedRefusalLimit> {
     const nowMs = this.#options.clock.nowMs();
     return Object.fromEntries(
       [...this.#states]
@@ -131,14 +131,14 @@
 
   #record(
     serviceId: string,
-    { declinesPerSecond, ageMs }: ReportedBrittleness,
+    { declinesPerSecond, ageMs }: ReportedRefusalLimit,
     source: string,
   ): void {
     const namedAtMs = this.#options.clock.nowMs() - ageMs;
     const known = this.#states.get(serviceId);
     if (ageMs >= HOLD_MS || (known && known.namedAtMs >= namedAtMs)) return;
     if (this.find(serviceId) !== declinesPerSecond) {
-      this.#options.log.write(LogLevel.Warn, 'service_brittle', {
+      this.#options.log.write(LogLevel.Warn, 'service_refusals_limited', {
         service: serviceId,
         declinesPerSecond,
         ageMs: Math.round(ageMs),
--- a/src/application/direct/brittle_services_test.ts
+++ b/src/application/direct/refusal_limits_test.ts
@@ -5,8 +5,8 @@
  */
 import t from 'tap';
 import type { Test } from 'tap';
-import { BrittleFleet } from '../../../test/support/brittle_fleet.js';
-import type { BrittleFleetOptions } from '../../../test/support/brittle_fleet.js';
+import { RefusalFleet } from '../../../test/support/refusal_fleet.js';
+import type { RefusalFleetOptions } from '../../../test/support/refusal_fleet.js';
 
 const ROUTE = { timeoutMs: 8_000, targetMs: 400 };
 
@@ -21,8 +21,8 @@
 /** Fraction of calls that must be served at three tenths of the capacity. */
 const LIGHT_SERVED_FRACTION = 0.95;
 
-type BrittleSize = Pick<
-  BrittleFleetOptions,
+type FleetSize = Pick<
+  RefusalFleetOptions,
   'hosts' | 'servers' | 'slots' | 'declinesPerSecond' | 'runMs'
 >;
 
@@ -35,8 +35,8 @@
 ];
 
 /** Starts a fleet under load whose servers have named their limit for some time. */
-async function startBrittleFleet(t: Test, options: BrittleSize): Promise<BrittleFleet> {
-  const fleet = new BrittleFleet(t, { ...options, route: ROUTE, seed: 2 });
+async function startRefusalFleet(t: Test, options: FleetSize): Promise<RefusalFleet> {
+  const fleet = new RefusalFleet(t, { ...options, route: ROUTE, seed: 2 });
   await fleet.start();
   const callsPerSecond = fleet.computeCapacity();
   await fleet.run({ request: REQUEST, callsPerSecond, durationMs: 1_500 });
@@ -48,7 +48,7 @@
 SIZES.forEach((size) => {
   t.test(`no server of ${size.servers} is overfilled by ${size.hosts} hosts`, async (t) => {
     // Guards against hosts that fill the same slot at once, as each knows it from old reports.
-    const fleet = await startBrittleFleet(t, size);
+    const fleet = await startRefusalFleet(t, size);
     const fromMs = fleet.clock.nowMs();
     for (const load of [0.4, 1.5, 0.2, 3, 1.2]) {
       const callsPerSecond = load * fleet.computeCapacity();
@@ -58,27 +58,34 @@
     t.ok(refusals <= size.declinesPerSecond, `${refusals}`);
   });
 
-  t.test(`${size.hosts} hosts use the slots of ${size.servers} brittle servers`, async (t) => {
-    // Guards against a limit that is kept by leaving slots idle or refusing calls without need.
-    const fleet = await startBrittleFleet(t, size);
-    fleet.resetUse();
-    const callsPerSecond = 1.5 * fleet.computeCapacity();
-    await fleet.run({ request: REQUEST, callsPerSecond, durationMs: 4_000 });
-    const use = fleet.computeUse(4_000);
-    t.ok(use >= USED_FRACTION, use.toFixed(2));
-    await fleet.clock.advance(3_000);
-    const before = fleet.calls.length;
-    await fleet.run({ request: REQUEST, callsPerSecond: 0.2 * callsPerSecond, durationMs: 3_000 });
-    await fleet.clock.advance(ROUTE.timeoutMs);
-    const light = fleet.calls.slice(before).map(({ reply }) => reply);
-    const served = light.filter(({ error }) => error === undefined).length / light.length;
-    t.ok(served >= LIGHT_SERVED_FRACTION, `light load: ${served.toFixed(2)}`);
-  });
+  t.test(
+    `${size.hosts} hosts use the slots of ${size.servers} servers that limit refusals`,
+    async (t) => {
+      // Guards against a limit that is kept by leaving slots idle or refusing calls without need.
+      const fleet = await startRefusalFleet(t, size);
+      fleet.resetUse();
+      const callsPerSecond = 1.5 * fleet.computeCapacity();
+      await fleet.run({ request: REQUEST, callsPerSecond, durationMs: 4_000 });
+      const use = fleet.computeUse(4_000);
+      t.ok(use >= USED_FRACTION, use.toFixed(2));
+      await fleet.clock.advance(3_000);
+      const before = fleet.calls.length;
+      await fleet.run({
+        request: REQUEST,
+        callsPerSecond: 0.2 * callsPerSecond,
+        durationMs: 3_000,
+      });
+      await fleet.clock.advance(ROUTE.timeoutMs);
+      const light = fleet.calls.slice(before).map(({ reply }) => reply);
+      const served = light.filter(({ error }) => error === undefined).length / light.length;
+      t.ok(served >= LIGHT_SERVED_FRACTION, `light load: ${served.toFixed(2)}`);
+    },
+  );
 });
 
 t.test('hosts that come and go overfill no server', async (t) => {
   // Guards against slots that two hosts use since they know different hosts.
-  const fleet = new BrittleFleet(t, {
+  const fleet = new RefusalFleet(t, {
     hosts: 7,
     servers: 8,
     slots: 10,
@@ -103,7 +110,7 @@
 
 t.test('slots are used by all again once servers name no limit any more', async (t) => {
   // Guards against a state that lasts for good.
-  const fleet = new BrittleFleet(t, {
+  const fleet = new RefusalFleet(t, {
     hosts: 6,
     servers: 4,
     slots: 10,
@@ -115,8 +122,8 @@
   await fleet.start();
   fleet.isNamed = true;
   await fleet.run({ request: REQUEST, callsPerSecond: 60, durationMs: 2_000 });
-  t.ok(fleet.hosts.every(({ servers }) => servers.brittleServices.count === 1));
+  t.ok(fleet.hosts.every(({ servers }) => servers.refusalLimits.count === 1));
   fleet.isNamed = false;
   await fleet.run({ request: REQUEST, callsPerSecond: 60, durationMs: 5_000 });
-  t.ok(fleet.hosts.every(({ servers }) => servers.brittleServices.count === 0));
+  t.ok(fleet.hosts.every(({ servers }) => servers.refusalLimits.count === 0));
 });
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -21,7 +21,7 @@
   | 'spentUnits'
   | 'endedServers'
   | 'rateLimits'
-  | 'brittleServices'
+  | 'refusalLimits'
   | 'configurationVersion'
 >;
 
@@ -34,7 +34,7 @@
   spentUnits: {},
   endedServers: [],
   rateLimits: {},
-  brittleServices: {},
+  refusalLimits: {},
   configurationVersion: 0,
 };
 
@@ -82,7 +82,7 @@
     spentUnits: spending.listSpentUnits(scope, receiver),
     endedServers: servers.listEndedIds(),
     rateLimits: servers.rateLimits.listReported(),
-    brittleServices: servers.brittleServices.listReported(),
+    refusalLimits: servers.refusalLimits.listReported(),
     configurationVersion: routing.newestKnownVersion,
   };
 }
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -12,7 +12,7 @@
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { FeedChange, FeedItem } from '../../ports/mod.js';
 import type { FeedContext, SnapshotContext } from './feed_update.js';
-import { BrittleServices } from './_brittle_services.js';
+import { RefusalLimits } from './_refusal_limits.js';
 import { CandidateCache } from './_candidate_cache.js';
 import { EndedIncarnations } from './_ended_incarnations.js';
 import { logEntryChange } from './_entry_log.js';
@@ -44,7 +44,7 @@
   readonly rateLimits: RateLimitTracker;
 
   /** Services whose servers bear few refusals. */
-  readonly brittleServices: BrittleServices;
+  readonly refusalLimits: RefusalLimits;
 
   readonly #endedIncarnations = new EndedIncarnations();
 
@@ -64,7 +64,7 @@
     this.rateLimits = new RateLimitTracker(options);
     this.rateLimits.onChange(() => this.#notifyChange());
     const listServers = this.#listActive.bind(this);
-    this.brittleServices = new BrittleServices({ ...options, listServers });
+    this.refusalLimits = new RefusalLimits({ ...options, listServers });
     this.loads = new ServerLoads({
       clock: options.clock,
       peers: this.peers,
@@ -160,7 +160,7 @@
     Object.entries(stats?.rateLimits ?? {}).forEach(([id, reported]) => {
       if (this.findEntry(id)) this.rateLimits.applyReported(id, reported, source);
     });
-    this.brittleServices.applyReported(stats?.brittleServices ?? {}, source);
+    this.refusalLimits.applyReported(stats?.refusalLimits ?? {}, source);
   }
 
   /** @param evidence - an answer that tells the rate limit of its server */
@@ -168,7 +168,7 @@
     const entry = this.findEntry(evidence.incarnationId);
     if (!entry) return;
     this.rateLimits.recordAnswer(evidence);
-    this.brittleServices.recordAnswer(entry.serviceId, evidence.notice);
+    this.refusalLimits.recordAnswer(entry.serviceId, evidence.notice);
   }
 
   /** @param id - a server incarnation whose address has answered as another one */
@@ -186,7 +186,7 @@
     const load = this.loads.getOrCreate(entry.id);
     this.#warmups.updatePace(entry, load);
     this.rateLimits.updatePace(entry.id, load);
-    this.brittleServices.updatePace(entry, load);
+    this.refusalLimits.updatePace(entry, load);
     return load;
   }
 
--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -47,7 +47,7 @@
   metrics.set('zones_closed', storeView.places.closedCount);
   metrics.set('backend_servers_cold', storeView.servers.coldCount);
   metrics.set('backend_servers_limited', storeView.servers.rateLimits.listLimitedIds().length);
-  metrics.set('services_brittle', storeView.servers.brittleServices.count);
+  metrics.set('services_refusals_limited', storeView.servers.refusalLimits.count);
   metrics.set('requests_held', crashes.quarantinedCount);
   metrics.set('backend_servers_cut', paths.cutCount);
   metrics.set('backend_servers_all_cut', paths.isCutOff ? 1 : 0);
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -15,7 +15,7 @@
 }
 
 /** Limit on refusals that the servers of a service name. */
-export interface ReportedBrittleness {
+export interface ReportedRefusalLimit {
   /** Refusals a second that each server bears. */
   readonly declinesPerSecond: number;
   /** Age of the answer that last named it, in milliseconds. */
@@ -51,7 +51,7 @@
   /** Rate limits that backend servers name, and recent ends of such limits, by backend server. */
   readonly rateLimits: Readonly<Record<string, ReportedRateLimit>>;
   /** Services whose servers bear few refusals, by service. */
-  readonly brittleServices: Readonly<Record<string, ReportedBrittleness>>;
+  readonly refusalLimits: Readonly<Record<string, ReportedRefusalLimit>>;
   /** Newest configuration version that the sender or a host it has heard of had in effect. */
   readonly configurationVersion: number;
   /** Roster entries that changed since the revision that the receiver is known to have. */
--- a/test/support/brittle_fleet.ts
+++ b/test/support/refusal_fleet.ts
@@ -15,8 +15,8 @@
 
 const MS_PER_SECOND = 1_000;
 
-/** Options of a {@link BrittleFleet}. */
-export interface BrittleFleetOptions extends DirectFleetOptions {
+/** Options of a {@link RefusalFleet}. */
+export interface RefusalFleetOptions extends DirectFleetOptions {
   /** Refusals a second that each server bears, and names in its answers. */
   readonly declinesPerSecond: number;
   /** Average duration of a request, in milliseconds. */
@@ -30,7 +30,7 @@
 }
 
 /** Entry hosts and servers that run as many requests as they have slots and keep none waiting. */
-export class BrittleFleet extends DirectFleet {
+export class RefusalFleet extends DirectFleet {
   readonly refusals: Refusal[] = [];
 
   /** Whether the servers name their limit in their answers. */
@@ -38,12 +38,12 @@
 
   readonly #running = new Map<string, number>();
 
-  readonly #options: BrittleFleetOptions;
+  readonly #options: RefusalFleetOptions;
 
   /** Slot time that was used since the last reset, in milliseconds. */
   #usedMs = 0;
 
-  constructor(t: Test, options: BrittleFleetOptions) {
+  constructor(t: Test, options: RefusalFleetOptions) {
     super(t, options);
     this.#options = options;
   }
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -17,7 +17,7 @@
   avoidedBy: {},
   endedServers: [],
   rateLimits: {},
-  brittleServices: {},
+  refusalLimits: {},
   hostCount: 1,
 };
 
