--- a/src/commands/_direct_addresses.ts
+++ b/src/commands/_direct_addresses.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import { pickAddresses, pickNearbyHosts } from '../domain/overlay/mod.js';
-import type { HostState } from '../domain/overlay/mod.js';
+import { pickAddresses, pickNearbyHosts, pickReachingHosts } from '../domain/overlay/mod.js';
 import type { GaugeSources } from './_direct_gauges.js';
 
 /** Request of a caller for the addresses of entry hosts to use. */
@@ -30,19 +29,10 @@
 ): readonly string[] {
   const hosts = reports.listHeard().filter((host) => host.isServing);
   const serving = isServing ? [...hosts, reports.self] : hosts;
-  const nearbyHosts = pickNearbyHosts(filterReaching(serving), {
+  const nearbyHosts = pickNearbyHosts(pickReachingHosts(serving), {
     callerRegion: query.region,
     homeRegions: storeView.routing.table?.findAllowedRegions(query.hostName),
     findRegion: (zone) => storeView.findRegion(zone),
   });
   return pickAddresses(nearbyHosts, query.address);
 }
-
-/**
- * Leaves out hosts that have lost their links to the backend servers: their calls go through
- * peers. If most hosts have, all stay, as the others could not take all callers.
- */
-function filterReaching(hosts: readonly HostState[]): readonly HostState[] {
-  const reaching = hosts.filter(({ isCutOff }) => !isCutOff);
-  return reaching.length * 2 >= hosts.length ? reaching : hosts;
-}
--- a/src/domain/overlay/mod.ts
+++ b/src/domain/overlay/mod.ts
@@ -5,7 +5,12 @@
  *
  * @module
  */
-export { MAX_ADDRESSES, pickAddresses, pickNearbyHosts } from './pick_addresses.js';
+export {
+  MAX_ADDRESSES,
+  pickAddresses,
+  pickNearbyHosts,
+  pickReachingHosts,
+} from './pick_addresses.js';
 export { MAX_MESH_HOSTS, pickRelays, rankRelays } from './relay_plan.js';
 export type { PlannedHost } from './relay_plan.js';
 export { Roster, PEER_TIMEOUT_MS } from './roster.js';
--- a/src/domain/overlay/pick_addresses.ts
+++ b/src/domain/overlay/pick_addresses.ts
@@ -6,6 +6,7 @@
 import { pickByWeight } from '../membership/mod.js';
 import type { AllowedRegions } from '../places/mod.js';
 import type { PlannedHost } from './relay_plan.js';
+import type { HostState } from './types.js';
 
 /**
  * Maximum number of addresses per caller. It is high enough that some of them still serve when
@@ -59,3 +60,15 @@
   const inHomeRegions = listInRegions(homeRegions ?? []);
   return inHomeRegions.length > 0 ? inHomeRegions : hosts;
 }
+
+/**
+ * Leaves out hosts that have lost their links to the backend servers: their calls go through
+ * peers. If most hosts have, all stay, as the others could not take all callers.
+ *
+ * @param hosts - entry hosts that serve callers
+ * @returns the hosts
+ */
+export function pickReachingHosts(hosts: readonly HostState[]): readonly HostState[] {
+  const reaching = hosts.filter(({ isCutOff }) => !isCutOff);
+  return reaching.length * 2 >= hosts.length ? reaching : hosts;
+}
--- a/src/domain/overlay/pick_addresses_test.ts
+++ b/src/domain/overlay/pick_addresses_test.ts
@@ -1,7 +1,7 @@
 import t from 'tap';
 import { buildIdentity } from '../../../test/support/fake_peer_network.js';
-import { pickNearbyHosts } from './mod.js';
-import type { PlannedHost } from './mod.js';
+import { pickNearbyHosts, pickReachingHosts } from './mod.js';
+import type { HostState, PlannedHost } from './mod.js';
 
 const ZONE_REGIONS: Readonly<Record<string, string>> = { 'north-a': 'north', 'south-a': 'south' };
 
@@ -37,3 +37,23 @@
   t.same(pick([NORTH, SOUTH], '', undefined), [NORTH, SOUTH]);
   t.same(pick([NORTH], 'west', ['east']), [NORTH]);
 });
+
+t.test('pickReachingHosts() leaves out hosts that are cut off, unless most are', async (t) => {
+  // Guards against callers of a whole fleet that are sent to the few hosts with links left.
+  const buildState = (id: string, isCutOff: boolean): HostState => ({
+    ...buildHost(id, 'north-a'),
+    bornAtMs: 0,
+    version: 1,
+    isServing: true,
+    isInTouch: true,
+    isCutOff,
+    isLeaving: false,
+  });
+  const pickIds = (cutOff: readonly boolean[]): string[] =>
+    pickReachingHosts(cutOff.map((isCutOff, index) => buildState(`h-${index}`, isCutOff))).map(
+      ({ identity }) => identity.id,
+    );
+  t.same(pickIds([true, false, false]), ['h-1', 'h-2']);
+  t.same(pickIds([true, false]), ['h-1']);
+  t.same(pickIds([true, true, false]), ['h-0', 'h-1', 'h-2']);
+});
