End npm test at once where no test file matches its filter

With a filter that no path has, tap was started without files and looked for tests by itself: compiled and uncompiled ones, which printed '218 passed, 24 failed' for 'npm test -- known'. It says so now, and exits with 1.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -90,6 +90,11 @@
 if (existsSync('scripts/build.mjs')) runStep('node', ['scripts/build.mjs']);
 const filter = process.argv[2];
 const files = listTests().filter((name) => !filter || name.includes(filter));
+if (files.length === 0) {
+  // Without a file, tap would look for tests by itself.
+  process.stdout.write(`no test file has "${filter}" in its path\n0 passed, 0 failed\n`);
+  process.exit(1);
+}
 const exitCode = await runTap(files);
 
 const isKnown = (name) => knownRed.some((line) => line.startsWith(`${name},`));
