Ask no peer of an earlier version for requests or probes

An entry host closes the link to a peer that sends a message of an unknown type. While versions are mixed, each failed connection to a server would have made a new host ask old ones by such a message, and links would have gone down again and again. Hosts of earlier versions name no isCutOff in their state, and only hosts that name it are asked now. 'a peer of a version without requests through peers is asked for none' fails without it.

--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -34,7 +34,7 @@
     isServing: z.boolean(),
     isInTouch: z.boolean(),
     // Entries of earlier versions lack it.
-    isCutOff: z.boolean().default(false),
+    isCutOff: z.boolean().optional(),
     isLeaving: z.boolean(),
   }),
   isHeard: z.boolean(),
--- a/src/domain/overlay/types.ts
+++ b/src/domain/overlay/types.ts
@@ -28,8 +28,11 @@
   readonly isServing: boolean;
   /** Whether its reads of the shared store succeed. */
   readonly isInTouch: boolean;
-  /** Whether it has lost its links to the backend servers, and sends requests through peers. */
-  readonly isCutOff: boolean;
+  /**
+   * Whether it has lost its links to the backend servers, and sends requests through peers;
+   * undefined in a version that knows no requests through peers, and would drop the link for one.
+   */
+  readonly isCutOff?: boolean | undefined;
   /** Whether it is about to stop. */
   readonly isLeaving: boolean;
 }
--- a/src/domain/paths/may_proxy.ts
+++ b/src/domain/paths/may_proxy.ts
@@ -10,5 +10,5 @@
  * @returns whether it may send requests to backend servers for its peers
  */
 export function mayProxy({ isServing, isCutOff, isLeaving }: HostState): boolean {
-  return isServing && !isCutOff && !isLeaving;
+  return isServing && isCutOff === false && !isLeaving;
 }
--- a/src/domain/paths/server_paths_test.ts
+++ b/src/domain/paths/server_paths_test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
-import { ServerPaths, UrgencyGate } from './mod.js';
+import { buildIdentity } from '../../../test/support/fake_peer_network.js';
+import { mayProxy, ServerPaths, UrgencyGate } from './mod.js';
 
 t.test('a host is cut off once peers reach two servers that it does not', async (t) => {
   const paths = new ServerPaths();
@@ -75,3 +76,19 @@
   t.equal(gate.runningCount, 1);
   t.equal(gate.waitingCount, 0);
 });
+
+t.test('a peer of a version without requests through peers is asked for none', async (t) => {
+  // Guards against links that such a peer drops, again and again, for a message it does not know.
+  const state = {
+    identity: buildIdentity('h-1'),
+    bornAtMs: 0,
+    version: 1,
+    cores: 1,
+    isServing: true,
+    isInTouch: true,
+    isLeaving: false,
+  };
+  t.notOk(mayProxy(state));
+  t.ok(mayProxy({ ...state, isCutOff: false }));
+  t.notOk(mayProxy({ ...state, isCutOff: true }));
+});
