--- a/src/application/direct/cut_off_hosts_test.ts
+++ b/src/application/direct/cut_off_hosts_test.ts
@@ -5,6 +5,7 @@
  */
 import t from 'tap';
 import type { FakeExchange } from '../../../test/support/direct_ends.js';
+import { buildServer } from '../../../test/support/direct_host.js';
 import type { DirectHost } from '../../../test/support/direct_host.js';
 import {
   compareServed,
@@ -23,6 +24,9 @@
 
 const CUT_MS = 9_000;
 
+/** Hosts that are called while others end or freeze. */
+const CALLED = ['h-1', 'h-2', 'h-3', 'h-7'];
+
 /** Tells exchanges that are in flight at a server. */
 function isInFlight(fleet: CutFleet): (exchange: FakeExchange) => boolean {
   return (exchange) => fleet.isOpen(exchange);
@@ -218,3 +222,43 @@
   const refused = fleet.replies.flatMap(({ error }) => error ?? []);
   t.ok(refused.length > 0);
 });
+
+t.test('peers that end and freeze leave the callers of cut-off hosts served', async (t) => {
+  // Guards against requests that are handed to peers that can no longer send them.
+  const fleet = new CutFleet(t, { hosts: 7, servers: 9, route: ROUTE, seed: 12 });
+  await fleet.start();
+  fleet.cut(['h-2', 'h-3'], CutMode.Hang);
+  const fromMs = fleet.clock.nowMs() + GRACE_MS;
+  const ids = fleet.hosts.map(({ peers }) => peers.identity.id);
+  await fleet.run({ callsPerSecond: 80, durationMs: GRACE_MS });
+  for (const frozenId of ['h-4', 'h-5']) {
+    ids.filter((id) => id !== frozenId).forEach((id) => fleet.hub.silence(frozenId, id));
+    await fleet.run({ callsPerSecond: 80, durationMs: 2_000, hosts: fleet.listHosts(CALLED) });
+    fleet.hub.healAll();
+    await fleet.run({ callsPerSecond: 80, durationMs: 1_000, hosts: fleet.listHosts(CALLED) });
+  }
+  await fleet.removeHost(fleet.listHosts(['h-6'])[0] as DirectHost);
+  await fleet.run({ callsPerSecond: 80, durationMs: 2_000, hosts: fleet.listHosts(CALLED) });
+  await fleet.clock.advance(ROUTE.timeoutMs);
+  const { served, sent } = fleet.measureServed(['h-2', 'h-3'], fromMs);
+  t.ok(served / sent >= MIN_SERVED_FRACTION, `${served} of ${sent}`);
+  t.equal(listUnanswered(fleet.calls).length, 0);
+  t.equal(fleet.countRepeatedRuns(), 0);
+});
+
+t.test('a server that leaves gets nothing from cut-off hosts or their peers', async (t) => {
+  // Guards against requests that reach a leaving server by way of a host that was not asked.
+  const fleet = new CutFleet(t, { hosts: 5, servers: 4, route: ROUTE, seed: 13 });
+  await fleet.start();
+  fleet.cut(['h-2'], CutMode.Reset);
+  await fleet.run({ callsPerSecond: 80, durationMs: 2_000 });
+  fleet.hosts.forEach(({ feed }) =>
+    feed.put('servers/s-1', buildServer('s-1', { isLeaving: true })),
+  );
+  await fleet.run({ callsPerSecond: 80, durationMs: 500 });
+  const toldAtMs = fleet.clock.nowMs();
+  await fleet.run({ callsPerSecond: 80, durationMs: 2_000 });
+  const late = fleet.runs.filter(({ serverId, atMs }) => serverId === 's-1' && atMs >= toldAtMs);
+  t.equal(late.length, 0);
+  t.ok(fleet.runs.some(({ atMs, senderId }) => atMs >= toldAtMs && senderId !== 'h-2'));
+});
