Log a host's own slots, and the limit on refusals, with the decisions that used them

Calls at servers that bear few refusals were dispatched or refused by values that no line told: the slots of a server that belong to the host (ownSlots), and the limit that was in force when a call found no room (declinesPerSecond).

--- a/src/application/direct/_call_rejection.ts
+++ b/src/application/direct/_call_rejection.ts
@@ -7,6 +7,7 @@
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { isAllowedRegion } from '../../domain/places/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
+import type { LogFields } from '../../ports/mod.js';
 import type { DirectCallOptions } from './direct_call_options.js';
 import type { ServerRegistry } from './server_registry.js';
 
@@ -40,19 +41,25 @@
   return candidates.length === 0 || isAllowed ? undefined : ErrorKind.RegionUnavailable;
 }
 
+/** A refusal, and the values that it used, for the log. */
+export interface ShedRefusal {
+  readonly error: SchedulerError;
+  readonly fields: LogFields;
+}
+
 /**
  * Builds the refusal of a call that can't be started in time.
  *
  * @param options - the call's route, service and dependencies
  * @param call - state of the call
  * @param estimatedWaitMs - estimated wait for a slot, in milliseconds
- * @returns the error, with the time after which the caller should come back
+ * @returns the refusal, with the time after which the caller should come back
  */
-export function buildShedError(
+export function buildShedRefusal(
   { services, serviceId, route }: DirectCallOptions,
   { arrivedAtMs, deadlineAtMs, isLate, regions }: ShedCall,
   estimatedWaitMs: number,
-): SchedulerError {
+): ShedRefusal {
   const nowMs = services.clock.nowMs();
   const targetEndsAtMs = isLate ? nowMs : arrivedAtMs + route.targetMs * WAIT_FRACTION;
   const retryAfterMs = computeDirectRetryAfterMs({
@@ -62,5 +69,9 @@
     randomFraction: services.random.nextFraction(),
   });
   const kind = findRejection(services.servers, serviceId, regions) ?? ErrorKind.QueueFull;
-  return new SchedulerError(kind, { retryAfterMs });
+  const declinesPerSecond = services.servers.refusalLimits.find(serviceId);
+  return {
+    error: new SchedulerError(kind, { retryAfterMs }),
+    fields: { clearMs: estimatedWaitMs, declinesPerSecond },
+  };
 }
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -19,7 +19,7 @@
 import { PermitKind } from '../crashes/mod.js';
 import type { Permit } from '../crashes/mod.js';
 import { buildBackendRequest } from './_backend_request.js';
-import { buildShedError, findRejection } from './_call_rejection.js';
+import { buildShedRefusal, findRejection } from './_call_rejection.js';
 import { CallRecorder, buildAnswerFields } from './_call_recorder.js';
 import { CallRetries } from './_call_retries.js';
 import { AttemptBudget } from './_attempt_budget.js';
@@ -146,6 +146,7 @@
       promptTokens: this.work.promptTokens,
       expectedTokens: Math.round(this.expectedTokens),
       requestsPerSecond: services.servers.rateLimits.find(id),
+      ...load.pace.slots.describe(),
     });
     this.#attempt = new DirectAttempt({
       services,
@@ -188,7 +189,8 @@
   }
 
   shed(estimatedWaitMs: number): void {
-    this.fail(buildShedError(this.#options, this, estimatedWaitMs), { clearMs: estimatedWaitMs });
+    const { error, fields } = buildShedRefusal(this.#options, this, estimatedWaitMs);
+    this.fail(error, fields);
   }
 
   /**
@@ -197,7 +199,7 @@
    * @param error - error to answer with; once the answer has begun, it is aborted instead
    * @param details - values that the decision used, for the log
    */
-  fail(error: SchedulerError, details: Readonly<Record<string, number | string>> = {}): void {
+  fail(error: SchedulerError, details: LogFields = {}): void {
     if (this.#hasEnded) return;
     const reportedError =
       this.mayHaveRun && error.status === 503
--- a/src/domain/places/slot_pacer.ts
+++ b/src/domain/places/slot_pacer.ts
@@ -51,6 +51,11 @@
     this.#quota = quota;
   }
 
+  /** @returns what this host may send, for the log; empty if the server sets no such limit */
+  describe(): { readonly ownSlots?: number } {
+    return this.#quota ? { ownSlots: this.#quota.slots } : {};
+  }
+
   /** Whether this host may use only its own part of the slots. */
   get isPaced(): boolean {
     return this.#quota !== undefined;
