Log how the end of each answer was marked, and whether it came inside an event

What callers saw: answers that their server had broken off arrived as if they were complete.

The logs can't tell an answer whose end nothing marks from one that its server marks as complete, so that the hypotheses of the timeline can't be told apart. call_answered now has isFramed and isInsideEvent, and answers_ended_total counts both. Decisions are unchanged.

--- a/src/application/direct/_answer_relay.ts
+++ b/src/application/direct/_answer_relay.ts
@@ -23,6 +23,9 @@
   /** @param bytes - the next bytes that the backend server sent */
   abstract write(bytes: Buffer): void;
 
+  /** Whether the bytes so far end inside an event of a stream. */
+  abstract readonly isInsideEvent: boolean;
+
   /** Completes the answer. Called when the backend server's answer is complete. */
   abstract end(): void;
 }
@@ -44,6 +47,8 @@
 
   readonly lastEventId = undefined;
 
+  readonly isInsideEvent = false;
+
   /** @param head - status and headers of the answer. @param reply - the reply to the caller */
   constructor(head: BackendHead, reply: DirectReply) {
     super();
@@ -116,6 +121,10 @@
     return this.#lastEventId;
   }
 
+  override get isInsideEvent(): boolean {
+    return this.#splitter.isInsideEvent;
+  }
+
   /** Number of complete events received from all backend servers. */
   get eventCount(): number {
     return this.#eventCount;
--- a/src/application/direct/_attempt_result.ts
+++ b/src/application/direct/_attempt_result.ts
@@ -14,6 +14,8 @@
   readonly isComplete: boolean;
   /** Whether the answer marked its own end; if not, a crash looks like the end of the answer. */
   readonly isFramed: boolean;
+  /** Whether the answer ended inside an event of a stream. */
+  readonly isInsideEvent: boolean;
   readonly reason: string;
   readonly status: number;
   /** Time from the start to the first byte, in milliseconds; 0 when no byte arrived. */
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -62,6 +62,18 @@
     this.#options.services.metrics.count('attempts_failed_total', { failure: String(failure) });
   }
 
+  /**
+   * Records how an answer ended that its caller received.
+   *
+   * @param result - result of the attempt
+   */
+  recordAnswerEnd({ isFramed, isInsideEvent }: DirectAttemptResult): void {
+    this.#options.services.metrics.count('answers_ended_total', {
+      framed: String(isFramed),
+      insideEvent: String(isInsideEvent),
+    });
+  }
+
   /**
    * Records whether the retry budget of a service grants the call another attempt.
    *
@@ -118,6 +130,8 @@
     firstByteMs: Math.round(result.firstByteMs),
     predictedFirstByteMs: Math.round(result.predictedFirstByteMs),
     outputTokens: result.outputTokens,
+    isFramed: result.isFramed,
+    isInsideEvent: result.isInsideEvent,
     longestPauseMs: result.stream && Math.round(result.stream.longestPauseMs),
   };
 }
--- a/src/application/direct/_call_rejection.ts
+++ b/src/application/direct/_call_rejection.ts
@@ -75,3 +75,16 @@
     fields: { clearMs: estimatedWaitMs, declinesPerSecond },
   };
 }
+
+/**
+ * Corrects an error that would tell the caller that its request did not run.
+ *
+ * @param error - why the call ends
+ * @param mayHaveRun - whether a backend server may have run the request
+ * @returns the error to report
+ */
+export function correctRefusal(error: SchedulerError, mayHaveRun: boolean): SchedulerError {
+  return mayHaveRun && error.status === 503
+    ? new SchedulerError(ErrorKind.BackendServerLost)
+    : error;
+}
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -249,6 +249,7 @@
       failure,
       isComplete: failure === undefined || outcome === ServerOutcome.ServerError,
       isFramed: this.#isFramed,
+      isInsideEvent: this.#relay?.isInsideEvent === true,
       reason,
       status: this.#status,
       firstByteMs: this.#firstByteMs,
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -19,7 +19,7 @@
 import { PermitKind } from '../crashes/mod.js';
 import type { Permit } from '../crashes/mod.js';
 import { buildBackendRequest } from './_backend_request.js';
-import { buildShedRefusal, findRejection } from './_call_rejection.js';
+import { buildShedRefusal, correctRefusal, findRejection } from './_call_rejection.js';
 import { CallRecorder, buildAnswerFields } from './_call_recorder.js';
 import { CallRetries } from './_call_retries.js';
 import { AttemptBudget } from './_attempt_budget.js';
@@ -201,10 +201,7 @@
    */
   fail(error: SchedulerError, details: LogFields = {}): void {
     if (this.#hasEnded) return;
-    const reportedError =
-      this.mayHaveRun && error.status === 503
-        ? new SchedulerError(ErrorKind.BackendServerLost)
-        : error;
+    const reportedError = correctRefusal(error, this.mayHaveRun);
     const { hasStarted } = this.#options.reply;
     if (hasStarted) this.#options.reply.abort();
     else this.#options.reply.sendError(reportedError);
@@ -242,6 +239,7 @@
     if (result.failure === undefined) {
       if (result.outputTokens > 0 && this.#attempts.count === 1)
         this.#options.outputEstimator.learn(this.work, result.outputTokens);
+      this.#recorder.recordAnswerEnd(result);
       this.#end('call_answered', buildAnswerFields(serverId, result));
     } else {
       this.#recorder.recordAttemptFailure(serverId, this.#attempts.count, result);
--- a/src/domain/streams/event_splitter.ts
+++ b/src/domain/streams/event_splitter.ts
@@ -10,6 +10,9 @@
 /** Maximum bytes of one event; engines send no longer ones. */
 const MAX_EVENT_BYTES = 1_048_576;
 
+/** Empty lines and comments, which belong to no event. */
+const NO_EVENT_LINES = /^(?:\r|\n|:[^\r\n]*[\r\n])*$/;
+
 const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/;
 
 /** Events that a chunk has completed. */
@@ -37,6 +40,11 @@
     return this.#rest;
   }
 
+  /** Whether the bytes so far end inside an event. */
+  get isInsideEvent(): boolean {
+    return !NO_EVENT_LINES.test(this.#rest.toString('latin1'));
+  }
+
   /**
    * Appends the next chunk of the stream.
    *
--- a/test/support/direct_documents.ts
+++ b/test/support/direct_documents.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { StoreLayout } from '../../src/application/direct/mod.js';
 import type { BackendServerEntry } from '../../src/domain/backend_servers/mod.js';
 import type {
   AccountLimit,
@@ -12,6 +13,18 @@
   ServiceWarmup,
 } from '../../src/domain/routing/mod.js';
 
+/** Prefix of the keys that close an availability zone in tests. */
+export const CLOSED_ZONES_PREFIX = 'closed/';
+
+/** Where the test's store holds what, as JSON. */
+export const TEST_LAYOUT: StoreLayout = {
+  configurationKey: 'configuration',
+  serversPrefix: 'servers/',
+  closedZonesPrefix: CLOSED_ZONES_PREFIX,
+  decodeConfiguration: (value) => JSON.parse(Buffer.from(value).toString()) as RoutingDocument,
+  decodeServer: (_key, value) => JSON.parse(Buffer.from(value).toString()) as BackendServerEntry,
+};
+
 /** Overrides for {@link buildDocument}. */
 export interface DocumentChanges {
   readonly keys?: readonly string[];
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -13,16 +13,14 @@
   HostReports,
   StoreView,
 } from '../../src/application/direct/mod.js';
-import type { RoutingView, ServerRegistry, StoreLayout } from '../../src/application/direct/mod.js';
+import type { RoutingView, ServerRegistry } from '../../src/application/direct/mod.js';
 import { HostPaths } from '../../src/application/paths/mod.js';
 import { CrashQuarantine, MeshCrashPaths } from '../../src/application/crashes/mod.js';
-import type { BackendServerEntry } from '../../src/domain/backend_servers/mod.js';
 import type { EntryHostIdentity } from '../../src/domain/membership/mod.js';
 import { ServerPaths } from '../../src/domain/paths/mod.js';
-import type { RoutingDocument } from '../../src/domain/routing/mod.js';
 import type { HostState } from '../../src/domain/overlay/mod.js';
-import type { DirectRequest } from '../../src/ports/mod.js';
-import { buildDocument, buildServer } from './direct_documents.js';
+import type { DirectBackendClient, DirectRequest } from '../../src/ports/mod.js';
+import { buildDocument, buildServer, TEST_LAYOUT } from './direct_documents.js';
 import type { DocumentChanges } from './direct_documents.js';
 import { FakeBackend, FakeProbe, FakeReply } from './direct_ends.js';
 import type { FakeExchange } from './direct_ends.js';
@@ -31,27 +29,16 @@
 import { FakeLog, FakeMetrics, SeededRandom } from './fakes.js';
 import { settle, VirtualClock } from './virtual_clock.js';
 
-export { buildDocument, buildServer } from './direct_documents.js';
+export { buildDocument, buildServer, CLOSED_ZONES_PREFIX } from './direct_documents.js';
 export type { DocumentChanges } from './direct_documents.js';
 
 /** Region of each availability zone in tests. */
 export const TEST_ZONE_REGIONS = { 'hall-a': 'north', 'hall-b': 'north', 'far-a': 'south' };
 
-/** Prefix of the keys that close an availability zone in tests. */
-export const CLOSED_ZONES_PREFIX = 'closed/';
-
 const NO_HOSTS: readonly HostState[] = [];
 
 const TEST_STATE = { isServing: true, isInTouch: true, isLeaving: false };
 
-const TEST_LAYOUT: StoreLayout = {
-  configurationKey: 'configuration',
-  serversPrefix: 'servers/',
-  closedZonesPrefix: CLOSED_ZONES_PREFIX,
-  decodeConfiguration: (value) => JSON.parse(Buffer.from(value).toString()) as RoutingDocument,
-  decodeServer: (_key, value) => JSON.parse(Buffer.from(value).toString()) as BackendServerEntry,
-};
-
 /** Age up to which an API key from the store is accepted in tests, in milliseconds. */
 export const MAX_KEY_AGE_MS = 4_000;
 
@@ -68,6 +55,8 @@
   readonly seeds?: readonly string[];
   /** Whether the host sends requests through peers where its own links are cut. Default: true. */
   readonly usesPeers?: boolean | undefined;
+  /** Sends requests over this host's own links. Default: the fake backend of the host. */
+  readonly client?: DirectBackendClient;
 }
 
 /** Paths of crash notes in a full mesh; the incarnation of a server is the ID of its crash. */
@@ -151,7 +140,7 @@
       peers: this.peers,
       availabilityZone: identity.availabilityZone,
       probe: this.probe,
-      backend: this.backend,
+      backend: options.client ?? this.backend,
       paths: this.paths,
       listHeard: () => (options.usesPeers !== false && this.reports?.listHeard()) || NO_HOSTS,
       mayReceive: (id) => !this.servers.findEntry(id) || this.servers.isUsable(id),
