--- a/test/faults/lost_server_links_test.ts
+++ b/test/faults/lost_server_links_test.ts
@@ -18,7 +18,6 @@
 import { SystemRandom } from '../../src/adapters/random/mod.js';
 import { TcpServerProbe } from '../../src/adapters/server_probe/mod.js';
 import { HostPaths } from '../../src/application/paths/mod.js';
-import type { HostState } from '../../src/domain/overlay/mod.js';
 import { ServerPaths } from '../../src/domain/paths/mod.js';
 import { BackendFailure, DirectBackendClient, RateLimitKind } from '../../src/ports/mod.js';
 import type {
@@ -28,6 +27,7 @@
   ServerProbe,
 } from '../../src/ports/mod.js';
 import { FakeLog, FakeMetrics } from '../support/fakes.js';
+import { buildState } from '../support/host_states.js';
 import { FakeProbe } from '../support/direct_ends.js';
 import { Reachability } from '../../src/ports/server_probe.js';
 
@@ -121,19 +121,6 @@
   return { network, paths, hostPaths };
 }
 
-function buildState(identity: HostState['identity']): HostState {
-  return {
-    identity,
-    bornAtMs: 0,
-    version: 1,
-    cores: 1,
-    isServing: true,
-    isInTouch: true,
-    isCutOff: false,
-    isLeaving: false,
-  };
-}
-
 /** Collects what a listener is told until the exchange ends. */
 function collectEvents(
   send: (listener: BackendListener) => void,
--- a/test/support/owner_hosts.ts
+++ b/test/support/owner_hosts.ts
@@ -27,6 +27,7 @@
 import { PeerState } from '../../src/domain/membership/types.js';
 import type { EntryHostIdentity, EntryHostView } from '../../src/domain/membership/types.js';
 import { Tier } from '../../src/domain/scheduling/mod.js';
+import type { BackendServerClient } from '../../src/ports/mod.js';
 import { FakeProbe } from './direct_ends.js';
 import { FakeBackendClient } from './fake_backend.js';
 import type { FakeBackend } from './fake_backend.js';
@@ -198,7 +199,7 @@
       peers: this.network,
       configuration: new FixedConfiguration(),
       membership: new FixedMembership(identity, world.hosts, world.clock, this.gate),
-      backend: new FakeBackendClient(world.backend, this.gate),
+      backend: world.client ?? new FakeBackendClient(world.backend, this.gate),
       allowances: { admit: () => ({ release: () => undefined }) },
       slots: { acquire: (slotRequest: SlotRequest) => grantSlot(clock, slotRequest) },
     };
@@ -262,6 +263,8 @@
   readonly clock: VirtualClock;
   readonly hub: FakePeerHub;
   readonly backend: FakeBackend;
+  /** Calls backend servers for all hosts; by default each host has a client of the fake one. */
+  readonly client?: BackendServerClient;
   /** Probe of backend servers; by default every address accepts connections. */
   readonly probe?: FakeProbe;
   /** All incarnations that were started, oldest first. */
