Claim no more of an answer's end than its server did

Cause: an answer with neither a length nor chunks ends with its connection, and a server that closes the connection anywhere looks the same. The relay sent what it had of the last event and a last chunk, or a length of its own. Its class: an end that is inferred is passed on as one that was stated. On the own interface a reset was taken for an end too.

The change: classifyAnswerEnd() decides about every end without a reset, on both paths: marked, unmarked, or broken off (inside an event; without a mark where one was promised; before any byte). The framing of an answer goes with its head to callers, peers and kept answers. An unmarked answer ends with the caller's connection, one that is broken off resets it. A coding other than chunked marks nothing; HEAD, 204 and 304 need no mark. Streams of CR lines are split too. call_answered and answers_ended_total tell the end.

Why it holds: a mark is written only where the server that ended the answer marked it and no event was open; every other end is a close without a mark or a reset.

One check of the tests was wrong and is replaced: an unmarked head that another server continues may end whole; it must then be the whole body.

--- a/src/adapters/backend_http/_answer.ts
+++ b/src/adapters/backend_http/_answer.ts
@@ -7,9 +7,7 @@
 import { formatReason } from '../../domain/errors/mod.js';
 import { BackendCallError, BackendCallStage } from '../../ports/mod.js';
 import type { BackendAnswer } from '../../ports/mod.js';
-import { isFramed } from '../http_common/mod.js';
-
-const NO_BODY_STATUSES = new Set([204, 304]);
+import { ConnectionEnd, isFramed } from '../http_common/mod.js';
 
 /** Response header by which a backend server states that it did not run the call. */
 const RUN_OUTCOME_HEADER = 'run-outcome';
@@ -18,17 +16,25 @@
  * Converts an HTTP response to an answer of the port.
  *
  * @param message - the response, of which the head has been read
+ * @param method - method of the request
  * @param idleTimeoutMs - longest pause within the body, in milliseconds
  * @returns the answer
  */
-export function toBackendAnswer(message: IncomingMessage, idleTimeoutMs: number): BackendAnswer {
+export function toBackendAnswer(
+  message: IncomingMessage,
+  method: string,
+  idleTimeoutMs: number,
+): BackendAnswer {
   const headers = joinHeaders(message.headers);
+  const { statusCode: status } = message;
+  const isMarked = isFramed({ method, status, headers: message.headers });
+  const connectionEnd = isMarked ? undefined : new ConnectionEnd(message.socket);
   return {
-    status: message.statusCode ?? 0,
+    status: status ?? 0,
     headers,
-    isFramed: isFramed(message.headers),
+    isFramed: isMarked,
     streamId: headers['stream-id'],
-    body: readBody(message, idleTimeoutMs),
+    body: readBody(message, idleTimeoutMs, connectionEnd),
   };
 }
 
@@ -56,11 +62,8 @@
 async function* readBody(
   message: IncomingMessage,
   idleTimeoutMs: number,
+  connectionEnd: ConnectionEnd | undefined,
 ): AsyncGenerator<Uint8Array> {
-  if (NO_BODY_STATUSES.has(message.statusCode ?? 0)) {
-    message.resume();
-    return;
-  }
   message.setTimeout(idleTimeoutMs, () => {
     message.destroy(new Error(`no byte of the body arrived for ${idleTimeoutMs} ms`));
   });
@@ -69,7 +72,8 @@
   } catch (error) {
     throw new BackendCallError(BackendCallStage.Answering, formatReason(error), { cause: error });
   }
-  if (!message.complete) {
+  const wasReset = (await connectionEnd?.wasReset) === true;
+  if (!message.complete || wasReset) {
     throw new BackendCallError(
       BackendCallStage.Answering,
       'the connection closed before the end of the body',
--- a/src/adapters/backend_http/http_backend_server_client.ts
+++ b/src/adapters/backend_http/http_backend_server_client.ts
@@ -74,7 +74,7 @@
         `refused with status ${message.statusCode}`,
       );
     }
-    return toBackendAnswer(message, this.#idleTimeoutMs);
+    return toBackendAnswer(message, call.method, this.#idleTimeoutMs);
   }
 
   override async resume(point: ResumePoint): Promise<BackendAnswer> {
@@ -87,7 +87,7 @@
         `Cannot resume stream ${point.streamId}: status ${message.statusCode}`,
       );
     }
-    return toBackendAnswer(message, this.#idleTimeoutMs);
+    return toBackendAnswer(message, 'GET', this.#idleTimeoutMs);
   }
 
   override async cancel(backendServer: BackendServer, streamId: string): Promise<void> {
--- a/src/adapters/callers_http/_send_answer.ts
+++ b/src/adapters/callers_http/_send_answer.ts
@@ -29,17 +29,19 @@
   const { http } = exchange;
   const isHead = http.request.method === 'HEAD';
   const excluded = isHead ? NO_HEADERS : LENGTH_HEADERS;
-  http.sendHead(answer.status, {
-    ...pickEndToEndHeaders(answer.headers, excluded),
-    'request-id': answer.requestId,
-  });
+  const headers = pickEndToEndHeaders(answer.headers, excluded);
+  http.sendHead(
+    answer.status,
+    { ...headers, 'request-id': answer.requestId },
+    answer.isFramed || isHead,
+  );
   const eventBuffer = isUncompressedEventStream(answer) ? new SseEventBuffer() : undefined;
   try {
     await sendBody(exchange, answer.body, eventBuffer);
   } catch (thrown) {
     const error = toAnswerError(thrown);
     if (eventBuffer) endWithErrorEvent(http, error);
-    else closeIncompleteAnswer(http);
+    else closeIncompleteAnswer(http, answer.isFramed);
     throw error;
   }
 }
@@ -116,11 +118,13 @@
 /**
  * Closes the connection of an answer that broke off. If the response ended normally, its
  * first part would look like a complete answer. In HTTP/1.1 the missing last chunk shows
- * that the answer is incomplete; HTTP/1.0 has no chunks, so only a reset shows it.
+ * that the answer is incomplete; an answer without chunks, as all of HTTP/1.0, shows it only
+ * by a reset.
  */
-function closeIncompleteAnswer(http: HttpExchange): void {
+function closeIncompleteAnswer(http: HttpExchange, isFramed: boolean): void {
   const { socket, httpVersion } = http.request;
-  if (httpVersion === '1.0' && !('encrypted' in socket)) socket.resetAndDestroy();
+  const isMarked = isFramed && httpVersion !== '1.0';
+  if (!isMarked && !('encrypted' in socket)) socket.resetAndDestroy();
   else socket.destroy();
 }
 
--- a/src/adapters/callers_http/_test_fixture.ts
+++ b/src/adapters/callers_http/_test_fixture.ts
@@ -58,6 +58,7 @@
   return {
     requestId: 'id-1',
     status: 200,
+    isFramed: true,
     headers: { ...headers, 'backend-server': 'engine-1', 'stream-id': 's-1' },
     body: createBody(),
   };
--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -6,7 +6,7 @@
 import { request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { isFramed } from '../http_common/mod.js';
+import { ConnectionEnd, isFramed } from '../http_common/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
 import type { BackendExchange, BackendListener, BackendRequest } from '../../ports/mod.js';
 import { BackendAgent } from './_backend_agent.js';
@@ -46,8 +46,8 @@
 
   #isSettled = false;
 
-  /** Resolves with whether an unframed answer ended by a reset; set when its connection ends. */
-  #resetProbe: Promise<boolean> | undefined;
+  /** How the connection of an answer without a mark ends. */
+  #connectionEnd: ConnectionEnd | undefined;
 
   #connectTimer: NodeJS.Timeout | undefined;
 
@@ -117,37 +117,22 @@
     listener.onRateLimit(info.rateLimit, info.isAuthentic);
     this.#recordIdleTimeout(response);
     const excluded = response.headers['transfer-encoding'] ? NO_HEADERS : LENGTH_HEADERS;
+    const { method } = this.#options.request.request;
+    const isMarked = isFramed({ method, status, headers: response.headers });
     listener.onHead({
       status,
       headers: pickRawHeaders(response.rawHeaders, response.headers.connection, excluded),
       isAuthentic: info.isAuthentic,
       isEventStream: response.headers['content-type']?.startsWith('text/event-stream') === true,
-      isFramed: isFramed(response.headers),
+      isFramed: isMarked,
       load: info.load,
     });
     response.on('data', (bytes: Buffer) => {
       if (!this.#isSettled) listener.onBody(bytes);
     });
-    if (!isFramed(response.headers)) this.#watchUnframedEnd();
-    response.on('end', () => this.#handleEnd());
-  }
-
-  /**
-   * An answer without a length is complete if its connection was closed, and incomplete if
-   * it was reset. The event loop reports a reset that arrives together with the last bytes
-   * as a normal end. A write tells the two apart, since it fails on a connection that was
-   * reset. It sends an empty line, which servers ignore before a request; after the end they
-   * read no more anyway. The write must precede Node's closing of its own side, so this
-   * listener is prepended.
-   */
-  #watchUnframedEnd(): void {
     const { socket } = this.#request;
-    if (!socket) return;
-    socket.prependOnceListener('end', () => {
-      this.#resetProbe = new Promise((resolve) => {
-        socket.write('\r\n', (error) => resolve(error instanceof Error));
-      });
-    });
+    if (!isMarked && socket) this.#connectionEnd = new ConnectionEnd(socket);
+    response.on('end', () => this.#handleEnd());
   }
 
   /** Checks that the answer belongs to this request; fails the call otherwise. */
@@ -189,8 +174,8 @@
       this.#fail(BackendFailure.Lost, 'answer broke off');
       return;
     }
-    if (this.#resetProbe) {
-      this.#resetProbe.then(
+    if (this.#connectionEnd) {
+      this.#connectionEnd.wasReset.then(
         (wasReset) => this.#finishUnframed(wasReset),
         () => this.#finishUnframed(true),
       );
--- a/src/adapters/direct_http/_node_reply.ts
+++ b/src/adapters/direct_http/_node_reply.ts
@@ -33,6 +33,9 @@
 
   #hasEnded = false;
 
+  /** Whether the end of the answer is marked for the caller. */
+  #isMarked = true;
+
   #disconnectHandler: (() => void) | undefined;
 
   /** @param options - the response to write to, and its properties */
@@ -57,12 +60,11 @@
     if (this.#isDisconnected) handler();
   }
 
-  override writeHead({ status, headers }: DirectHead): void {
+  override writeHead(head: DirectHead): void {
     const { response } = this.#options;
     if (this.#isDisconnected) return;
-    // The `Date` header, if any, comes from the backend server.
-    response.sendDate = false;
-    response.writeHead(status, this.#buildHeaders(headers));
+    this.#startHead(head);
+    response.writeHead(head.status, this.#buildHeaders(head.headers));
     response.flushHeaders();
   }
 
@@ -79,19 +81,22 @@
     this.#options.response.end();
   }
 
-  override sendAnswer({ status, headers }: DirectHead, body: Buffer): void {
+  override sendAnswer(head: DirectHead, body: Buffer): void {
     const { response } = this.#options;
     if (this.#isDisconnected) return;
     this.#hasEnded = true;
-    response.sendDate = false;
-    const length = ['Content-Length', String(body.length)];
-    response.writeHead(status, this.#buildHeaders([...headers, ...length]));
+    this.#startHead(head);
+    const length = head.isFramed ? ['Content-Length', String(body.length)] : [];
+    response.writeHead(head.status, this.#buildHeaders([...head.headers, ...length]));
     response.end(body);
   }
 
   override abort(): void {
+    const { response } = this.#options;
     this.#hasEnded = true;
-    this.#options.response.destroy();
+    // Without a mark, only a reset differs from the end of the answer.
+    if (response.headersSent && !this.#isMarked) response.socket?.resetAndDestroy();
+    response.destroy();
   }
 
   override sendError(error: SchedulerError): void {
@@ -99,13 +104,28 @@
     const headers = dialect.buildRefusalHeaders(error, requestId);
     const body = Buffer.from(JSON.stringify(buildErrorBody(error)));
     this.sendAnswer(
-      { status: error.status, headers: ['Content-Type', 'application/json', ...headers] },
+      {
+        status: error.status,
+        headers: ['Content-Type', 'application/json', ...headers],
+        isFramed: true,
+      },
       body,
     );
   }
 
+  #startHead({ isFramed }: DirectHead): void {
+    const { response } = this.#options;
+    // The `Date` header, if any, comes from the backend server.
+    response.sendDate = false;
+    // HTTP/1.0 has no chunks.
+    this.#isMarked = isFramed && response.req.httpVersion !== '1.0';
+    if (!isFramed) response.useChunkedEncodingByDefault = false;
+  }
+
   #buildHeaders(headers: readonly string[]): string[] {
-    return this.#options.mustClose() ? [...headers, 'Connection', 'close'] : [...headers];
+    return this.#options.mustClose() || !this.#isMarked
+      ? [...headers, 'Connection', 'close']
+      : [...headers];
   }
 
   #handleClose(): void {
--- a/src/adapters/http_common/http_exchange.ts
+++ b/src/adapters/http_common/http_exchange.ts
@@ -91,12 +91,15 @@
    *
    * @param status - HTTP status code
    * @param headers - headers with lower-case names
+   * @param isFramed - whether the end of the body is marked; otherwise it ends with the connection
    */
-  sendHead(status: number, headers: Readonly<Record<string, string>>): void {
+  sendHead(status: number, headers: Readonly<Record<string, string>>, isFramed = true): void {
     // A caller that got no 100 Continue may send its next request in place of the body, as
     // which it would be read; so the connection is closed.
     const isBodyOpen = this.#options.expectsContinue && !this.#isBodyRequested;
-    if (isBodyOpen || this.#options.mustClose()) this.response.setHeader('connection', 'close');
+    if (!isFramed) this.response.useChunkedEncodingByDefault = false;
+    if (isBodyOpen || !isFramed || this.#options.mustClose())
+      this.response.setHeader('connection', 'close');
     this.response.writeHead(status, headers);
     this.response.flushHeaders();
     drainRequestBody(this.request, this.#options.limits.maxUnauthenticatedBodyBytes);
--- a/src/adapters/http_common/mod.ts
+++ b/src/adapters/http_common/mod.ts
@@ -13,6 +13,7 @@
 export { buildErrorHeaders, toSchedulerError } from './error_answer.js';
 export { HOP_BY_HOP_HEADERS, pickEndToEndHeaders } from './end_to_end_headers.js';
 export { isFramed } from './is_framed.js';
+export { ConnectionEnd } from './connection_end.js';
 export { fetchResponse } from './fetch_response.js';
 export type { FetchedResponse, FetchOptions } from './fetch_response.js';
 export { parseRequestTarget } from './request_target.js';
--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -218,6 +218,7 @@
     callId: count,
     status: count,
     headers,
+    isFramed: z.boolean().optional(),
   }),
   [PeerMessageType.ForwardChunk]: z.object({
     type: z.literal(PeerMessageType.ForwardChunk),
--- a/src/application/direct/_answer_relay.ts
+++ b/src/application/direct/_answer_relay.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { EventSplitter } from '../../domain/streams/mod.js';
+import type { AnswerEndFacts } from '../../domain/streams/mod.js';
 import type { BackendHead, DirectReply } from '../../ports/mod.js';
 
 /**
@@ -26,7 +27,19 @@
   /** Whether the bytes so far end inside an event of a stream. */
   abstract readonly isInsideEvent: boolean;
 
-  /** Completes the answer. Called when the backend server's answer is complete. */
+  /** Whether the caller has a head that promises a mark at the end of the answer. */
+  abstract readonly isMarkPromised: boolean;
+
+  /** Whether the backend server that answers now has sent no byte of a body. */
+  abstract readonly isEmpty: boolean;
+
+  /** @param isFramed - whether the server marked the end. @returns how the answer ended */
+  buildEndFacts(isFramed: boolean): AnswerEndFacts {
+    const { isInsideEvent, isEmpty, isMarkPromised } = this;
+    return { isFramed, isInsideEvent, isEmpty, isMarkPromised };
+  }
+
+  /** Ends the caller's answer, with a mark if its head promised one. */
   abstract end(): void;
 }
 
@@ -60,6 +73,14 @@
     return this.#hasBegun;
   }
 
+  override get isMarkPromised(): boolean {
+    return this.#hasBegun && this.#head.isFramed;
+  }
+
+  override get isEmpty(): boolean {
+    return this.#length === 0;
+  }
+
   override write(bytes: Buffer): void {
     this.#length += bytes.length;
     this.#chunks.push(bytes);
@@ -92,6 +113,8 @@
 
   #lastEventId: string | undefined;
 
+  #isEmpty = true;
+
   #lastEventsAtMs = 0;
 
   #eventCount = 0;
@@ -121,6 +144,14 @@
     return this.#lastEventId;
   }
 
+  override get isMarkPromised(): boolean {
+    return this.#hasBegun && this.#head.isFramed;
+  }
+
+  override get isEmpty(): boolean {
+    return this.#isEmpty;
+  }
+
   override get isInsideEvent(): boolean {
     return this.#splitter.isInsideEvent;
   }
@@ -146,10 +177,12 @@
    */
   restart(): void {
     this.#splitter = new EventSplitter();
+    this.#isEmpty = true;
     this.#lastEventsAtMs = this.#nowMs();
   }
 
   override write(bytes: Buffer): void {
+    this.#isEmpty &&= bytes.length === 0;
     const { bytes: completeEvents, count, lastId } = this.#splitter.split(bytes);
     if (completeEvents.length === 0) return;
     const nowMs = this.#nowMs();
--- a/src/application/direct/_attempt_result.ts
+++ b/src/application/direct/_attempt_result.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { AnswerEnd } from '../../domain/streams/mod.js';
 import type { BackendFailure } from '../../ports/mod.js';
 import type { StreamRelay } from './_answer_relay.js';
 
@@ -14,8 +15,8 @@
   readonly isComplete: boolean;
   /** Whether the answer marked its own end; if not, a crash looks like the end of the answer. */
   readonly isFramed: boolean;
-  /** Whether the answer ended inside an event of a stream. */
-  readonly isInsideEvent: boolean;
+  /** What became of an answer whose connection was not reset; undefined for errors. */
+  readonly answerEnd: AnswerEnd | undefined;
   readonly reason: string;
   readonly status: number;
   /** Time from the start to the first byte, in milliseconds; 0 when no byte arrived. */
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -62,16 +62,9 @@
     this.#options.services.metrics.count('attempts_failed_total', { failure: String(failure) });
   }
 
-  /**
-   * Records how an answer ended that its caller received.
-   *
-   * @param result - result of the attempt
-   */
-  recordAnswerEnd({ isFramed, isInsideEvent }: DirectAttemptResult): void {
-    this.#options.services.metrics.count('answers_ended_total', {
-      framed: String(isFramed),
-      insideEvent: String(isInsideEvent),
-    });
+  /** @param result - result of an attempt, whose answer may have ended */
+  recordAnswerEnd({ answerEnd }: DirectAttemptResult): void {
+    if (answerEnd) this.#options.services.metrics.count('answers_ended_total', { end: answerEnd });
   }
 
   /**
@@ -130,8 +123,7 @@
     firstByteMs: Math.round(result.firstByteMs),
     predictedFirstByteMs: Math.round(result.predictedFirstByteMs),
     outputTokens: result.outputTokens,
-    isFramed: result.isFramed,
-    isInsideEvent: result.isInsideEvent,
+    end: result.answerEnd,
     longestPauseMs: result.stream && Math.round(result.stream.longestPauseMs),
   };
 }
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -6,6 +6,7 @@
 import { ServerOutcome } from '../../domain/backend_servers/mod.js';
 import type { ServerLoad } from '../../domain/backend_servers/mod.js';
 import { formatReason } from '../../domain/errors/mod.js';
+import { AnswerEnd, classifyAnswerEnd, describeBrokenEnd } from '../../domain/streams/mod.js';
 import type { Route } from '../../domain/routing/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
 import type {
@@ -67,6 +68,8 @@
 
   #isFramed = false;
 
+  #answerEnd: AnswerEnd | undefined;
+
   #firstByteMs = 0;
 
   readonly #stallDetector: StallDetector;
@@ -178,10 +181,7 @@
     this.#recordFirstByte();
     const isServerError = this.#status >= 500 || NOT_RUN_STATUSES.has(this.#status);
     if (isServerError && !this.#hasBegun) this.#endWithServerError();
-    else {
-      this.#relay?.end();
-      this.#end(undefined, '');
-    }
+    else this.#endAnswer();
   }
 
   onFailure(failure: BackendFailure, reason: string): void {
@@ -196,6 +196,23 @@
     return this.#relay?.hasBegun === true;
   }
 
+  /** Ends the caller's answer, or fails the attempt if the backend server broke it off. */
+  #endAnswer(): void {
+    const relay = this.#relay;
+    if (!relay) return;
+    const facts = relay.buildEndFacts(this.#isFramed);
+    this.#answerEnd = classifyAnswerEnd(facts);
+    if (this.#answerEnd !== AnswerEnd.BrokenOff) {
+      relay.end();
+      this.#end(undefined, '');
+      return;
+    }
+    const failure = this.#isFramed ? BackendFailure.Broken : BackendFailure.Lost;
+    // An empty answer may be meant so, and is relayed if no other server answers.
+    const sendFallback = facts.isInsideEvent || this.#hasBegun ? undefined : () => relay.end();
+    this.#end(failure, describeBrokenEnd(facts), sendFallback);
+  }
+
   /**
    * Ends the attempt after an error answer of a backend server that ran the request. Another
    * server may be tried next. The answer is kept in case there is none, unless its status
@@ -249,7 +266,7 @@
       failure,
       isComplete: failure === undefined || outcome === ServerOutcome.ServerError,
       isFramed: this.#isFramed,
-      isInsideEvent: this.#relay?.isInsideEvent === true,
+      answerEnd: this.#answerEnd,
       reason,
       status: this.#status,
       firstByteMs: this.#firstByteMs,
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -236,10 +236,10 @@
     this.#attempt = undefined;
     this.excluded.add(serverId);
     this.#crashEvidence.recordAttempt(serverId, result);
+    this.#recorder.recordAnswerEnd(result);
     if (result.failure === undefined) {
       if (result.outputTokens > 0 && this.#attempts.count === 1)
         this.#options.outputEstimator.learn(this.work, result.outputTokens);
-      this.#recorder.recordAnswerEnd(result);
       this.#end('call_answered', buildAnswerFields(serverId, result));
     } else {
       this.#recorder.recordAttemptFailure(serverId, this.#attempts.count, result);
--- a/src/application/entry_host/_json_answer.ts
+++ b/src/application/entry_host/_json_answer.ts
@@ -13,7 +13,7 @@
  */
 export function buildJsonAnswer(value: object): ForwardedAnswer {
   return {
-    head: { status: 200, headers: { 'content-type': 'application/json' } },
+    head: { status: 200, headers: { 'content-type': 'application/json' }, isFramed: true },
     body: yieldChunk(Buffer.from(JSON.stringify(value))),
   };
 }
--- a/src/application/entry_host/_stream_failover.ts
+++ b/src/application/entry_host/_stream_failover.ts
@@ -7,6 +7,7 @@
 import type { RequestId } from '../../domain/requests/mod.js';
 import { BackendCallError } from '../../ports/mod.js';
 import type { BackendAnswer, BackendServerClient } from '../../ports/mod.js';
+import { readCheckedBody } from '../owner/mod.js';
 import type { AnswerHead } from '../owner/mod.js';
 import type { CallerAnswer, ConfigurationView, ReadOptions } from '../views/mod.js';
 
@@ -46,13 +47,14 @@
   return {
     requestId: id.text,
     status: answer.status,
+    isFramed: answer.isFramed,
     headers: {
       ...answer.headers,
       'request-id': id.text,
       'backend-server': options.backendServer ?? '',
       'stream-id': options.streamId ?? '',
     },
-    body: readRest(answer),
+    body: readRest(answer, answer.isFramed),
   };
 }
 
@@ -74,8 +76,7 @@
 ): CallerAnswer {
   return {
     requestId: id.text,
-    status: answer.head.status,
-    headers: answer.head.headers,
+    ...answer.head,
     body: readWithFailover(context, answer, start),
   };
 }
@@ -102,7 +103,7 @@
         })
       : undefined;
     if (!rest) throw error;
-    yield* readRest(rest);
+    yield* readRest(rest, answer.head.isFramed);
   }
 }
 
@@ -125,9 +126,12 @@
   }
 }
 
-async function* readRest(answer: BackendAnswer): AsyncGenerator<Uint8Array> {
+async function* readRest(
+  answer: BackendAnswer,
+  isMarkPromised: boolean,
+): AsyncGenerator<Uint8Array> {
   try {
-    yield* answer.body;
+    yield* readCheckedBody(answer, isMarkPromised);
   } catch (error) {
     if (!(error instanceof BackendCallError)) throw error;
     throw new SchedulerError(ErrorKind.AnswerCut, {
--- a/src/application/entry_host/forwarded_calls.ts
+++ b/src/application/entry_host/forwarded_calls.ts
@@ -80,5 +80,6 @@
 }
 
 function toForwardedAnswer(answer: CallerAnswer): ForwardedAnswer {
-  return { head: { status: answer.status, headers: answer.headers }, body: answer.body };
+  const { status, headers, isFramed, body } = answer;
+  return { head: { status, headers, isFramed }, body };
 }
--- a/src/application/forwarding/forward_client.ts
+++ b/src/application/forwarding/forward_client.ts
@@ -93,7 +93,11 @@
       const first = await this.#takeReply(callId);
       if (first.type !== PeerMessageType.ForwardHead) throw toSchedulerError(first, ownerId);
       return {
-        head: { status: first.status, headers: first.headers },
+        head: {
+          status: first.status,
+          headers: first.headers,
+          isFramed: first.isFramed !== false,
+        },
         body: this.#readBody(callId, fields.offset, cleanUp),
       };
     } catch (error) {
--- a/src/application/owner/_attempt.ts
+++ b/src/application/owner/_attempt.ts
@@ -14,6 +14,7 @@
 import { isSuccess } from '../crashes/mod.js';
 import type { MembershipView, Slot, SlotUse } from '../views/mod.js';
 import { OutputMeter } from './_output_meter.js';
+import { readCheckedBody } from './checked_body.js';
 import type { OwnedCall } from './owned_call.js';
 import type { OwnedRequest } from './owned_request.js';
 
@@ -193,6 +194,7 @@
     this.#meter = new OutputMeter(backendAnswer.headers['content-type']);
     this.#request.answer.open({
       status: backendAnswer.status,
+      isFramed: backendAnswer.isFramed,
       headers: {
         ...backendAnswer.headers,
         'request-id': this.#request.record.id.text,
@@ -220,7 +222,8 @@
 
   async #copyBody(backendAnswer: BackendAnswer): Promise<void> {
     const { answer } = this.#request;
-    for await (const bytes of backendAnswer.body) {
+    const isMarkPromised = answer.head?.isFramed !== false;
+    for await (const bytes of readCheckedBody(backendAnswer, isMarkPromised)) {
       if (this.#firstByteMs === 0) this.#firstByteMs = this.#computeMsSinceHandOver();
       this.#meter.observe(bytes);
       answer.append(bytes);
--- a/src/application/owner/answer_buffer.ts
+++ b/src/application/owner/answer_buffer.ts
@@ -10,6 +10,8 @@
 export interface AnswerHead {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
+  /** Whether the end of the body is marked; otherwise it ends with its connection. */
+  readonly isFramed: boolean;
 }
 
 /** Position of one reader. */
--- a/src/application/views/request_gateway.ts
+++ b/src/application/views/request_gateway.ts
@@ -51,6 +51,8 @@
   readonly status: number;
   /** Headers of the backend server, plus `request-id`, `backend-server` and `stream-id`. */
   readonly headers: Readonly<Record<string, string>>;
+  /** Whether the end of the body is marked; otherwise it ends with its connection. */
+  readonly isFramed: boolean;
   /** Throws a SchedulerError if the answer breaks off. */
   readonly body: AsyncIterable<Uint8Array>;
 }
--- a/src/domain/streams/event_splitter.ts
+++ b/src/domain/streams/event_splitter.ts
@@ -5,7 +5,7 @@
  */
 
 /** End of a line and the empty line after it, which ends an event. */
-const EVENT_TERMINATORS: readonly string[] = ['\n\n', '\n\r\n'];
+const EVENT_TERMINATORS: readonly string[] = ['\n\n', '\n\r\n', '\r\r'];
 
 /** Maximum bytes of one event; engines send no longer ones. */
 const MAX_EVENT_BYTES = 1_048_576;
@@ -13,7 +13,7 @@
 /** Empty lines and comments, which belong to no event. */
 const NO_EVENT_LINES = /^(?:\r|\n|:[^\r\n]*[\r\n])*$/;
 
-const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/;
+const ID_LINE = /(?:^|[\r\n])id: ?([^\r\n]*)/;
 
 /** Events that a chunk has completed. */
 export interface CompleteEvents {
@@ -33,8 +33,15 @@
  * partial one.
  */
 export class EventSplitter {
+  readonly #maxEventBytes: number;
+
   #rest: Buffer = Buffer.alloc(0);
 
+  /** @param maxEventBytes - maximum bytes of one event */
+  constructor(maxEventBytes = MAX_EVENT_BYTES) {
+    this.#maxEventBytes = maxEventBytes;
+  }
+
   /** Bytes received so far of the event that is incomplete. */
   get pendingBytes(): Buffer {
     return this.#rest;
@@ -55,8 +62,10 @@
   split(chunk: Buffer): CompleteEvents {
     const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
     const end = findLastEventEnd(bytes);
-    if (bytes.length - end > MAX_EVENT_BYTES) {
-      throw new RangeError(`Cannot split events: an event has more than ${MAX_EVENT_BYTES} bytes`);
+    if (bytes.length - end > this.#maxEventBytes) {
+      throw new RangeError(
+        `Cannot split events: an event has more than ${this.#maxEventBytes} bytes`,
+      );
     }
     this.#rest = bytes.subarray(end);
     if (end === 0) return NO_EVENTS;
@@ -84,10 +93,17 @@
     const next = text[index + 1] === '\r' ? index + 2 : index + 1;
     if (text[next] === '\n') count += 1;
   }
+  for (let index = text.indexOf('\r\r'); index >= 0; index = text.indexOf('\r\r', index + 2)) {
+    count += 1;
+  }
   return count;
 }
 
 function findLastId(text: string): string | undefined {
-  const start = Math.max(text.lastIndexOf('\nid:'), text.startsWith('id:') ? 0 : -1);
+  const start = Math.max(
+    text.lastIndexOf('\nid:'),
+    text.lastIndexOf('\rid:'),
+    text.startsWith('id:') ? 0 : -1,
+  );
   return start < 0 ? undefined : ID_LINE.exec(text.slice(start))?.[1]?.trim();
 }
--- a/src/domain/streams/event_splitter_test.ts
+++ b/src/domain/streams/event_splitter_test.ts
@@ -37,6 +37,30 @@
   t.equal(lastId, '7');
 });
 
+t.test('EventSplitter splits events whose lines end with CR', async (t) => {
+  const { bytes, lastId, count } = new EventSplitter().split(Buffer.from('id:7\rdata: a\r\rid'));
+  t.equal(bytes.toString(), 'id:7\rdata: a\r\r');
+  t.same([lastId, count], ['7', 1]);
+});
+
+t.test('EventSplitter tells whether a stream ends inside an event', async (t) => {
+  const cases = {
+    '': false,
+    'id: 1\n\n': false,
+    'id: 1\n\n\n: bye\n': false,
+    'id: 1\r\n\r\n\r\n': false,
+    'id: 1': true,
+    'id: 1\n': true,
+    'id: 1\r\n\r': true,
+    'id: 1\n\n: by': true,
+  };
+  Object.entries(cases).forEach(([text, isInside]) => {
+    const splitter = new EventSplitter();
+    splitter.split(Buffer.from(text));
+    t.equal(splitter.isInsideEvent, isInside, JSON.stringify(text));
+  });
+});
+
 t.test('EventSplitter counts the complete events', async (t) => {
   const splitter = new EventSplitter();
   t.equal(splitter.split(Buffer.from('id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid')).count, 2);
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -38,6 +38,11 @@
 export interface DirectHead {
   readonly status: number;
   readonly headers: RawHeaders;
+  /**
+   * Whether the body's end is marked, by a length or by chunks. Otherwise it ends with its
+   * connection, and a crash of its sender looks like its end.
+   */
+  readonly isFramed: boolean;
 }
 
 /** Sends the answer of one request to its caller. */
@@ -57,7 +62,7 @@
   /** @param bytes - the next bytes of the body */
   abstract write(bytes: Buffer): void;
 
-  /** Marks the answer as complete. */
+  /** Ends the answer, with a mark if its head promised one. */
   abstract end(): void;
 
   /** Sends a complete answer. @param head - head of the answer. @param body - its body */
@@ -131,11 +136,6 @@
   /** Whether it carries the backend server's own mark; a success without the mark is invalid. */
   readonly isAuthentic: boolean;
   readonly isEventStream: boolean;
-  /**
-   * Whether the body's length or end is marked by HTTP framing. Without framing, a
-   * crash of the server looks like the end of its answer.
-   */
-  readonly isFramed: boolean;
   readonly load: ReportedLoad | undefined;
 }
 
--- a/src/ports/forward_messages.ts
+++ b/src/ports/forward_messages.ts
@@ -51,6 +51,8 @@
   readonly callId: number;
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
+  /** False if nothing marks the end of the body; hosts of earlier versions don't tell. */
+  readonly isFramed?: boolean | undefined;
 }
 
 /** A chunk of the answer to a forwarded call. */
--- a/test/faults/answer_ends_test.ts
+++ b/test/faults/answer_ends_test.ts
@@ -161,6 +161,11 @@
     whole: buildStream('\r\n'),
     isEventStream: true,
   },
+  'streams of CR lines': {
+    route: { isStream: true },
+    whole: buildStream('\r'),
+    isEventStream: true,
+  },
   'streams that may be resumed': {
     route: { isStream: true, isResumable: true, maxAttempts: 3 },
     whole: buildStream('\n'),
--- a/test/faults/own_answer_ends_test.ts
+++ b/test/faults/own_answer_ends_test.ts
@@ -132,6 +132,7 @@
 const KINDS: Readonly<Record<string, { whole: string; isEventStream: boolean }>> = {
   'streams of LF lines': { whole: buildStream('\n'), isEventStream: true },
   'streams of CRLF lines': { whole: buildStream('\r\n'), isEventStream: true },
+  'streams of CR lines': { whole: buildStream('\r'), isEventStream: true },
   'small plain answers': { whole: SMALL_ANSWER, isEventStream: false },
   'large plain answers': { whole: LARGE_ANSWER, isEventStream: false },
 };
--- a/test/support/answer_cases.ts
+++ b/test/support/answer_cases.ts
@@ -123,7 +123,9 @@
     t.equal(received.body, sent.whole, `${name}: what is marked as complete is whole`);
     t.ok(isMarkedWhole(sent) || requests > 1, `${name}: a server has marked the end`);
   }
-  if (isUnmarkedEnd && !saysBroken) {
+  if (isUnmarkedEnd && requests > 1) {
+    t.equal(received.body, sent.whole, `${name}: what another server continued is whole`);
+  } else if (isUnmarkedEnd && !saysBroken) {
     t.ok(mayBeWhole && !isInsideEvent, `${name}: the server may have meant to end there`);
     t.equal(received.body, cutBody(sent), `${name}: all that it has sent arrives`);
   }
