Read, log and count what answers say of leaving servers and of pauses

What callers' operators saw: requests reached a server long after answers had told the hosts that sent them that it leaves.

No log line tells whether an answer said so, so that a word that nobody reads can't be told from one that an entry undoes. What an answer says of its server is one typed value now (ServerNotice: limits, leaving, pause), read in the dialect and taken in by ServerNotices; backend_server_said_leaving, backend_server_asked_pause and backend_server_notices_total tell it. An answer that can't be used is read too, but for one of another server; of one to an earlier request on the connection only these two. Decisions are unchanged.

--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -7,7 +7,7 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import { ConnectionEnd, isFramed } from '../http_common/mod.js';
-import { BackendFailure } from '../../ports/mod.js';
+import { BackendFailure, RateLimitKind } from '../../ports/mod.js';
 import type { BackendExchange, BackendListener, BackendRequest } from '../../ports/mod.js';
 import { BackendAgent } from './_backend_agent.js';
 import type { IncarnationOptions } from './_backend_agent.js';
@@ -114,7 +114,6 @@
     const status = response.statusCode ?? 0;
     const info = dialect.readAnswer(status, response.headers);
     if (!this.#checkAnswer(info, status)) return;
-    listener.onRateLimit(info.rateLimit, info.isAuthentic);
     this.#recordIdleTimeout(response);
     const excluded = response.headers['transfer-encoding'] ? NO_HEADERS : LENGTH_HEADERS;
     const { method } = this.#options.request.request;
@@ -138,12 +137,12 @@
   /** Checks that the answer belongs to this request; fails the call otherwise. */
   #checkAnswer(info: AnswerInfo, status: number): boolean {
     const { requestId } = this.#options.request.request;
+    if (!info.isMisdirected) this.#reportNotice(info);
     if (info.requestId !== undefined && info.requestId !== requestId) {
       this.#fail(BackendFailure.Broken, `answer belongs to request ${info.requestId}`);
     } else if (info.isMisdirected) {
       this.#fail(BackendFailure.Misdirected, 'another incarnation answers at this address');
     } else if (info.hasNotRun) {
-      this.#options.listener.onRateLimit(info.rateLimit, info.isAuthentic);
       this.#handleDecline(status);
     } else if (info.requestId === undefined) {
       this.#fail(BackendFailure.Broken, 'answer without a request ID');
@@ -153,6 +152,20 @@
     return false;
   }
 
+  /**
+   * Reports what the answer says of its server. One to an earlier request on the connection
+   * comes from the same process, but its limits may have changed since.
+   */
+  #reportNotice({ requestId, notice, isAuthentic }: AnswerInfo): void {
+    const { listener, request } = this.#options;
+    if (requestId === undefined || requestId === request.request.requestId) {
+      listener.onNotice(notice, isAuthentic);
+    } else if (notice.isLeaving || notice.pause) {
+      const { isLeaving, pause } = notice;
+      listener.onNotice({ kind: RateLimitKind.None, isLeaving, pause }, false);
+    }
+  }
+
   /** Drains the body so that the connection can be reused: a full server declines often. */
   #handleDecline(status: number): void {
     const response = this.#response as IncomingMessage;
--- a/src/adapters/direct_http/_test_servers.ts
+++ b/src/adapters/direct_http/_test_servers.ts
@@ -13,7 +13,7 @@
   BackendListener,
   BackendRequest,
   DirectRequest,
-  RateLimitNotice,
+  ServerNotice,
 } from '../../ports/mod.js';
 import { DirectDialect } from './direct_dialect.js';
 import type { AnswerInfo, CallInfo } from './direct_dialect.js';
@@ -44,7 +44,7 @@
       hasNotRun: headers['x-not-run'] !== undefined,
       isMisdirected: status === 421,
       load: undefined,
-      rateLimit: readRateLimit(headers['x-rate']),
+      notice: readRateLimit(headers['x-rate']),
     };
   }
 
@@ -53,7 +53,7 @@
   }
 }
 
-function readRateLimit(value: string | string[] | undefined): RateLimitNotice {
+function readRateLimit(value: string | string[] | undefined): ServerNotice {
   return value === undefined
     ? { kind: RateLimitKind.None }
     : { kind: RateLimitKind.Limited, requestsPerSecond: Number(value) };
@@ -116,7 +116,7 @@
   readonly body: string;
   readonly failure: BackendFailure | undefined;
   /** What the answers said about the server's rate limit, in order. */
-  readonly rateLimits: readonly RateLimitNotice[];
+  readonly rateLimits: readonly ServerNotice[];
 }
 
 /** Sends a request with a listener that collects the result. */
@@ -126,9 +126,9 @@
   return new Promise((resolve) => {
     let head: BackendHead | undefined;
     let body = '';
-    const rateLimits: RateLimitNotice[] = [];
+    const rateLimits: ServerNotice[] = [];
     send({
-      onRateLimit: (notice) => {
+      onNotice: (notice) => {
         rateLimits.push(notice);
       },
       onHead: (received) => {
--- a/src/adapters/direct_http/direct_dialect.ts
+++ b/src/adapters/direct_http/direct_dialect.ts
@@ -6,7 +6,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { RequestWork } from '../../domain/backend_servers/mod.js';
 import type { SchedulerError } from '../../domain/errors/mod.js';
-import type { BackendRequest, RateLimitNotice, RawHeaders, ReportedLoad } from '../../ports/mod.js';
+import type { BackendRequest, ServerNotice, RawHeaders, ReportedLoad } from '../../ports/mod.js';
 
 /** Properties of a call, read from a caller's headers. */
 export interface CallInfo {
@@ -31,7 +31,8 @@
   /** Whether another incarnation of a server answered, and so did not run the request. */
   readonly isMisdirected: boolean;
   readonly load: ReportedLoad | undefined;
-  readonly rateLimit: RateLimitNotice;
+  /** What it says of its server. */
+  readonly notice: ServerNotice;
 }
 
 /** Reads and builds headers; makes no decisions. */
--- a/src/adapters/peers_ws/_proxy_schemas.ts
+++ b/src/adapters/peers_ws/_proxy_schemas.ts
@@ -6,6 +6,7 @@
 import * as z from 'zod';
 import {
   BackendFailure,
+  PauseKind,
   PeerMessageType,
   ProxyEventKind,
   RateLimitKind,
@@ -39,16 +40,26 @@
   urgency: amount,
 });
 
-const declinesPerSecond = amount.optional();
+const pauseSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(PauseKind.Asked), pauseMs: amount }),
+  z.object({ kind: z.literal(PauseKind.Invalid), text }),
+]);
+
+/** Fields of every notice; those of earlier versions lack the last two. */
+const noticeFields = {
+  declinesPerSecond: amount.optional(),
+  isLeaving: z.boolean().optional(),
+  pause: pauseSchema.optional(),
+};
 
-const rateLimitSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal(RateLimitKind.None), declinesPerSecond }),
+const noticeSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(RateLimitKind.None), ...noticeFields }),
   z.object({
     kind: z.literal(RateLimitKind.Limited),
     requestsPerSecond: amount,
-    declinesPerSecond,
+    ...noticeFields,
   }),
-  z.object({ kind: z.literal(RateLimitKind.Invalid), text, declinesPerSecond }),
+  z.object({ kind: z.literal(RateLimitKind.Invalid), text, ...noticeFields }),
 ]);
 
 const headSchema = z.object({
@@ -62,8 +73,8 @@
 
 const eventSchema = z.discriminatedUnion('kind', [
   z.object({
-    kind: z.literal(ProxyEventKind.RateLimit),
-    notice: rateLimitSchema,
+    kind: z.literal(ProxyEventKind.Notice),
+    notice: noticeSchema,
     isAuthentic: z.boolean(),
   }),
   z.object({ kind: z.literal(ProxyEventKind.Head), head: headSchema }),
--- a/src/adapters/peers_ws/_proxy_schemas_test.ts
+++ b/src/adapters/peers_ws/_proxy_schemas_test.ts
@@ -5,14 +5,14 @@
 
 /** Events of an exchange through a peer, beside its head. */
 const PROXY_EVENTS: readonly ProxyEvent[] = [
-  { kind: ProxyEventKind.RateLimit, notice: { kind: RateLimitKind.None }, isAuthentic: true },
+  { kind: ProxyEventKind.Notice, notice: { kind: RateLimitKind.None }, isAuthentic: true },
   {
-    kind: ProxyEventKind.RateLimit,
+    kind: ProxyEventKind.Notice,
     notice: { kind: RateLimitKind.Limited, requestsPerSecond: 1.5, declinesPerSecond: 4 },
     isAuthentic: false,
   },
   {
-    kind: ProxyEventKind.RateLimit,
+    kind: ProxyEventKind.Notice,
     notice: { kind: RateLimitKind.Invalid, text: 'x' },
     isAuthentic: true,
   },
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -15,7 +15,7 @@
   BackendListener,
   BackendRequest,
   DirectReply,
-  RateLimitNotice,
+  ServerNotice,
 } from '../../ports/mod.js';
 import { StreamRelay, BufferedRelay } from './_answer_relay.js';
 import type { AnswerRelay } from './_answer_relay.js';
@@ -140,9 +140,10 @@
     if (!this.#hasEnded) this.#abandon('the backend server restarted');
   }
 
-  onRateLimit(notice: RateLimitNotice, isAuthentic: boolean): void {
+  onNotice(notice: ServerNotice, isAuthentic: boolean): void {
     this.#options.onArrival();
-    this.#options.services.servers.recordRateLimit({
+    this.#options.services.servers.recordNotice({
+      requestId: this.#options.request.request.requestId,
       incarnationId: this.incarnationId,
       notice,
       isAuthentic,
--- a/src/application/direct/_rate_limit_tracker.ts
+++ b/src/application/direct/_rate_limit_tracker.ts
@@ -8,13 +8,8 @@
 import { computeTotalRate, deriveNamedPace, RateLimitRecord } from '../../domain/places/mod.js';
 import type { PaceShare } from '../../domain/places/mod.js';
 import { RateLimitKind } from '../../ports/mod.js';
-import type {
-  Clock,
-  EventLog,
-  Metrics,
-  RateLimitNotice,
-  ReportedRateLimit,
-} from '../../ports/mod.js';
+import type { Clock, EventLog, Metrics, ReportedRateLimit } from '../../ports/mod.js';
+import type { ServerEvidence } from './_server_notices.js';
 import { PaceRoles } from './_pace_roles.js';
 import type { PaceHosts } from './_pace_roles.js';
 import { RateLimitLog } from './_rate_limit_log.js';
@@ -28,16 +23,6 @@
 /** How late a request may be without lowering the rate, in milliseconds: one check for turns. */
 const CATCH_UP_MS = 25;
 
-/** An answer that tells the rate limit of its backend server. */
-export interface RateLimitEvidence {
-  readonly incarnationId: string;
-  readonly notice: RateLimitNotice;
-  /** Whether the answer carries the server's own mark. */
-  readonly isAuthentic: boolean;
-  /** When the answered request was sent, on the monotonic clock in milliseconds. */
-  readonly sentAtMs: number;
-}
-
 /** Dependencies of {@link RateLimitTracker}. */
 export interface RateLimitTrackerOptions {
   readonly clock: Clock;
@@ -120,7 +105,7 @@
   }
 
   /** @param evidence - an answer to a request of this entry host */
-  recordAnswer({ incarnationId, notice, isAuthentic, sentAtMs }: RateLimitEvidence): void {
+  recordAnswer({ incarnationId, notice, isAuthentic, sentAtMs }: ServerEvidence): void {
     const { metrics, clock } = this.#options;
     if (notice.kind === RateLimitKind.None) {
       // Most servers never name a limit, so that nothing is kept for them.
--- a/src/application/direct/_refusal_limits.ts
+++ b/src/application/direct/_refusal_limits.ts
@@ -9,7 +9,7 @@
 import type { HostState } from '../../domain/overlay/mod.js';
 import { deriveSlotQuota, splitSlots } from '../../domain/places/mod.js';
 import type { SlottedServer } from '../../domain/places/mod.js';
-import type { Clock, EventLog, RateLimitNotice, ReportedRefusalLimit } from '../../ports/mod.js';
+import type { Clock, EventLog, ServerNotice, ReportedRefusalLimit } from '../../ports/mod.js';
 import type { PaceHosts } from './_pace_roles.js';
 
 /** Time after the last answer that names it for which the state holds, in milliseconds. */
@@ -72,7 +72,7 @@
   }
 
   /** @param serviceId - service of a server. @param notice - limits that its answer names */
-  recordAnswer(serviceId: string, { declinesPerSecond }: RateLimitNotice): void {
+  recordAnswer(serviceId: string, { declinesPerSecond }: ServerNotice): void {
     if (declinesPerSecond === undefined) return;
     this.#record(serviceId, { declinesPerSecond, ageMs: 0 }, 'answer');
   }
--- /dev/null
+++ b/src/application/direct/_server_notices.ts
@@ -0,0 +1,105 @@
+/**
+ * Takes in what answers say of their backend servers, and tells each part of it to whoever
+ * decides by it.
+ *
+ * @module
+ */
+import type { BackendServerEntry, ServerLoad } from '../../domain/backend_servers/mod.js';
+import { LogLevel } from '../../domain/errors/mod.js';
+import { PauseKind } from '../../ports/mod.js';
+import type { ServerNotice } from '../../ports/mod.js';
+import type { PeerStats } from './_peer_stats.js';
+import { RateLimitTracker } from './_rate_limit_tracker.js';
+import type { RateLimitTrackerOptions } from './_rate_limit_tracker.js';
+import { RefusalLimits } from './_refusal_limits.js';
+import type { RefusalLimitsOptions } from './_refusal_limits.js';
+
+/** An answer that tells something of its backend server. */
+export interface ServerEvidence {
+  readonly requestId: string;
+  readonly incarnationId: string;
+  readonly notice: ServerNotice;
+  /** Whether the answer carries the server's own mark. */
+  readonly isAuthentic: boolean;
+  /** When the answered request was sent, on the monotonic clock in milliseconds. */
+  readonly sentAtMs: number;
+}
+
+/** Dependencies of {@link ServerNotices}. */
+export type ServerNoticesOptions = RateLimitTrackerOptions & RefusalLimitsOptions;
+
+/** Knows the limits of backend servers from answers and from peers. */
+export class ServerNotices {
+  readonly #options: ServerNoticesOptions;
+
+  /** Rate limits that backend servers name. */
+  readonly rateLimits: RateLimitTracker;
+
+  /** Services whose servers bear few refusals. */
+  readonly refusalLimits: RefusalLimits;
+
+  /** @param options - dependencies */
+  constructor(options: ServerNoticesOptions) {
+    this.#options = options;
+    this.rateLimits = new RateLimitTracker(options);
+    this.refusalLimits = new RefusalLimits(options);
+  }
+
+  /**
+   * Takes in an answer.
+   *
+   * @param evidence - the answer
+   * @param serviceId - service of its server; undefined for a server without an entry
+   */
+  recordAnswer(evidence: ServerEvidence, serviceId: string | undefined): void {
+    this.#logWishes(evidence);
+    if (serviceId === undefined) return;
+    this.rateLimits.recordAnswer(evidence);
+    this.refusalLimits.recordAnswer(serviceId, evidence.notice);
+  }
+
+  /**
+   * Takes in a peer's report.
+   *
+   * @param stats - the report
+   * @param source - incarnation of the peer's process
+   * @param hasEntry - tells whether a server incarnation has an entry
+   */
+  applyReported(stats: PeerStats, source: string, hasEntry: (id: string) => boolean): void {
+    Object.entries(stats.rateLimits).forEach(([id, reported]) => {
+      if (hasEntry(id)) this.rateLimits.applyReported(id, reported, source);
+    });
+    this.refusalLimits.applyReported(stats.refusalLimits, source);
+  }
+
+  /**
+   * Updates the pace at which this entry host sends to a backend server.
+   *
+   * @param entry - registry entry of the server
+   * @param load - its load, which holds the pace
+   */
+  updatePace(entry: BackendServerEntry, load: ServerLoad): void {
+    this.rateLimits.updatePace(entry.id, load);
+    this.refusalLimits.updatePace(entry, load);
+  }
+
+  /** @param id - ID of an incarnation that has ended */
+  forget(id: string): void {
+    this.rateLimits.forget(id);
+  }
+
+  #logWishes({ incarnationId, requestId, notice }: ServerEvidence): void {
+    const { log, metrics } = this.#options;
+    const fields = { backendServer: incarnationId, requestId };
+    if (notice.isLeaving) {
+      metrics.count('backend_server_notices_total', { kind: 'leaving' });
+      log.write(LogLevel.Info, 'backend_server_said_leaving', fields);
+    }
+    if (!notice.pause) return;
+    metrics.count('backend_server_notices_total', { kind: `pause_${notice.pause.kind}` });
+    if (notice.pause.kind === PauseKind.Asked) {
+      const { pauseMs } = notice.pause;
+      log.write(LogLevel.Info, 'backend_server_asked_pause', { ...fields, pauseMs });
+    }
+  }
+}
--- a/src/application/direct/rate_limit_tracker_test.ts
+++ b/src/application/direct/rate_limit_tracker_test.ts
@@ -19,16 +19,16 @@
   const host = await startDirectHost(t, {}, ['s-1']);
   host.call();
   const { listener } = host.getSent(0);
-  listener.onRateLimit({ kind: RateLimitKind.Limited, requestsPerSecond: 2 }, true);
+  listener.onNotice({ kind: RateLimitKind.Limited, requestsPerSecond: 2 }, true);
   const invalid = { kind: RateLimitKind.Invalid, text: `many${'!'.repeat(500)}` } as const;
-  Array.from({ length: 20 }, () => listener.onRateLimit(invalid, true));
+  Array.from({ length: 20 }, () => listener.onNotice(invalid, true));
   t.equal(host.servers.rateLimits.find('s-1'), 2);
   t.equal(host.metrics.counts.get('backend_server_limits_read_total{"kind":"invalid"}'), 20);
   const lines = host.log.list('backend_server_limit_refused');
   t.equal(lines.length, 1);
   t.equal(String(lines[0]?.value).length, 40);
   await host.clock.advance(10_000);
-  listener.onRateLimit(invalid, true);
+  listener.onNotice(invalid, true);
   t.equal(host.log.list('backend_server_limit_refused').length, 2);
 });
 
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -12,14 +12,15 @@
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { FeedChange, FeedItem } from '../../ports/mod.js';
 import type { FeedContext, SnapshotContext } from './feed_update.js';
-import { RefusalLimits } from './_refusal_limits.js';
 import { CandidateCache } from './_candidate_cache.js';
 import { EndedIncarnations } from './_ended_incarnations.js';
 import { logEntryChange } from './_entry_log.js';
 import { EntryReader } from './_entry_reader.js';
 import { WarmupTracker } from './_warmup_tracker.js';
-import { RateLimitTracker } from './_rate_limit_tracker.js';
-import type { RateLimitEvidence } from './_rate_limit_tracker.js';
+import type { RateLimitTracker } from './_rate_limit_tracker.js';
+import type { RefusalLimits } from './_refusal_limits.js';
+import { ServerNotices } from './_server_notices.js';
+import type { ServerEvidence } from './_server_notices.js';
 import { PeerStatsTable } from './_peer_stats.js';
 import type { PeerStats } from './_peer_stats.js';
 import { ServerLoads } from './_server_loads.js';
@@ -40,11 +41,7 @@
   /** Loads of the backend servers. */
   readonly loads: ServerLoads;
 
-  /** Rate limits that backend servers name. */
-  readonly rateLimits: RateLimitTracker;
-
-  /** Services whose servers bear few refusals. */
-  readonly refusalLimits: RefusalLimits;
+  readonly #notices: ServerNotices;
 
   readonly #endedIncarnations = new EndedIncarnations();
 
@@ -61,10 +58,8 @@
     this.#options = options;
     this.#reader = new EntryReader(options);
     this.#warmups = new WarmupTracker(options);
-    this.rateLimits = new RateLimitTracker(options);
+    this.#notices = new ServerNotices({ ...options, listServers: this.#listActive.bind(this) });
     this.rateLimits.onChange(() => this.#notifyChange());
-    const listServers = this.#listActive.bind(this);
-    this.refusalLimits = new RefusalLimits({ ...options, listServers });
     this.loads = new ServerLoads({
       clock: options.clock,
       peers: this.peers,
@@ -74,6 +69,16 @@
     this.#candidateLists = new CandidateCache(options.clock, (id) => this.#buildCandidates(id));
   }
 
+  /** Rate limits that backend servers name. */
+  get rateLimits(): RateLimitTracker {
+    return this.#notices.rateLimits;
+  }
+
+  /** Services whose servers bear few refusals. */
+  get refusalLimits(): RefusalLimits {
+    return this.#notices.refusalLimits;
+  }
+
   /** Number of backend servers that are warming up. */
   get coldCount(): number {
     return this.#directory.list().filter((entry) => this.#warmups.isCold(entry)).length;
@@ -157,18 +162,12 @@
     this.peers.set(source, stats);
     this.loads.applyPeerTotals(this.#options.countServing());
     stats?.endedServers.forEach((id) => this.recordEnded(id));
-    Object.entries(stats?.rateLimits ?? {}).forEach(([id, reported]) => {
-      if (this.findEntry(id)) this.rateLimits.applyReported(id, reported, source);
-    });
-    this.refusalLimits.applyReported(stats?.refusalLimits ?? {}, source);
+    if (stats) this.#notices.applyReported(stats, source, (id) => this.findEntry(id) !== undefined);
   }
 
-  /** @param evidence - an answer that tells the rate limit of its server */
-  recordRateLimit(evidence: RateLimitEvidence): void {
-    const entry = this.findEntry(evidence.incarnationId);
-    if (!entry) return;
-    this.rateLimits.recordAnswer(evidence);
-    this.refusalLimits.recordAnswer(entry.serviceId, evidence.notice);
+  /** @param evidence - an answer that tells something of its server */
+  recordNotice(evidence: ServerEvidence): void {
+    this.#notices.recordAnswer(evidence, this.findEntry(evidence.incarnationId)?.serviceId);
   }
 
   /** @param id - a server incarnation whose address has answered as another one */
@@ -185,8 +184,7 @@
   #updatePace(entry: BackendServerEntry): ServerLoad {
     const load = this.loads.getOrCreate(entry.id);
     this.#warmups.updatePace(entry, load);
-    this.rateLimits.updatePace(entry.id, load);
-    this.refusalLimits.updatePace(entry, load);
+    this.#notices.updatePace(entry, load);
     return load;
   }
 
@@ -278,7 +276,7 @@
     expired.forEach((id) => {
       this.loads.delete(id);
       this.#warmups.forget(id);
-      this.rateLimits.forget(id);
+      this.#notices.forget(id);
       this.#options.paths.forget(id);
     });
     this.#endedIncarnations.forget(expired);
--- a/src/application/paths/_path_exchange.ts
+++ b/src/application/paths/_path_exchange.ts
@@ -9,7 +9,7 @@
   BackendHead,
   BackendListener,
   BackendRequest,
-  RateLimitNotice,
+  ServerNotice,
   Timer,
 } from '../../ports/mod.js';
 import type { PathBackendClientOptions } from './path_backend_client.js';
@@ -113,9 +113,9 @@
   #buildDirectListener(): BackendListener {
     const { request, checks, listener } = this.#options;
     return {
-      onRateLimit: (notice, isAuthentic) => {
+      onNotice: (notice, isAuthentic) => {
         this.#recordReached();
-        listener.onRateLimit(notice, isAuthentic);
+        listener.onNotice(notice, isAuthentic);
       },
       onHead: (head) => {
         this.#recordReached();
@@ -140,8 +140,8 @@
   #buildPeerListener(): BackendListener {
     const { listener } = this.#options;
     return {
-      onRateLimit: (notice: RateLimitNotice, isAuthentic: boolean) =>
-        listener.onRateLimit(notice, isAuthentic),
+      onNotice: (notice: ServerNotice, isAuthentic: boolean) =>
+        listener.onNotice(notice, isAuthentic),
       onHead: (head: BackendHead) => listener.onHead(head),
       onBody: (bytes: Buffer) => listener.onBody(bytes),
       onComplete: () => this.#complete(),
--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -15,7 +15,7 @@
   DirectBackendClient,
   ProxiedRequest,
   ProxyEvent,
-  RateLimitNotice,
+  ServerNotice,
   Timer,
 } from '../../ports/mod.js';
 
@@ -94,8 +94,8 @@
     this.#end('cancelled');
   }
 
-  onRateLimit(notice: RateLimitNotice, isAuthentic: boolean): void {
-    this.#report({ kind: ProxyEventKind.RateLimit, notice, isAuthentic });
+  onNotice(notice: ServerNotice, isAuthentic: boolean): void {
+    this.#report({ kind: ProxyEventKind.Notice, notice, isAuthentic });
   }
 
   onHead(head: BackendHead): void {
--- a/src/application/paths/proxy_client.ts
+++ b/src/application/paths/proxy_client.ts
@@ -210,8 +210,7 @@
 
   #applyEvent(exchangeId: number, exchange: PendingExchange, event: ProxyEvent): void {
     const { listener } = exchange;
-    if (event.kind === ProxyEventKind.RateLimit)
-      listener.onRateLimit(event.notice, event.isAuthentic);
+    if (event.kind === ProxyEventKind.Notice) listener.onNotice(event.notice, event.isAuthentic);
     else if (event.kind === ProxyEventKind.Head) listener.onHead(event.head);
     else if (event.kind === ProxyEventKind.Body) listener.onBody(Buffer.from(event.bytes));
     else {
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -115,10 +115,26 @@
   Invalid = 'invalid',
 }
 
-/** Limits in the head of a backend server's answer. */
-export type RateLimitNotice = RateNotice & {
+/** Whether a server that has no room names a time for which it wants nothing more. */
+export enum PauseKind {
+  Asked = 'asked',
+  /** The answer holds a text that is no time. */
+  Invalid = 'invalid',
+}
+
+/** Pause in the head of a backend server's answer, for the host that sent the request. */
+export type PauseNotice =
+  | { readonly kind: PauseKind.Asked; readonly pauseMs: number }
+  | { readonly kind: PauseKind.Invalid; readonly text: string };
+
+/** All that the head of a backend server's answer says of the server itself. */
+export type ServerNotice = RateNotice & {
   /** Requests a second that the server may turn away for lack of room; undefined: not named. */
   readonly declinesPerSecond?: number | undefined;
+  /** Whether the server says that it leaves. */
+  readonly isLeaving?: boolean | undefined;
+  /** Undefined: the server asks for none. */
+  readonly pause?: PauseNotice | undefined;
 };
 
 /** Rate limit in the head of a backend server's answer. */
@@ -159,13 +175,13 @@
 /** Receives the answer to a request. Either its completion or its failure is reported, once. */
 export interface BackendListener {
   /**
-   * The answer tells the server's rate limit. Called before any other handler, also for
-   * answers that decline the request; never for answers of another server.
+   * An answer has arrived. Called before any other handler, also for answers that decline the
+   * request or can't be used; never for answers of another server.
    *
-   * @param notice - the limit, if the answer names one
+   * @param notice - what the answer says of its server
    * @param isAuthentic - whether the answer carries the server's own mark
    */
-  onRateLimit(notice: RateLimitNotice, isAuthentic: boolean): void;
+  onNotice(notice: ServerNotice, isAuthentic: boolean): void;
   /** @param head - head of the answer */
   onHead(head: BackendHead): void;
   /** @param bytes - next bytes of the body */
--- a/src/ports/mod.ts
+++ b/src/ports/mod.ts
@@ -29,7 +29,13 @@
 } from './backend_server_client.js';
 export { ChangeFeed, HistoryLostError } from './change_feed.js';
 export type { FeedChange, FeedChanges, FeedItem, FeedSnapshot } from './change_feed.js';
-export { BackendFailure, DirectBackendClient, DirectReply, RateLimitKind } from './direct_calls.js';
+export {
+  BackendFailure,
+  DirectBackendClient,
+  DirectReply,
+  PauseKind,
+  RateLimitKind,
+} from './direct_calls.js';
 export type {
   BackendExchange,
   BackendHead,
@@ -37,10 +43,11 @@
   BackendRequest,
   DirectHead,
   DirectRequest,
-  RateLimitNotice,
+  PauseNotice,
   RateNotice,
   RawHeaders,
   ReportedLoad,
+  ServerNotice,
 } from './direct_calls.js';
 export { Reachability, ServerProbe } from './server_probe.js';
 export { PeerNetwork } from './peer_network.js';
--- a/src/ports/proxy_messages.ts
+++ b/src/ports/proxy_messages.ts
@@ -7,7 +7,7 @@
   BackendFailure,
   BackendHead,
   BackendRequest,
-  RateLimitNotice,
+  ServerNotice,
   RawHeaders,
 } from './direct_calls.js';
 import type { PeerMessageType } from './peer_message_type.js';
@@ -32,7 +32,7 @@
 
 /** What happened in an exchange with a backend server. */
 export enum ProxyEventKind {
-  RateLimit = 'rate_limit',
+  Notice = 'rate_limit',
   Head = 'head',
   Body = 'body',
   Complete = 'complete',
@@ -42,8 +42,8 @@
 /** One event of an exchange, as its listener is told. */
 export type ProxyEvent =
   | {
-      readonly kind: ProxyEventKind.RateLimit;
-      readonly notice: RateLimitNotice;
+      readonly kind: ProxyEventKind.Notice;
+      readonly notice: ServerNotice;
       readonly isAuthentic: boolean;
     }
   | { readonly kind: ProxyEventKind.Head; readonly head: BackendHead }
--- a/test/faults/lost_server_links_test.ts
+++ b/test/faults/lost_server_links_test.ts
@@ -54,7 +54,7 @@
       hasNotRun: false,
       isMisdirected: false,
       load: undefined,
-      rateLimit: { kind: RateLimitKind.Limited, requestsPerSecond: 2, declinesPerSecond: 3 },
+      notice: { kind: RateLimitKind.Limited, requestsPerSecond: 2, declinesPerSecond: 3 },
     };
   }
 
@@ -133,7 +133,7 @@
       resolve({ events, body: Buffer.concat(chunks).toString('latin1') });
     };
     send({
-      onRateLimit: ({ declinesPerSecond }) => events.push(`limit ${declinesPerSecond}`),
+      onNotice: ({ declinesPerSecond }) => events.push(`limit ${declinesPerSecond}`),
       onHead: ({ status }) => events.push(`head ${status}`),
       onBody: (bytes) => chunks.push(bytes),
       onComplete: () => finish('complete'),
--- a/test/support/direct_ends.ts
+++ b/test/support/direct_ends.ts
@@ -55,7 +55,7 @@
       requestsPerSecond === undefined
         ? ({ kind: RateLimitKind.None } as const)
         : ({ kind: RateLimitKind.Limited, requestsPerSecond } as const);
-    this.listener.onRateLimit(notice, isAuthentic);
+    this.listener.onNotice(notice, isAuthentic);
   }
 
   /** Sends the events of a stream with the IDs in a range, both ends included. */
--- a/test/support/plain_dialect.ts
+++ b/test/support/plain_dialect.ts
@@ -39,7 +39,7 @@
       hasNotRun: false,
       isMisdirected: false,
       load: undefined,
-      rateLimit: { kind: RateLimitKind.None },
+      notice: { kind: RateLimitKind.None },
     };
   }
 
--- a/test/support/refusal_fleet.ts
+++ b/test/support/refusal_fleet.ts
@@ -115,6 +115,6 @@
   #sendLimit({ listener }: FakeExchange): void {
     const { declinesPerSecond } = this.#options;
     const limit = this.isNamed ? { declinesPerSecond } : {};
-    listener.onRateLimit({ kind: RateLimitKind.None, ...limit }, true);
+    listener.onNotice({ kind: RateLimitKind.None, ...limit }, true);
   }
 }
