Test servers that say in their answers that they leave, red

What callers' operators saw: requests reached a server more than 10 s after an answer had told the hosts that sent them that it leaves.

--- a/test/support/direct_ends.ts
+++ b/test/support/direct_ends.ts
@@ -19,6 +19,7 @@
   BackendListener,
   BackendRequest,
   DirectHead,
+  ServerNotice,
 } from '../../src/ports/mod.js';
 
 /** A request that reached a fake backend server. Tests send the response. */
@@ -36,8 +37,13 @@
     this.isCancelled = true;
   }
 
+  /** What the server says of itself at the head of its response; undefined: nothing. */
+  describeServer: () => ServerNotice | undefined = () => undefined;
+
   /** Sends a response head. */
   sendHead(changes: Partial<BackendHead> = {}): void {
+    const notice = this.describeServer();
+    if (notice) this.listener.onNotice(notice, true);
     this.listener.onHead({
       status: 200,
       headers: ['X-Mark', this.request.serverId],
