Send nothing to servers whose answers have said that they leave

Cause: no code read the header. Its class: a fact that several sources tell is taken from one of them alone. The same question, asked of all that a head says, leaves the version of the weights and the load, which decide nothing.

Evidence: no host logs backend_server_leaving before 20.54 s, 3 ms after the entry was written; 20 requests were dispatched to the server from 7.7 s to 20.5 s.

The change: a notice that says so makes its incarnation unusable for good, also where it comes with a refusal, an error, an answer that can't be used, or to a host that sent the request for a peer, which keeps it as well. Hosts report such incarnations to each other, those without an entry for a minute. A host that sends for peers looks again right before it sends. While all servers of a service leave, its calls are refused at once, also those that wait. What the store holds is applied in a module of its own, as the registry had grown large.

Measured: the five tests pass: no arrival from a host that was told, none from any host a second after the first was, at 6 and 66 hosts; a new incarnation is used at once.

One test gives its new server as many slots as the others have; with two it had room for a third of the calls.

--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -52,6 +52,7 @@
     firstWaiting: { engines: 1 },
     avoidedBy: { 'engine-3': 1 },
     spentUnits: { 'franchise-a': 1200 },
+    leavingServers: ['engine-3'],
     endedServers: ['engine-2'],
     configurationVersion: 12,
     refusalLimits: { engines: { declinesPerSecond: 4, ageMs: 120 } },
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -59,7 +59,8 @@
   avoidedBy: countsSchema,
   spentUnits: numbersSchema,
   endedServers: names,
-  // Reports of earlier versions lack the next three fields.
+  // Reports of earlier versions lack the next four fields.
+  leavingServers: names.default([]),
   rateLimits: z.record(name, rateLimitSchema).default({}),
   refusalLimits: z.record(name, z.object({ declinesPerSecond: amount, ageMs: amount })).default({}),
   configurationVersion: count.default(0),
--- a/src/application/direct/_call_rejection.ts
+++ b/src/application/direct/_call_rejection.ts
@@ -21,8 +21,8 @@
 }
 
 /**
- * Finds why no backend server can take a call: all servers of the service are in closed zones,
- * or none is in a region in which the call may be handled.
+ * Finds why no backend server can take a call: all servers of the service are in closed zones or
+ * leave, or none is in a region in which the call may be handled.
  *
  * @param servers - all known backend servers
  * @param serviceId - service of the call
@@ -35,6 +35,7 @@
   regions: AllowedRegions,
 ): ErrorKind | undefined {
   if (servers.hasOnlyClosedZones(serviceId)) return ErrorKind.ServiceClosed;
+  if (servers.hasOnlyLeaving(serviceId)) return ErrorKind.NoBackendServer;
   if (regions === undefined) return undefined;
   const candidates = servers.listCandidates(serviceId);
   const isAllowed = candidates.some(({ region }) => isAllowedRegion(regions, region));
@@ -72,7 +73,10 @@
   const declinesPerSecond = services.servers.refusalLimits.find(serviceId);
   return {
     error: new SchedulerError(kind, { retryAfterMs }),
-    fields: { clearMs: estimatedWaitMs, declinesPerSecond },
+    fields: {
+      clearMs: Number.isFinite(estimatedWaitMs) ? estimatedWaitMs : undefined,
+      declinesPerSecond,
+    },
   };
 }
 
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -13,6 +13,7 @@
   | 'firstWaiting'
   | 'avoidedBy'
   | 'endedServers'
+  | 'leavingServers'
   | 'rateLimits'
   | 'refusalLimits'
   | 'hostCount'
--- a/src/application/direct/_rate_limit_tracker.ts
+++ b/src/application/direct/_rate_limit_tracker.ts
@@ -8,8 +8,13 @@
 import { computeTotalRate, deriveNamedPace, RateLimitRecord } from '../../domain/places/mod.js';
 import type { PaceShare } from '../../domain/places/mod.js';
 import { RateLimitKind } from '../../ports/mod.js';
-import type { Clock, EventLog, Metrics, ReportedRateLimit } from '../../ports/mod.js';
-import type { ServerEvidence } from './_server_notices.js';
+import type {
+  Clock,
+  EventLog,
+  Metrics,
+  ReportedRateLimit,
+  ServerEvidence,
+} from '../../ports/mod.js';
 import { PaceRoles } from './_pace_roles.js';
 import type { PaceHosts } from './_pace_roles.js';
 import { RateLimitLog } from './_rate_limit_log.js';
--- a/src/application/direct/_server_notices.ts
+++ b/src/application/direct/_server_notices.ts
@@ -7,24 +7,13 @@
 import type { BackendServerEntry, ServerLoad } from '../../domain/backend_servers/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
 import { PauseKind } from '../../ports/mod.js';
-import type { ServerNotice } from '../../ports/mod.js';
+import type { ServerEvidence } from '../../ports/mod.js';
 import type { PeerStats } from './_peer_stats.js';
 import { RateLimitTracker } from './_rate_limit_tracker.js';
 import type { RateLimitTrackerOptions } from './_rate_limit_tracker.js';
 import { RefusalLimits } from './_refusal_limits.js';
 import type { RefusalLimitsOptions } from './_refusal_limits.js';
 
-/** An answer that tells something of its backend server. */
-export interface ServerEvidence {
-  readonly requestId: string;
-  readonly incarnationId: string;
-  readonly notice: ServerNotice;
-  /** Whether the answer carries the server's own mark. */
-  readonly isAuthentic: boolean;
-  /** When the answered request was sent, on the monotonic clock in milliseconds. */
-  readonly sentAtMs: number;
-}
-
 /** Dependencies of {@link ServerNotices}. */
 export type ServerNoticesOptions = RateLimitTrackerOptions & RefusalLimitsOptions;
 
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -213,6 +213,7 @@
       clock,
       random,
       listCandidates: () => servers.listCandidates(serviceId),
+      estimateBlockedMs: () => servers.estimateBlockedMs(serviceId),
       onWaiting: () => this.#waitingNotices.notifyPeers(serviceId, queue),
       forwardFreedSlot: (serverId) => this.#freedSlotForwarder.forward(serverId),
       countWaitingAtPeers: () => servers.countWaitingAtPeers(serviceId),
--- a/src/application/direct/leaving_servers_test.ts
+++ b/src/application/direct/leaving_servers_test.ts
@@ -122,7 +122,7 @@
       'with a time to come back',
     );
     t.equal(listUnanswered(refused).length, 0, 'quickly');
-    fleet.hosts.forEach(({ feed }) => feed.put('servers/s-9', buildServer('s-9')));
+    fleet.hosts.forEach(({ feed }) => feed.put('servers/s-9', buildServer('s-9', { slots: 11 })));
     const second = fleet.calls.length;
     await fleet.run({ callsPerSecond: 30, durationMs: 1_000 });
     await fleet.clock.advance(ROUTE.timeoutMs);
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -20,6 +20,7 @@
   | 'avoidedBy'
   | 'spentUnits'
   | 'endedServers'
+  | 'leavingServers'
   | 'rateLimits'
   | 'refusalLimits'
   | 'configurationVersion'
@@ -33,6 +34,7 @@
   avoidedBy: {},
   spentUnits: {},
   endedServers: [],
+  leavingServers: [],
   rateLimits: {},
   refusalLimits: {},
   configurationVersion: 0,
@@ -81,6 +83,7 @@
     avoidedBy: servers.loads.countAvoiding(incarnations),
     spentUnits: spending.listSpentUnits(scope, receiver),
     endedServers: servers.listEndedIds(),
+    leavingServers: servers.listLeavingIds(),
     rateLimits: servers.rateLimits.listReported(),
     refusalLimits: servers.refusalLimits.listReported(),
     configurationVersion: routing.newestKnownVersion,
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -3,24 +3,23 @@
  *
  * @module
  */
-import { EntryEffect, ServerDirectory } from '../../domain/backend_servers/mod.js';
+import { ServerDirectory } from '../../domain/backend_servers/mod.js';
 import type {
   BackendServerEntry,
   Candidate,
   ServerLoad,
 } from '../../domain/backend_servers/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
-import type { FeedChange, FeedItem } from '../../ports/mod.js';
+import type { FeedChange, FeedItem, LogFields, ServerEvidence } from '../../ports/mod.js';
 import type { FeedContext, SnapshotContext } from './feed_update.js';
 import { CandidateCache } from './_candidate_cache.js';
 import { EndedIncarnations } from './_ended_incarnations.js';
-import { logEntryChange } from './_entry_log.js';
-import { EntryReader } from './_entry_reader.js';
+import { LeavingIncarnations } from './_leaving_incarnations.js';
+import { EntryApplier } from './_entry_applier.js';
 import { WarmupTracker } from './_warmup_tracker.js';
 import type { RateLimitTracker } from './_rate_limit_tracker.js';
 import type { RefusalLimits } from './_refusal_limits.js';
 import { ServerNotices } from './_server_notices.js';
-import type { ServerEvidence } from './_server_notices.js';
 import { PeerStatsTable } from './_peer_stats.js';
 import type { PeerStats } from './_peer_stats.js';
 import { ServerLoads } from './_server_loads.js';
@@ -31,7 +30,7 @@
 export class ServerRegistry {
   readonly #options: ServerRegistryOptions;
 
-  readonly #reader: EntryReader;
+  readonly #entries: EntryApplier;
 
   readonly #directory = new ServerDirectory();
 
@@ -45,6 +44,8 @@
 
   readonly #endedIncarnations = new EndedIncarnations();
 
+  readonly #leaving = new LeavingIncarnations();
+
   readonly #warmups: WarmupTracker;
 
   readonly #candidateLists: CandidateCache;
@@ -56,8 +57,14 @@
   /** @param options - dependencies and settings */
   constructor(options: ServerRegistryOptions) {
     this.#options = options;
-    this.#reader = new EntryReader(options);
     this.#warmups = new WarmupTracker(options);
+    this.#entries = new EntryApplier({
+      ...options,
+      directory: this.#directory,
+      ended: this.#endedIncarnations,
+      leaving: this.#leaving,
+      warmups: this.#warmups,
+    });
     this.#notices = new ServerNotices({ ...options, listServers: this.#listActive.bind(this) });
     this.rateLimits.onChange(() => this.#notifyChange());
     this.loads = new ServerLoads({
@@ -126,6 +133,24 @@
     return this.#listActive(serviceId).length > 0;
   }
 
+  /** @param serviceId - a service. @returns whether it has servers, and all of them leave */
+  hasOnlyLeaving(serviceId: string): boolean {
+    const entries = this.listEntries().filter((entry) => entry.serviceId === serviceId);
+    return (
+      entries.length > 0 && entries.every(({ id, isLeaving }) => isLeaving || this.#leaving.has(id))
+    );
+  }
+
+  /**
+   * @param serviceId - a service
+   * @returns time until any of its servers takes a request, in milliseconds; 0 if one may do so
+   *   now or none is known, Infinity if all of them leave
+   */
+  estimateBlockedMs(serviceId: string): number {
+    if (this.listCandidates(serviceId).length > 0) return 0;
+    return this.hasOnlyLeaving(serviceId) ? Infinity : 0;
+  }
+
   /** @param id - a server incarnation. @returns whether it may be given work at present */
   isUsable(id: string): boolean {
     const zone = this.findEntry(id)?.availabilityZone;
@@ -152,6 +177,12 @@
     return this.peers.getTotal('waitingCalls', serviceId);
   }
 
+  /** @returns server incarnations whose answers have said that they leave */
+  listLeavingIds(): readonly string[] {
+    const hasEntry = (id: string): boolean => this.findEntry(id) !== undefined;
+    return this.#leaving.listReported(this.#options.clock.nowMs(), hasEntry);
+  }
+
   /** @returns server incarnations that have ended although entries may not say so */
   listEndedIds(): readonly string[] {
     return this.#endedIncarnations.list();
@@ -162,11 +193,22 @@
     this.peers.set(source, stats);
     this.loads.applyPeerTotals(this.#options.countServing());
     stats?.endedServers.forEach((id) => this.recordEnded(id));
+    stats?.leavingServers.forEach((id) => this.#recordLeaving(id, { source }));
     if (stats) this.#notices.applyReported(stats, source, (id) => this.findEntry(id) !== undefined);
   }
 
+  /**
+   * @param id - a server incarnation
+   * @returns whether a request may be sent to it; a peer may know a server without an entry here
+   */
+  mayReceive(id: string): boolean {
+    return this.findEntry(id) ? this.isUsable(id) : !this.#leaving.has(id);
+  }
+
   /** @param evidence - an answer that tells something of its server */
   recordNotice(evidence: ServerEvidence): void {
+    const { incarnationId, notice, requestId } = evidence;
+    if (notice.isLeaving) this.#recordLeaving(incarnationId, { source: 'answer', requestId });
     this.#notices.recordAnswer(evidence, this.findEntry(evidence.incarnationId)?.serviceId);
   }
 
@@ -176,6 +218,18 @@
     if (this.#directory.recordEnded(id)) this.#handleEnded(id);
   }
 
+  /** An incarnation that leaves never comes back, whatever an entry of it says. */
+  #recordLeaving(id: string, evidence: LogFields): void {
+    if (!this.#leaving.add(id, this.#options.clock.nowMs())) return;
+    this.#directory.recordEnded(id);
+    this.#options.log.write(LogLevel.Info, 'backend_server_leaving', {
+      backendServer: id,
+      service: this.findEntry(id)?.serviceId,
+      ...evidence,
+    });
+    this.#notifyChange();
+  }
+
   #handleEnded(backendServer: string): void {
     this.#candidateLists.clear();
     this.#options.log.write(LogLevel.Info, 'backend_server_ended', { backendServer });
@@ -194,21 +248,8 @@
    * @param items - all items that were read
    * @param context - circumstances of the read
    */
-  applySnapshot(items: readonly FeedItem[], { wasAway, isRestored }: SnapshotContext): void {
-    const { prefix, clock } = this.#options;
-    const serverItems = items.filter(({ key }) => key.startsWith(prefix));
-    const entries = serverItems.flatMap(({ key, value }) => this.#reader.read(key, value) ?? []);
-    const presentIds = new Set(serverItems.map(({ key }) => this.#reader.getServerId(key)));
-    // A name whose value can't be decoded was overwritten, so its server may still be running.
-    const mayReturn = (serverId: string): boolean => wasAway || presentIds.has(serverId);
-    const endedIds = this.#directory.replaceAll(entries, clock.nowMs(), mayReturn, isRestored);
-    this.#options.log.write(LogLevel.Info, 'backend_servers_read', { count: entries.length });
-    this.#endedIncarnations.clearEntries();
-    entries.forEach((entry) => {
-      this.#recordEntryState(entry);
-      this.#warmups.recordEntry(entry);
-    });
-    endedIds.forEach((id) => this.#handleRestart(id));
+  applySnapshot(items: readonly FeedItem[], context: SnapshotContext): void {
+    this.#entries.applySnapshot(items, context).forEach((id) => this.#handleRestart(id));
     this.#refresh();
   }
 
@@ -218,52 +259,11 @@
    * @param changes - all changes of the store
    * @param context - circumstances of the read
    */
-  applyChanges(changes: readonly FeedChange[], { wasAway }: FeedContext): void {
-    changes
-      .filter(({ key }) => key.startsWith(this.#options.prefix))
-      .forEach(({ key, value }) => {
-        if (value === undefined) this.#applyRemoval(this.#reader.getServerId(key), wasAway);
-        else this.#applyValue(key, value);
-      });
+  applyChanges(changes: readonly FeedChange[], context: FeedContext): void {
+    this.#entries.applyChanges(changes, context, (id) => this.#handleRestart(id));
     this.#refresh();
   }
 
-  #applyRemoval(serverId: string, wasAway: boolean): void {
-    this.#endedIncarnations.recordRemoval(serverId);
-    this.#directory.applyRemoval(serverId, this.#options.clock.nowMs(), wasAway);
-    this.#options.log.write(LogLevel.Info, 'backend_server_removed', {
-      backendServer: serverId,
-      mayHaveLapsed: wasAway,
-    });
-  }
-
-  /**
-   * Applies a written value. A value that can't be decoded identifies no server; the server that
-   * was registered there stays in use only for as long as a live one may need to rewrite its
-   * entry. Dropping it at once would let any writer take servers out of service, and keeping it
-   * forever would leave this host with another state than hosts that start later.
-   */
-  #applyValue(key: string, value: Uint8Array): void {
-    const nowMs = this.#options.clock.nowMs();
-    const entry = this.#reader.read(key, value);
-    if (!entry) {
-      const serverId = this.#reader.getServerId(key);
-      this.#endedIncarnations.recordRemoval(serverId);
-      this.#directory.applyRemoval(serverId, nowMs, true);
-      return;
-    }
-    const { effect, endedId } = this.#directory.applyEntry(entry, nowMs);
-    if (effect !== EntryEffect.None) logEntryChange(this.#options.log, entry, effect);
-    if (effect !== EntryEffect.Outdated) this.#warmups.recordEntry(entry);
-    this.#recordEntryState(entry);
-    if (endedId !== undefined) this.#handleRestart(endedId);
-  }
-
-  #recordEntryState(entry: BackendServerEntry): void {
-    const isHeldBack = this.#directory.isHeldBack(entry.id, this.#options.clock.nowMs());
-    this.#endedIncarnations.recordEntry(entry, isHeldBack || this.#isActive(entry.id));
-  }
-
   /** Ends what was sent to a former incarnation, whose connections may stay silent for long. */
   #handleRestart(endedId: string): void {
     this.#endedIncarnations.add(endedId);
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -64,6 +64,11 @@
   readonly random: RandomSource;
   /** @returns backend servers that may be given work */
   readonly listCandidates: () => readonly Candidate[];
+  /**
+   * @returns time until any backend server takes a request, in milliseconds; 0 if one may do so
+   *   now, Infinity if all of them leave
+   */
+  readonly estimateBlockedMs: () => number;
   /** Called when a call starts to wait. */
   readonly onWaiting: () => void;
   /**
@@ -173,6 +178,16 @@
     });
   }
 
+  /** Sheds calls for which no backend server will take a request in time. */
+  #shedBlocked(): void {
+    const blockedMs = this.#options.estimateBlockedMs();
+    if (blockedMs === 0) return;
+    const startsAtMs = this.#options.clock.nowMs() + blockedMs;
+    [...this.#queue.list()]
+      .filter((call) => startsAtMs > call.latestStartAtMs && this.#queue.remove(call))
+      .forEach((call) => call.shed(blockedMs));
+  }
+
   #isWaitWorthwhile(call: QueuedCall): boolean {
     const { clock, random } = this.#options;
     return this.#waitSuccess.isWorthwhile(
@@ -187,7 +202,8 @@
     this.#dropOldFreedTimes();
     const msPerFreedSlot = FREED_WINDOW_MS / Math.max(MIN_FREED_SLOTS, this.#freedAtMs.length);
     const waitMs = (this.#queue.countAhead(call) + 1) * msPerFreedSlot;
-    return Math.max(waitMs, this.#estimatePacedWaitMs(call));
+    const blockedMs = this.#options.estimateBlockedMs();
+    return Math.max(waitMs, blockedMs, this.#estimatePacedWaitMs(call));
   }
 
   /** Estimates the wait for a turn; 0 if any backend server needs none. */
@@ -251,6 +267,7 @@
     this.#timer = this.#options.clock.setTimer(CHECK_INTERVAL_MS, () => {
       this.#timer = undefined;
       this.shedExpired();
+      this.#shedBlocked();
       this.dispatchWaiting();
       if (this.#queue.size > 0) this.#scheduleCheck();
     });
--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -15,6 +15,7 @@
   DirectBackendClient,
   ProxiedRequest,
   ProxyEvent,
+  ServerEvidence,
   ServerNotice,
   Timer,
 } from '../../ports/mod.js';
@@ -28,6 +29,10 @@
   readonly clock: Clock;
   readonly backend: DirectBackendClient;
   readonly gate: UrgencyGate;
+  /** Tells whether the server may get work; asked again right before the request is sent. */
+  readonly mayReceive: () => boolean;
+  /** Called with what each answer says of its server. */
+  readonly recordNotice: (evidence: ServerEvidence) => void;
   /** Sends an event to the peer. Returns false if that was not possible. */
   readonly reply: (index: number, event: ProxyEvent) => boolean;
   /** Called once, when the exchange has ended, with its result and how long it waited for room. */
@@ -95,6 +100,10 @@
   }
 
   onNotice(notice: ServerNotice, isAuthentic: boolean): void {
+    const { request, recordNotice } = this.#options;
+    const { requestId, incarnationId } = request;
+    const sentAtMs = this.#arrivedAtMs + this.#waitedMs;
+    recordNotice({ requestId, incarnationId, notice, isAuthentic, sentAtMs });
     this.#report({ kind: ProxyEventKind.Notice, notice, isAuthentic });
   }
 
@@ -119,8 +128,12 @@
   #send(): void {
     this.#isRunning = true;
     this.#waitTimer?.cancel();
-    const { backend, clock, request } = this.#options;
+    const { backend, clock, request, mayReceive } = this.#options;
     this.#waitedMs = clock.nowMs() - this.#arrivedAtMs;
+    if (!mayReceive()) {
+      this.refuse('the backend server may receive no work');
+      return;
+    }
     try {
       this.#exchange = backend.send(buildRequest(request, this.#waitedMs), this);
     } catch (error) {
--- a/src/application/paths/host_paths.ts
+++ b/src/application/paths/host_paths.ts
@@ -12,6 +12,7 @@
   Metrics,
   PeerNetwork,
   RandomSource,
+  ServerEvidence,
   ServerProbe,
 } from '../../ports/mod.js';
 import { ConfirmedProbe } from './confirmed_probe.js';
@@ -39,6 +40,8 @@
   readonly listHeard: () => readonly HostState[];
   /** @param id - a server incarnation. @returns false if it must get no work */
   readonly mayReceive: (id: string) => boolean;
+  /** @param evidence - an answer to a request that was sent for a peer */
+  readonly recordNotice: (evidence: ServerEvidence) => void;
 }
 
 /** Holds the parts that send requests, for this host's own calls and for peers. */
--- a/src/application/paths/proxy_server.ts
+++ b/src/application/paths/proxy_server.ts
@@ -14,6 +14,7 @@
   Metrics,
   PeerNetwork,
   ProxyRequestMessage,
+  ServerEvidence,
   ServerProbe,
 } from '../../ports/mod.js';
 import { ProxiedExchange } from './_proxied_exchange.js';
@@ -38,6 +39,8 @@
   readonly backend: DirectBackendClient;
   /** @param id - a server incarnation. @returns false if it must get no work */
   readonly mayReceive: (id: string) => boolean;
+  /** @param evidence - an answer to a request of a peer */
+  readonly recordNotice: (evidence: ServerEvidence) => void;
 }
 
 /** Serves peers, the most urgent requests first and never more than a bounded number. */
@@ -79,7 +82,7 @@
   }
 
   #handle(from: EntryHostIdentity, { exchangeId, request }: ProxyRequestMessage): void {
-    const { peers, clock, log, backend, metrics, mayReceive } = this.#options;
+    const { peers, clock, log, backend, metrics, mayReceive, recordNotice } = this.#options;
     const key = formatKey(from, exchangeId);
     this.#usedAtMs.set(from.incarnation, clock.nowMs());
     const exchange = new ProxiedExchange({
@@ -87,6 +90,8 @@
       clock,
       backend,
       gate: this.#gate,
+      mayReceive: () => mayReceive(request.incarnationId),
+      recordNotice,
       reply: (index, event) => {
         const reply = { type: PeerMessageType.ProxyReply, exchangeId, index, event } as const;
         return peers.send(from.incarnation, reply);
@@ -105,8 +110,7 @@
       },
     });
     this.#exchanges.set(key, exchange);
-    if (mayReceive(request.incarnationId)) exchange.start();
-    else exchange.refuse('the backend server may receive no work');
+    exchange.start();
   }
 
   async #probe(from: EntryHostIdentity, probeId: number, address: string): Promise<void> {
--- a/src/application/paths/proxy_server_test.ts
+++ b/src/application/paths/proxy_server_test.ts
@@ -30,6 +30,7 @@
     probe: new FakeProbe(),
     backend,
     mayReceive: (id) => id !== 'leaving',
+    recordNotice: () => undefined,
   });
   const replies: ProxyReplyMessage[] = [];
   asker.handle(PeerMessageType.ProxyReply, (_from, reply) => replies.push(reply));
--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -47,6 +47,7 @@
   metrics.set('zones_closed', storeView.places.closedCount);
   metrics.set('backend_servers_cold', storeView.servers.coldCount);
   metrics.set('backend_servers_limited', storeView.servers.rateLimits.listLimitedIds().length);
+  metrics.set('backend_servers_leaving', storeView.servers.listLeavingIds().length);
   metrics.set('services_refusals_limited', storeView.servers.refusalLimits.count);
   metrics.set('requests_held', crashes.quarantinedCount);
   metrics.set('backend_servers_cut', paths.cutCount);
--- a/src/commands/_direct_paths.ts
+++ b/src/commands/_direct_paths.ts
@@ -11,7 +11,7 @@
 import type { HostPathsOptions } from '../application/paths/mod.js';
 import type { DirectSettings } from './direct_settings.js';
 
-type DerivedOptions = 'availabilityZone' | 'backend' | 'mayReceive' | 'probe';
+type DerivedOptions = 'availabilityZone' | 'backend' | 'mayReceive' | 'probe' | 'recordNotice';
 
 /** Settings and collaborators; all other options are derived from them. */
 export interface HostPathsParts extends Omit<HostPathsOptions, DerivedOptions> {
@@ -33,6 +33,7 @@
     availabilityZone: settings.availabilityZone,
     probe: new TcpServerProbe(),
     backend: new HttpDirectBackendClient(dialect),
-    mayReceive: (id) => !servers.findEntry(id) || servers.isUsable(id),
+    mayReceive: (id) => servers.mayReceive(id),
+    recordNotice: (evidence) => servers.recordNotice(evidence),
   });
 }
--- a/src/domain/collections/bounded_map.ts
+++ b/src/domain/collections/bounded_map.ts
@@ -37,6 +37,11 @@
     if (!oldest.done) this.#values.delete(oldest.value);
   }
 
+  /** @returns all keys and values, least recently set first */
+  listEntries(): readonly (readonly [string, T])[] {
+    return [...this.#values];
+  }
+
   /** @param key - key to remove. @returns whether the map held it */
   delete(key: string): boolean {
     return this.#values.delete(key);
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -147,6 +147,17 @@
     }
   | { readonly kind: RateLimitKind.Invalid; readonly text: string };
 
+/** An answer that tells something of its backend server. */
+export interface ServerEvidence {
+  readonly requestId: string;
+  readonly incarnationId: string;
+  readonly notice: ServerNotice;
+  /** Whether the answer carries the server's own mark. */
+  readonly isAuthentic: boolean;
+  /** When the answered request was sent, on the monotonic clock in milliseconds. */
+  readonly sentAtMs: number;
+}
+
 /** Head of a backend server's answer. */
 export interface BackendHead extends DirectHead {
   /** Whether it carries the backend server's own mark; a success without the mark is invalid. */
--- a/src/ports/mod.ts
+++ b/src/ports/mod.ts
@@ -47,6 +47,7 @@
   RateNotice,
   RawHeaders,
   ReportedLoad,
+  ServerEvidence,
   ServerNotice,
 } from './direct_calls.js';
 export { Reachability, ServerProbe } from './server_probe.js';
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -48,6 +48,8 @@
   readonly avoidedBy: Readonly<Record<string, number>>;
   /** Backend servers whose end was detected through requests. */
   readonly endedServers: readonly string[];
+  /** Backend servers whose answers said that they leave. */
+  readonly leavingServers: readonly string[];
   /** Rate limits that backend servers name, and recent ends of such limits, by backend server. */
   readonly rateLimits: Readonly<Record<string, ReportedRateLimit>>;
   /** Services whose servers bear few refusals, by service. */
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -143,7 +143,8 @@
       backend: options.client ?? this.backend,
       paths: this.paths,
       listHeard: () => (options.usesPeers !== false && this.reports?.listHeard()) || NO_HOSTS,
-      mayReceive: (id) => !this.servers.findEntry(id) || this.servers.isUsable(id),
+      mayReceive: (id) => this.servers.mayReceive(id),
+      recordNotice: (evidence) => this.servers.recordNotice(evidence),
     });
     this.crashes = new CrashQuarantine({
       ...shared,
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -16,6 +16,7 @@
   firstWaiting: {},
   avoidedBy: {},
   endedServers: [],
+  leavingServers: [],
   rateLimits: {},
   refusalLimits: {},
   hostCount: 1,
