--- a/src/application/owner/checked_body.ts
+++ b/src/application/owner/checked_body.ts
@@ -28,7 +28,7 @@
 ): AsyncGenerator<Uint8Array> {
   const splitter = isUncompressedEventStream(answer) ? new EventSplitter(Infinity) : undefined;
   for await (const bytes of answer.body) {
-    splitter?.split(Buffer.from(bytes));
+    splitter?.split(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength));
     yield bytes;
   }
   const facts = {
