--- a/src/application/direct/leaving_servers_test.ts
+++ b/src/application/direct/leaving_servers_test.ts
@@ -7,7 +7,11 @@
 import { buildServer } from '../../../test/support/direct_host.js';
 import type { FeedCopy } from '../../../test/support/fake_feed.js';
 import type { DirectHost } from '../../../test/support/direct_host.js';
-import { LastWords, NoticeFleet } from '../../../test/support/notice_fleet.js';
+import {
+  LastWords,
+  MAX_REQUESTS_IN_PAUSE,
+  NoticeFleet,
+} from '../../../test/support/notice_fleet.js';
 import { CutMode, listUnanswered } from '../../../test/support/cut_fleet.js';
 import { formatIncarnationId } from '../../domain/backend_servers/mod.js';
 import { RunOutcome } from '../../domain/errors/mod.js';
@@ -130,3 +134,24 @@
     t.ok(served >= 0.9 * (fleet.calls.length - second), `${served} served by the new one`);
   },
 );
+
+t.test(
+  '195 hosts know that servers leave, and those that are asked for a pause take it',
+  async (t) => {
+    // Guards against word that takes longer on its way through relays than requests may.
+    const fleet = new NoticeFleet(t, { hosts: 195, servers: 20, route: ROUTE, seed: 60 });
+    await fleet.start();
+    const load = { callsPerSecond: 400, durationMs: 1_000 };
+    fleet.leaving.set('s-1', LastWords.Success).set('s-2', LastWords.Error);
+    fleet.pause(['s-3', 's-4'], DRAIN_MS + 1_000);
+    await fleet.run(load);
+    const knownFromMs = Math.min(...fleet.toldAtMs.values()) + TOLD_MS;
+    await fleet.run({ ...load, durationMs: DRAIN_MS });
+    const late = fleet.arrivals.filter(
+      ({ serverId, atMs }) => fleet.leaving.has(serverId) && atMs > knownFromMs,
+    );
+    t.same(late, []);
+    t.ok(fleet.toldPauses.length > 0);
+    t.ok(fleet.countMostInPause() <= MAX_REQUESTS_IN_PAUSE);
+  },
+);
