Look at the servers of a service only where none of them takes calls

Each call looked through all known servers to tell whether all of them leave; it does so now only where no server may be given work.

--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -131,6 +131,7 @@
 
   /** @param serviceId - a service. @returns whether it has servers, and all of them leave */
   hasOnlyLeaving(serviceId: string): boolean {
+    if (this.listCandidates(serviceId).length > 0) return false;
     const entries = this.listEntries().filter((entry) => entry.serviceId === serviceId);
     return (
       entries.length > 0 && entries.every(({ id, isLeaving }) => isLeaving || this.#leaving.has(id))
