Remember an open event of an own answer while it is resumed

A stream of the own interface that ended inside an event, marked by its engine, was resumed at that byte; the engine had nothing more, and the empty rest was taken for a whole one. The check is kept for the whole answer now, at its owner and where a peer reads on after the owner was lost.

--- a/src/application/entry_host/_stream_failover.ts
+++ b/src/application/entry_host/_stream_failover.ts
@@ -7,7 +7,7 @@
 import type { RequestId } from '../../domain/requests/mod.js';
 import { BackendCallError } from '../../ports/mod.js';
 import type { BackendAnswer, BackendServerClient } from '../../ports/mod.js';
-import { readCheckedBody } from '../owner/mod.js';
+import { CheckedBody } from '../owner/mod.js';
 import type { AnswerHead } from '../owner/mod.js';
 import type { CallerAnswer, ConfigurationView, ReadOptions } from '../views/mod.js';
 
@@ -54,7 +54,7 @@
       'backend-server': options.backendServer ?? '',
       'stream-id': options.streamId ?? '',
     },
-    body: readRest(answer, answer.isFramed),
+    body: readRest(answer, new CheckedBody(answer)),
   };
 }
 
@@ -87,9 +87,11 @@
   start: { readonly offset: number; readonly callerGone: AbortSignal },
 ): AsyncGenerator<Uint8Array> {
   let { offset } = start;
+  const checkedBody = new CheckedBody(answer.head);
   try {
     for await (const bytes of answer.body) {
       offset += bytes.length;
+      checkedBody.observe(bytes);
       yield bytes;
     }
   } catch (error) {
@@ -103,7 +105,7 @@
         })
       : undefined;
     if (!rest) throw error;
-    yield* readRest(rest, answer.head.isFramed);
+    yield* readRest(rest, checkedBody);
   }
 }
 
@@ -128,10 +130,10 @@
 
 async function* readRest(
   answer: BackendAnswer,
-  isMarkPromised: boolean,
+  checkedBody: CheckedBody,
 ): AsyncGenerator<Uint8Array> {
   try {
-    yield* readCheckedBody(answer, isMarkPromised);
+    yield* checkedBody.read(answer);
   } catch (error) {
     if (!(error instanceof BackendCallError)) throw error;
     throw new SchedulerError(ErrorKind.AnswerCut, {
--- a/src/application/owner/_attempt.ts
+++ b/src/application/owner/_attempt.ts
@@ -14,7 +14,7 @@
 import { isSuccess } from '../crashes/mod.js';
 import type { MembershipView, Slot, SlotUse } from '../views/mod.js';
 import { OutputMeter } from './_output_meter.js';
-import { readCheckedBody } from './checked_body.js';
+import { CheckedBody } from './checked_body.js';
 import type { OwnedCall } from './owned_call.js';
 import type { OwnedRequest } from './owned_request.js';
 
@@ -65,6 +65,8 @@
 
   #meter = new OutputMeter(undefined);
 
+  #checkedBody: CheckedBody | undefined;
+
   /**
    * @param context - dependencies of the attempt
    * @param request - the request, in state Dispatching
@@ -222,8 +224,8 @@
 
   async #copyBody(backendAnswer: BackendAnswer): Promise<void> {
     const { answer } = this.#request;
-    const isMarkPromised = answer.head?.isFramed !== false;
-    for await (const bytes of readCheckedBody(backendAnswer, isMarkPromised)) {
+    this.#checkedBody ??= new CheckedBody(answer.head ?? backendAnswer);
+    for await (const bytes of this.#checkedBody.read(backendAnswer)) {
       if (this.#firstByteMs === 0) this.#firstByteMs = this.#computeMsSinceHandOver();
       this.#meter.observe(bytes);
       answer.append(bytes);
@@ -239,15 +241,10 @@
     if (!this.#request.record.isHandedOver) return this.#buildNotHandedOver(error);
     if (!this.#request.isWanted) {
       this.#cancelStream();
-      return this.#buildResult(
-        SlotOutcome.Cancelled,
-        new SchedulerError(
-          this.#isPastDeadline() ? ErrorKind.DeadlineExpired : ErrorKind.CancelledAfterDispatch,
-          {
-            run: RunOutcome.MayHaveRun,
-          },
-        ),
-      );
+      const { DeadlineExpired, CancelledAfterDispatch } = ErrorKind;
+      const kind = this.#isPastDeadline() ? DeadlineExpired : CancelledAfterDispatch;
+      const cancelled = new SchedulerError(kind, { run: RunOutcome.MayHaveRun });
+      return this.#buildResult(SlotOutcome.Cancelled, cancelled);
     }
     const wasAnswering = this.#request.answer.head !== undefined;
     return this.#buildResult(
--- a/src/application/owner/mod.ts
+++ b/src/application/owner/mod.ts
@@ -9,7 +9,7 @@
 export type { AnswerHead } from './answer_buffer.js';
 export { AnswerStore } from './answer_store.js';
 export type { AnswerStoreOptions } from './answer_store.js';
-export { readCheckedBody } from './checked_body.js';
+export { CheckedBody } from './checked_body.js';
 export { OwnedRequest } from './owned_request.js';
 export { OwnerService } from './owner_service.js';
 export type { OwnerServiceOptions } from './owner_service.js';
