Log what each peer found that was asked about a server out of reach

A refusal said that no host could connect, and nothing told which hosts had been asked or what they found. server_path_checked names the peers and what each found, for each check; no decision changes.

--- a/src/application/paths/path_checks.ts
+++ b/src/application/paths/path_checks.ts
@@ -7,7 +7,8 @@
 import type { ServerPaths } from '../../domain/paths/mod.js';
 import { Reachability } from '../../ports/mod.js';
 import type { Clock, EventLog, Metrics, ServerProbe } from '../../ports/mod.js';
-import type { ProxyClient } from './proxy_client.js';
+import { mergeObservations } from './proxy_client.js';
+import type { ProxyClient, PeerObservation } from './proxy_client.js';
 
 /** Shortest time between two checks of one server, in milliseconds. */
 const MIN_CHECK_INTERVAL_MS = 500;
@@ -91,11 +92,28 @@
       if (wasCut) this.#publish('server_path_restored', incarnationId);
       return;
     }
-    const throughPeers = await proxies.probe(address);
+    const observations = await proxies.ask(address);
+    this.#logObservations(incarnationId, own, observations);
+    const throughPeers = mergeObservations(observations);
     if (throughPeers === Reachability.Open) this.#handleCut(incarnationId);
     else if (throughPeers !== undefined) paths.recordUnreachable(incarnationId, clock.nowMs());
   }
 
+  #logObservations(
+    backendServer: string,
+    own: Reachability | undefined,
+    observations: readonly PeerObservation[],
+  ): void {
+    const { log, paths, clock } = this.#options;
+    log.write(LogLevel.Info, 'server_path_checked', {
+      backendServer,
+      own: own ?? 'failed',
+      peers: observations.map(({ peer }) => peer).join(),
+      answers: observations.map(({ reachability }) => reachability ?? 'none').join(),
+      reachedAgoMs: Math.round(clock.nowMs() - paths.lastReachedAtMs),
+    });
+  }
+
   #handleCut(incarnationId: string): void {
     const { paths, clock } = this.#options;
     const wasCut = paths.isCut(incarnationId);
--- a/src/application/paths/proxy_client.ts
+++ b/src/application/paths/proxy_client.ts
@@ -54,6 +54,14 @@
   nextIndex: number;
 }
 
+/** What a peer that was asked found at the address of a server. */
+export interface PeerObservation {
+  /** Incarnation of the peer. */
+  readonly peer: string;
+  /** What the peer found; undefined if it did not answer. */
+  readonly reachability: Reachability | undefined;
+}
+
 interface PendingProbe {
   readonly peer: string;
   readonly finish: (reachability: Reachability | undefined) => void;
@@ -114,6 +122,19 @@
     };
   }
 
+  /**
+   * Asks peers whether a process listens at an address.
+   *
+   * @param address - IP address and port
+   * @returns what each of them found, in no particular order
+   */
+  ask(address: string): Promise<readonly PeerObservation[]> {
+    const peers = this.#listPeers(new Set()).slice(0, PROBING_PEERS);
+    return Promise.all(
+      peers.map(async (peer) => ({ peer, reachability: await this.#probeThrough(peer, address) })),
+    );
+  }
+
   /**
    * Asks peers whether a process listens at an address.
    *
@@ -121,10 +142,7 @@
    * @returns open if any of them could connect; undefined if none answered
    */
   async probe(address: string): Promise<Reachability | undefined> {
-    const peers = this.#listPeers(new Set()).slice(0, PROBING_PEERS);
-    const results = await Promise.all(peers.map((peer) => this.#probeThrough(peer, address)));
-    const known = results.filter((result) => result !== undefined);
-    return known.find((result) => result === Reachability.Open) ?? known[0];
+    return mergeObservations(await this.ask(address));
   }
 
   #offer(exchangeId: number, exchange: PendingExchange): boolean {
@@ -235,6 +253,17 @@
   }
 }
 
+/**
+ * @param observations - what peers found at an address
+ * @returns open if any of them could connect; undefined if none answered
+ */
+export function mergeObservations(
+  observations: readonly PeerObservation[],
+): Reachability | undefined {
+  const known = observations.flatMap(({ reachability }) => reachability ?? []);
+  return known.find((result) => result === Reachability.Open) ?? known[0];
+}
+
 function buildProxiedRequest({ request, ...rest }: BackendRequest): ProxiedRequest {
   const { requestId, method, target, headers, body } = request;
   return { ...rest, requestId, method, target, headers, body };
