--- a/test/support/cut_fleet.ts
+++ b/test/support/cut_fleet.ts
@@ -5,6 +5,7 @@
  */
 import type { Test } from 'tap';
 import { BackendFailure, Reachability } from '../../src/ports/mod.js';
+import type { BackendServerEntry } from '../../src/domain/backend_servers/mod.js';
 import type { FakeExchange, FakeReply } from './direct_ends.js';
 import { DirectFleet } from './direct_fleet.js';
 import type { DirectFleetOptions, SentCall } from './direct_fleet.js';
@@ -77,7 +78,11 @@
   }
 
   /** Cuts links between entry hosts and servers. */
-  cut(hostIds: readonly string[], mode: CutMode, serverIds = this.serverIds): void {
+  cut(
+    hostIds: readonly string[],
+    mode: CutMode,
+    serverIds: readonly string[] = this.serverIds,
+  ): void {
     hostIds.forEach((hostId) => {
       serverIds.forEach((serverId) => this.#cutLink(hostId, serverId, mode));
     });
@@ -206,16 +211,35 @@
     if (!exchange.isCancelled) exchange.fail(failure);
   }
 
-  /** Probes of a host see what its connections see. All servers of a test share one address. */
+  protected override describeServer(serverId: string): Partial<BackendServerEntry> {
+    return { address: formatAddress(serverId) };
+  }
+
+  /** Probes of a host see what its connections see. */
   #updateProbes(): void {
     this.hosts.forEach(({ probe, peers }) => {
-      const modes = this.serverIds.map((id) => this.#cuts.get(`${peers.identity.id} ${id}`));
-      const isCut = modes.every((mode) => mode !== undefined);
-      const isDead = this.serverIds.every((id) => this.#deadServers.has(id));
-      const result = modes[0] === CutMode.Hang ? Reachability.Unknown : Reachability.Refused;
-      Object.assign(probe, { fixedResult: isCut || isDead ? result : undefined });
+      const { ended } = probe;
+      this.serverIds.forEach((serverId) => {
+        const mode = this.#cuts.get(`${peers.identity.id} ${serverId}`);
+        const isDead = this.#deadServers.has(serverId);
+        const result = mode === CutMode.Hang ? Reachability.Unknown : Reachability.Refused;
+        if (isDead || mode !== undefined) ended.set(formatAddress(serverId), result);
+        else ended.delete(formatAddress(serverId));
+      });
+      Object.assign(probe, { waitForResult: this.#waitForResult.bind(this) });
     });
   }
+
+  #waitForResult(result: Reachability): Promise<void> {
+    const delayMs = result === Reachability.Unknown ? CONNECT_TIMEOUT_MS : ROUND_TRIP_MS;
+    return new Promise((resolve) => {
+      this.clock.setTimer(delayMs, resolve);
+    });
+  }
+}
+
+function formatAddress(serverId: string): string {
+  return `${serverId}:80`;
 }
 
 function isServed({ reply }: SentCall): boolean {
--- a/test/support/direct_ends.ts
+++ b/test/support/direct_ends.ts
@@ -116,6 +116,9 @@
   /** Result for every address; undefined: as configured per address. */
   fixedResult: Reachability | undefined;
 
+  /** Waits until a result is there. Default: results are there at once. */
+  waitForResult: (result: Reachability) => Promise<void> = async () => undefined;
+
   /** @param ended - result by address; several entry hosts may share the map */
   constructor(readonly ended = new Map<string, Reachability>()) {
     super();
@@ -123,9 +126,14 @@
 
   override async check(address: string): Promise<Reachability> {
     this.checkedAddresses.push(address);
+    const result = this.#findResult(address);
+    await this.waitForResult(result);
+    return result;
+  }
+
+  #findResult(address: string): Reachability {
     if (this.isCut) return Reachability.Refused;
-    if (this.fixedResult !== undefined) return this.fixedResult;
-    return this.ended.get(address) ?? Reachability.Open;
+    return this.fixedResult ?? this.ended.get(address) ?? Reachability.Open;
   }
 }
 
