Take a peer's word that it can't reach a server only as far as its own links go

Callers of cut-off hosts got 503 at once, for as long as the cut lasted, where the peers that were asked had lost their links too: in fleets with relays a member is linked to its relay alone.

Cause: two peers were asked, and 'neither do I' had the server left alone by all for a second, whoever said so; links to more peers were opened only once a peer reached the server. Class: an observation that is believed without regard to its observer.

The change: a peer that can't connect says whether it can to other servers (three probes, those first that were reached last, kept for a moment). One table decides, derivePathVerdict() for a server and ServerPaths for the host: a connection always counts, two failed ones of peers that reach others do, those of others never. Until somebody decides, more peers are asked, links to four are opened, other zones first, and requests wait, unsent, for at most a second. A host that reaches nothing says so in the roster before a peer has proved it. If nobody is left to ask, all are refused at once, while the own links are tried every half second. A cut path has the others checked, few at a time, rechecks no longer hang on calls, and a request that a peer could not send goes to the next one. An attempt that is given up before it was sent counts as not run.

--- a/src/adapters/peers_ws/_proxy_schemas.ts
+++ b/src/adapters/peers_ws/_proxy_schemas.ts
@@ -121,4 +121,5 @@
   type: z.literal(PeerMessageType.ProxyProbeReply),
   probeId: count,
   reachability: z.enum(Reachability),
+  reachesOthers: z.boolean().optional(),
 });
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -214,8 +214,9 @@
 
   /** Cancels the run at the backend server before the call may fail over to another one. */
   #abandon(reason: string, outcome = ServerOutcome.Failed): void {
+    const failure = this.mayHaveBeenSent ? BackendFailure.Broken : BackendFailure.NotSent;
     this.#exchange?.cancel();
-    this.#end(BackendFailure.Broken, reason, undefined, outcome);
+    this.#end(failure, reason, undefined, outcome);
   }
 
   #recordFirstByte(): void {
--- a/src/application/direct/_server_loads.ts
+++ b/src/application/direct/_server_loads.ts
@@ -86,7 +86,8 @@
     const nowMs = this.#options.clock.nowMs();
     const { paths } = this.#options;
     const avoidedLoads = [...this.#loads].filter(
-      ([id, load]) => !paths.isCut(id) && load.hasFailedRecently(nowMs, paths.lastReachedAtMs),
+      ([id, load]) =>
+        !paths.isOwnLossPossible(id) && load.hasFailedRecently(nowMs, paths.lastReachedAtMs),
     );
     const counts = Object.fromEntries(avoidedLoads.map(([id]) => [id, 1]));
     return this.#options.peers.sum('avoidedBy', counts, sources);
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -13,7 +13,6 @@
 import { CountedPeers } from './_counted_peers.js';
 import type { HostReportsOptions } from './host_reports_options.js';
 import { PeerLinks } from './_peer_links.js';
-import { pickProxyHosts } from './_proxy_hosts.js';
 import { PresentHosts } from './_present_hosts.js';
 import { ReportBuilder } from './_report_builder.js';
 import type { CountedReport } from './report_stats.js';
@@ -230,8 +229,7 @@
         entryHosts: this.knownCount,
       });
     }
-    const mustUseProxies = this.#options.mustUseProxies?.() === true;
-    const proxies = mustUseProxies ? pickProxyHosts(this.self.identity.id, this.listHeard()) : [];
+    const proxies = this.#options.listWantedPeers?.() ?? [];
     this.#links.update({
       wantedUrls: [...this.#role.listLinkTargets(), ...proxies].map(
         ({ identity }) => identity.peerUrl,
--- a/src/application/direct/host_reports_options.ts
+++ b/src/application/direct/host_reports_options.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
-import type { OwnState } from '../../domain/overlay/mod.js';
+import type { HostState, OwnState } from '../../domain/overlay/mod.js';
 import type { Clock, EventLog, PeerNetwork } from '../../ports/mod.js';
 import type { CountedReport, ReportStats, StatsSources } from './report_stats.js';
 
@@ -24,8 +24,8 @@
   readonly onReport: (report: CountedReport) => void;
   /** Called when the reports of a process no longer count. */
   readonly onSilent: (identity: EntryHostIdentity) => void;
-  /** @returns whether requests to backend servers must go through peers */
-  readonly mustUseProxies?: () => boolean;
+  /** @returns peers to keep links to since backend servers are out of reach; may be none */
+  readonly listWantedPeers?: () => readonly HostState[];
   /** @param incarnation - a linked peer. @returns whether it sends requests through this host */
   readonly isProxyFor?: (incarnation: string) => boolean;
   /** Called after each round with the fraction of the known entry hosts that is reachable. */
--- a/src/application/direct/mod.ts
+++ b/src/application/direct/mod.ts
@@ -23,6 +23,7 @@
 export { ZoneView } from './zone_view.js';
 export { RoutingView } from './routing_view.js';
 export type { RoutingViewOptions } from './routing_view.js';
+export { listServerAddresses } from './list_server_addresses.js';
 export { PauseAwareProbe } from './pause_aware_probe.js';
 export { ServerRegistry } from './server_registry.js';
 export type { ServerRegistryOptions } from './server_registry_options.js';
--- a/src/application/paths/_path_exchange.ts
+++ b/src/application/paths/_path_exchange.ts
@@ -20,6 +20,12 @@
 /** Time without a sign of the server of a request after which it is checked, in milliseconds. */
 const SERVER_SILENT_MS = 1_000;
 
+/** Longest time for which a request waits for a way to its server, in milliseconds. */
+const MAX_WAIT_MS = 1_000;
+
+/** Interval at which it looks for one, in milliseconds. */
+const WAIT_STEP_MS = 50;
+
 /** Options of a {@link PathExchange}. */
 export interface PathExchangeOptions extends PathBackendClientOptions {
   readonly request: BackendRequest;
@@ -60,8 +66,10 @@
       return;
     }
     const isCut = paths.isCut(incarnationId);
-    if (isCut && paths.takeCheck(incarnationId, this.#startedAtMs)) checks.check(request);
-    if (!isCut || !this.#startThroughPeer()) this.#startDirect();
+    if (isCut) checks.recheck(request);
+    if (isCut && this.#startThroughPeer()) return;
+    if (paths.reachesNothing) this.#waitForWay();
+    else this.#startDirect();
   }
 
   get mayHaveBeenSent(): boolean {
@@ -80,7 +88,7 @@
     if (this.mayHaveBeenSent || !proxies.hasPeers) return;
     this.#exchange?.cancel();
     this.#timer?.cancel();
-    if (!this.#startThroughPeer()) this.#fail(BackendFailure.NotSent, 'no peer takes the request');
+    if (!this.#startThroughPeer()) this.#waitForWay();
   }
 
   #startThroughPeer(): boolean {
@@ -91,6 +99,20 @@
     return this.#exchange !== undefined;
   }
 
+  /** Waits while the host finds out whether a peer reaches the server. Nothing is sent yet. */
+  #waitForWay(): void {
+    const { paths, request, clock, checks } = this.#options;
+    this.#isDirect = false;
+    this.#exchange = undefined;
+    checks.watch();
+    const nowMs = clock.nowMs();
+    const isOver = nowMs - this.#startedAtMs >= MAX_WAIT_MS;
+    if (paths.isUnreachable(request.incarnationId, nowMs) || isOver) this.#failUnreachable();
+    else if (paths.isCut(request.incarnationId) && this.#startThroughPeer()) this.#timer?.cancel();
+    else if (!paths.reachesNothing && !paths.isCut(request.incarnationId)) this.#startDirect();
+    else this.#timer = clock.setTimer(WAIT_STEP_MS, () => this.#waitForWay());
+  }
+
   #startDirect(): void {
     this.#isDirect = true;
     const { direct, request } = this.#options;
@@ -111,7 +133,7 @@
   }
 
   #buildDirectListener(): BackendListener {
-    const { request, checks, listener } = this.#options;
+    const { request, checks, listener, paths } = this.#options;
     return {
       onNotice: (notice, isAuthentic) => {
         this.#recordReached();
@@ -130,22 +152,27 @@
         this.#complete();
       },
       onFailure: (failure, reason) => {
-        const isOutOfReach = failure === BackendFailure.NotSent || failure === BackendFailure.Lost;
-        if (isOutOfReach) checks.check(request, failure === BackendFailure.NotSent);
-        this.#fail(failure, reason);
+        const hasNotConnected = failure === BackendFailure.NotSent;
+        if (hasNotConnected || failure === BackendFailure.Lost)
+          checks.check(request, hasNotConnected);
+        if (hasNotConnected && paths.reachesNothing) this.#waitForWay();
+        else this.#fail(failure, reason);
       },
     };
   }
 
   #buildPeerListener(): BackendListener {
-    const { listener } = this.#options;
+    const { listener, checks, request } = this.#options;
     return {
       onNotice: (notice: ServerNotice, isAuthentic: boolean) =>
         listener.onNotice(notice, isAuthentic),
       onHead: (head: BackendHead) => listener.onHead(head),
       onBody: (bytes: Buffer) => listener.onBody(bytes),
       onComplete: () => this.#complete(),
-      onFailure: (failure, reason) => this.#fail(failure, reason),
+      onFailure: (failure, reason) => {
+        if (failure === BackendFailure.NotSent) checks.check(request);
+        this.#fail(failure, reason);
+      },
     };
   }
 
--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -33,6 +33,8 @@
   readonly mayReceive: () => boolean;
   /** Called with what each answer says of its server. */
   readonly recordNotice: (evidence: ServerEvidence) => void;
+  /** Called if this host could not connect to the server. */
+  readonly onNotConnected: () => void;
   /** Sends an event to the peer. Returns false if that was not possible. */
   readonly reply: (index: number, event: ProxyEvent) => boolean;
   /** Called once, when the exchange has ended, with its result and how long it waited for room. */
@@ -121,6 +123,7 @@
   }
 
   onFailure(failure: BackendFailure, reason: string): void {
+    if (failure === BackendFailure.NotSent) this.#options.onNotConnected();
     this.#report({ kind: ProxyEventKind.Failure, failure, reason, isBusy: false });
     this.#end(failure);
   }
--- a/src/application/paths/host_paths.ts
+++ b/src/application/paths/host_paths.ts
@@ -16,9 +16,12 @@
   ServerProbe,
 } from '../../ports/mod.js';
 import { ConfirmedProbe } from './confirmed_probe.js';
+import { OwnReach } from './own_reach.js';
+import type { ServerAddress } from './own_reach.js';
 import { PathBackendClient } from './path_backend_client.js';
 import { PathChecks } from './path_checks.js';
 import { ProxyClient } from './proxy_client.js';
+import { pickProxyHosts } from './_proxy_hosts.js';
 import { ProxyServer } from './proxy_server.js';
 
 /** Dependencies of {@link HostPaths}. */
@@ -42,6 +45,8 @@
   readonly mayReceive: (id: string) => boolean;
   /** @param id - a server incarnation. @returns whether it has asked this host for a pause */
   readonly isPaused: (id: string) => boolean;
+  /** @returns servers that get work */
+  readonly listServers: () => readonly ServerAddress[];
   /** @param evidence - an answer to a request that was sent for a peer */
   readonly recordNotice: (evidence: ServerEvidence) => void;
 }
@@ -60,17 +65,38 @@
   /** Sends requests for peers. */
   readonly server: ProxyServer;
 
+  readonly #checks: PathChecks;
+
+  readonly #availabilityZone: string;
+
   /** @param options - dependencies */
   constructor(options: HostPathsOptions) {
+    this.#availabilityZone = options.availabilityZone;
+    const ownReach = new OwnReach(options);
     this.proxies = new ProxyClient(options);
-    this.server = new ProxyServer(options);
     this.probe = new ConfirmedProbe(options.probe, this.proxies);
-    const shared = { ...options, proxies: this.proxies };
-    const checks = new PathChecks(shared);
+    const shared = { ...options, ownReach, proxies: this.proxies };
+    this.#checks = new PathChecks(shared);
+    this.server = new ProxyServer({
+      ...shared,
+      checkServer: (server) => this.#checks.check(server, true),
+    });
     this.client = new PathBackendClient({
       ...shared,
       direct: options.backend,
-      checks,
+      checks: this.#checks,
     });
   }
+
+  /**
+   * Lists the peers to keep links to, for checks and for requests that go through them.
+   *
+   * @param hostId - ID of this entry host
+   * @returns the peers; none while this host reaches all servers
+   */
+  listWantedPeers(hostId: string): readonly HostState[] {
+    if (!this.#checks.needsPeers) return [];
+    const candidates = this.proxies.listCandidates();
+    return pickProxyHosts({ hostId, availabilityZone: this.#availabilityZone, candidates });
+  }
 }
--- a/src/application/paths/path_checks.ts
+++ b/src/application/paths/path_checks.ts
@@ -4,11 +4,17 @@
  * @module
  */
 import { LogLevel } from '../../domain/errors/mod.js';
+import { PathVerdict } from '../../domain/paths/mod.js';
 import type { ServerPaths } from '../../domain/paths/mod.js';
 import { Reachability } from '../../ports/mod.js';
 import type { Clock, EventLog, Metrics, ServerProbe } from '../../ports/mod.js';
-import { mergeObservations } from './proxy_client.js';
-import type { ProxyClient, PeerObservation } from './proxy_client.js';
+import { LossWatch } from './_loss_watch.js';
+import type { OwnReach, ServerAddress } from './own_reach.js';
+import { CheckRate } from './_check_rate.js';
+import { PeerSearch } from './peer_search.js';
+import type { SearchResult } from './peer_search.js';
+import type { ProxyClient } from './proxy_client.js';
+import { waitFor } from './_wait_for.js';
 
 /** Shortest time between two checks of one server, in milliseconds. */
 const MIN_CHECK_INTERVAL_MS = 500;
@@ -16,6 +22,15 @@
 /** Maximum number of servers that are checked at a time. */
 const MAX_CHECKS = 16;
 
+/** Time after which peers are asked beside a probe that has no result yet, in milliseconds. */
+const HEAD_START_MS = 50;
+
+/** Number of servers that are checked at a time after a path was found cut. */
+const SWEPT_SERVERS = 3;
+
+/** Time between two such turns, in milliseconds. */
+const SWEEP_INTERVAL_MS = 250;
+
 /** Dependencies of {@link PathChecks}. */
 export interface PathChecksOptions {
   readonly clock: Clock;
@@ -23,24 +38,20 @@
   readonly metrics: Metrics;
   /** Probes over this host's own links. */
   readonly probe: ServerProbe;
+  readonly ownReach: OwnReach;
   readonly proxies: ProxyClient;
   readonly paths: ServerPaths;
   /** @param id - a server incarnation. @returns whether this host must leave it alone */
   readonly isPaused: (id: string) => boolean;
-}
-
-/** A server and its address. */
-export interface CheckedServer {
-  readonly incarnationId: string;
-  readonly address: string;
+  /** @returns servers that get work */
+  readonly listServers: () => readonly ServerAddress[];
 }
 
 /** Probes servers over this host's links and through peers, and records what follows. */
 export class PathChecks {
   readonly #options: PathChecksOptions;
 
-  /** When servers were checked a moment ago, on the monotonic clock in milliseconds. */
-  readonly #checkedAtMs = new Map<string, number>();
+  readonly #rate: CheckRate;
 
   readonly #running = new Set<string>();
 
@@ -48,9 +59,34 @@
 
   #wasCutOff = false;
 
+  #wasNoneReachable = false;
+
+  /** Servers that are still to be checked since a path was found cut. */
+  #unswept: readonly ServerAddress[] = [];
+
+  #isSweeping = false;
+
+  readonly #lossWatch: LossWatch;
+
   /** @param options - dependencies */
   constructor(options: PathChecksOptions) {
     this.#options = options;
+    this.#rate = new CheckRate(options.clock, MIN_CHECK_INTERVAL_MS);
+    this.#lossWatch = new LossWatch({
+      ...options,
+      onChange: () => this.#publishChanges(),
+      onSearched: (incarnationId, result) => this.#logSearch(incarnationId, result),
+    });
+    options.ownReach.onLost(() => {
+      this.watch();
+      this.#publishChanges();
+    });
+  }
+
+  /** Whether peers are needed: for a check, or to send requests through them. */
+  get needsPeers(): boolean {
+    const { paths } = this.#options;
+    return this.#running.size > 0 || paths.cutCount > 0 || paths.reachesNothing;
   }
 
   /** @param handler - called with each server whose path turns out to be cut */
@@ -64,54 +100,87 @@
    * @param server - a server
    * @param hasFailed - whether a connection of this host to it has just failed
    */
-  check(server: CheckedServer, hasFailed = false): void {
-    const { clock, isPaused } = this.#options;
+  check(server: ServerAddress, hasFailed = false): void {
+    const { paths, isPaused } = this.#options;
     const { incarnationId } = server;
     if (isPaused(incarnationId)) return;
-    const nowMs = clock.nowMs();
-    this.#forgetChecksBefore(nowMs - MIN_CHECK_INTERVAL_MS);
-    const isRecent = this.#checkedAtMs.has(incarnationId);
-    if (isRecent || this.#running.has(incarnationId) || this.#running.size >= MAX_CHECKS) return;
-    this.#checkedAtMs.set(incarnationId, nowMs);
+    if (hasFailed) paths.recordLost(incarnationId);
+    if (paths.reachesNothing) {
+      this.watch();
+      return;
+    }
+    if (this.#mayRun(incarnationId)) this.#start(incarnationId, this.#run(server, hasFailed));
+  }
+
+  /** @param server - a server with a cut path: the own link to it is probed if that is due */
+  recheck(server: ServerAddress): void {
+    const { paths, isPaused, clock } = this.#options;
+    const { incarnationId } = server;
+    if (paths.reachesNothing) this.watch();
+    const mayRun = !isPaused(incarnationId) && this.#mayRun(incarnationId);
+    if (mayRun && paths.takeCheck(incarnationId, clock.nowMs())) {
+      this.#start(incarnationId, this.#probeCutPath(server));
+    }
+  }
+
+  #mayRun(incarnationId: string): boolean {
+    const isFree = !this.#running.has(incarnationId) && this.#running.size < MAX_CHECKS;
+    return isFree && this.#rate.mayTake(incarnationId);
+  }
+
+  #start(incarnationId: string, check: Promise<void>): void {
+    this.#rate.take(incarnationId);
     this.#running.add(incarnationId);
-    this.#run(server, hasFailed).finally(() => this.#running.delete(incarnationId));
+    check.finally(() => this.#running.delete(incarnationId));
   }
 
-  #forgetChecksBefore(earliestMs: number): void {
-    this.#checkedAtMs.forEach((atMs, id) => {
-      if (atMs <= earliestMs) this.#checkedAtMs.delete(id);
-    });
+  async #probeCutPath({ incarnationId, address }: ServerAddress): Promise<void> {
+    const result = await this.#options.probe.check(address);
+    if (result === Reachability.Open) this.#recordConnected(incarnationId);
   }
 
-  async #run({ incarnationId, address }: CheckedServer, hasFailed: boolean): Promise<void> {
-    const { probe, proxies, paths, clock } = this.#options;
-    const own = hasFailed ? undefined : await probe.check(address);
-    if (own === Reachability.Open) {
-      const wasCut = paths.isCut(incarnationId);
-      paths.recordConnected(incarnationId, clock.nowMs());
-      if (wasCut) this.#publish('server_path_restored', incarnationId);
+  /** Checks all servers together, again and again, for as long as this host reaches none. */
+  watch(): void {
+    this.#lossWatch.start();
+  }
+
+  async #run(server: ServerAddress, hasFailed: boolean): Promise<void> {
+    const { probe, proxies, paths, clock, ownReach } = this.#options;
+    const { incarnationId, address } = server;
+    const startedAtMs = clock.nowMs();
+    const own = hasFailed ? Promise.resolve(Reachability.Unknown) : probe.check(address);
+    const early = await Promise.race([own, waitFor(clock, HEAD_START_MS)]);
+    if (early === Reachability.Open) {
+      this.#recordConnected(incarnationId);
       return;
     }
-    const observations = await proxies.ask(address);
-    this.#logObservations(incarnationId, own, observations);
-    const throughPeers = mergeObservations(observations);
-    if (throughPeers === Reachability.Open) this.#handleCut(incarnationId);
-    else if (throughPeers !== undefined) paths.recordUnreachable(incarnationId, clock.nowMs());
-  }
-
-  #logObservations(
-    backendServer: string,
-    own: Reachability | undefined,
-    observations: readonly PeerObservation[],
-  ): void {
-    const { log, paths, clock } = this.#options;
-    log.write(LogLevel.Info, 'server_path_checked', {
-      backendServer,
-      own: own ?? 'failed',
-      peers: observations.map(({ peer }) => peer).join(),
-      answers: observations.map(({ reachability }) => reachability ?? 'none').join(),
-      reachedAgoMs: Math.round(clock.nowMs() - paths.lastReachedAtMs),
-    });
+    const search = new PeerSearch(clock, proxies, address).run();
+    if (paths.lastReachedAtMs < startedAtMs) ownReach.check(address);
+    // A connection that opens late is as good as one that opens at once.
+    const lateResult = own.then((late) => (late === Reachability.Open ? undefined : search));
+    const result = await Promise.race([lateResult, search]);
+    if (!result) {
+      this.#recordConnected(incarnationId);
+      return;
+    }
+    this.#logSearch(incarnationId, result);
+    paths.recordLost(incarnationId);
+    if (result.verdict === PathVerdict.Cut) this.#handleCut(incarnationId);
+    else {
+      const isConfirmed = result.verdict === PathVerdict.Unreachable;
+      paths.recordUnreachable(incarnationId, clock.nowMs(), isConfirmed);
+    }
+    if (result.hasReachingPeer) paths.recordPeers(true);
+    if (paths.reachesNothing) this.watch();
+    this.#publishChanges();
+  }
+
+  #recordConnected(incarnationId: string): void {
+    const { paths, clock } = this.#options;
+    const wasCut = paths.isCut(incarnationId);
+    paths.recordConnected(incarnationId, clock.nowMs());
+    if (wasCut) this.#publish('server_path_restored', incarnationId);
+    this.#publishChanges();
   }
 
   #handleCut(incarnationId: string): void {
@@ -120,20 +189,86 @@
     paths.recordCut(incarnationId, clock.nowMs());
     if (!wasCut) this.#publish('server_path_cut', incarnationId);
     this.#cutHandlers.forEach((handler) => handler(incarnationId));
+    if (!wasCut) this.#beginSweep();
   }
 
-  #publish(event: string, backendServer: string): void {
-    const { log, metrics, paths, clock } = this.#options;
-    const reachedAgoMs = Math.round(clock.nowMs() - paths.lastReachedAtMs);
-    const fields = { backendServer, cutServers: paths.cutCount, reachedAgoMs };
-    log.write(LogLevel.Warn, event, fields);
-    metrics.count('server_path_changes_total', { event });
+  /** Links are often lost together: the others are checked before requests are lost on them. */
+  #beginSweep(): void {
+    this.#unswept = this.#options.listServers();
+    if (this.#isSweeping) return;
+    this.#isSweeping = true;
+    this.#sweep();
+  }
+
+  #sweep(): void {
+    const { paths, clock } = this.#options;
+    const reachedSinceMs = clock.nowMs() - SWEEP_INTERVAL_MS;
+    const isDoubtful = ({ incarnationId }: ServerAddress): boolean =>
+      !paths.isCut(incarnationId) &&
+      (paths.findReachedAt(incarnationId) ?? Number.NEGATIVE_INFINITY) < reachedSinceMs;
+    this.#unswept = this.#unswept.filter(isDoubtful);
+    this.#isSweeping = this.#unswept.length > 0 || paths.cutCount > 0;
+    if (!this.#isSweeping) return;
+    this.#recheckCutPaths();
+    const checked = this.#unswept.slice(0, SWEPT_SERVERS);
+    checked.forEach((server) => this.check(server));
+    this.#unswept = this.#unswept.slice(SWEPT_SERVERS);
+    clock.setTimer(SWEEP_INTERVAL_MS, () => this.#sweep());
+  }
+
+  #recheckCutPaths(): void {
+    const { paths, listServers, clock } = this.#options;
+    listServers()
+      .filter(({ incarnationId }) => paths.isCheckDue(incarnationId, clock.nowMs()))
+      .slice(0, SWEPT_SERVERS)
+      .forEach((server) => this.recheck(server));
+  }
+
+  /** Logs that all paths were lost or regained; the connections of lost ones are not used again. */
+  #publishChanges(): void {
+    const { log, paths, listServers } = this.#options;
+    if (paths.isNoneReachable !== this.#wasNoneReachable) {
+      this.#wasNoneReachable = paths.isNoneReachable;
+      const event = paths.isNoneReachable ? 'no_peer_reaches_servers' : 'server_search_ended';
+      log.write(LogLevel.Warn, event, this.#describe());
+    }
     if (paths.isCutOff === this.#wasCutOff) return;
     this.#wasCutOff = paths.isCutOff;
-    log.write(
-      LogLevel.Warn,
-      paths.isCutOff ? 'server_paths_lost' : 'server_paths_regained',
-      fields,
+    const event = paths.isCutOff ? 'server_paths_lost' : 'server_paths_regained';
+    log.write(LogLevel.Warn, event, this.#describe());
+    if (!paths.isCutOff) return;
+    const ids = listServers().map(({ incarnationId }) => incarnationId);
+    ids.forEach((id) => this.#cutHandlers.forEach((handler) => handler(id)));
+  }
+
+  #publish(event: string, backendServer: string): void {
+    const { log, metrics } = this.#options;
+    log.write(LogLevel.Warn, event, { backendServer, ...this.#describe() });
+    metrics.count('server_path_changes_total', { event });
+  }
+
+  #describe(): { readonly cutServers: number; readonly reachedAgoMs: number } {
+    const { paths, clock } = this.#options;
+    const reachedAgoMs = Math.round(clock.nowMs() - paths.lastReachedAtMs);
+    return { cutServers: paths.cutCount, reachedAgoMs };
+  }
+
+  #logSearch(backendServer: string, { verdict, observations }: SearchResult): void {
+    const answers = observations.map(
+      ({ hasConnected, reachesOthers }) => `${describe(hasConnected)}/${describe(reachesOthers)}`,
     );
+    this.#options.metrics.count('server_path_checks_total', { verdict });
+    this.#options.log.write(LogLevel.Info, 'server_path_checked', {
+      backendServer,
+      verdict,
+      peers: observations.map(({ peer }) => peer).join(),
+      answers: answers.join(),
+      ...this.#describe(),
+    });
   }
 }
+
+function describe(value: boolean | undefined): string {
+  if (value === undefined) return 'unknown';
+  return value ? 'yes' : 'no';
+}
--- a/src/application/paths/proxy_client.ts
+++ b/src/application/paths/proxy_client.ts
@@ -6,6 +6,7 @@
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { HostState } from '../../domain/overlay/mod.js';
 import { mayProxy } from '../../domain/paths/mod.js';
+import type { PeerObservation } from '../../domain/paths/mod.js';
 import { BackendFailure, PeerMessageType, ProxyEventKind, Reachability } from '../../ports/mod.js';
 import type {
   BackendExchange,
@@ -20,9 +21,11 @@
   ProxyReplyMessage,
   RandomSource,
 } from '../../ports/mod.js';
+import { PeerProbes } from './_peer_probes.js';
+import { PeerReach } from './_peer_reach.js';
 
-/** Time after which a probe through a peer counts as failed, in milliseconds. */
-const PROBE_TIMEOUT_MS = 600;
+/** Time for which a peer that reaches no server is not used, in milliseconds. */
+const LOST_PEER_MS = 2_000;
 
 /** Number of peers that are asked for one probe. */
 const PROBING_PEERS = 2;
@@ -54,40 +57,30 @@
   nextIndex: number;
 }
 
-/** What a peer that was asked found at the address of a server. */
-export interface PeerObservation {
-  /** Incarnation of the peer. */
-  readonly peer: string;
-  /** What the peer found; undefined if it did not answer. */
-  readonly reachability: Reachability | undefined;
-}
-
-interface PendingProbe {
-  readonly peer: string;
-  readonly finish: (reachability: Reachability | undefined) => void;
-}
-
 /** Picks peers, hands them requests and probes, and passes on what they report. */
 export class ProxyClient {
   readonly #options: ProxyClientOptions;
 
   readonly #exchanges = new Map<number, PendingExchange>();
 
-  readonly #probes = new Map<number, PendingProbe>();
+  readonly #probes: PeerProbes;
+
+  readonly #reach: PeerReach;
+
+  /** When peers were last found to reach no server, by incarnation, in monotonic milliseconds. */
+  readonly #lostAtMs = new Map<string, number>();
 
   #lastId = 0;
 
   /** @param options - dependencies */
   constructor(options: ProxyClientOptions) {
     this.#options = options;
+    this.#reach = new PeerReach(options.clock);
+    this.#probes = new PeerProbes(options);
     const { peers } = options;
     peers.handle(PeerMessageType.ProxyReply, ({ incarnation }, reply) =>
       this.#handleReply(incarnation, reply),
     );
-    peers.handle(PeerMessageType.ProxyProbeReply, ({ incarnation }, { probeId, reachability }) => {
-      const probe = this.#probes.get(probeId);
-      if (probe?.peer === incarnation) probe.finish(reachability);
-    });
     peers.onLinkChange(({ peer, up }) => {
       if (!up) this.#handleLinkDown(peer.incarnation);
     });
@@ -100,7 +93,7 @@
 
   /** Whether any peer can be asked to send a request. */
   get hasPeers(): boolean {
-    return this.#listPeers(new Set()).length > 0;
+    return this.listLinked(new Set()).length > 0;
   }
 
   /**
@@ -123,34 +116,86 @@
   }
 
   /**
-   * Asks peers whether a process listens at an address.
+   * Asks a peer whether it can connect to an address, and whether it reaches any server.
    *
+   * @param peer - incarnation of a linked peer
    * @param address - IP address and port
-   * @returns what each of them found, in no particular order
+   * @returns what it found; the promise never rejects
    */
-  ask(address: string): Promise<readonly PeerObservation[]> {
-    const peers = this.#listPeers(new Set()).slice(0, PROBING_PEERS);
-    return Promise.all(
-      peers.map(async (peer) => ({ peer, reachability: await this.#probeThrough(peer, address) })),
-    );
+  async ask(peer: string, address: string): Promise<PeerObservation> {
+    const reply = await this.#probes.ask(peer, address);
+    const hasConnected = reply && reply.reachability === Reachability.Open;
+    const observation = { peer, hasConnected, reachesOthers: reply?.reachesOthers };
+    if (hasConnected !== undefined) this.#reach.record(peer, address, hasConnected);
+    if (hasConnected === true || observation.reachesOthers === true) this.#lostAtMs.delete(peer);
+    else if (reply) this.#lostAtMs.set(peer, this.#options.clock.nowMs());
+    return observation;
   }
 
   /**
-   * Asks peers whether a process listens at an address.
+   * Asks peers whether a process listens at an address. What peers find that reach no server
+   * themselves counts for nothing.
    *
    * @param address - IP address and port
-   * @returns open if any of them could connect; undefined if none answered
+   * @returns open if any of them could connect; undefined if none answered whose word counts
    */
   async probe(address: string): Promise<Reachability | undefined> {
-    return mergeObservations(await this.ask(address));
+    const peers = this.listLinked(new Set()).slice(0, PROBING_PEERS);
+    const replies = await Promise.all(peers.map((peer) => this.#probes.ask(peer, address)));
+    const counted = replies.flatMap((reply) =>
+      reply && (reply.reachability === Reachability.Open || reply.reachesOthers !== false)
+        ? reply.reachability
+        : [],
+    );
+    return counted.find((result) => result === Reachability.Open) ?? counted[0];
+  }
+
+  /**
+   * Lists linked peers that may reach the backend servers, in random order. Those of other zones go
+   * first, since the hosts of a zone often lose their links together.
+   *
+   * @param excluded - incarnations of peers that are left out
+   * @returns their incarnations
+   */
+  listLinked(excluded: ReadonlySet<string>): string[] {
+    const { peers, random, availabilityZone } = this.#options;
+    const linked = new Set(peers.listLinkedPeers().map(({ incarnation }) => incarnation));
+    return this.listCandidates()
+      .filter(({ identity: { incarnation } }) => linked.has(incarnation))
+      .filter(({ identity: { incarnation } }) => !excluded.has(incarnation))
+      .map(({ identity }) => ({
+        id: identity.incarnation,
+        order: random.nextFraction() + (identity.availabilityZone === availabilityZone ? 1 : 0),
+      }))
+      .sort((a, b) => a.order - b.order)
+      .map(({ id }) => id);
+  }
+
+  /** @returns peers that may reach the backend servers, linked or not */
+  listCandidates(): readonly HostState[] {
+    const lostSinceMs = this.#options.clock.nowMs() - LOST_PEER_MS;
+    return this.#options
+      .listHeard()
+      .filter(mayProxy)
+      .filter(({ identity }) => !(Number(this.#lostAtMs.get(identity.incarnation)) > lostSinceMs));
+  }
+
+  /**
+   * @param asked - incarnations of peers
+   * @returns whether there are other peers that may reach the backend servers, linked or not
+   */
+  hasPeersBeyond(asked: ReadonlySet<string>): boolean {
+    return this.listCandidates().some(({ identity }) => !asked.has(identity.incarnation));
   }
 
   #offer(exchangeId: number, exchange: PendingExchange): boolean {
     if (exchange.offeredTo.size >= MAX_PEERS_PER_EXCHANGE) return false;
     const { peers, metrics } = this.#options;
+    const { address } = exchange.request;
     const request = buildProxiedRequest(exchange.request);
     const message = { type: PeerMessageType.ProxyRequest, exchangeId, request } as const;
-    const peer = this.#listPeers(exchange.offeredTo).find((one) => peers.send(one, message));
+    const linked = this.#reach.sort(this.listLinked(exchange.offeredTo), address);
+    const peer = linked.find((one) => peers.send(one, message));
     if (peer === undefined) return false;
     exchange.offeredTo.add(peer);
     Object.assign(exchange, { peer, nextIndex: 0 });
@@ -171,41 +216,6 @@
     });
   }
 
-  /**
-   * Lists linked peers that reach the backend servers, in random order. Those of other zones go
-   * first, since the hosts of a zone often lose their links together.
-   */
-  #listPeers(excluded: ReadonlySet<string>): string[] {
-    const { peers, listHeard, random, availabilityZone } = this.#options;
-    const linked = new Set(peers.listLinkedPeers().map(({ incarnation }) => incarnation));
-    return listHeard()
-      .filter(mayProxy)
-      .filter(({ identity: { incarnation } }) => linked.has(incarnation))
-      .filter(({ identity: { incarnation } }) => !excluded.has(incarnation))
-      .map(({ identity }) => ({
-        id: identity.incarnation,
-        order: random.nextFraction() + (identity.availabilityZone === availabilityZone ? 1 : 0),
-      }))
-      .sort((a, b) => a.order - b.order)
-      .map(({ id }) => id);
-  }
-
-  #probeThrough(peer: string, address: string): Promise<Reachability | undefined> {
-    const { clock, peers } = this.#options;
-    this.#lastId += 1;
-    const probeId = this.#lastId;
-    return new Promise((resolve) => {
-      const finish = (reachability: Reachability | undefined): void => {
-        this.#probes.delete(probeId);
-        resolve(reachability);
-      };
-      clock.setTimer(PROBE_TIMEOUT_MS, () => finish(undefined));
-      this.#probes.set(probeId, { peer, finish });
-      const isSent = peers.send(peer, { type: PeerMessageType.ProxyProbe, probeId, address });
-      if (!isSent) finish(undefined);
-    });
-  }
-
   #cancel(exchangeId: number): void {
     const exchange = this.#exchanges.get(exchangeId);
     this.#exchanges.delete(exchangeId);
@@ -229,21 +239,33 @@
   #applyEvent(exchangeId: number, exchange: PendingExchange, event: ProxyEvent): void {
     const { listener } = exchange;
     if (event.kind === ProxyEventKind.Notice) listener.onNotice(event.notice, event.isAuthentic);
-    else if (event.kind === ProxyEventKind.Head) listener.onHead(event.head);
-    else if (event.kind === ProxyEventKind.Body) listener.onBody(Buffer.from(event.bytes));
+    else if (event.kind === ProxyEventKind.Head) {
+      this.#reach.record(exchange.peer, exchange.request.address, true);
+      listener.onHead(event.head);
+    } else if (event.kind === ProxyEventKind.Body) listener.onBody(Buffer.from(event.bytes));
     else {
       this.#exchanges.delete(exchangeId);
       if (event.kind === ProxyEventKind.Complete) listener.onComplete();
-      else if (!event.isBusy || !this.#offer(exchangeId, exchange))
+      else if (!this.#offerElsewhere(exchangeId, exchange, event))
         listener.onFailure(event.failure, event.reason);
     }
   }
 
+  /** Offers a request that was not sent to another peer: the former had no room, or no connection. */
+  #offerElsewhere(
+    exchangeId: number,
+    exchange: PendingExchange,
+    { failure, isBusy }: Extract<ProxyEvent, { kind: ProxyEventKind.Failure }>,
+  ): boolean {
+    const { peer, request } = exchange;
+    const hasNotConnected = failure === BackendFailure.NotSent && !isBusy;
+    if (hasNotConnected) this.#reach.record(peer, request.address, false);
+    return (isBusy || hasNotConnected) && this.#offer(exchangeId, exchange);
+  }
+
   /** The peer may have sent its requests, so nothing is said about whether they ran. */
   #handleLinkDown(incarnation: string): void {
-    [...this.#probes.values()]
-      .filter(({ peer }) => peer === incarnation)
-      .forEach(({ finish }) => finish(undefined));
+    this.#lostAtMs.delete(incarnation);
     [...this.#exchanges]
       .filter(([, { peer }]) => peer === incarnation)
       .forEach(([exchangeId, { listener }]) => {
@@ -253,17 +275,6 @@
   }
 }
 
-/**
- * @param observations - what peers found at an address
- * @returns open if any of them could connect; undefined if none answered
- */
-export function mergeObservations(
-  observations: readonly PeerObservation[],
-): Reachability | undefined {
-  const known = observations.flatMap(({ reachability }) => reachability ?? []);
-  return known.find((result) => result === Reachability.Open) ?? known[0];
-}
-
 function buildProxiedRequest({ request, ...rest }: BackendRequest): ProxiedRequest {
   const { requestId, method, target, headers, body } = request;
   return { ...rest, requestId, method, target, headers, body };
--- a/src/application/paths/proxy_server.ts
+++ b/src/application/paths/proxy_server.ts
@@ -6,7 +6,7 @@
 import { LogLevel } from '../../domain/errors/mod.js';
 import { UrgencyGate } from '../../domain/paths/mod.js';
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
-import { PeerMessageType } from '../../ports/mod.js';
+import { PeerMessageType, Reachability } from '../../ports/mod.js';
 import type {
   Clock,
   DirectBackendClient,
@@ -18,6 +18,8 @@
   ServerProbe,
 } from '../../ports/mod.js';
 import { ProxiedExchange } from './_proxied_exchange.js';
+import type { OwnReach, ServerAddress } from './own_reach.js';
+import { waitFor } from './_wait_for.js';
 
 /** Maximum number of requests that are sent for peers at a time. */
 const MAX_RUNNING = 96;
@@ -25,6 +27,9 @@
 /** Maximum number of requests of peers that wait. */
 const MAX_WAITING = 64;
 
+/** Time after which a connection that is not open yet makes a check of the own links worthwhile, in ms. */
+const HEAD_START_MS = 100;
+
 /** Time for which a peer's link counts as used after its last request, in milliseconds. */
 const LINK_USE_MS = 10_000;
 
@@ -35,8 +40,12 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly probe: ServerProbe;
+  /** Tells whether the own links work where a probe fails. */
+  readonly ownReach: OwnReach;
   /** Sends a request over this host's own links only, so that no request is passed on twice. */
   readonly backend: DirectBackendClient;
+  /** @param server - a server that this host could not connect to for a peer */
+  readonly checkServer: (server: ServerAddress) => void;
   /** @param id - a server incarnation. @returns false if it must get no work */
   readonly mayReceive: (id: string) => boolean;
   /** @param evidence - an answer to a request of a peer */
@@ -82,7 +91,8 @@
   }
 
   #handle(from: EntryHostIdentity, { exchangeId, request }: ProxyRequestMessage): void {
-    const { peers, clock, log, backend, metrics, mayReceive, recordNotice } = this.#options;
+    const { peers, clock, log, backend, metrics, mayReceive, recordNotice, checkServer } =
+      this.#options;
     const key = formatKey(from, exchangeId);
     this.#usedAtMs.set(from.incarnation, clock.nowMs());
     const exchange = new ProxiedExchange({
@@ -92,6 +102,7 @@
       gate: this.#gate,
       mayReceive: () => mayReceive(request.incarnationId),
       recordNotice,
+      onNotConnected: () => checkServer(request),
       reply: (index, event) => {
         const reply = { type: PeerMessageType.ProxyReply, exchangeId, index, event } as const;
         return peers.send(from.incarnation, reply);
@@ -114,9 +125,13 @@
   }
 
   async #probe(from: EntryHostIdentity, probeId: number, address: string): Promise<void> {
-    const { peers, probe } = this.#options;
-    const reachability = await probe.check(address);
-    peers.send(from.incarnation, { type: PeerMessageType.ProxyProbeReply, probeId, reachability });
+    const { peers, probe, ownReach, clock } = this.#options;
+    const result = probe.check(address);
+    const early = await Promise.race([result, waitFor(clock, HEAD_START_MS)]);
+    const others = early === Reachability.Open ? undefined : ownReach.check(address);
+    const [reachability, reachesOthers] = await Promise.all([result, others]);
+    const type = PeerMessageType.ProxyProbeReply;
+    peers.send(from.incarnation, { type, probeId, reachability, reachesOthers });
   }
 
   #cancelAll(peer: EntryHostIdentity): void {
--- a/src/application/paths/proxy_server_test.ts
+++ b/src/application/paths/proxy_server_test.ts
@@ -9,6 +9,8 @@
 import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type { ProxyReplyMessage } from '../../ports/mod.js';
+import { ServerPaths } from '../../domain/paths/mod.js';
+import { OwnReach } from './own_reach.js';
 import { ProxyServer } from './proxy_server.js';
 
 /** A peer that sends requests through another one. */
@@ -22,12 +24,15 @@
   const clock = new VirtualClock();
   const asker = new FakePeerNetwork(hub, buildIdentity('asker'));
   const peer = new FakePeerNetwork(hub, buildIdentity('peer'));
+  const probe = new FakeProbe();
   const server = new ProxyServer({
     peers: peer,
     clock,
     log: new FakeLog(),
     metrics: new FakeMetrics(),
-    probe: new FakeProbe(),
+    probe,
+    ownReach: new OwnReach({ clock, probe, paths: new ServerPaths(), listServers: () => [] }),
+    checkServer: () => undefined,
     backend,
     mayReceive: (id) => id !== 'leaving',
     recordNotice: () => undefined,
--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -62,6 +62,12 @@
   metrics.set('requests_held', crashes.quarantinedCount);
   metrics.set('backend_servers_cut', paths.cutCount);
   metrics.set('backend_servers_all_cut', paths.isCutOff ? 1 : 0);
+  metrics.set('backend_servers_none_reachable', paths.isNoneReachable ? 1 : 0);
+  metrics.set('entry_hosts_cut_off', countCutOff(reports));
   metrics.set('requests_through_peers', hostPaths.proxies.exchangeCount);
   metrics.set('requests_for_peers', hostPaths.server.exchangeCount);
 }
+
+function countCutOff(reports: HostReports): number {
+  return [reports.self, ...reports.listHeard()].filter(({ isCutOff }) => isCutOff === true).length;
+}
--- a/src/commands/_direct_paths.ts
+++ b/src/commands/_direct_paths.ts
@@ -6,14 +6,20 @@
 import { HttpDirectBackendClient } from '../adapters/direct_http/mod.js';
 import type { DirectDialect } from '../adapters/direct_http/mod.js';
 import { TcpServerProbe } from '../adapters/server_probe/mod.js';
-import { PauseAwareProbe } from '../application/direct/mod.js';
+import { listServerAddresses, PauseAwareProbe } from '../application/direct/mod.js';
 import type { ServerRegistry } from '../application/direct/mod.js';
 import { HostPaths } from '../application/paths/mod.js';
 import type { HostPathsOptions } from '../application/paths/mod.js';
 import type { DirectSettings } from './direct_settings.js';
 
 type DerivedOptions =
-  'isPaused' | 'availabilityZone' | 'backend' | 'mayReceive' | 'probe' | 'recordNotice';
+  | 'isPaused'
+  | 'availabilityZone'
+  | 'backend'
+  | 'listServers'
+  | 'mayReceive'
+  | 'probe'
+  | 'recordNotice';
 
 /** Settings and collaborators; all other options are derived from them. */
 export interface HostPathsParts extends Omit<HostPathsOptions, DerivedOptions> {
@@ -37,6 +43,7 @@
     isPaused: (id) => servers.notices.pauses.isPaused(id),
     backend: new HttpDirectBackendClient(dialect),
     mayReceive: (id) => servers.mayReceive(id),
+    listServers: () => listServerAddresses(servers),
     recordNotice: (evidence) => servers.recordNotice(evidence),
   });
 }
--- a/src/commands/_direct_reports.ts
+++ b/src/commands/_direct_reports.ts
@@ -49,10 +49,10 @@
     ...parts,
     seedPeerUrls: settings.seedPeerAddresses.map(formatPeerUrl),
     cores: settings.coreShare * settings.coreSpeed,
-    getState: () => ({ ...getState(), isCutOff: paths.isCutOff }),
+    getState: () => ({ ...getState(), isCutOff: paths.isLossConfirmed }),
     buildStats: (sources) =>
       buildReportStats({ ...storeView, gateway: getParts().gateway, spending }, sources),
-    mustUseProxies: () => paths.cutCount > 0,
+    listWantedPeers: () => getParts().hostPaths.listWantedPeers(parts.self.id),
     isProxyFor: (incarnation) => getParts().hostPaths.server.isUsedBy(incarnation),
     onReport: (counted) => handleReport(counted, parts),
     onSilent: ({ incarnation }) => storeView.servers.applyPeerStats(incarnation, undefined),
--- a/src/domain/paths/mod.ts
+++ b/src/domain/paths/mod.ts
@@ -6,6 +6,8 @@
  * @module
  */
 export { mayProxy } from './may_proxy.js';
+export { derivePathVerdict, hasReachingPeer, PathVerdict } from './path_verdict.js';
+export type { PeerObservation } from './path_verdict.js';
 export { ServerPaths } from './server_paths.js';
 export { UrgencyGate } from './urgency_gate.js';
 export type { GateBounds, GatedJob } from './urgency_gate.js';
--- a/src/domain/paths/server_paths.ts
+++ b/src/domain/paths/server_paths.ts
@@ -5,10 +5,10 @@
  */
 
 /**
- * Number of servers that peers reach and this host doesn't, without any sign of another server
- * in between, from which the host counts as cut off from all.
+ * Number of servers that this host can't connect to, without any sign of a server in between, from
+ * which it seems to reach none.
  */
-const MIN_CUT_SERVERS = 2;
+const MIN_LOST_SERVERS = 2;
 
 /** Time from a cut, or a check of it, to the next check, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
@@ -34,7 +34,18 @@
 
 /**
  * Tells a cut link from a dead server. A server that this host can't connect to has a cut path if
- * a peer can, and is unreachable if no peer can either. All IDs are incarnation IDs.
+ * a peer can, and is unreachable if no peer whose own links work can either. All IDs are
+ * incarnation IDs. What holds of the host itself:
+ *
+ * | own connections                      | a peer reaches servers | so                                  |
+ * | ------------------------------------ | ---------------------- | ----------------------------------- |
+ * | fail to fewer than two servers       | any                    | each server has a path of its own   |
+ * | fail to two, none was reached since  | any                    | requests wait while more are probed |
+ * | so do those to the last ones reached | not known yet          | requests wait for what peers find   |
+ * | the same                             | yes                    | all paths are cut                   |
+ * | the same                             | none of those asked    | no host reaches any server          |
+ *
+ * Data from any server, or a new connection to one, undoes all but the first row.
  */
 export class ServerPaths {
   readonly #cuts = new Map<string, CutPath>();
@@ -45,8 +56,20 @@
 
   readonly #reachedAtMs = new Map<string, number>();
 
-  /** Servers with a cut path that was noticed since any server was reached. */
-  readonly #cutsSinceReached = new Set<string>();
+  /** Servers that this host could not connect to since any server was reached. */
+  readonly #lostSinceReached = new Set<string>();
+
+  /** Servers that this host could not connect to, as long as nobody has told why. */
+  readonly #unexplainedLosses = new Set<string>();
+
+  /** Whether a peer was found since then that reaches a server. */
+  #hasReachingPeer = false;
+
+  /** Whether all peers that could be asked since then reach no server either. */
+  #isNoneReachable = false;
+
+  /** Whether several servers were probed since then, and none could be connected to. */
+  #isLossConfirmed = false;
 
   #lastReachedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -60,9 +83,24 @@
     return this.#cuts.size;
   }
 
-  /** Whether this host seems to reach no server, while its peers do. */
+  /** Whether this host seems to reach no server. */
+  get reachesNothing(): boolean {
+    return this.#lostSinceReached.size >= MIN_LOST_SERVERS;
+  }
+
+  /** Whether this host reaches no server, as far as it could check; peers may. */
+  get isLossConfirmed(): boolean {
+    return this.#isLossConfirmed;
+  }
+
+  /** Whether this host reaches no server, while its peers do. */
   get isCutOff(): boolean {
-    return this.#cutsSinceReached.size >= MIN_CUT_SERVERS;
+    return this.#isLossConfirmed && this.#hasReachingPeer;
+  }
+
+  /** Whether neither this host nor any peer that could be asked reaches a server. */
+  get isNoneReachable(): boolean {
+    return this.#isLossConfirmed && this.#isNoneReachable;
   }
 
   /** @param id - a server. @returns when it was last reached directly */
@@ -79,9 +117,35 @@
    */
   recordReached(id: string, nowMs: number): void {
     this.#reachedAtMs.set(id, nowMs);
+    this.#unexplainedLosses.delete(id);
     this.#unreachableUntilMs.delete(id);
     this.#lastReachedAtMs = nowMs;
-    this.#cutsSinceReached.clear();
+    this.#lostSinceReached.clear();
+    this.#hasReachingPeer = false;
+    this.#isNoneReachable = false;
+    this.#isLossConfirmed = false;
+  }
+
+  /** @param id - a server that this host could not connect to */
+  recordLost(id: string): void {
+    this.#lostSinceReached.add(id);
+    this.#unexplainedLosses.add(id);
+  }
+
+  /** @param id - a server. @returns whether its silence may be due to the own links */
+  isOwnLossPossible(id: string): boolean {
+    return this.isCut(id) || this.#unexplainedLosses.has(id);
+  }
+
+  /** Records that several servers were probed, and none could be connected to. */
+  confirmLoss(): void {
+    this.#isLossConfirmed = true;
+  }
+
+  /** @param hasReachingPeer - whether any of the peers that could be asked reaches a server */
+  recordPeers(hasReachingPeer: boolean): void {
+    this.#hasReachingPeer = hasReachingPeer;
+    this.#isNoneReachable = !hasReachingPeer;
   }
 
   /**
@@ -104,7 +168,8 @@
    * @param nowMs - monotonic time in milliseconds
    */
   recordCut(id: string, nowMs: number): void {
-    this.#cutsSinceReached.add(id);
+    this.#lostSinceReached.add(id);
+    this.recordPeers(true);
     this.#unreachableUntilMs.delete(id);
     if (this.#cuts.has(id)) return;
     const checkIntervalMs = this.#computeCheckInterval(id, nowMs);
@@ -116,8 +181,12 @@
    *
    * @param id - a server
    * @param nowMs - monotonic time in milliseconds
+   * @param isConfirmed - whether a peer has said so whose own links work; if none has, it counts only
+   *   while this host reaches other servers. Default: true
    */
-  recordUnreachable(id: string, nowMs: number): void {
+  recordUnreachable(id: string, nowMs: number, isConfirmed = true): void {
+    if (isConfirmed) this.#unexplainedLosses.delete(id);
+    else if (this.reachesNothing) return;
     this.#unreachableUntilMs.set(id, nowMs + UNREACHABLE_MS);
   }
 
@@ -127,7 +196,9 @@
    * @returns whether nobody could connect to the server a moment ago
    */
   isUnreachable(id: string, nowMs: number): boolean {
-    return nowMs < (this.#unreachableUntilMs.get(id) ?? Number.NEGATIVE_INFINITY);
+    return (
+      this.isNoneReachable || nowMs < (this.#unreachableUntilMs.get(id) ?? Number.NEGATIVE_INFINITY)
+    );
   }
 
   /** @param id - a server. @returns whether requests to it must go through a peer */
@@ -136,7 +207,18 @@
   }
 
   /**
-   * Takes the check of a cut path that is due.
+   * @param id - a server
+   * @param nowMs - monotonic time in milliseconds
+   * @returns whether its path is cut and the next check of it is due
+   */
+  isCheckDue(id: string, nowMs: number): boolean {
+    const cut = this.#cuts.get(id);
+    return cut !== undefined && nowMs >= cut.nextCheckAtMs;
+  }
+
+  /**
+   * Takes the check of a cut path that is due. Data on open connections does not end a cut, so that
+   * only a check does.
    *
    * @param id - a server
    * @param nowMs - monotonic time in milliseconds
@@ -144,8 +226,7 @@
    */
   takeCheck(id: string, nowMs: number): boolean {
     const cut = this.#cuts.get(id);
-    if (!cut && this.isCutOff) this.recordCut(id, nowMs);
-    if (!cut || nowMs < cut.nextCheckAtMs) return false;
+    if (!cut || !this.isCheckDue(id, nowMs)) return false;
     cut.nextCheckAtMs = nowMs + cut.checkIntervalMs;
     return true;
   }
@@ -153,10 +234,11 @@
   /** @param id - a server that has ended */
   forget(id: string): void {
     this.#cuts.delete(id);
+    this.#unexplainedLosses.delete(id);
     this.#restored.delete(id);
     this.#unreachableUntilMs.delete(id);
     this.#reachedAtMs.delete(id);
-    this.#cutsSinceReached.delete(id);
+    this.#lostSinceReached.delete(id);
   }
 
   #computeCheckInterval(id: string, nowMs: number): number {
--- a/src/ports/proxy_messages.ts
+++ b/src/ports/proxy_messages.ts
@@ -85,4 +85,9 @@
   readonly type: PeerMessageType.ProxyProbeReply;
   readonly probeId: number;
   readonly reachability: Reachability;
+  /**
+   * Whether the sender could connect to another backend server at that time; undefined if it knows
+   * no other, and in a version that doesn't say.
+   */
+  readonly reachesOthers?: boolean | undefined;
 }
--- a/test/faults/answer_ends_test.ts
+++ b/test/faults/answer_ends_test.ts
@@ -68,7 +68,8 @@
         listHeard: () => [buildState(buildIdentity('peer'))],
         mayReceive: () => true,
         isPaused: () => false,
-        recordNotice: () => undefined,
+        listServers: () => [],
+    recordNotice: () => undefined,
       });
     });
     this.#paths = asker as HostPaths;
--- a/test/faults/lost_server_links_test.ts
+++ b/test/faults/lost_server_links_test.ts
@@ -116,6 +116,7 @@
     listHeard: () => network.listLinkedPeers().map((identity) => buildState(identity)),
     mayReceive: () => true,
     isPaused: () => false,
+    listServers: () => [],
     recordNotice: () => undefined,
   });
   await network.start();
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -12,6 +12,7 @@
   FeedFollower,
   FAST_RETRY_BACKOFF,
   HostReports,
+  listServerAddresses,
   StoreView,
 } from '../../src/application/direct/mod.js';
 import type {
@@ -133,6 +134,7 @@
       listHeard: () => (options.usesPeers !== false && this.reports?.listHeard()) || NO_HOSTS,
       mayReceive: (id) => this.servers.mayReceive(id),
       isPaused: (id) => this.servers.notices.pauses.isPaused(id),
+      listServers: () => listServerAddresses(this.servers),
       recordNotice: (evidence) => this.servers.recordNotice(evidence),
     });
     this.crashes = new CrashQuarantine({
@@ -220,8 +222,8 @@
       seedPeerUrls: seeds,
       clock,
       log,
-      getState: () => ({ ...TEST_STATE, isCutOff: this.paths.isCutOff }),
-      mustUseProxies: () => this.paths.cutCount > 0,
+      getState: () => ({ ...TEST_STATE, isCutOff: this.paths.isLossConfirmed }),
+      listWantedPeers: () => this.hostPaths.listWantedPeers(peers.identity.id),
       isProxyFor: (incarnation) => this.hostPaths.server.isUsedBy(incarnation),
       buildStats: (sources) => buildReportStats({ servers, routing, gateway, spending }, sources),
       onReport: (counted) => {
