Ask peers first that have not been asked about a server yet

A server that one linked peer of four reaches stayed out of reach for seconds: each check asked two at random and was content with two that could not connect. Those that could not connect a moment ago are asked last now, so that n linked peers are asked within n/2 seconds.

--- a/src/application/paths/peer_search.ts
+++ b/src/application/paths/peer_search.ts
@@ -73,7 +73,7 @@
   #runRound(): void {
     if (this.#hasEnded) return;
     const mayAsk = this.#asked.size < MAX_ASKED_PEERS;
-    const linked = mayAsk ? this.#proxies.listLinked(this.#asked) : [];
+    const linked = mayAsk ? this.#proxies.listLinkedFor(this.#asked, this.#address) : [];
     linked.slice(0, PEERS_PER_ROUND).forEach((peer) => this.#ask(peer));
     const isWaiting = this.#observations.length < this.#asked.size;
     const mayFindMore = mayAsk && this.#proxies.hasPeersBeyond(this.#asked);
--- a/src/application/paths/proxy_client.ts
+++ b/src/application/paths/proxy_client.ts
@@ -171,6 +171,15 @@
       .map(({ id }) => id);
   }
 
+  /**
+   * @param excluded - incarnations of peers that are left out
+   * @param address - address of a server
+   * @returns linked peers, those last that could not connect to the server a moment ago
+   */
+  listLinkedFor(excluded: ReadonlySet<string>, address: string): string[] {
+    return this.#reach.sort(this.listLinked(excluded), address);
+  }
+
   /** @returns peers that may reach the backend servers, linked or not */
   listCandidates(): readonly HostState[] {
     const lostSinceMs = this.#options.clock.nowMs() - LOST_PEER_MS;
@@ -194,7 +203,7 @@
     const { address } = exchange.request;
     const request = buildProxiedRequest(exchange.request);
     const message = { type: PeerMessageType.ProxyRequest, exchangeId, request } as const;
-    const linked = this.#reach.sort(this.listLinked(exchange.offeredTo), address);
+    const linked = this.listLinkedFor(exchange.offeredTo, address);
     const peer = linked.find((one) => peers.send(one, message));
     if (peer === undefined) return false;
     exchange.offeredTo.add(peer);
