Count no failed probe as a loss while another one reaches a server

Requests to a live server waited for a second, and were refused, where several others were dead: the probes that find out whether the own links work recorded the dead ones as lost after the live one had been reached, so that the host took itself for cut off again at once. Requests that wait went round in the same circle. Losses of a round of probes count only together; a request whose own connection failed goes to the next server once the own links are known to work; a new loss has the links probed again after 0.1 s.

--- a/src/application/paths/_loss_watch.ts
+++ b/src/application/paths/_loss_watch.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ServerPaths } from '../../domain/paths/mod.js';
-import type { Clock } from '../../ports/mod.js';
+import type { Clock, Timer } from '../../ports/mod.js';
 import type { OwnReach, ServerAddress } from './own_reach.js';
 import { PeerSearch } from './peer_search.js';
 import type { SearchResult } from './peer_search.js';
@@ -14,6 +14,9 @@
 /** Interval at which the own links are tried again, in milliseconds. */
 const RETRY_INTERVAL_MS = 500;
 
+/** Shortest time between two tries where a loss is new, in milliseconds. */
+const MIN_INTERVAL_MS = 100;
+
 /** Time in which working own links show before any peer is asked, in milliseconds. */
 const HEAD_START_MS = 50;
 
@@ -38,7 +41,11 @@
 export class LossWatch {
   readonly #options: LossWatchOptions;
 
-  #isRunning = false;
+  #isProbing = false;
+
+  #startedAtMs = Number.NEGATIVE_INFINITY;
+
+  #timer: Timer | undefined;
 
   #isSearching = false;
 
@@ -51,18 +58,24 @@
 
   /** Starts, and ends by itself with the first server that is reached. */
   start(): void {
-    if (this.#isRunning) return;
-    this.#isRunning = true;
+    const ageMs = this.#options.clock.nowMs() - this.#startedAtMs;
+    const isNewLoss = !this.#options.paths.isLossConfirmed && ageMs >= MIN_INTERVAL_MS;
+    if (this.#isProbing || (this.#timer && !isNewLoss)) return;
+    this.#timer?.cancel();
     this.#runRound();
   }
 
   async #runRound(): Promise<void> {
     const { clock, paths, ownReach, proxies, onChange } = this.#options;
+    this.#timer = undefined;
+    this.#isProbing = true;
+    this.#startedAtMs = clock.nowMs();
     if (!paths.isCutOff || !proxies.hasPeers) this.#search();
     await ownReach.probe();
+    this.#isProbing = false;
     onChange();
-    this.#isRunning = paths.reachesNothing || paths.isLossConfirmed;
-    if (this.#isRunning) clock.setTimer(RETRY_INTERVAL_MS, () => this.#runRound());
+    if (paths.reachesNothing || paths.isLossConfirmed)
+      this.#timer = clock.setTimer(RETRY_INTERVAL_MS, () => this.#runRound());
   }
 
   async #search(): Promise<void> {
--- a/src/application/paths/_path_exchange.ts
+++ b/src/application/paths/_path_exchange.ts
@@ -49,6 +49,9 @@
 
   #isDirect = false;
 
+  /** Why the server could not be connected to over the own link; undefined before that was tried. */
+  #directReason: string | undefined;
+
   #hasEnded = false;
 
   /** @param options - the request, its listener and the ways */
@@ -109,10 +112,16 @@
     const isOver = nowMs - this.#startedAtMs >= MAX_WAIT_MS;
     if (paths.isUnreachable(request.incarnationId, nowMs) || isOver) this.#failUnreachable();
     else if (paths.isCut(request.incarnationId) && this.#startThroughPeer()) this.#timer?.cancel();
-    else if (!paths.reachesNothing && !paths.isCut(request.incarnationId)) this.#startDirect();
+    else if (!paths.reachesNothing && !paths.isCut(request.incarnationId)) this.#retryDirect();
     else this.#timer = clock.setTimer(WAIT_STEP_MS, () => this.#waitForWay());
   }
 
+  /** The own links work: a server that did not answer before is left to the next try of the call. */
+  #retryDirect(): void {
+    if (this.#directReason === undefined) this.#startDirect();
+    else this.#fail(BackendFailure.NotSent, this.#directReason);
+  }
+
   #startDirect(): void {
     this.#isDirect = true;
     const { direct, request } = this.#options;
@@ -155,6 +164,7 @@
         const hasNotConnected = failure === BackendFailure.NotSent;
         if (hasNotConnected || failure === BackendFailure.Lost)
           checks.check(request, hasNotConnected);
+        this.#directReason = reason;
         if (hasNotConnected && paths.reachesNothing) this.#waitForWay();
         else this.#fail(failure, reason);
       },
--- a/src/application/paths/own_reach.ts
+++ b/src/application/paths/own_reach.ts
@@ -102,7 +102,7 @@
     let lostCount = 0;
     const handleLost = (): void => {
       lostCount += 1;
-      if (lostCount === servers.length) this.#confirmLoss();
+      if (lostCount === servers.length) this.#confirmLoss(servers);
     };
     return new Promise((resolve) => {
       const probes = servers.map(async (server) => {
@@ -119,17 +119,15 @@
     const { probe, paths, clock } = this.#options;
     const result = probe.check(address);
     const early = await Promise.race([result, waitFor(clock, MAX_CONNECT_MS)]);
-    if (early !== Reachability.Open) {
-      paths.recordLost(incarnationId);
-      handleLost();
-    }
+    if (early !== Reachability.Open) handleLost();
     const isOpen = (await result) === Reachability.Open;
     if (isOpen) paths.recordConnected(incarnationId, clock.nowMs());
     return isOpen;
   }
 
   /** A connection that opens later than that undoes it. */
-  #confirmLoss(): void {
+  #confirmLoss(servers: readonly ServerAddress[]): void {
+    servers.forEach(({ incarnationId }) => this.#options.paths.recordLost(incarnationId));
     this.#options.paths.confirmLoss();
     this.#lostHandlers.forEach((handler) => handler());
   }
--- a/test/faults/answer_ends_test.ts
+++ b/test/faults/answer_ends_test.ts
@@ -69,7 +69,7 @@
         mayReceive: () => true,
         isPaused: () => false,
         listServers: () => [],
-    recordNotice: () => undefined,
+        recordNotice: () => undefined,
       });
     });
     this.#paths = asker as HostPaths;
