Read the parts of a request's prompt, and log those of each failed attempt

Nothing told what requests share under which servers end: the header that names the parts of a prompt was forwarded and read by nobody. A part is a type of its own; the header's name stays in the platform's dialect. attempt_failed names the parts but the last, as IDs of their own. No decision changes.

--- a/src/adapters/direct_http/direct_dialect.ts
+++ b/src/adapters/direct_http/direct_dialect.ts
@@ -6,6 +6,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { RequestWork } from '../../domain/backend_servers/mod.js';
 import type { SchedulerError } from '../../domain/errors/mod.js';
+import type { RequestPrompt } from '../../domain/requests/mod.js';
 import type { BackendRequest, ServerNotice, RawHeaders, ReportedLoad } from '../../ports/mod.js';
 
 /** Properties of a call, read from a caller's headers. */
@@ -18,6 +19,8 @@
   /** Request whose answer brought the first event of the stream that the caller takes up. */
   readonly resumedRequestId?: string | undefined;
   readonly work: RequestWork;
+  /** What the caller says of its prompt; undefined if nothing. */
+  readonly prompt?: RequestPrompt | undefined;
   /** Whether the caller declared the size of the request in tokens. */
   readonly isSized: boolean;
 }
--- a/src/application/direct/_call_checks.ts
+++ b/src/application/direct/_call_checks.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
-import { formatContentId, hashContent } from '../../domain/requests/mod.js';
+import { formatContentId, hashContent, listSharedPartIds } from '../../domain/requests/mod.js';
 import type { ClientAccount, Route, RouteTable } from '../../domain/routing/mod.js';
 import type { DirectRequest } from '../../ports/mod.js';
 import type { CrashQuarantine } from '../crashes/mod.js';
@@ -34,6 +34,8 @@
   readonly account: ClientAccount | undefined;
   /** Hash of what the call requests. All repeats of a request have the same content ID. */
   readonly contentId: string;
+  /** IDs of the parts of its prompt that other calls may share. */
+  readonly partIds: readonly string[];
 }
 
 /** Checks calls on arrival and again immediately before dispatch. */
@@ -61,7 +63,8 @@
     const contentId = deriveContentId(request, account);
     const refusal = crashes.findRefusal(contentId);
     if (refusal) throw refusal;
-    return { table, route, account, contentId };
+    const partIds = listSharedPartIds(request.prompt);
+    return { table, route, account, contentId, partIds };
   }
 
   /**
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -11,11 +11,15 @@
 import type { DirectAttemptResult } from './_attempt_result.js';
 import type { DirectServices } from './direct_services.js';
 
+/** Maximum number of parts of a prompt that one log line names. */
+const MAX_LOGGED_PARTS = 8;
+
 /** The call to record, and where the log and metrics go. */
 export interface CallRecorderOptions {
   readonly services: DirectServices;
   readonly request: DirectRequest;
   readonly contentId: string;
+  readonly partIds: readonly string[];
   readonly route: Route;
   readonly account: ClientAccount | undefined;
   readonly arrivedAtMs: number;
@@ -64,7 +68,8 @@
     attempt: number,
     { failure, reason }: DirectAttemptResult,
   ): void {
-    this.#write('attempt_failed', { backendServer, failure, reason, attempt });
+    const parts = this.#options.partIds.slice(0, MAX_LOGGED_PARTS).join();
+    this.#write('attempt_failed', { backendServer, failure, reason, attempt, parts });
     this.#options.services.metrics.count('attempts_failed_total', { failure: String(failure) });
   }
 
--- a/src/application/direct/direct_call_options.ts
+++ b/src/application/direct/direct_call_options.ts
@@ -16,6 +16,8 @@
   readonly request: DirectRequest;
   /** Hash of what the call requests. All repeats of a request have the same content ID. */
   readonly contentId: string;
+  /** IDs of the parts of its prompt that other calls may share. */
+  readonly partIds: readonly string[];
   readonly reply: DirectReply;
   readonly route: Route;
   readonly serviceId: string;
--- a/src/domain/requests/mod.ts
+++ b/src/domain/requests/mod.ts
@@ -6,6 +6,8 @@
  * @module
  */
 export { formatContentId, hashContent } from './content_hash.js';
+export { listSharedPartIds } from './prompt_part.js';
+export type { PromptPart, RequestPrompt } from './prompt_part.js';
 export { createRequestId, hashAccountId, parseRequestId } from './request_id.js';
 export type { RequestId, RequestIdFields } from './request_id.js';
 export { RequestLedger } from './request_ledger.js';
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -6,6 +6,7 @@
  */
 import type { RequestWork } from '../domain/backend_servers/mod.js';
 import type { SchedulerError } from '../domain/errors/mod.js';
+import type { RequestPrompt } from '../domain/requests/mod.js';
 
 /** Alternating header names and values in their received order and case. */
 export type RawHeaders = readonly string[];
@@ -35,6 +36,8 @@
    */
   readonly resumedRequestId?: string | undefined;
   readonly work: RequestWork;
+  /** What the caller says of its prompt; undefined if nothing. */
+  readonly prompt?: RequestPrompt | undefined;
   /** Whether the caller declared how many tokens the request takes. */
   readonly isSized: boolean;
 }
