--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -40,6 +40,12 @@
    * complete. Default: 0.
    */
   readonly unframedFraction?: number;
+  /** Time from the arrival of a crashing request to the crash, in milliseconds. Default: 60. */
+  readonly crashDelayMs?: number;
+  /** Time from a crash to the restart of the server, in milliseconds. Default: 4,000. */
+  readonly restartDelayMs?: number;
+  /** Whether a crashing request on a stream first brings its head and an event. Default: false. */
+  readonly beginsBeforeCrash?: boolean;
   /** Seed for the choice of responses with an error or without a length. */
   readonly seed?: number;
 }
@@ -48,6 +54,8 @@
 export interface Arrival {
   readonly atMs: number;
   readonly body: string;
+  /** Names of the parts of its prompt that other requests may share. */
+  readonly parts: readonly string[];
   readonly incarnationId: string;
 }
 
@@ -121,7 +129,12 @@
       .length;
   }
 
-  /** @returns time of the n-th crash that a body caused; Infinity if it has not happened */
+  /** @returns the number of requests with a shared part that reached servers after a given time */
+  countPartArrivals(part: string, afterMs = 0): number {
+    return this.arrivals.filter(({ parts, atMs }) => parts.includes(part) && atMs > afterMs).length;
+  }
+
+  /** @returns time of the n-th crash that a body or part caused; Infinity if it has not happened */
   findCrashMs(body: string, number: number): number {
     const crashes = this.crashes.filter((end) => end.body === body);
     return crashes[number - 1]?.atMs ?? Infinity;
@@ -145,7 +158,8 @@
       this.crashes.push({ atMs: this.clock.nowMs(), body });
       this.#incarnations.set(serverId, undefined);
       this.#reachability.set(formatAddress(serverId), Reachability.Refused);
-      this.clock.setTimer(RESTART_DELAY_MS, () => this.#startServer(serverId));
+      const { restartDelayMs = RESTART_DELAY_MS } = this.#options;
+      this.clock.setTimer(restartDelayMs, () => this.#startServer(serverId));
     });
     [...this.#running]
       .filter(([, serverId]) => crashingIds.has(serverId))
@@ -193,7 +207,8 @@
       return;
     }
     const body = request.body.toString();
-    this.arrivals.push({ atMs: this.clock.nowMs(), body, incarnationId });
+    const parts = (request.prompt?.parts ?? []).slice(0, -1).map(({ id }) => id);
+    this.arrivals.push({ atMs: this.clock.nowMs(), body, parts, incarnationId });
     this.#running.set(exchange, serverId);
     if (this.#random.nextFraction() < (this.#options.errorFraction ?? 0)) {
       this.clock.setTimer(ERROR_DELAY_MS, () =>
@@ -201,10 +216,13 @@
       );
       return;
     }
-    if (this.#isCrashing(body)) {
-      this.clock.setTimer(CRASH_DELAY_MS, () => {
+    const cause = [body, ...parts].find((name) => this.#isCrashing(name));
+    if (cause !== undefined) {
+      const { crashDelayMs = CRASH_DELAY_MS, beginsBeforeCrash } = this.#options;
+      if (beginsBeforeCrash) this.clock.setTimer(crashDelayMs / 2, () => beginAnswer(exchange));
+      this.clock.setTimer(crashDelayMs, () => {
         const isSame = this.#incarnations.get(serverId) === incarnationId;
-        if (isSame && !exchange.isCancelled) this.crashServers([serverId], body);
+        if (isSame && !exchange.isCancelled) this.crashServers([serverId], cause);
       });
       return;
     }
@@ -219,10 +237,11 @@
     else exchange.fail(BackendFailure.Lost);
   }
 
-  #isCrashing(body: string): boolean {
+  /** Tells whether a body, or a part of a prompt, crashes servers. */
+  #isCrashing(name: string): boolean {
     const { turnsAfterMs = Infinity } = this.#options;
     const isTurnDue = this.clock.nowMs() - this.#startedAtMs >= turnsAfterMs;
-    return body.startsWith('ends') || (body.startsWith('turns') && isTurnDue);
+    return name.startsWith('ends') || (name.startsWith('turns') && isTurnDue);
   }
 
   #finish(exchange: FakeExchange, onFinish: () => void): void {
@@ -231,6 +250,12 @@
   }
 }
 
+function beginAnswer(exchange: FakeExchange): void {
+  if (exchange.isCancelled) return;
+  exchange.sendHead({ isEventStream: true });
+  exchange.events(1, 1);
+}
+
 function formatAddress(serverId: string): string {
   return `${serverId}:80`;
 }
