Wait for a way only after a moment without a sign of any server, and end checks with the host

A host takes all its links for lost only after 0.1 s without data; a failed connection is explained by a new one or by peers alone, or after 2 s; HostPaths has a stop().

The test of ServerPaths that two servers reached by peers make a host cut off asks for more now: that others were probed as well (confirmLoss), since two crashed servers are no proof; two tests of the new table stand beside it.

--- a/src/application/direct/_server_loads.ts
+++ b/src/application/direct/_server_loads.ts
@@ -87,7 +87,7 @@
     const { paths } = this.#options;
     const avoidedLoads = [...this.#loads].filter(
       ([id, load]) =>
-        !paths.isOwnLossPossible(id) && load.hasFailedRecently(nowMs, paths.lastReachedAtMs),
+        !paths.isOwnLossPossible(id, nowMs) && load.hasFailedRecently(nowMs, paths.lastReachedAtMs),
     );
     const counts = Object.fromEntries(avoidedLoads.map(([id]) => [id, 1]));
     return this.#options.peers.sum('avoidedBy', counts, sources);
--- a/src/application/paths/_loss_watch.ts
+++ b/src/application/paths/_loss_watch.ts
@@ -49,6 +49,8 @@
 
   #isSearching = false;
 
+  #hasStopped = false;
+
   #searchCount = 0;
 
   /** @param options - dependencies and callbacks */
@@ -65,6 +67,12 @@
     this.#runRound();
   }
 
+  /** Ends the tries. */
+  stop(): void {
+    this.#hasStopped = true;
+    this.#timer?.cancel();
+  }
+
   async #runRound(): Promise<void> {
     const { clock, paths, ownReach, proxies, onChange } = this.#options;
     this.#timer = undefined;
@@ -74,7 +82,7 @@
     await ownReach.probe();
     this.#isProbing = false;
     onChange();
-    if (paths.reachesNothing || paths.isLossConfirmed)
+    if (!this.#hasStopped && (paths.reachesNothing || paths.isLossConfirmed))
       this.#timer = clock.setTimer(RETRY_INTERVAL_MS, () => this.#runRound());
   }
 
--- a/src/application/paths/_path_exchange.ts
+++ b/src/application/paths/_path_exchange.ts
@@ -71,7 +71,7 @@
     const isCut = paths.isCut(incarnationId);
     if (isCut) checks.recheck(request);
     if (isCut && this.#startThroughPeer()) return;
-    if (paths.reachesNothing) this.#waitForWay();
+    if (paths.isLossConfirmed || paths.mayHaveLostAll(this.#startedAtMs)) this.#waitForWay();
     else this.#startDirect();
   }
 
@@ -142,7 +142,7 @@
   }
 
   #buildDirectListener(): BackendListener {
-    const { request, checks, listener, paths } = this.#options;
+    const { request, checks, listener, paths, clock } = this.#options;
     return {
       onNotice: (notice, isAuthentic) => {
         this.#recordReached();
@@ -165,7 +165,7 @@
         if (hasNotConnected || failure === BackendFailure.Lost)
           checks.check(request, hasNotConnected);
         this.#directReason = reason;
-        if (hasNotConnected && paths.reachesNothing) this.#waitForWay();
+        if (hasNotConnected && paths.mayHaveLostAll(clock.nowMs())) this.#waitForWay();
         else this.#fail(failure, reason);
       },
     };
--- a/src/application/paths/host_paths.ts
+++ b/src/application/paths/host_paths.ts
@@ -88,6 +88,11 @@
     });
   }
 
+  /** Ends all checks that repeat by themselves. */
+  stop(): void {
+    this.#checks.stop();
+  }
+
   /**
    * Lists the peers to keep links to, for checks and for requests that go through them.
    *
--- a/src/application/paths/own_reach.ts
+++ b/src/application/paths/own_reach.ts
@@ -127,8 +127,9 @@
 
   /** A connection that opens later than that undoes it. */
   #confirmLoss(servers: readonly ServerAddress[]): void {
-    servers.forEach(({ incarnationId }) => this.#options.paths.recordLost(incarnationId));
-    this.#options.paths.confirmLoss();
+    const { paths, clock } = this.#options;
+    servers.forEach(({ incarnationId }) => paths.recordLost(incarnationId, clock.nowMs()));
+    paths.confirmLoss();
     this.#lostHandlers.forEach((handler) => handler());
   }
 
--- a/src/application/paths/path_checks.ts
+++ b/src/application/paths/path_checks.ts
@@ -7,7 +7,7 @@
 import { PathVerdict } from '../../domain/paths/mod.js';
 import type { ServerPaths } from '../../domain/paths/mod.js';
 import { Reachability } from '../../ports/mod.js';
-import type { Clock, EventLog, Metrics, ServerProbe } from '../../ports/mod.js';
+import type { Clock, EventLog, Metrics, ServerProbe, Timer } from '../../ports/mod.js';
 import { LossWatch } from './_loss_watch.js';
 import type { OwnReach, ServerAddress } from './own_reach.js';
 import { CheckRate } from './_check_rate.js';
@@ -66,6 +66,8 @@
 
   #isSweeping = false;
 
+  #sweepTimer: Timer | undefined;
+
   readonly #lossWatch: LossWatch;
 
   /** @param options - dependencies */
@@ -89,6 +91,12 @@
     return this.#running.size > 0 || paths.cutCount > 0 || paths.reachesNothing;
   }
 
+  /** Ends all checks that repeat by themselves. */
+  stop(): void {
+    this.#lossWatch.stop();
+    this.#sweepTimer?.cancel();
+  }
+
   /** @param handler - called with each server whose path turns out to be cut */
   onCut(handler: (incarnationId: string) => void): void {
     this.#cutHandlers.push(handler);
@@ -101,11 +109,12 @@
    * @param hasFailed - whether a connection of this host to it has just failed
    */
   check(server: ServerAddress, hasFailed = false): void {
-    const { paths, isPaused } = this.#options;
+    const { paths, isPaused, clock } = this.#options;
     const { incarnationId } = server;
     if (isPaused(incarnationId)) return;
-    if (hasFailed) paths.recordLost(incarnationId);
-    if (paths.reachesNothing) {
+    const nowMs = clock.nowMs();
+    if (hasFailed) paths.recordLost(incarnationId, nowMs);
+    if (paths.isLossConfirmed || paths.mayHaveLostAll(nowMs)) {
       this.watch();
       return;
     }
@@ -164,14 +173,14 @@
       return;
     }
     this.#logSearch(incarnationId, result);
-    paths.recordLost(incarnationId);
+    paths.recordLost(incarnationId, clock.nowMs());
     if (result.verdict === PathVerdict.Cut) this.#handleCut(incarnationId);
     else {
       const isConfirmed = result.verdict === PathVerdict.Unreachable;
       paths.recordUnreachable(incarnationId, clock.nowMs(), isConfirmed);
     }
     if (result.hasReachingPeer) paths.recordPeers(true);
-    if (paths.reachesNothing) this.watch();
+    if (paths.mayHaveLostAll(clock.nowMs())) this.watch();
     this.#publishChanges();
   }
 
@@ -213,7 +222,7 @@
     const checked = this.#unswept.slice(0, SWEPT_SERVERS);
     checked.forEach((server) => this.check(server));
     this.#unswept = this.#unswept.slice(SWEPT_SERVERS);
-    clock.setTimer(SWEEP_INTERVAL_MS, () => this.#sweep());
+    this.#sweepTimer = clock.setTimer(SWEEP_INTERVAL_MS, () => this.#sweep());
   }
 
   #recheckCutPaths(): void {
--- a/src/domain/paths/server_paths.ts
+++ b/src/domain/paths/server_paths.ts
@@ -22,6 +22,12 @@
 /** Time for which a server counts as unreachable for all hosts, in milliseconds. */
 const UNREACHABLE_MS = 1_000;
 
+/** Time for which a failed connection may be due to the own links while nobody has told, in ms. */
+const UNEXPLAINED_MS = 2_000;
+
+/** Time without a sign of any server from which all links may be lost, in milliseconds. */
+const SILENCE_MS = 100;
+
 interface CutPath {
   nextCheckAtMs: number;
   readonly checkIntervalMs: number;
@@ -59,8 +65,8 @@
   /** Servers that this host could not connect to since any server was reached. */
   readonly #lostSinceReached = new Set<string>();
 
-  /** Servers that this host could not connect to, as long as nobody has told why. */
-  readonly #unexplainedLosses = new Set<string>();
+  /** When servers could not be connected to, as long as nobody has told why, in ms. */
+  readonly #unexplainedLosses = new Map<string, number>();
 
   /** Whether a peer was found since then that reaches a server. */
   #hasReachingPeer = false;
@@ -117,7 +123,6 @@
    */
   recordReached(id: string, nowMs: number): void {
     this.#reachedAtMs.set(id, nowMs);
-    this.#unexplainedLosses.delete(id);
     this.#unreachableUntilMs.delete(id);
     this.#lastReachedAtMs = nowMs;
     this.#lostSinceReached.clear();
@@ -126,15 +131,32 @@
     this.#isLossConfirmed = false;
   }
 
-  /** @param id - a server that this host could not connect to */
-  recordLost(id: string): void {
+  /**
+   * @param id - a server that this host could not connect to
+   * @param nowMs - monotonic time in milliseconds
+   */
+  recordLost(id: string, nowMs: number): void {
     this.#lostSinceReached.add(id);
-    this.#unexplainedLosses.add(id);
+    this.#unexplainedLosses.set(id, nowMs);
+  }
+
+  /**
+   * @param id - a server
+   * @param nowMs - monotonic time in milliseconds
+   * @returns whether failed connections to it may be due to the own links
+   */
+  isOwnLossPossible(id: string, nowMs: number): boolean {
+    const lostAtMs = this.#unexplainedLosses.get(id) ?? Number.NEGATIVE_INFINITY;
+    return this.isCut(id) || nowMs - lostAtMs < UNEXPLAINED_MS;
   }
 
-  /** @param id - a server. @returns whether its silence may be due to the own links */
-  isOwnLossPossible(id: string): boolean {
-    return this.isCut(id) || this.#unexplainedLosses.has(id);
+  /**
+   * @param nowMs - monotonic time in milliseconds
+   * @returns whether this host may have lost all its links: it seems to reach no server, and has
+   *   heard none for a moment. Where several servers have crashed, others are heard meanwhile.
+   */
+  mayHaveLostAll(nowMs: number): boolean {
+    return this.reachesNothing && nowMs - this.#lastReachedAtMs >= SILENCE_MS;
   }
 
   /** Records that several servers were probed, and none could be connected to. */
@@ -158,6 +180,7 @@
     const cut = this.#cuts.get(id);
     if (cut) this.#restored.set(id, { atMs: nowMs, checkIntervalMs: cut.checkIntervalMs });
     this.#cuts.delete(id);
+    this.#unexplainedLosses.delete(id);
     this.recordReached(id, nowMs);
   }
 
--- a/src/domain/paths/server_paths_test.ts
+++ b/src/domain/paths/server_paths_test.ts
@@ -8,6 +8,9 @@
   t.notOk(paths.isCutOff);
   t.ok(paths.isCut('s-1') && !paths.isCut('s-2'));
   paths.recordCut('s-2', 10);
+  t.notOk(paths.isCutOff, 'others were not probed yet');
+  t.ok(paths.mayHaveLostAll(10));
+  paths.confirmLoss();
   t.ok(paths.isCutOff && paths.isCut('s-3'));
 });
 
@@ -15,6 +18,8 @@
   const paths = new ServerPaths();
   paths.recordCut('s-1', 0);
   paths.recordCut('s-2', 0);
+  paths.confirmLoss();
+  t.ok(paths.isCutOff);
   paths.recordReached('s-3', 10);
   t.notOk(paths.isCutOff);
   t.ok(paths.isCut('s-1') && !paths.isCut('s-3'));
@@ -46,6 +51,29 @@
   t.strictSame(intervals, Array(4).fill([false, true, false]));
 });
 
+t.test('a host that reaches nothing is cut off only while a peer reaches a server', async (t) => {
+  // Guards against calls that wait for peers where no host reaches any server.
+  const paths = new ServerPaths();
+  ['s-1', 's-2'].forEach((id) => paths.recordLost(id, 0));
+  t.ok(paths.mayHaveLostAll(0) && !paths.isCutOff && !paths.isNoneReachable);
+  paths.confirmLoss();
+  paths.recordPeers(false);
+  t.ok(paths.isNoneReachable && paths.isUnreachable('s-3', 0) && !paths.isCutOff);
+  paths.recordPeers(true);
+  t.ok(paths.isCutOff && !paths.isNoneReachable);
+  paths.recordConnected('s-3', 10);
+  t.notOk(paths.isCutOff || paths.isLossConfirmed || paths.mayHaveLostAll(500));
+});
+
+t.test('a host that hears a server now and then has not lost all links', async (t) => {
+  // Guards against calls that wait where several servers have crashed and others answer.
+  const paths = new ServerPaths();
+  paths.recordReached('s-3', 1_000);
+  ['s-1', 's-2'].forEach((id) => paths.recordLost(id, 1_010));
+  t.notOk(paths.mayHaveLostAll(1_050));
+  t.ok(paths.mayHaveLostAll(1_100));
+});
+
 t.test('a server that nobody reaches is left alone for a second', async (t) => {
   const paths = new ServerPaths();
   paths.recordUnreachable('s-1', 0);
--- a/test/faults/lost_server_links_test.ts
+++ b/test/faults/lost_server_links_test.ts
@@ -120,7 +120,10 @@
     recordNotice: () => undefined,
   });
   await network.start();
-  t.teardown(() => network.close());
+  t.teardown(() => {
+    hostPaths.stop();
+    return network.close();
+  });
   return { network, paths, hostPaths };
 }
 
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -210,6 +210,7 @@
   stop(): void {
     this.follower.stop();
     this.crashes.stop();
+    this.hostPaths.stop();
     this.reports?.stop();
   }
 
