Lay the ends of servers to the parts of prompts as well as to contents

Cause: the ledger knew whole contents alone. A content that comes once is never at three ends, so that nothing spoke against any of them. Class: a cause that is kept by the identity of one whole, where it is shared by many.

The change: a run has several possible causes, its content and each part of its prompt but the last, in the same ledger with the same states. A success clears all of a request's causes; one that is held refuses it; one in doubt has it sent as a trial, which counts for all of its causes in doubt. A trial that ends its server proves what it tried, but for what runs at other ends too: nobody needs to tell apart what only ever comes together. Two holds bind no request of another kind, which is tried instead, twice at most: that of a cause that one other account's requests alone ran at ends, and that of one at each of whose ends another held cause ran which the request lacks. So nobody gets a part held for others by naming it beside a deadly one. Notes between hosts name the accounts, two at most, and the trial.

--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -60,11 +60,15 @@
   isVoid: z.boolean().optional(),
 });
 
+/** Maximum number of client accounts that a note names. */
+const MAX_NOTE_ACCOUNTS = 2;
+
 const crashNoteSchema = z.object({
   contentId: name.min(1),
   crashId: name.min(1),
   state: z.enum(CrashState),
   isVouched: z.boolean().optional(),
+  accountIds: z.array(name).max(MAX_NOTE_ACCOUNTS).optional(),
   isHeld: z.boolean(),
   startedAgoMs: amount,
   endedAgoMs: amount,
--- a/src/application/crashes/_trial_queue.ts
+++ b/src/application/crashes/_trial_queue.ts
@@ -5,7 +5,13 @@
  * @module
  */
 import { computeNextStepAtMs, computeTurnAtMs } from '../../domain/crashes/mod.js';
-import type { CrashLedger, CrashNote, TrialProgress } from '../../domain/crashes/mod.js';
+import type {
+  CrashLedger,
+  CrashNote,
+  RequestScope,
+  Trial,
+  TrialProgress,
+} from '../../domain/crashes/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
 import { sortByRendezvous } from '../../domain/membership/mod.js';
 import type { Clock, EventLog, Metrics, RandomSource, Timer } from '../../ports/mod.js';
@@ -43,6 +49,8 @@
 /** Permit to send a request. */
 export interface Permit {
   readonly kind: PermitKind;
+  /** The trial, if it is one. */
+  readonly trial?: Trial;
   /** Returns an unused permit when the request never ran; the trial is then void. */
   readonly returnUnused: () => void;
 }
@@ -66,11 +74,25 @@
   readonly refuseCalls: (contentId: string) => void;
 }
 
-/** A content on probation that callers request at this entry host. */
+/** A call without a permit. */
+interface WaitingCall {
+  readonly request: RequestScope;
+  /** Number of its causes that were on probation when it began to wait. */
+  readonly probationCount: number;
+  /** Lets it ask for a permit again, and ends its wait. */
+  resume: () => void;
+}
+
+/** A cause on probation, and the progress of its trials. */
+interface ProbationCause {
+  readonly id: string;
+  readonly progress: TrialProgress;
+}
+
+/** A content or part on probation that callers request at this entry host. */
 interface RequestedContent {
   readonly requestedSinceMs: number;
-  /** Callbacks that let the waiting calls ask for a permit again. */
-  readonly waiting: Set<() => void>;
+  readonly waiting: Set<WaitingCall>;
   /** Rank of this entry host among those that may run a trial, computed once for each trial. */
   rank: { readonly trialCount: number; readonly value: number } | undefined;
 }
@@ -96,71 +118,95 @@
   /**
    * Computes the delay after which a caller that can't wait may retry.
    *
-   * @param contentId - content of the call
+   * @param request - the call's causes and its account
    * @returns time until the next trial or state change, in milliseconds, where that is too long to
-   *   wait; undefined when calls may wait or the content is not on probation
+   *   wait; undefined when calls may wait or none of the causes is on probation
    */
-  computeRetryAfterMs(contentId: string): number | undefined {
-    const progress = this.#options.ledger.probationList.findProgress(contentId);
-    return progress && this.#computeRetryAfterMs(progress);
+  computeRetryAfterMs(request: RequestScope): number | undefined {
+    const delaysMs = this.#listOnProbation(request).flatMap(
+      ({ progress }) => this.#computeRetryAfterMs(progress) ?? [],
+    );
+    return delaysMs.length === 0 ? undefined : Math.max(...delaysMs);
   }
 
   /**
-   * Acquires a permit to send a request now. A permit for a content on probation starts a trial.
+   * Acquires a permit to send a request now. A permit for a request with a cause on probation starts
+   * a trial, which counts for each of them: they are told apart by what else runs with them.
    *
-   * @param contentId - content of the request
+   * @param request - its causes and its account
    * @param hasTime - whether the caller's deadline leaves enough time for a trial
    * @returns the permit, which tells whether and how the request may be sent
    */
-  acquirePermit(contentId: string, hasTime: boolean): Permit {
-    const { ledger, clock, log, metrics } = this.#options;
-    const progress = ledger.probationList.findProgress(contentId);
-    if (!progress) return FREE_PERMIT;
-    if (!hasTime) return WAIT_PERMIT;
-    const nowMs = clock.nowMs();
-    if (this.#isTrialOpen() || nowMs < this.#computeTurnAtMs(contentId, progress))
-      return WAIT_PERMIT;
-    const id = this.#options.random.nextHex(TRIAL_ID_BYTES);
-    log.write(LogLevel.Warn, 'request_tried', { contentId, trial: progress.trialCount + 1 });
+  acquirePermit(request: RequestScope, hasTime: boolean): Permit {
+    const tried = this.#listOnProbation(request);
+    if (tried.length === 0) return FREE_PERMIT;
+    if (!hasTime || this.#isTrialOpen()) return WAIT_PERMIT;
+    const nowMs = this.#options.clock.nowMs();
+    const isDue = tried.every(({ id, progress }) => nowMs >= this.#computeTurnAtMs(id, progress));
+    return isDue ? this.#startTrial(tried, nowMs) : WAIT_PERMIT;
+  }
+
+  #startTrial(tried: readonly ProbationCause[], startedAtMs: number): Permit {
+    const { log, metrics, random, clock } = this.#options;
+    const trial = { id: random.nextHex(TRIAL_ID_BYTES), startedAtMs, isVoid: false };
+    tried.forEach(({ id, progress }) => {
+      log.write(LogLevel.Warn, 'request_tried', { contentId: id, trial: progress.trialCount + 1 });
+    });
     metrics.count('request_trials_total');
-    const trial = { id, startedAtMs: nowMs, isVoid: false };
-    this.#options.notifyPeers(ledger.recordTrial(contentId, trial, nowMs));
+    this.#recordTrial(tried, trial, startedAtMs);
     return {
       kind: PermitKind.Trial,
-      returnUnused: () => {
-        const voidTrial = { ...trial, isVoid: true };
-        this.#options.notifyPeers(ledger.recordTrial(contentId, voidTrial, clock.nowMs()));
-      },
+      trial,
+      returnUnused: () => this.#recordTrial(tried, { ...trial, isVoid: true }, clock.nowMs()),
     };
   }
 
+  #recordTrial(tried: readonly ProbationCause[], trial: Trial, nowMs: number): void {
+    const { ledger, notifyPeers } = this.#options;
+    notifyPeers(tried.flatMap(({ id }) => ledger.recordTrial(id, trial, nowMs)));
+  }
+
   /**
    * Adds a call without a permit to the waiting calls.
    *
-   * @param contentId - content of the call
+   * @param request - the call's causes and its account
    * @param resume - called once, when the call may ask for a permit again
    * @returns function that removes the call from the waiting calls
    */
-  wait(contentId: string, resume: () => void): () => void {
-    const { waiting } = this.#getOrCreateRequested(contentId);
-    waiting.add(resume);
+  wait(request: RequestScope, resume: () => void): () => void {
+    const sets = this.#listOnProbation(request).map(({ id }) => this.#getOrCreateRequested(id));
+    const call: WaitingCall = { request, probationCount: sets.length, resume: () => undefined };
+    const leave = (): void => sets.forEach(({ waiting }) => waiting.delete(call));
+    call.resume = () => {
+      leave();
+      resume();
+    };
+    sets.forEach(({ waiting }) => waiting.add(call));
     this.#scheduleCheck();
-    return () => waiting.delete(resume);
+    return leave;
+  }
+
+  #listOnProbation(request: RequestScope): ProbationCause[] {
+    return request.causeIds.flatMap((id) => {
+      const progress = this.#options.ledger.probationList.findProgress(id, request);
+      return progress ? { id, progress } : [];
+    });
   }
 
   /** Wakes all calls whose content left probation, and one call of each content due for a trial. */
   wakeCalls(): void {
     const isOpen = this.#isTrialOpen();
     [...this.#requestedContents].forEach(([contentId, requested]) => {
-      const progress = this.#options.ledger.probationList.findProgress(contentId);
+      const [first] = requested.waiting;
+      const progress = this.#options.ledger.probationList.findProgress(contentId, first?.request);
       if (progress && this.#computeRetryAfterMs(progress) === undefined) {
         const isDue = this.#options.clock.nowMs() >= this.#computeTurnAtMs(contentId, progress);
-        if (isDue && !isOpen) wakeLatest(requested.waiting, 1);
+        if (isDue && !isOpen) wakeBest(requested.waiting);
         return;
       }
       if (progress) this.#options.refuseCalls(contentId);
       this.#requestedContents.delete(contentId);
-      wakeLatest(requested.waiting, Infinity);
+      [...requested.waiting].reverse().forEach(({ resume }) => resume());
     });
   }
 
@@ -231,10 +277,12 @@
   }
 }
 
-/** Wakes the calls that came last, because they have the most time left for an answer. */
-function wakeLatest(waiting: Set<() => void>, count: number): void {
-  const woken = [...waiting].reverse().slice(0, count);
-  woken.forEach((resume) => {
-    if (waiting.delete(resume)) resume();
-  });
+/**
+ * Wakes the call that tells most: the one with the fewest causes on probation, since its result is
+ * laid to few; of these the one that came last, since it has the most time left for an answer.
+ */
+function wakeBest(waiting: ReadonlySet<WaitingCall>): void {
+  const calls = [...waiting].reverse();
+  const fewest = Math.min(...calls.map(({ probationCount }) => probationCount));
+  calls.find(({ probationCount }) => probationCount === fewest)?.resume();
 }
--- a/src/application/crashes/crash_detector.ts
+++ b/src/application/crashes/crash_detector.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Trial } from '../../domain/crashes/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
 import { Reachability } from '../../ports/mod.js';
 import type { Clock, EventLog, Metrics, ServerProbe } from '../../ports/mod.js';
@@ -24,6 +25,12 @@
   /** Host name or IP address, and port. */
   readonly address: string;
   readonly contentId: string;
+  /** IDs of the parts of its prompt that other requests may share. Default: none. */
+  readonly partIds?: readonly string[];
+  /** Client account that sent it. Default: unknown. */
+  readonly accountId?: string | undefined;
+  /** The trial that it was; undefined if it was none. */
+  readonly trial?: Trial | undefined;
   /** When the run was sent and when it broke, in monotonic milliseconds. */
   readonly startedAtMs: number;
   readonly endedAtMs: number;
--- a/src/application/crashes/crash_quarantine.ts
+++ b/src/application/crashes/crash_quarantine.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { CrashLedger, CrashState, SuspectState } from '../../domain/crashes/mod.js';
+import { CrashLedger, SuspectState } from '../../domain/crashes/mod.js';
 import type { CrashNote } from '../../domain/crashes/mod.js';
 import { ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
 import type {
@@ -18,6 +18,9 @@
 } from '../../ports/mod.js';
 import { AnsweredContents } from './_answered_contents.js';
 import { CrashNoteExchange } from './_crash_note_exchange.js';
+import { buildCrashNotes, listRecentCrashIds } from './_crash_notes.js';
+import { buildScope } from './request_details.js';
+import type { RequestDetails } from './request_details.js';
 import { TrialQueue } from './_trial_queue.js';
 import type { Permit } from './_trial_queue.js';
 import type { CrashPaths } from './crash_paths.js';
@@ -27,12 +30,6 @@
 /** Time in which peers' notes of other runs at a crash arrive, in milliseconds. */
 const NOTE_SETTLE_MS = 50;
 
-/**
- * Age up to which a crash tells anything about the process at the server's address, in
- * milliseconds. An older crash may concern a server that has restarted there since.
- */
-const RECENT_CRASH_MS = 500;
-
 /** Log events and metrics of a content's state changes. */
 const STATE_CHANGE_EVENTS: Readonly<Record<SuspectState, string>> = {
   [SuspectState.Free]: 'request_released',
@@ -54,6 +51,8 @@
 /** A run that ended with a complete answer. */
 export interface AnsweredRun {
   readonly contentId: string;
+  /** IDs of the parts of its prompt that other requests may share. Default: none. */
+  readonly partIds?: readonly string[];
   readonly serverId: string;
   /** When the request was sent, in monotonic milliseconds. */
   readonly startedAtMs: number;
@@ -137,28 +136,38 @@
    * Checks whether a request may be sent to a server.
    *
    * @param contentId - content of the request
+   * @param details - what else may crash servers, and who asks. Default: nothing, nobody known
    * @returns the refusal; undefined when the request may be sent or wait for a permit
    */
-  findRefusal(contentId: string): SchedulerError | undefined {
-    const delayMs = this.#trials.computeRetryAfterMs(contentId);
-    if (delayMs === undefined && !this.#ledger.isHeld(contentId)) return undefined;
-    this.#noteExchange.sendNotes(this.#ledger.recordSeen(contentId, this.#options.clock.nowMs()));
+  findRefusal(
+    contentId: string,
+    details: Partial<RequestDetails> = {},
+  ): SchedulerError | undefined {
+    const request = buildScope(contentId, details);
+    const heldId = request.causeIds.find((id) => this.#ledger.isHeld(id, request));
+    const delayMs = heldId === undefined ? this.#trials.computeRetryAfterMs(request) : undefined;
+    if (heldId === undefined && delayMs === undefined) return undefined;
+    const nowMs = this.#options.clock.nowMs();
+    this.#noteExchange.sendNotes(
+      request.causeIds.flatMap((id) => this.#ledger.recordSeen(id, nowMs)),
+    );
     return new SchedulerError(ErrorKind.RequestHeld, {
-      message: `Cannot send the call: backend servers crashed while running content ${contentId}`,
+      message: `Cannot send the call: backend servers crashed while running ${heldId ?? contentId}`,
       ...(delayMs === undefined ? {} : { retryAfterMs: delayMs }),
     });
   }
 
   /**
-   * Acquires a permit to send a request now. A content on probation is sent as a single trial, for
-   * which the permit is used up.
+   * Acquires a permit to send a request now. A request with a content or part on probation is sent
+   * as a single trial, for which the permit is used up.
    *
    * @param contentId - content of the request
-   * @param hasTime - whether the caller's deadline leaves enough time for a trial
+   * @param details - what else may crash servers, and who asks. Default: nothing, nobody known
+   * @param hasTime - whether the caller's deadline leaves enough time for a trial. Default: true
    * @returns the permit, which tells whether and how the request may be sent
    */
-  acquirePermit(contentId: string, hasTime = true): Permit {
-    return this.#trials.acquirePermit(contentId, hasTime);
+  acquirePermit(contentId: string, details: Partial<RequestDetails> = {}, hasTime = true): Permit {
+    return this.#trials.acquirePermit(buildScope(contentId, details), hasTime);
   }
 
   /**
@@ -166,10 +175,15 @@
    *
    * @param contentId - content of the request
    * @param resume - called once, when the request may ask again
+   * @param details - what else may crash servers, and who asks. Default: nothing, nobody known
    * @returns function that ends the wait
    */
-  waitForPermit(contentId: string, resume: () => void): () => void {
-    return this.#trials.wait(contentId, resume);
+  waitForPermit(
+    contentId: string,
+    resume: () => void,
+    details: Partial<RequestDetails> = {},
+  ): () => void {
+    return this.#trials.wait(buildScope(contentId, details), resume);
   }
 
   /** Records a lost run. @param run - a run whose connection was closed by its server */
@@ -183,39 +197,33 @@
    *
    * @param run - the run that was answered
    */
-  recordAnswer({ contentId, serverId, startedAtMs, hasSucceeded }: AnsweredRun): void {
-    if (hasSucceeded) this.#clearContent(contentId);
+  recordAnswer(run: AnsweredRun): void {
+    const { contentId, partIds = [], serverId, startedAtMs, hasSucceeded } = run;
+    if (hasSucceeded) this.#clearCauses([contentId, ...partIds]);
     if (this.#ledger.isKnownBefore(serverId, startedAtMs)) this.#clearCrash(serverId);
   }
 
-  #clearContent(contentId: string): void {
+  #clearCauses(causeIds: readonly string[]): void {
     const nowMs = this.#options.clock.nowMs();
-    this.#answeredContents.recordAnswer(contentId, nowMs);
+    causeIds.forEach((id) => this.#answeredContents.recordAnswer(id, nowMs));
     if (this.#ledger.size === 0) return;
-    const notes = this.#ledger.clearContent(contentId, nowMs);
+    const notes = causeIds.flatMap((id) => this.#ledger.clearContent(id, nowMs));
     this.#publishStateChanges();
     this.#noteExchange.sendNotes(notes);
   }
 
   #handleCrash({ serverId, crashId, runs }: ServerCrash): void {
     const nowMs = this.#options.clock.nowMs();
-    const contentIds = [...new Set(runs.map(({ contentId }) => contentId))];
+    const contents = new Set(runs.map(({ contentId }) => contentId)).size;
+    const notes = buildCrashNotes(crashId, runs, nowMs);
     this.#options.log.write(LogLevel.Warn, 'backend_server_crashed', {
       backendServer: serverId,
       crashId,
       lostRuns: runs.length,
-      contents: contentIds.length,
+      contents,
+      causes: notes.length,
     });
     this.#options.metrics.count('backend_server_crashes_total');
-    const notes = runs.map(({ contentId, startedAtMs, endedAtMs }) => ({
-      contentId,
-      crashId,
-      state: CrashState.Suspected,
-      isHeld: false,
-      startedAgoMs: nowMs - startedAtMs,
-      endedAgoMs: nowMs - endedAtMs,
-      seenAgoMs: nowMs - endedAtMs,
-    }));
     this.#noteExchange.sendNotes(this.#applyNotes(notes));
   }
 
@@ -289,11 +297,3 @@
     this.#trials.wakeCalls();
   }
 }
-
-/** @returns IDs of recent crashes that the notes suspect a content of */
-function listRecentCrashIds(notes: readonly CrashNote[]): string[] {
-  const recent = notes.filter(
-    ({ state, endedAgoMs }) => state === CrashState.Suspected && endedAgoMs < RECENT_CRASH_MS,
-  );
-  return [...new Set(recent.map(({ crashId }) => crashId))];
-}
--- a/src/application/crashes/mod.ts
+++ b/src/application/crashes/mod.ts
@@ -14,3 +14,4 @@
 export { PermitKind } from './_trial_queue.js';
 export type { Permit } from './_trial_queue.js';
 export type { LostRun } from './crash_detector.js';
+export type { RequestDetails } from './request_details.js';
--- a/src/application/direct/_call_checks.ts
+++ b/src/application/direct/_call_checks.ts
@@ -7,7 +7,7 @@
 import { formatContentId, hashContent, listSharedPartIds } from '../../domain/requests/mod.js';
 import type { ClientAccount, Route, RouteTable } from '../../domain/routing/mod.js';
 import type { DirectRequest } from '../../ports/mod.js';
-import type { CrashQuarantine } from '../crashes/mod.js';
+import type { CrashQuarantine, RequestDetails } from '../crashes/mod.js';
 import type { RoutingView } from './routing_view.js';
 
 /** Retry-after time of callers that another entry host may be able to serve, in milliseconds. */
@@ -34,8 +34,8 @@
   readonly account: ClientAccount | undefined;
   /** Hash of what the call requests. All repeats of a request have the same content ID. */
   readonly contentId: string;
-  /** IDs of the parts of its prompt that other calls may share. */
-  readonly partIds: readonly string[];
+  /** Parts of its prompt that other calls may share, and its account. */
+  readonly details: RequestDetails;
 }
 
 /** Checks calls on arrival and again immediately before dispatch. */
@@ -61,10 +61,10 @@
     const route = this.#findRoute(table, request);
     const account = route.mayBeAnonymous ? undefined : this.#authenticate(table, request);
     const contentId = deriveContentId(request, account);
-    const refusal = crashes.findRefusal(contentId);
+    const details = { partIds: listSharedPartIds(request.prompt), accountId: account?.id };
+    const refusal = crashes.findRefusal(contentId, details);
     if (refusal) throw refusal;
-    const partIds = listSharedPartIds(request.prompt);
-    return { table, route, account, contentId, partIds };
+    return { table, route, account, contentId, details };
   }
 
   /**
@@ -77,10 +77,10 @@
    * @returns why the call must not be sent; undefined when it may be sent
    */
   findDispatchRefusal(
-    { route, contentId }: CheckedCall,
+    { route, contentId, details }: CheckedCall,
     request: DirectRequest,
   ): SchedulerError | undefined {
-    const quarantineError = this.#options.crashes.findRefusal(contentId);
+    const quarantineError = this.#options.crashes.findRefusal(contentId, details);
     if (quarantineError || route.mayBeAnonymous) return quarantineError;
     const { table } = this.#options.routing;
     try {
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -8,6 +8,7 @@
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { ClientAccount, Route } from '../../domain/routing/mod.js';
 import type { DirectRequest, LogFields } from '../../ports/mod.js';
+import type { RequestDetails } from '../crashes/mod.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
 import type { DirectServices } from './direct_services.js';
 
@@ -19,7 +20,7 @@
   readonly services: DirectServices;
   readonly request: DirectRequest;
   readonly contentId: string;
-  readonly partIds: readonly string[];
+  readonly details: RequestDetails;
   readonly route: Route;
   readonly account: ClientAccount | undefined;
   readonly arrivedAtMs: number;
@@ -68,7 +69,7 @@
     attempt: number,
     { failure, reason }: DirectAttemptResult,
   ): void {
-    const parts = this.#options.partIds.slice(0, MAX_LOGGED_PARTS).join();
+    const parts = this.#options.details.partIds.slice(0, MAX_LOGGED_PARTS).join();
     this.#write('attempt_failed', { backendServer, failure, reason, attempt, parts });
     this.#options.services.metrics.count('attempts_failed_total', { failure: String(failure) });
   }
--- a/src/application/direct/_crash_evidence.ts
+++ b/src/application/direct/_crash_evidence.ts
@@ -5,7 +5,9 @@
  */
 import { BackendFailure } from '../../ports/mod.js';
 import { isSuccess } from '../crashes/mod.js';
+import type { LostRun, Permit } from '../crashes/mod.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
+import type { DirectCallOptions } from './direct_call_options.js';
 import type { DirectServices } from './direct_services.js';
 
 const NOT_RUN_FAILURES: ReadonlySet<BackendFailure> = new Set([
@@ -14,6 +16,9 @@
   BackendFailure.Misdirected,
 ]);
 
+/** What a call may crash backend servers by. */
+export type RequestCauses = Pick<DirectCallOptions, 'contentId' | 'details'>;
+
 /**
  * Reports attempts whose backend server may have crashed, and those that were answered, to the
  * crash quarantine.
@@ -21,15 +26,15 @@
 export class CrashEvidence {
   readonly #services: DirectServices;
 
-  readonly #contentId: string;
+  readonly #causes: Pick<LostRun, 'contentId' | 'partIds' | 'accountId'>;
 
   /**
    * @param services - give access to the crash quarantine and the backend servers
-   * @param contentId - content ID of the call
+   * @param causes - content of the call and shared parts of its prompt
    */
-  constructor(services: DirectServices, contentId: string) {
+  constructor(services: DirectServices, { contentId, details }: RequestCauses) {
     this.#services = services;
-    this.#contentId = contentId;
+    this.#causes = { contentId, ...details };
   }
 
   /**
@@ -37,30 +42,29 @@
    *
    * @param serverId - incarnation ID of the backend server
    * @param result - result of the attempt
+   * @param permit - permit by which it was sent
    */
-  recordAttempt(serverId: string, result: DirectAttemptResult): void {
+  recordAttempt(serverId: string, result: DirectAttemptResult, { trial }: Permit): void {
     const { clock, crashes } = this.#services;
-    const contentId = this.#contentId;
     const startedAtMs = clock.nowMs() - result.totalMs;
     if (result.isComplete) {
       const hasSucceeded =
         result.failure === undefined && result.isFramed && isSuccess(result.status);
-      crashes.recordAnswer({ contentId, serverId, startedAtMs, hasSucceeded });
+      crashes.recordAnswer({ ...this.#causes, serverId, startedAtMs, hasSucceeded });
     }
-    if (result.failure === BackendFailure.Lost) this.#recordLostRun(serverId, startedAtMs);
+    if (result.failure === BackendFailure.Lost) this.#recordLostRun(serverId, startedAtMs, trial);
   }
 
   /**
    * Reports a lost connection as a possible crash. A draining backend server is skipped: it may
    * close connections with unfinished requests without having crashed.
    */
-  #recordLostRun(serverId: string, startedAtMs: number): void {
+  #recordLostRun(serverId: string, startedAtMs: number, trial: Permit['trial']): void {
     const { clock, crashes, servers } = this.#services;
     const address = servers.findEntry(serverId)?.address;
     if (address === undefined || !servers.isUsable(serverId)) return;
-    const contentId = this.#contentId;
     const endedAtMs = clock.nowMs();
-    crashes.recordLostRun({ serverId, address, contentId, startedAtMs, endedAtMs });
+    crashes.recordLostRun({ ...this.#causes, trial, serverId, address, startedAtMs, endedAtMs });
   }
 }
 
--- a/src/application/direct/_probation_wait.ts
+++ b/src/application/direct/_probation_wait.ts
@@ -31,7 +31,7 @@
    * @param handlers - called at the end of the wait
    */
   constructor(
-    { services, contentId }: DirectCallOptions,
+    { services, contentId, details }: DirectCallOptions,
     deadlineAtMs: number,
     handlers: ProbationWaitHandlers,
   ) {
@@ -40,10 +40,11 @@
       this.#cancel();
       handlers.onExpired(new SchedulerError(ErrorKind.QueueFull, { retryAfterMs: RETRY_AFTER_MS }));
     });
-    const cancelPassWait = crashes.waitForPermit(contentId, () => {
+    const resume = (): void => {
       timer.cancel();
       handlers.onResume();
-    });
+    };
+    const cancelPassWait = crashes.waitForPermit(contentId, resume, details);
     this.#cancel = () => {
       timer.cancel();
       cancelPassWait();
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -92,7 +92,7 @@
       computeMaxWaitMs({ isLate: this.isLate, timeLeftMs: timeoutMs, targetMs: route.targetMs });
     this.#recorder = new CallRecorder({ ...options, arrivedAtMs: this.arrivedAtMs });
     this.#retries = new CallRetries(services, options.serviceId, this.#recorder);
-    this.#crashEvidence = new CrashEvidence(services, options.contentId);
+    this.#crashEvidence = new CrashEvidence(services, options);
     this.#timer = services.clock.setTimer(timeoutMs - options.waitedMs, () =>
       this.#handleTimeout(),
     );
@@ -134,10 +134,9 @@
       this.shed(0);
       return;
     }
-    const permit = services.crashes.acquirePermit(
-      this.#options.contentId,
-      this.#attempts.hasTimeForTrial,
-    );
+    const { contentId, details } = this.#options;
+    const hasTime = this.#attempts.hasTimeForTrial;
+    const permit = services.crashes.acquirePermit(contentId, details, hasTime);
     if (permit.kind === PermitKind.Wait) {
       this.#waitForPermit();
       return;
@@ -221,9 +220,10 @@
     if (this.#attempt?.incarnationId === incarnationId) this.#attempt.abandonEndedServer();
   }
 
-  /** @param quarantinedId - ID of a content that was quarantined: it is no longer sent anywhere */
-  handleQuarantine(quarantinedId: string): void {
-    if (quarantinedId !== this.#options.contentId || this.#attempt) return;
+  /** @param causeId - content or part of a prompt that is no longer sent anywhere */
+  handleQuarantine(causeId: string): void {
+    const { contentId, details } = this.#options;
+    if (![contentId, ...details.partIds].includes(causeId) || this.#attempt) return;
     const refusal = this.#options.findDispatchRefusal();
     if (refusal) this.fail(refusal);
   }
@@ -238,7 +238,7 @@
     if (!mayAttemptHaveRun(result)) permit.returnUnused();
     this.#attempt = undefined;
     this.excluded.add(serverId);
-    this.#crashEvidence.recordAttempt(serverId, result);
+    this.#crashEvidence.recordAttempt(serverId, result, permit);
     this.#recorder.recordAnswerEnd(result);
     if (result.failure === undefined) {
       if (result.outputTokens > 0 && this.#attempts.count === 1)
--- a/src/application/direct/direct_call_options.ts
+++ b/src/application/direct/direct_call_options.ts
@@ -8,6 +8,7 @@
 import type { ClientAccount, Route } from '../../domain/routing/mod.js';
 import type { StreamOrigin } from '../../domain/streams/mod.js';
 import type { DirectReply, DirectRequest } from '../../ports/mod.js';
+import type { RequestDetails } from '../crashes/mod.js';
 import type { DirectServices } from './direct_services.js';
 import type { ServiceQueue } from './service_queue.js';
 
@@ -16,8 +17,8 @@
   readonly request: DirectRequest;
   /** Hash of what the call requests. All repeats of a request have the same content ID. */
   readonly contentId: string;
-  /** IDs of the parts of its prompt that other calls may share. */
-  readonly partIds: readonly string[];
+  /** Parts of its prompt that other calls may share, and its account. */
+  readonly details: RequestDetails;
   readonly reply: DirectReply;
   readonly route: Route;
   readonly serviceId: string;
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -210,7 +210,7 @@
   }
 
   #serve({ checked, request, reply }: AdmittedCall, start: CallStart): void {
-    const { table, route, account, contentId, partIds } = checked;
+    const { table, route, account, contentId, details } = checked;
     const { serviceId } = start;
     if (serviceId === undefined) throw new SchedulerError(ErrorKind.NoBackendServer);
     if (account) {
@@ -220,7 +220,7 @@
     const call: DirectCall = new DirectCall({
       request,
       contentId,
-      partIds,
+      details,
       reply,
       route,
       serviceId,
--- a/src/application/direct/server_ending_parts_test.ts
+++ b/src/application/direct/server_ending_parts_test.ts
@@ -5,7 +5,11 @@
  */
 import t from 'tap';
 import type { Test } from 'tap';
-import { FIRST_PART, simulatePartStorm } from '../../../test/support/part_storm.js';
+import {
+  buildRandomStorm,
+  FIRST_PART,
+  simulatePartStorm,
+} from '../../../test/support/part_storm.js';
 import type { PartStormOptions, PartStormResult } from '../../../test/support/part_storm.js';
 import type { SeededRandom } from '../../../test/support/fakes.js';
 
@@ -118,13 +122,16 @@
   const soundKeys = ['key-firm-b'];
   const pickCrashing = (): string[] => ['ends-1', 'theirs'];
   await playStorm(t, 'often', { soundKeys, pickCrashing, pickSound: () => ['theirs', 'b'] });
-  await playStorm(t, 'seldom', {
-    soundKeys,
-    pickCrashing,
-    soundPerSecond: 0.5,
-    pickSound: () => ['theirs'],
-    stormMs: 30_000,
-  });
+  for (const seed of [55, 56, 57]) {
+    await playStorm(t, `seldom, ${seed}`, {
+      seed,
+      soundKeys,
+      pickCrashing,
+      soundPerSecond: 0.5,
+      pickSound: () => ['theirs'],
+      stormMs: 30_000,
+    });
+  }
 });
 
 t.test('servers that end by themselves have no part held', async (t) => {
@@ -133,3 +140,13 @@
   await playStorm(t, 'three each two seconds', { crashingPerSecond: 0, strayCrashes: 3 });
   await playStorm(t, 'beside such a part', { strayCrashes: 2 });
 });
+
+t.test('storms of such requests hold the parts and nothing else', async (t) => {
+  // Guards against decisions that hold for one shape of prompts, fleets and ends alone.
+  t.setTimeout(TEST_TIMEOUT_MS);
+  for (let seed = 1; seed <= 25; seed += 1) {
+    const { late, soundHeld, untrueRefusals } = await simulatePartStorm(t, buildRandomStorm(seed));
+    t.ok(late <= MAX_LATE, `seed ${seed}: ${late} reach servers late`);
+    t.equal(soundHeld + untrueRefusals, 0, `seed ${seed}: no sound one is held`);
+  }
+});
--- a/src/domain/crashes/_crash_suspect_counts.ts
+++ b/src/domain/crashes/_crash_suspect_counts.ts
@@ -51,6 +51,24 @@
     return suspects - Number(suspect.isSuspectedOf(crashId));
   }
 
+  /**
+   * Counts without what the same trial tried as well and can't be told apart: what ran at this crash
+   * alone, and what ran at each crash at which the suspect did.
+   *
+   * @param suspect - a content or part
+   * @param crashId - a crash
+   * @returns the number of the others that may have caused the crash
+   */
+  countSuspectsOfOtherRequests(suspect: Suspect, crashId: string): number {
+    const runs = suspect.listSuspectedRuns();
+    const isCompanion = (other: Suspect): boolean =>
+      other.suspectedCrashCount === 1 || runs.every((run) => other.runs.has(run.crashId));
+    const companions = this.#suspects
+      .filter((other) => other !== suspect && other.isSuspectedOf(crashId))
+      .filter((other) => other.sharesTrialWith(suspect) && isCompanion(other));
+    return this.countOtherSuspects(suspect, crashId) - companions.length;
+  }
+
   /**
    * @param suspect - a content
    * @param crashId - a crash
--- a/src/domain/crashes/_derive_state.ts
+++ b/src/domain/crashes/_derive_state.ts
@@ -63,13 +63,16 @@
 }
 
 /**
- * @param suspect - a content on probation
+ * @param suspect - a content or part on probation, or a quarantined one, of which only the trials
+ *   since then count
  * @returns the progress of its trials
  */
 export function readTrialProgress(suspect: Suspect): TrialProgress {
-  const trials = listCountedTrials(suspect);
+  const trials = listCountedTrials(suspect).filter(
+    ({ startedAtMs }) => !suspect.isHeld || startedAtMs > suspect.heldSinceMs,
+  );
   return {
-    sinceMs: suspect.probationStartedAtMs,
+    sinceMs: suspect.isHeld ? suspect.heldSinceMs : suspect.probationStartedAtMs,
     trialCount: trials.length,
     lastTrialAtMs: trials.at(-1)?.startedAtMs,
   };
@@ -143,7 +146,9 @@
   const [firstTrial] = listCountedTrials(suspect);
   if (!firstTrial) return false;
   const sinceMs = firstTrial.startedAtMs - NOTE_TIME_TOLERANCE_MS;
-  const soleSuspectRuns = listSoleSuspectRuns(suspect, runs, counts);
+  const soleSuspectRuns = runs.filter(
+    ({ crashId }) => counts.countSuspectsOfOtherRequests(suspect, crashId) === 0,
+  );
   const trialRuns = soleSuspectRuns
     .filter((run) => runs.indexOf(run) >= MIN_CRASHES_FOR_PROBATION && run.startedAtMs >= sinceMs)
     .filter((run) => !counts.hasSimultaneousCrash(run, SIMULTANEOUS_CRASH_MS));
--- a/src/domain/crashes/_suspect.ts
+++ b/src/domain/crashes/_suspect.ts
@@ -18,6 +18,9 @@
  */
 export const MIN_CRASHES_FOR_PROBATION = 3;
 
+/** Maximum number of client accounts kept per crash: two tell that it was not one alone. */
+const MAX_ACCOUNTS_KEPT = 2;
+
 /** Maximum number of trials kept per content; trials older than its crashes no longer count. */
 const MAX_TRIALS_KEPT = 8;
 
@@ -35,6 +38,8 @@
   state: CrashState;
   /** Whether the content was answered within a minute before the crash. */
   isVouched: boolean;
+  /** Client accounts whose requests ran it there, two at most. */
+  readonly accountIds: Set<string>;
 }
 
 /** What may be sent of a content. */
@@ -68,6 +73,8 @@
 
   #probationStartedAtMs = Number.NEGATIVE_INFINITY;
 
+  #heldSinceMs = Number.POSITIVE_INFINITY;
+
   readonly #trials = new Map<string, Trial>();
 
   /** @param contentId - ID of the content */
@@ -94,9 +101,20 @@
    */
   setState(state: SuspectState, nowMs: number): void {
     if (state === SuspectState.Probation) this.#probationStartedAtMs = nowMs;
+    if (state === SuspectState.Quarantined) this.#heldSinceMs = nowMs;
     this.#state = state;
   }
 
+  /** When the content was quarantined last. */
+  get heldSinceMs(): number {
+    return this.#heldSinceMs;
+  }
+
+  /** @param other - another suspect. @returns whether one request was a trial of both */
+  sharesTrialWith(other: Suspect): boolean {
+    return this.trials.some(({ id, isVoid }) => !isVoid && other.#trials.has(id));
+  }
+
   /** Whether any trial is kept. */
   get hasTrials(): boolean {
     return this.#trials.size > 0;
@@ -200,6 +218,11 @@
       .sort((a, b) => a.endedAtMs - b.endedAtMs);
   }
 
+  /** @returns client accounts under whose requests servers crashed */
+  listAccountIds(): string[] {
+    return [...new Set(this.listSuspectedRuns().flatMap(({ accountIds }) => [...accountIds]))];
+  }
+
   /**
    * @param crashId - a crash
    * @returns whether the content may have caused it and wasn't answered shortly before
@@ -220,7 +243,11 @@
   const isVouched = !known.isVouched && run.isVouched;
   if (isCleared) Object.assign(known, { state: CrashState.Cleared });
   if (isVouched) Object.assign(known, { isVouched });
-  return isCleared || isVouched;
+  const accountCount = known.accountIds.size;
+  run.accountIds.forEach((id) => {
+    if (known.accountIds.size < MAX_ACCOUNTS_KEPT) known.accountIds.add(id);
+  });
+  return isCleared || isVouched || known.accountIds.size > accountCount;
 }
 
 /**
--- a/src/domain/crashes/crash_ledger.ts
+++ b/src/domain/crashes/crash_ledger.ts
@@ -6,10 +6,12 @@
  */
 import { CrashState } from './crash_note.js';
 import type { CrashNote } from './crash_note.js';
+import type { RequestScope } from './_hold_scope.js';
 import { ProbationList } from './probation_list.js';
 import { CrashSuspectCounts } from './_crash_suspect_counts.js';
 import { deriveState } from './_derive_state.js';
 import { MIN_CRASHES_FOR_PROBATION, SuspectState } from './_suspect.js';
+import type { SuspectStateChange } from './suspect_state_change.js';
 import type { Suspect, Trial } from './_suspect.js';
 import { buildNote, listNotes } from './_suspect_notes.js';
 import { SuspectTable } from './_suspect_table.js';
@@ -27,16 +29,6 @@
  */
 const CLEARED_RETENTION_MS = 60_000;
 
-/** Change of what may be sent of a content. */
-export interface SuspectStateChange {
-  readonly contentId: string;
-  readonly state: SuspectState;
-  /** Whether the content is quarantined. */
-  readonly isHeld: boolean;
-  /** IDs of the crashes that count against the content. */
-  readonly crashIds: readonly string[];
-}
-
 /** Settings of the ledger. */
 export interface CrashLedgerOptions {
   /** @returns time that crash notes about other runs at a crash may take, in milliseconds */
@@ -81,9 +73,14 @@
     return this.#table.list().filter(({ isHeld }) => isHeld).length;
   }
 
-  /** @param contentId - ID of a content. @returns whether it must not be sent to any server */
-  isHeld(contentId: string): boolean {
-    return this.#table.find(contentId)?.isHeld === true;
+  /**
+   * @param contentId - ID of a content or part
+   * @param request - a request with it. Default: one of an unknown account, with it alone
+   * @returns whether the request must not be sent to any server
+   */
+  isHeld(contentId: string, request?: RequestScope): boolean {
+    const isHeld = this.#table.find(contentId)?.isHeld === true;
+    return isHeld && this.#probationList.findProgress(contentId, request) === undefined;
   }
 
   /** Contents on probation. */
@@ -214,7 +211,7 @@
 
   /**
    * @param nowMs - monotonic time in milliseconds
-   * @returns all crash notes, those about quarantined contents first
+   * @returns all crash notes, quarantined causes first
    */
   list(nowMs: number): CrashNote[] {
     return this.#table.listByRetentionPriority().flatMap((suspect) => listNotes(suspect, nowMs));
@@ -237,7 +234,7 @@
 
   #applyNote(note: CrashNote, nowMs: number): boolean {
     const { contentId, crashId, state, isVouched = false, startedAgoMs, endedAgoMs } = note;
-    const { seenAgoMs, trials = [] } = note;
+    const { seenAgoMs, accountIds = [], trials = [] } = note;
     const retentionMs =
       state === CrashState.Suspected ? SUSPECT_RETENTION_MS : CLEARED_RETENTION_MS;
     if (seenAgoMs > retentionMs && !this.#table.find(contentId)) return false;
@@ -250,6 +247,7 @@
       crashId,
       state,
       isVouched,
+      accountIds: new Set(accountIds),
       startedAtMs: nowMs - startedAgoMs,
       endedAtMs,
     });
--- a/src/domain/crashes/crash_note.ts
+++ b/src/domain/crashes/crash_note.ts
@@ -34,6 +34,8 @@
   readonly state: CrashState;
   /** Whether the content was answered within a minute before the crash. Default: false. */
   readonly isVouched?: boolean;
+  /** Client accounts whose requests ran it there, two at most. Default: unknown. */
+  readonly accountIds?: readonly string[];
   /** Whether the sender of the crash note quarantines the content. */
   readonly isHeld: boolean;
   /** Time since the run was sent, and since it broke off, in milliseconds. */
--- a/src/domain/crashes/probation_list.ts
+++ b/src/domain/crashes/probation_list.ts
@@ -5,6 +5,8 @@
  */
 import { CrashSuspectCounts } from './_crash_suspect_counts.js';
 import { countSoleSuspectRuns, listCountedTrials, readTrialProgress } from './_derive_state.js';
+import { isHoldBinding } from './_hold_scope.js';
+import type { RequestScope } from './_hold_scope.js';
 import { SuspectState } from './_suspect.js';
 import type { SuspectTable } from './_suspect_table.js';
 import type { TrialProgress } from './trial_schedule.js';
@@ -15,6 +17,12 @@
  */
 const OPEN_TRIAL_MS = 1_000;
 
+/**
+ * Maximum number of trials of a quarantined cause by requests of another kind. With the one that a
+ * quarantine takes as a rule, no more than three requests reach servers.
+ */
+const MAX_TRIALS_OF_HELD = 2;
+
 /** Derives the contents on probation from the table of suspects. */
 export class ProbationList {
   readonly #table: SuspectTable;
@@ -27,12 +35,21 @@
   }
 
   /**
-   * @param contentId - ID of a content
-   * @returns the progress of its trials; undefined if it isn't on probation
+   * @param contentId - ID of a content or part
+   * @param request - a request with it; one that differs from those that a quarantined cause was
+   *   quarantined for may be a trial as well. Default: none that differs
+   * @returns the progress of its trials; undefined if none may take place
    */
-  findProgress(contentId: string): TrialProgress | undefined {
+  findProgress(contentId: string, request?: RequestScope): TrialProgress | undefined {
     const suspect = this.#table.find(contentId);
-    return suspect?.state === SuspectState.Probation ? readTrialProgress(suspect) : undefined;
+    if (!suspect || suspect.state === SuspectState.Free) return undefined;
+    const progress = readTrialProgress(suspect);
+    if (!suspect.isHeld) return progress;
+    const mayTry =
+      request !== undefined &&
+      progress.trialCount < MAX_TRIALS_OF_HELD &&
+      !isHoldBinding(suspect, request, this.#table);
+    return mayTry ? progress : undefined;
   }
 
   /**
@@ -71,7 +88,7 @@
    */
   findOpenTrial(nowMs: number): string | undefined {
     const openSuspect = this.#table.list().find((suspect) => {
-      if (suspect.state !== SuspectState.Probation || !suspect.hasTrials) return false;
+      if (suspect.state === SuspectState.Free || !suspect.hasTrials) return false;
       const startedAtMs = listCountedTrials(suspect).at(-1)?.startedAtMs ?? -Infinity;
       const lastCrashAtMs = suspect.listSuspectedRuns().at(-1)?.endedAtMs ?? -Infinity;
       return nowMs - startedAtMs < OPEN_TRIAL_MS && lastCrashAtMs < startedAtMs;
--- a/test/support/part_storm.ts
+++ b/test/support/part_storm.ts
@@ -171,3 +171,48 @@
   const served = requests.filter(({ reply }) => reply.head?.status === 200 && reply.hasEnded);
   return requests.length === 0 ? 1 : served.length / requests.length;
 }
+
+/**
+ * Draws a storm: its fleet, its pace, its prompts and what else goes wrong.
+ *
+ * @param seed - seed of the storm
+ * @returns its options
+ */
+export function buildRandomStorm(seed: number): PartStormOptions {
+  const random = new SeededRandom(seed);
+  const pickInteger = (count: number): number => Math.floor(random.nextFraction() * count);
+  const pickOne = <Value>(values: readonly Value[]): Value =>
+    values[pickInteger(values.length)] as Value;
+  const partCount = 1 + pickInteger(2);
+  const place = pickInteger(4);
+  const topics = 1 + pickInteger(30);
+  const pickParts = (one: SeededRandom): string[] => [
+    FIRST_PART,
+    `topic-${Math.floor(one.nextFraction() * topics)}`,
+    `page-${Math.floor(one.nextFraction() * 400)}`,
+  ];
+  const isStream = pickInteger(3) === 0;
+  return {
+    seed,
+    hosts: 2 + pickInteger(7),
+    servers: 10 + pickInteger(10),
+    slots: 4 + pickInteger(8),
+    runMs: 50 + pickInteger(400),
+    route: { isStream, isRepeatable: pickInteger(2) === 0, maxAttempts: 1 + pickInteger(3) },
+    beginsBeforeCrash: isStream && pickInteger(2) === 0,
+    crashDelayMs: pickOne([40, 60, 200, 600]),
+    restartDelayMs: pickOne([600, 3_000, 10_000]),
+    crashingPerSecond: pickOne([1, 3, 8]),
+    burst: pickOne([0, 0, 5]),
+    calmMs: pickOne([0, 1_000, 4_000]),
+    stormMs: 16_000,
+    strayCrashes: pickOne([0, 0, 1]),
+    soundKeys: pickOne([['key-a'], ['key-a', 'key-firm-b']]),
+    pickSound: pickParts,
+    pickCrashing: (one) => {
+      const parts = pickParts(one);
+      parts.splice(place, 0, `ends-${Math.floor(one.nextFraction() * partCount)}`);
+      return parts;
+    },
+  };
+}
