Log what speaks for each hold of a content or part, and tell the cause of prompt parts

request_held and its kin name the ends with their ages, the accounts and the trials, so that an operator can go from a refused call to the part and to what ran it.

--- a/src/application/crashes/crash_quarantine.ts
+++ b/src/application/crashes/crash_quarantine.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { CrashLedger, SuspectState } from '../../domain/crashes/mod.js';
+import { CrashLedger } from '../../domain/crashes/mod.js';
 import type { CrashNote } from '../../domain/crashes/mod.js';
 import { ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
 import type {
@@ -21,6 +21,7 @@
 import { buildCrashNotes, listRecentCrashIds } from './_crash_notes.js';
 import { buildScope } from './request_details.js';
 import type { RequestDetails } from './request_details.js';
+import { logStateChange } from './_state_change_log.js';
 import { TrialQueue } from './_trial_queue.js';
 import type { Permit } from './_trial_queue.js';
 import type { CrashPaths } from './crash_paths.js';
@@ -30,13 +31,6 @@
 /** Time in which peers' notes of other runs at a crash arrive, in milliseconds. */
 const NOTE_SETTLE_MS = 50;
 
-/** Log events and metrics of a content's state changes. */
-const STATE_CHANGE_EVENTS: Readonly<Record<SuspectState, string>> = {
-  [SuspectState.Free]: 'request_released',
-  [SuspectState.Probation]: 'request_doubted',
-  [SuspectState.Quarantined]: 'request_held',
-};
-
 /** Options of {@link CrashQuarantine}. */
 export interface CrashQuarantineOptions {
   readonly clock: Clock;
@@ -286,10 +280,9 @@
     const changes = this.#ledger.takeStateChanges();
     if (changes.length === 0) return;
     metrics.set('requests_held', this.#ledger.quarantinedCount);
-    changes.forEach(({ contentId, state, isHeld, crashIds }) => {
-      const event = STATE_CHANGE_EVENTS[state];
-      log.write(LogLevel.Warn, event, { contentId, crashes: crashIds.join() });
-      metrics.count(`${event}_total`);
+    changes.forEach((change) => {
+      logStateChange({ log, metrics }, change);
+      const { contentId, isHeld } = change;
       if (!isHeld) return;
       this.#noteExchange.sendNotes(this.#ledger.listByContent(contentId, clock.nowMs()));
       this.#refuseCalls(contentId);
--- a/src/domain/crashes/crash_ledger.ts
+++ b/src/domain/crashes/crash_ledger.ts
@@ -11,6 +11,7 @@
 import { CrashSuspectCounts } from './_crash_suspect_counts.js';
 import { deriveState } from './_derive_state.js';
 import { MIN_CRASHES_FOR_PROBATION, SuspectState } from './_suspect.js';
+import { buildStateChange } from './suspect_state_change.js';
 import type { SuspectStateChange } from './suspect_state_change.js';
 import type { Suspect, Trial } from './_suspect.js';
 import { buildNote, listNotes } from './_suspect_notes.js';
@@ -280,13 +281,11 @@
   }
 
   #setState(suspect: Suspect, state: SuspectState, nowMs: number): void {
-    const { contentId } = suspect;
     const wasHeld = suspect.isHeld;
     suspect.setState(state, nowMs);
     this.#probationList.reset();
     if (wasHeld !== suspect.isHeld) this.#revision += 1;
-    const crashIds = suspect.listSuspectedRuns().map(({ crashId }) => crashId);
-    this.#stateChanges.push({ contentId, state, isHeld: suspect.isHeld, crashIds });
+    this.#stateChanges.push(buildStateChange(suspect, nowMs));
   }
 }
 
