--- a/src/application/direct/cut_off_fleets_test.ts
+++ b/src/application/direct/cut_off_fleets_test.ts
@@ -4,163 +4,31 @@
  * @module
  */
 import t from 'tap';
-import type { Test } from 'tap';
-import { CutFleet, CutMode, listUnanswered } from '../../../test/support/cut_fleet.js';
+import {
+  CUT_MS,
+  GRACE_MS,
+  MIN_SERVED,
+  listIds,
+  listRelays,
+  pickAllButOne,
+  pickFraction,
+  pickLinked,
+  pickMember,
+  pickRelay,
+  pickZone,
+  playSizes,
+  ROUTE,
+  startFleet,
+} from '../../../test/support/cut_cases.js';
+import { CutMode } from '../../../test/support/cut_fleet.js';
 import { RunOutcome } from '../../domain/errors/mod.js';
 
-const ROUTE = { timeoutMs: 5_000, targetMs: 200 };
-
-/** Time after which callers of hosts that are cut off must be served, in milliseconds. */
-const GRACE_MS = 3_000;
-
-const CUT_MS = 9_000;
-
-/** Smallest fraction of calls that is served at cut-off hosts after the grace, and elsewhere. */
-const MIN_SERVED = 0.97;
-
-/** Smallest fraction of calls that is served at cut-off hosts within the grace. */
-const MIN_SERVED_EARLY = 0.75;
-
 /** Longest time until a call is refused where nobody reaches a server, in milliseconds. */
 const MAX_REFUSAL_MS = 1_000;
 
 /** Most probes that a host makes in a second for itself and for peers. */
 const MAX_CHECKS_PER_SECOND = 12;
 
-/** Time that the large fleets may take, in milliseconds. */
-const TEST_TIMEOUT_MS = 120_000;
-
-const ZONES = ['hall-a', 'hall-b', 'far-a'];
-
-/** Picks which hosts lose their links. */
-type CutPicker = (fleet: CutFleet) => readonly string[];
-
-interface CutCase {
-  readonly hosts: number;
-  readonly pickCut: CutPicker;
-  readonly modes?: readonly CutMode[];
-  /** Servers that can't be reached. Default: all. */
-  readonly servers?: readonly string[];
-}
-
-function listIds(fleet: CutFleet): string[] {
-  return fleet.hosts.map(({ peers }) => peers.identity.id);
-}
-
-function listRelays(fleet: CutFleet): string[] {
-  return fleet.hosts
-    .filter(({ reports }) => reports?.isRelay)
-    .map(({ peers }) => peers.identity.id);
-}
-
-function listMembers(fleet: CutFleet): string[] {
-  const relays = listRelays(fleet);
-  return listIds(fleet).filter((id) => !relays.includes(id));
-}
-
-/** Picks relays first, so that as many members as possible are linked to a host that is cut too. */
-function pickFraction(fraction: number): CutPicker {
-  return (fleet) =>
-    [...listRelays(fleet), ...listMembers(fleet)].slice(
-      0,
-      Math.ceil(fleet.hosts.length * fraction),
-    );
-}
-
-const pickMember: CutPicker = (fleet) => listMembers(fleet).slice(0, 1);
-
-const pickRelay: CutPicker = (fleet) => listRelays(fleet).slice(0, 1);
-
-const pickZone: CutPicker = (fleet) =>
-  fleet.hosts
-    .filter(({ peers }) => peers.identity.availabilityZone === 'hall-a')
-    .map(({ peers }) => peers.identity.id);
-
-/** A member, and all peers that it is linked to. */
-const pickLinked: CutPicker = (fleet) => {
-  const [member] = listMembers(fleet);
-  const host = fleet.hosts.find(({ peers }) => peers.identity.id === member);
-  return [String(member), ...(host?.peers.listLinkedPeers() ?? []).map(({ id }) => id)];
-};
-
-const pickAllButOne: CutPicker = (fleet) => {
-  const [spared] = listMembers(fleet);
-  return listIds(fleet).filter((id) => id !== spared);
-};
-
-async function startFleet(t: Test, hosts: number, seed = hosts): Promise<CutFleet> {
-  const servers = Math.max(12, Math.ceil(hosts / 3));
-  const fleet = new CutFleet(t, {
-    hosts,
-    servers,
-    route: ROUTE,
-    seed,
-    pickZone: (number) => ZONES[number % ZONES.length] as string,
-  });
-  await fleet.start();
-  return fleet;
-}
-
-function computeLoad(hosts: number): number {
-  return Math.min(300, hosts * 6);
-}
-
-/** Checks that nothing ran twice, and that no call that ran was said not to have run. */
-function checkRuns(t: Test, fleet: CutFleet, name: string): void {
-  t.equal(fleet.countRepeatedRuns(), 0, `${name}: no request ran twice`);
-  const ran = new Set(fleet.runs.map(({ requestId }) => requestId));
-  const untrue = fleet.calls.filter(
-    ({ reply }, index) => reply.error?.run === RunOutcome.NotRun && ran.has(`call-${index + 1}`),
-  );
-  t.equal(untrue.length, 0, `${name}: "not run" is true`);
-  t.equal(listUnanswered(fleet.calls).length, 0, `${name}: all calls have ended`);
-}
-
-/** Parts of the calls that were served at cut-off hosts early and late, and elsewhere. */
-function measureParts(
-  fleet: CutFleet,
-  cutIds: readonly string[],
-  cutAtMs: number,
-): readonly [number, number, number] {
-  const others = listIds(fleet).filter((id) => !cutIds.includes(id));
-  const measure = (ids: readonly string[], fromMs: number, untilMs?: number): number => {
-    const { served, sent } = fleet.measureServed(ids, fromMs, untilMs);
-    return sent === 0 ? 1 : served / sent;
-  };
-  const early = measure(cutIds, cutAtMs, cutAtMs + GRACE_MS);
-  const late = measure(cutIds, cutAtMs + GRACE_MS);
-  const elsewhere = measure(others, cutAtMs);
-  return [early, late, elsewhere];
-}
-
-async function playCut(t: Test, { hosts, pickCut, modes, servers }: CutCase): Promise<void> {
-  for (const mode of modes ?? Object.values(CutMode)) {
-    const fleet = await startFleet(t, hosts);
-    const callsPerSecond = computeLoad(hosts);
-    await fleet.run({ callsPerSecond, durationMs: 4_000 });
-    const cutIds = pickCut(fleet);
-    fleet.cut(cutIds, mode, servers ?? fleet.serverIds);
-    const cutAtMs = fleet.clock.nowMs();
-    await fleet.run({ callsPerSecond, durationMs: CUT_MS });
-    await fleet.clock.advance(ROUTE.timeoutMs);
-    const name = `${hosts} hosts, ${cutIds.length} cut, ${mode}`;
-    const parts = measureParts(fleet, cutIds, cutAtMs);
-    const [early, late, elsewhere] = parts;
-    const isServed = early >= MIN_SERVED_EARLY && late >= MIN_SERVED && elsewhere >= MIN_SERVED;
-    t.ok(isServed, `${name}: ${parts.map((part) => part.toFixed(3)).join(' ')}`);
-    checkRuns(t, fleet, name);
-  }
-}
-
-async function playSizes(
-  t: Test,
-  sizes: readonly number[],
-  cut: Omit<CutCase, 'hosts'>,
-): Promise<void> {
-  t.setTimeout(TEST_TIMEOUT_MS);
-  for (const hosts of sizes) await playCut(t, { ...cut, hosts });
-}
-
 t.test('one cut-off member or relay among sound hosts has its callers served', async (t) => {
   // Guards against calls that are written to connections that hang, one after the other.
   await playSizes(t, [13, 30], { pickCut: pickMember });
--- a/test/support/fake_peer_network.ts
+++ b/test/support/fake_peer_network.ts
@@ -196,6 +196,14 @@
       this.notifyLink({ peer: other.identity, up: true });
     });
     hub.networks.add(this);
+    // Networks go on dialling the addresses of hosts that have ended.
+    hub.networks.forEach((other) => other.dialAgain(this));
+  }
+
+  /** Dials a network that has just started, if it has one of the addresses. */
+  dialAgain(started: FakePeerNetwork): void {
+    const isWanted = this.hub.isDialled && this.addresses.includes(started.identity.peerUrl);
+    if (isWanted && started !== this) this.#dial(started);
   }
 
   override setPeerUrls(peerUrls: readonly string[]): void {
