--- a/src/application/crashes/_answered_contents.ts
+++ b/src/application/crashes/_answered_contents.ts
@@ -22,8 +22,8 @@
  */
 const CLEARING_WINDOW_MS = 1_000;
 
-/** Maximum number of contents whose answers are remembered. */
-const MAX_ANSWERED_CONTENTS = 4_096;
+/** Maximum number of contents and parts whose answers are remembered. */
+const MAX_ANSWERED_CONTENTS = 16_384;
 
 /** Remembers when each content was last answered with success. */
 export class AnsweredContents {
