Say what ended an answer in its log line, and count broken off answers by cause

What callers saw: "no answer". What the log had: call_broken_off with the kind of error alone (backend_server_lost), whether the server was lost, was silent, had restarted, the key was revoked, no slot was left or a peer's link had closed; and no line at all where the listener broke the answer off as its caller didn't read. Class: an end that nobody can explain afterwards.

EndCause names what ends an attempt or a call. call_broken_off and call_refused bear cause and attemptCause (why the last attempt failed), attempt_failed bears cause, answers_broken_off_total counts by cause. NodeReply reports an answer of more than 4 MiB that waits for its caller: answer_broken_off. No decision changes.

Evidence: end_causes_test and _direct_listener_test pass (the latter failed while the line was written twice, for writes after the abort); direct_call_test, direct_gateway_test, direct_stop_test, answer_ends_test, settings_test pass; slow_answers_test as before (278 of 293 and 286 of 295, listed red).

--- a/src/adapters/direct_http/_node_reply.ts
+++ b/src/adapters/direct_http/_node_reply.ts
@@ -23,6 +23,12 @@
   readonly requestId: string | undefined;
   /** Whether the connection must be closed after this answer. */
   readonly mustClose: () => boolean;
+  /**
+   * Called when the answer is broken off as its caller doesn't read it.
+   *
+   * @param bufferedBytes - bytes of the answer that wait for the caller
+   */
+  readonly onCallerTooSlow: (bufferedBytes: number) => void;
 }
 
 /** Writes one answer; once the caller has disconnected, writes have no effect. */
@@ -72,7 +78,10 @@
     const { response } = this.#options;
     if (this.#isDisconnected || bytes.length === 0) return;
     response.write(bytes);
-    if (response.writableLength > MAX_BUFFERED_BYTES) this.abort();
+    const bufferedBytes = response.writableLength;
+    if (bufferedBytes <= MAX_BUFFERED_BYTES || this.#hasEnded) return;
+    this.#options.onCallerTooSlow(bufferedBytes);
+    this.abort();
   }
 
   override end(): void {
--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -31,6 +31,13 @@
   readonly mustClose: () => boolean;
   /** Handles a call whose body has been read completely. */
   readonly handle: (request: DirectRequest, reply: DirectReply) => void;
+  /**
+   * Called when an answer is broken off as its caller doesn't read it.
+   *
+   * @param requestId - ID of the request
+   * @param bufferedBytes - bytes of the answer that wait for the caller
+   */
+  readonly onCallerTooSlow: (requestId: string | undefined, bufferedBytes: number) => void;
 }
 
 /** Listens for callers' HTTP requests, and passes each complete call to the handler. */
@@ -86,10 +93,16 @@
   }
 
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
-    const { dialect, mustClose } = this.#options;
+    const { dialect, mustClose, onCallerTooSlow } = this.#options;
     const info = dialect.readCall(message.headers);
     const { requestId } = info;
-    const reply = new NodeReply({ response, dialect, requestId, mustClose });
+    const reply = new NodeReply({
+      response,
+      dialect,
+      requestId,
+      mustClose,
+      onCallerTooSlow: (bufferedBytes) => onCallerTooSlow(requestId, bufferedBytes),
+    });
     message.on('error', () => undefined);
     this.#readBody(message, reply, (body) => {
       if (requestId === undefined) {
--- a/src/adapters/direct_http/mod.ts
+++ b/src/adapters/direct_http/mod.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP for calls that carry their own request ID: the listener for callers and the
  * client for backend servers. A {@link DirectDialect} defines the headers.
- * `new DirectListener({ dialect, getLimits, mustClose, handle }).start('10.0.0.1', 8221)`.
+ * `new DirectListener({ dialect, getLimits, mustClose, … }).start('10.0.0.1', 8221)`.
  *
  * @module
  */
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -6,15 +6,21 @@
 import type { BackendServerEntry, ServerLoad } from '../../domain/backend_servers/mod.js';
 import type { RetryDecision } from '../../domain/direct/mod.js';
 import { LogLevel } from '../../domain/errors/mod.js';
+import type { SchedulerError } from '../../domain/errors/mod.js';
 import type { ClientAccount, Route } from '../../domain/routing/mod.js';
 import type { DirectRequest, LogFields } from '../../ports/mod.js';
 import type { RequestDetails } from '../crashes/mod.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
+import { deriveAttemptCause } from './_end_cause.js';
+import type { EndCause } from './_end_cause.js';
 import type { DirectServices } from './direct_services.js';
 
 /** Maximum number of parts of a prompt that one log line names. */
 const MAX_LOGGED_PARTS = 8;
 
+/** Log event of a call whose answer had begun and was broken off. */
+const BROKEN_OFF_EVENT = 'call_broken_off';
+
 /** The call to record, and where the log and metrics go. */
 export interface CallRecorderOptions {
   readonly services: DirectServices;
@@ -30,6 +36,9 @@
 export class CallRecorder {
   readonly #options: CallRecorderOptions;
 
+  /** Why the last attempt failed. */
+  #attemptCause: EndCause | undefined;
+
   /** @param options - the call to record */
   constructor(options: CallRecorderOptions) {
     this.#options = options;
@@ -70,7 +79,9 @@
     { failure, reason }: DirectAttemptResult,
   ): void {
     const parts = this.#options.details.partIds.slice(0, MAX_LOGGED_PARTS).join();
-    this.#write('attempt_failed', { backendServer, failure, reason, attempt, parts });
+    const cause = failure && deriveAttemptCause(failure, reason);
+    this.#attemptCause = cause;
+    this.#write('attempt_failed', { backendServer, failure, cause, reason, attempt, parts });
     this.#options.services.metrics.count('attempts_failed_total', { failure: String(failure) });
   }
 
@@ -111,7 +122,11 @@
   recordEnd(event: string, fields: LogFields): void {
     const { metrics } = this.#options.services;
     const totalMs = this.#computeElapsedMs();
-    this.#write(event, { totalMs, ...fields });
+    const { cause } = fields;
+    const attemptCause = cause === undefined ? undefined : this.#attemptCause;
+    this.#write(event, { totalMs, ...fields, attemptCause });
+    if (event === BROKEN_OFF_EVENT)
+      metrics.count('answers_broken_off_total', { cause: String(cause) });
     metrics.count('calls_ended_total', { event, kind: String(fields.kind ?? 'none') });
     metrics.record('call_duration_ms', totalMs, { event });
   }
@@ -150,3 +165,17 @@
     longestPauseMs: result.stream && Math.round(result.stream.longestPauseMs),
   };
 }
+
+/**
+ * Builds the fields of the log line that ends a call without a complete answer.
+ *
+ * @param error - error that the caller gets, or would have got before the answer began
+ * @param cause - what ended the call
+ * @returns the log fields
+ */
+export function buildErrorFields(
+  { kind, run, retryAfterMs }: SchedulerError,
+  cause: EndCause,
+): LogFields {
+  return { kind, run, retryAfterMs, cause };
+}
--- a/src/application/direct/_call_rejection.ts
+++ b/src/application/direct/_call_rejection.ts
@@ -14,6 +14,8 @@
 import { isAllowedRegion } from '../../domain/places/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
 import type { LogFields } from '../../ports/mod.js';
+import { deriveShedCause } from './_end_cause.js';
+import type { EndCause } from './_end_cause.js';
 import type { DirectCallOptions } from './direct_call_options.js';
 import type { ServerRegistry } from './server_registry.js';
 
@@ -57,6 +59,7 @@
 /** A refusal, and the values that it used, for the log. */
 export interface ShedRefusal {
   readonly error: SchedulerError;
+  readonly cause: EndCause;
   readonly fields: LogFields;
 }
 
@@ -91,6 +94,7 @@
   const declinesPerSecond = services.servers.notices.refusalLimits.find(serviceId);
   return {
     error: new SchedulerError(kind, { retryAfterMs }),
+    cause: deriveShedCause(kind),
     fields: {
       clearMs: Number.isFinite(estimatedWaitMs) ? estimatedWaitMs : undefined,
       boundVersion: call.origin?.version,
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -17,6 +17,7 @@
 import { StreamRelay, BufferedRelay } from './_answer_relay.js';
 import type { AnswerRelay } from './_answer_relay.js';
 import type { DirectAttemptOptions } from './_attempt_options.js';
+import { AbandonReason } from './_end_cause.js';
 import { StallDetector } from './_stall_detector.js';
 
 /**
@@ -111,7 +112,7 @@
    * caller would wait until its deadline for an answer that no process works on.
    */
   abandonEndedServer(): void {
-    if (!this.#hasEnded) this.#abandon('the backend server restarted');
+    if (!this.#hasEnded) this.#abandon(AbandonReason.Restart);
   }
 
   onNotice(notice: ServerNotice, isAuthentic: boolean): void {
@@ -215,7 +216,7 @@
     const canContinue = this.#stream?.lastEventId !== undefined;
     const { mayHaveBeenSent } = this;
     if (this.#options.mayGiveUp({ mayHaveBeenSent, canContinue }))
-      this.#abandon('no data arrived within the stall limit', ServerOutcome.TimedOut);
+      this.#abandon(AbandonReason.Silence, ServerOutcome.TimedOut);
   }
 
   /** Cancels the run at the backend server before the call may fail over to another one. */
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -17,11 +17,12 @@
 import type { Permit } from '../crashes/mod.js';
 import { buildBackendRequest } from './_backend_request.js';
 import { buildShedRefusal, correctRefusal, findRejection } from './_call_rejection.js';
-import { CallRecorder, buildAnswerFields } from './_call_recorder.js';
+import { CallRecorder, buildAnswerFields, buildErrorFields } from './_call_recorder.js';
 import { CallStream } from './_call_stream.js';
 import { CallRetries } from './_call_retries.js';
 import { AttemptBudget } from './_attempt_budget.js';
 import { DirectAttempt } from './_direct_attempt.js';
+import { deriveAttemptCause, EndCause } from './_end_cause.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
 import { computeCallTimes } from './_call_times.js';
 import { SilencePolicy } from './_silence_policy.js';
@@ -128,7 +129,7 @@
     const { services, serviceId, route, request, account, contentId, details } = this.#options;
     const refusal = this.#options.findDispatchRefusal();
     if (refusal) {
-      this.fail(refusal);
+      this.fail(refusal, EndCause.NotAllowed);
       return;
     }
     const server = services.servers.findEntry(id);
@@ -181,7 +182,8 @@
   #waitForPermit(): void {
     this.#probationWait = new ProbationWait(this.#options, this.deadlineAtMs, {
       onResume: () => this.#resubmit(),
-      onExpired: (error) => this.fail(error, { reason: 'its content is on probation' }),
+      onExpired: (error) =>
+        this.fail(error, EndCause.OnProbation, { reason: 'its content is on probation' }),
     });
   }
 
@@ -191,29 +193,25 @@
     this.start();
   }
 
-  shed(estimatedWaitMs: number): void {
-    const { error, fields } = buildShedRefusal(this.#options, this, estimatedWaitMs);
-    this.fail(error, fields);
+  shed(estimatedWaitMs: number, attemptCause?: EndCause): void {
+    const { error, cause, fields } = buildShedRefusal(this.#options, this, estimatedWaitMs);
+    this.fail(error, attemptCause ?? cause, fields);
   }
 
   /**
    * Ends the call with an error. Does nothing after the call has ended.
    *
    * @param error - error to answer with; once the answer has begun, it is aborted instead
-   * @param details - values that the decision used, for the log
+   * @param cause - what ends the call. @param details - values that the decision used, for the log
    */
-  fail(error: SchedulerError, details: LogFields = {}): void {
+  fail(error: SchedulerError, cause: EndCause, details: LogFields = {}): void {
     if (this.#hasEnded) return;
     const reportedError = correctRefusal(error, this.mayHaveRun);
     const { hasStarted } = this.#options.reply;
     if (hasStarted) this.#options.reply.abort();
     else this.#options.reply.sendError(reportedError);
-    this.#end(hasStarted ? 'call_broken_off' : 'call_refused', {
-      kind: reportedError.kind,
-      run: reportedError.run,
-      retryAfterMs: reportedError.retryAfterMs,
-      ...details,
-    });
+    const fields = { ...buildErrorFields(reportedError, cause), ...details };
+    this.#end(hasStarted ? 'call_broken_off' : 'call_refused', fields);
   }
 
   /** @param incarnationId - ID of an incarnation of a backend server that has ended */
@@ -226,13 +224,13 @@
     const { contentId, details } = this.#options;
     if (![contentId, ...details.partIds].includes(causeId) || this.#attempt) return;
     const refusal = this.#options.findDispatchRefusal();
-    if (refusal) this.fail(refusal);
+    if (refusal) this.fail(refusal, EndCause.NotAllowed);
   }
 
   /** Ends the call because this process stops. */
   stop(): void {
     this.#cancelAttempt();
-    this.fail(new SchedulerError(ErrorKind.EntryHostStopping));
+    this.fail(new SchedulerError(ErrorKind.EntryHostStopping), EndCause.HostStops);
   }
 
   #handleAttemptResult(serverId: string, result: DirectAttemptResult, permit: Permit): void {
@@ -253,7 +251,9 @@
     this.#options.queue.handleSlotFreed(serverId, result.totalMs);
   }
 
-  #handleFailure(serverId: string, { failure, sendFallback }: DirectAttemptResult): void {
+  #handleFailure(serverId: string, result: DirectAttemptResult): void {
+    const { failure = BackendFailure.Broken, reason, sendFallback } = result;
+    const cause = deriveAttemptCause(failure, reason);
     const mayHaveRun = mayAttemptHaveRun({ failure });
     if (!mayHaveRun) this.#attempts.recordNotRun();
     if (failure === BackendFailure.Misdirected)
@@ -265,8 +265,8 @@
     else if (sendFallback && !this.#options.reply.hasStarted) {
       sendFallback();
       this.#end('call_answered', { backendServer: serverId, failure });
-    } else if (mayHaveRun) this.fail(new SchedulerError(ErrorKind.BackendServerLost));
-    else this.shed(0);
+    } else if (mayHaveRun) this.fail(new SchedulerError(ErrorKind.BackendServerLost), cause);
+    else this.shed(0, cause);
   }
 
   #cancelAttempt(): void {
@@ -278,7 +278,7 @@
   #handleTimeout(): void {
     this.#cancelAttempt();
     const kind = this.mayHaveRun ? ErrorKind.AnswerTimeout : ErrorKind.DeadlineUnreachable;
-    this.fail(new SchedulerError(kind));
+    this.fail(new SchedulerError(kind), EndCause.Deadline);
   }
 
   #handleDisconnect(): void {
--- a/src/application/direct/mod.ts
+++ b/src/application/direct/mod.ts
@@ -10,6 +10,7 @@
 export { DirectGateway } from './direct_gateway.js';
 export type { DirectGatewayOptions } from './direct_gateway.js';
 export { runDirectStop } from './direct_stop.js';
+export { EndCause } from './_end_cause.js';
 export { FeedFollower } from './feed_follower.js';
 export type { FeedFollowerOptions, ReadPlan, RetryBackoff } from './feed_follower_options.js';
 export type { FeedContext, FeedUpdate, SnapshotContext } from './feed_update.js';
--- a/src/commands/_direct_listener.ts
+++ b/src/commands/_direct_listener.ts
@@ -5,9 +5,11 @@
  */
 import { DirectListener } from '../adapters/direct_http/mod.js';
 import type { DirectDialect } from '../adapters/direct_http/mod.js';
+import { EndCause } from '../application/direct/mod.js';
 import type { RoutingView } from '../application/direct/mod.js';
+import { LogLevel } from '../domain/errors/mod.js';
 import type { CallerLimits } from '../domain/routing/mod.js';
-import type { DirectReply, DirectRequest } from '../ports/mod.js';
+import type { DirectReply, DirectRequest, EventLog, Metrics } from '../ports/mod.js';
 
 /** Limits on callers until the first configuration is read. */
 const INITIAL_LIMITS: CallerLimits = {
@@ -17,6 +19,12 @@
   idleTimeoutMs: 15_000,
 };
 
+/** Where log lines and metrics go. */
+export interface ListenerSinks {
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+}
+
 /** What the listener depends on. */
 export interface DirectListenerParts {
   readonly dialect: DirectDialect;
@@ -29,12 +37,21 @@
 /**
  * Creates the listener.
  *
+ * @param sinks - where log lines and metrics go
  * @param parts - what the listener depends on
  * @returns a listener that is not started yet
  */
-export function createDirectListener({ routing, ...rest }: DirectListenerParts): DirectListener {
+export function createDirectListener(
+  { log, metrics }: ListenerSinks,
+  { routing, ...rest }: DirectListenerParts,
+): DirectListener {
   return new DirectListener({
     ...rest,
     getLimits: () => routing.table?.document.callerLimits ?? INITIAL_LIMITS,
+    onCallerTooSlow: (requestId, bufferedBytes) => {
+      const cause = EndCause.CallerTooSlow;
+      log.write(LogLevel.Info, 'answer_broken_off', { requestId, cause, bufferedBytes });
+      metrics.count('answers_broken_off_total', { cause });
+    },
   });
 }
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -170,7 +170,7 @@
       crashes: this.#crashes,
       streams: this.#streams,
     });
-    this.#listener = createDirectListener({
+    this.#listener = createDirectListener(shared, {
       dialect: adapters.dialect,
       routing: this.#storeView.routing,
       mustClose: () => this.#isStopping,
