Keep a silent attempt until another one brings the answer

What callers saw: beside a change of the configuration, a stream that had begun got neither its rest nor a refusal. Its server had fallen silent for a second or two and would have gone on. Cause: the attempt was cancelled for its silence, and only then was it asked whether the call may be sent again at all (its key had been revoked meanwhile), whether the other server takes it (declined: full, or silent as well), and whether the budget grants the next retry. What had been cancelled was lost. Class: what is at hand is given up before it is known that something better follows; SilencePolicy asked for a part of it only.

The change: the other server is asked beside the silent one, and who brings the next bytes brings the answer; the other attempt is cancelled at the same moment, before any byte of it is passed on. All that may refuse the call is asked first, at the moment at which it is sent: key and content, attempts, a server with room, a permit, the budget. Two servers work on one stream for 0.2 s at most, enough for a refusal; servers that are silent as well are left out (ServerSigns). Both attempts of a plain call run until one is whole.

What is learnt from silence is learnt when the other server is asked. Outcome TimedOut has no use any more.

Why it holds: nothing passes between the questions and the sending, and until the other server has spoken, or 0.2 s have passed, the silent one can still answer. Left: a stream that is given up after 0.2 s for a server of which this host has no sign, which declines it later, while the budget is used up.

--- a/src/application/direct/_answer_relay.ts
+++ b/src/application/direct/_answer_relay.ts
@@ -62,11 +62,18 @@
 
   readonly isInsideEvent = false;
 
-  /** @param head - status and headers of the answer. @param reply - the reply to the caller */
-  constructor(head: BackendHead, reply: DirectReply) {
+  readonly #onBegin: () => void;
+
+  /**
+   * @param head - status and headers of the answer
+   * @param reply - the reply to the caller
+   * @param onBegin - called once, immediately before the first part is sent to the caller
+   */
+  constructor(head: BackendHead, reply: DirectReply, onBegin: () => void) {
     super();
     this.#head = head;
     this.#reply = reply;
+    this.#onBegin = onBegin;
   }
 
   override get hasBegun(): boolean {
@@ -85,14 +92,20 @@
     this.#length += bytes.length;
     this.#chunks.push(bytes);
     if (this.#length <= MAX_BUFFERED_BYTES) return;
-    if (!this.#hasBegun) this.#reply.writeHead(this.#head);
+    if (!this.#hasBegun) {
+      this.#onBegin();
+      this.#reply.writeHead(this.#head);
+    }
     this.#hasBegun = true;
     this.#chunks.splice(0).forEach((chunk) => this.#reply.write(chunk));
   }
 
   override end(): void {
     if (this.#hasBegun) this.#reply.end();
-    else this.#reply.sendAnswer(this.#head, Buffer.concat(this.#chunks));
+    else {
+      this.#onBegin();
+      this.#reply.sendAnswer(this.#head, Buffer.concat(this.#chunks));
+    }
     this.#hasBegun = true;
   }
 }
--- a/src/application/direct/_attempt_options.ts
+++ b/src/application/direct/_attempt_options.ts
@@ -9,7 +9,6 @@
 import type { StreamRelay } from './_answer_relay.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
 import type { DirectServices } from './direct_services.js';
-import type { SilentAttempt } from './_silence_policy.js';
 
 /** Dependencies and request of an attempt. */
 export interface DirectAttemptOptions {
@@ -22,8 +21,10 @@
   readonly request: BackendRequest;
   /** Output tokens per event of a stream. */
   readonly tokensPerEvent: number;
-  /** @param state - what the attempt has come to. @returns whether it is given up as too slow */
-  readonly mayGiveUp: (state: Pick<SilentAttempt, 'mayHaveBeenSent' | 'canContinue'>) => boolean;
+  /** Called while the attempt is silent for longer than its limit, again and again. */
+  readonly onStall: () => void;
+  /** Called before a part of the answer is passed on: no other attempt may do so from then on. */
+  readonly onTakeOver: () => void;
   /** Called with each sign that the backend server received the request. */
   readonly onArrival: () => void;
   /** Called immediately before the caller is sent the first event of the answer. */
--- /dev/null
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -0,0 +1,165 @@
+/**
+ * The attempts of one call that are in flight.
+ *
+ * @module
+ */
+import { ServerOutcome } from '../../domain/backend_servers/mod.js';
+import type { BackendServerEntry } from '../../domain/backend_servers/mod.js';
+import { computeUrgency } from '../../domain/direct/mod.js';
+import type { BackendRequest, Timer } from '../../ports/mod.js';
+import type { Permit } from '../crashes/mod.js';
+import type { AttemptBudget } from './_attempt_budget.js';
+import type { DirectAttemptResult } from './_attempt_result.js';
+import { buildBackendRequest } from './_backend_request.js';
+import type { CallRecorder } from './_call_recorder.js';
+import type { CallRetries } from './_call_retries.js';
+import type { CallStream } from './_call_stream.js';
+import { DirectAttempt } from './_direct_attempt.js';
+import type { PermittedServer } from './_silence_policy.js';
+import type { DirectCallOptions } from './direct_call_options.js';
+import type { QueuedCall } from './service_queue_options.js';
+
+/**
+ * Time for which two servers may work on one stream, in milliseconds: enough for the second one to
+ * decline it.
+ */
+const MAX_STREAM_OVERLAP_MS = 200;
+
+/** Interval at which it is looked whether the second request has been sent, in milliseconds. */
+const OVERLAP_CHECK_MS = 50;
+
+/** The call, and what each of its attempts depends on. */
+export interface AttemptsInFlightOptions {
+  readonly options: DirectCallOptions;
+  readonly call: QueuedCall;
+  readonly stream: CallStream;
+  readonly budget: AttemptBudget;
+  readonly retries: CallRetries;
+  readonly recorder: CallRecorder;
+  /** Called while the newest attempt is silent for longer than its limit, again and again. */
+  readonly onStall: (attempt: DirectAttempt, permit: Permit) => void;
+  /** Called when an attempt has ended by itself. */
+  readonly onEnd: (serverId: string, result: DirectAttemptResult, permit: Permit) => void;
+}
+
+/**
+ * Keeps a silent attempt until another one brings the answer. What is given up before that is lost
+ * if the other server turns out to be full, silent or gone.
+ */
+export class AttemptsInFlight {
+  readonly #options: AttemptsInFlightOptions;
+
+  /** Oldest first. */
+  #attempts: readonly DirectAttempt[] = [];
+
+  #overlapTimer: Timer | undefined;
+
+  /** @param options - the call, and what each of its attempts depends on */
+  constructor(options: AttemptsInFlightOptions) {
+    this.#options = options;
+  }
+
+  /** Whether no attempt is in flight. */
+  get isEmpty(): boolean {
+    return this.#attempts.length === 0;
+  }
+
+  /** @param next - a server to which the request is sent, beside those that have it already */
+  start({ server, load, permit }: PermittedServer): void {
+    const { options, call, stream, budget, retries, recorder } = this.#options;
+    const { services, serviceId, route, reply, tokensPerEvent } = options;
+    budget.recordSent();
+    retries.recordSent();
+    recorder.recordDispatch(server, load, {
+      attempt: budget.count,
+      beside: this.#newest?.incarnationId,
+      isReturning: call.isLate,
+      promptTokens: call.work.promptTokens,
+      expectedTokens: Math.round(call.expectedTokens),
+      ...stream.describe(),
+    });
+    const version = services.servers.versions.find(server.id);
+    const attempt: DirectAttempt = new DirectAttempt({
+      services,
+      reply,
+      route,
+      load,
+      stream: stream.relay,
+      tokensPerEvent,
+      request: this.#buildRequest(server),
+      onArrival: () => retries.recordArrival(),
+      onBegin: () => stream.recordBegin({ serviceId, version }),
+      onStall: () => {
+        if (attempt === this.#newest) this.#options.onStall(attempt, permit);
+      },
+      onTakeOver: () => this.#keepOnly(attempt),
+      onEnd: (result) => {
+        this.#remove(attempt);
+        this.#options.onEnd(server.id, result, permit);
+      },
+    });
+    this.#attempts = [...this.#attempts, attempt];
+    if (route.isStream && this.#attempts.length > 1)
+      this.#scheduleOverlapEnd(MAX_STREAM_OVERLAP_MS);
+    attempt.start();
+  }
+
+  /** Cancels all attempts. */
+  cancelAll(): void {
+    this.#attempts.forEach((attempt) => this.#cancel(attempt));
+  }
+
+  /** @param incarnationId - ID of an incarnation of a backend server that has ended */
+  abandonAt(incarnationId: string): void {
+    this.#attempts
+      .filter((attempt) => attempt.incarnationId === incarnationId)
+      .forEach((attempt) => attempt.abandonEndedServer());
+  }
+
+  get #newest(): DirectAttempt | undefined {
+    return this.#attempts.at(-1);
+  }
+
+  #buildRequest(server: BackendServerEntry): BackendRequest {
+    const { options, call, stream, budget } = this.#options;
+    const { request, account } = options;
+    const { timeLeftMs } = budget;
+    const urgency = computeUrgency(call);
+    return buildBackendRequest(
+      { request, account, timeLeftMs, stream: stream.relay, urgency },
+      server,
+    );
+  }
+
+  /** Cancels all attempts but the one that brings the answer. */
+  #keepOnly(attempt: DirectAttempt): void {
+    this.#attempts
+      .filter((one) => one !== attempt)
+      .forEach((one) => {
+        this.#options.recorder.recordGivenUp(one.incarnationId, attempt.incarnationId);
+        this.#cancel(one);
+      });
+  }
+
+  #remove(attempt: DirectAttempt): void {
+    this.#attempts = this.#attempts.filter((one) => one !== attempt);
+    if (this.#attempts.length < 2) this.#overlapTimer?.cancel();
+  }
+
+  #cancel(attempt: DirectAttempt): void {
+    this.#remove(attempt);
+    // An unsent request can't arrive any more: its connection is closed before it opens.
+    if (!attempt.mayHaveBeenSent) this.#options.budget.recordNotRun();
+    attempt.cancel(ServerOutcome.Cancelled);
+  }
+
+  #scheduleOverlapEnd(delayMs: number): void {
+    this.#overlapTimer?.cancel();
+    const { clock } = this.#options.options.services;
+    this.#overlapTimer = clock.setTimer(delayMs, () => {
+      const newest = this.#newest;
+      if (newest?.mayHaveBeenSent) this.#keepOnly(newest);
+      else this.#scheduleOverlapEnd(OVERLAP_CHECK_MS);
+    });
+  }
+}
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -113,6 +113,21 @@
     this.#options.services.metrics.count('silent_attempts_kept_total', { reason });
   }
 
+  /**
+   * Records that a silent attempt is given up, since another server answers in its place.
+   *
+   * @param backendServer - incarnation ID of the silent server
+   * @param followedBy - incarnation ID of the other one
+   */
+  recordGivenUp(backendServer: string, followedBy: string): void {
+    this.#write('attempt_given_up', {
+      backendServer,
+      followedBy,
+      totalMs: this.#computeElapsedMs(),
+    });
+    this.#options.services.metrics.count('silent_attempts_given_up_total');
+  }
+
   /**
    * Records the end of the call.
    *
--- a/src/application/direct/_call_stream.ts
+++ b/src/application/direct/_call_stream.ts
@@ -6,7 +6,6 @@
 import type { StreamOrigin } from '../../domain/streams/mod.js';
 import type { DirectRequest, LogFields } from '../../ports/mod.js';
 import type { StreamRelay } from './_answer_relay.js';
-import type { DirectAttemptResult } from './_attempt_result.js';
 
 /** The parts of a call that concern its stream. */
 export interface CallStreamOptions {
@@ -55,8 +54,8 @@
     return this.#relay?.lastEventId !== undefined;
   }
 
-  /** @param result - result of an attempt that failed */
-  recordFailure({ stream }: DirectAttemptResult): void {
+  /** @param stream - the stream of an attempt behind which another one goes on */
+  recordStream(stream: StreamRelay | undefined): void {
     this.#relay = stream?.hasBegun ? stream : undefined;
   }
 
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { ServerOutcome } from '../../domain/backend_servers/mod.js';
-import type { RequestWork } from '../../domain/backend_servers/mod.js';
 import { formatReason } from '../../domain/errors/mod.js';
 import { AnswerEnd, classifyAnswerEnd, describeBrokenEnd } from '../../domain/streams/mod.js';
+import type { AnswerEndFacts } from '../../domain/streams/mod.js';
 import { BackendFailure } from '../../ports/mod.js';
 import type {
   BackendExchange,
@@ -16,6 +16,7 @@
 } from '../../ports/mod.js';
 import { StreamRelay, BufferedRelay } from './_answer_relay.js';
 import type { AnswerRelay } from './_answer_relay.js';
+import { AttemptLoad } from './_attempt_load.js';
 import type { DirectAttemptOptions } from './_attempt_options.js';
 import { AbandonReason } from './_end_cause.js';
 import { StallDetector } from './_stall_detector.js';
@@ -30,9 +31,7 @@
 export class DirectAttempt implements BackendListener {
   readonly #options: DirectAttemptOptions;
 
-  readonly #startedAtMs: number;
-
-  readonly #predictedFirstByteMs: number;
+  readonly #load: AttemptLoad;
 
   /** Events that the caller received before this attempt. */
   readonly #initialEventCount: number;
@@ -49,10 +48,11 @@
 
   #answerEnd: AnswerEnd | undefined;
 
-  #firstByteMs = 0;
-
   readonly #stallDetector: StallDetector;
 
+  /** Whether the caller is sent what this attempt brings. */
+  #hasTakenOver = false;
+
   #hasEnded = false;
 
   /** @param options - dependencies and request */
@@ -60,24 +60,21 @@
     this.#options = options;
     this.#stream = options.stream;
     this.#initialEventCount = options.stream?.eventCount ?? 0;
-    this.#startedAtMs = options.services.clock.nowMs();
-    this.#predictedFirstByteMs = options.load.predictFirstByteMs(this.#work);
+    const { clock } = options.services;
+    this.#load = new AttemptLoad(options.load, options.request.request.work, clock);
     this.#stallDetector = new StallDetector({
       ...options,
-      clock: options.services.clock,
-      predictedFirstByteMs: this.#predictedFirstByteMs,
-      onStall: () => this.#handleStall(),
+      clock,
+      predictedFirstByteMs: this.#load.predictedFirstByteMs,
     });
   }
 
   /** Sends the request. */
   start(): void {
-    const { load, request, services } = this.#options;
-    const { backend, clock } = services;
-    load.recordStart(this.#work);
-    load.pace.recordSent(clock.nowMs());
+    const { request, services } = this.#options;
+    this.#load.start();
     try {
-      this.#exchange = backend.send(request, this);
+      this.#exchange = services.backend.send(request, this);
     } catch (error) {
       this.#end(BackendFailure.NotSent, formatReason(error));
       return;
@@ -101,6 +98,16 @@
     this.#exchange?.cancel();
   }
 
+  /** The stream as far as the caller received it; undefined if the answer is none so far. */
+  get stream(): StreamRelay | undefined {
+    return this.#stream;
+  }
+
+  /** Records that another server is asked beside this one because of its silence. */
+  recordSilence(): void {
+    this.#load.recordSilence();
+  }
+
   /** Incarnation ID of the backend server that the request was sent to. */
   get incarnationId(): string {
     return this.#options.request.incarnationId;
@@ -118,34 +125,36 @@
   onNotice(notice: ServerNotice, isAuthentic: boolean): void {
     const { onArrival, request, services } = this.#options;
     onArrival();
+    this.#load.recordSign();
     services.servers.recordNotice({
       requestId: request.request.requestId,
       incarnationId: request.incarnationId,
       notice,
       isAuthentic,
-      sentAtMs: this.#startedAtMs,
+      sentAtMs: this.#load.startedAtMs,
     });
   }
 
   onHead(head: BackendHead): void {
     this.#options.onArrival();
+    this.#load.recordHead();
     this.#status = head.status;
     this.#isFramed = head.isFramed;
-    const { load, reply, services, route } = this.#options;
-    load.pace.pause.recordAnswered(services.clock.nowMs());
+    const { reply, route } = this.#options;
     if (!head.isEventStream || head.status !== 200) {
       if (reply.hasStarted) this.#abandon(`status ${head.status} cannot continue the stream`);
-      else this.#relay = new BufferedRelay(head, reply);
+      else this.#relay = this.#createBuffer(head);
       return;
     }
     this.#stream ??= this.#createStream(head);
-    this.#stream.restart();
     this.#relay = this.#stream;
     if (!route.isStream) this.#recordFirstByte();
   }
 
   onBody(bytes: Buffer): void {
     if (this.#hasEnded) return;
+    this.#load.recordSign();
+    if (this.#relay === this.#stream) this.#takeOver();
     this.#recordFirstByte();
     try {
       this.#relay?.write(bytes);
@@ -171,8 +180,15 @@
     return new StreamRelay({ head, reply, onBegin, nowMs: () => services.clock.nowMs() });
   }
 
-  get #work(): RequestWork {
-    return this.#options.request.request.work;
+  #createBuffer(head: BackendHead): BufferedRelay {
+    return new BufferedRelay(head, this.#options.reply, () => this.#takeOver());
+  }
+
+  /** The server that went on before may have left an incomplete event, which is sent in full here. */
+  #takeOver(): void {
+    this.#options.onTakeOver();
+    if (!this.#hasTakenOver) this.#stream?.restart();
+    this.#hasTakenOver = true;
   }
 
   get #hasBegun(): boolean {
@@ -183,9 +199,10 @@
   #endAnswer(): void {
     const relay = this.#relay;
     if (!relay) return;
-    const facts = relay.buildEndFacts(this.#isFramed);
+    const facts = this.#buildEndFacts(relay);
     this.#answerEnd = classifyAnswerEnd(facts);
     if (this.#answerEnd !== AnswerEnd.BrokenOff) {
+      this.#takeOver();
       relay.end();
       this.#end(undefined, '');
       return;
@@ -196,6 +213,14 @@
     this.#end(failure, describeBrokenEnd(facts), sendFallback);
   }
 
+  /** What an attempt without any bytes leaves in the stream is another server's. */
+  #buildEndFacts(relay: AnswerRelay): AnswerEndFacts {
+    const facts = relay.buildEndFacts(this.#isFramed);
+    return this.#hasTakenOver || relay !== this.#stream
+      ? facts
+      : { ...facts, isInsideEvent: false, isEmpty: true };
+  }
+
   /**
    * Ends the attempt after an error answer of a backend server that ran the request. Another
    * server may be tried next. The answer is kept in case there is none, unless its status
@@ -212,13 +237,6 @@
     );
   }
 
-  #handleStall(): void {
-    const canContinue = this.#stream?.lastEventId !== undefined;
-    const { mayHaveBeenSent } = this;
-    if (this.#options.mayGiveUp({ mayHaveBeenSent, canContinue }))
-      this.#abandon(AbandonReason.Silence, ServerOutcome.TimedOut);
-  }
-
   /** Cancels the run at the backend server before the call may fail over to another one. */
   #abandon(reason: string, outcome = ServerOutcome.Failed): void {
     const failure = this.mayHaveBeenSent ? BackendFailure.Broken : BackendFailure.NotSent;
@@ -227,11 +245,7 @@
   }
 
   #recordFirstByte(): void {
-    if (this.#firstByteMs > 0) return;
-    const { services, load } = this.#options;
-    this.#firstByteMs = Math.max(0.1, services.clock.nowMs() - this.#startedAtMs);
-    load.recordFirstByte(this.#work);
-    this.#stallDetector.recordFirstByte(this.#stream);
+    if (this.#load.recordFirstByte()) this.#stallDetector.recordFirstByte(this.#stream);
   }
 
   #end(
@@ -242,27 +256,18 @@
   ): void {
     if (this.#hasEnded) return;
     this.#finish(outcome);
-    const { services, load, onEnd } = this.#options;
-    const totalMs = services.clock.nowMs() - this.#startedAtMs;
     const outputTokens = this.#countOutputTokens();
-    if (failure === undefined && this.#status < 300) {
-      load.speed.observe({
-        prefillTokens: this.#work.promptTokens,
-        outputTokens,
-        firstByteMs: this.#firstByteMs,
-        totalMs,
-      });
-    }
-    onEnd({
+    if (failure === undefined && this.#status < 300) this.#load.learnSpeed(outputTokens);
+    this.#options.onEnd({
       failure,
       isComplete: failure === undefined || outcome === ServerOutcome.ServerError,
       isFramed: this.#isFramed,
       answerEnd: this.#answerEnd,
       reason,
       status: this.#status,
-      firstByteMs: this.#firstByteMs,
-      predictedFirstByteMs: this.#predictedFirstByteMs,
-      totalMs,
+      firstByteMs: this.#load.firstByteMs,
+      predictedFirstByteMs: this.#load.predictedFirstByteMs,
+      totalMs: this.#load.totalMs,
       outputTokens,
       stream: this.#stream,
       sendFallback,
@@ -278,11 +283,7 @@
   #finish(outcome: ServerOutcome): void {
     this.#hasEnded = true;
     this.#stallDetector.stop();
-    const { services, load } = this.#options;
-    const nowMs = services.clock.nowMs();
-    if (this.#firstByteMs === 0)
-      load.recordNoFirstByte(this.#work, outcome, nowMs - this.#startedAtMs);
-    load.recordEnd(outcome, nowMs);
+    this.#load.end(outcome);
   }
 }
 
--- a/src/application/direct/_end_cause.ts
+++ b/src/application/direct/_end_cause.ts
@@ -8,8 +8,6 @@
 
 /** Why an attempt failed, or why a call was refused or its answer broken off. */
 export enum EndCause {
-  /** The attempt was given up since nothing arrived, and no other one followed. */
-  Silence = 'silence',
   /** The backend server's connection was closed or reset, or it broke its answer off. */
   ServerLost = 'server_lost',
   /** What the backend server answered can't be used. */
@@ -40,12 +38,10 @@
 
 /** Why an attempt is cancelled by this host; the values are written to the log. */
 export enum AbandonReason {
-  Silence = 'no data arrived within the stall limit',
   Restart = 'the backend server restarted',
 }
 
 const CAUSES_BY_REASON: Readonly<Record<string, EndCause>> = {
-  [AbandonReason.Silence]: EndCause.Silence,
   [AbandonReason.Restart]: EndCause.ServerRestarted,
   // Reasons of `ProxyClient`.
   'the link to the peer is down': EndCause.PeerLinkLost,
--- a/src/application/direct/_silence_policy.ts
+++ b/src/application/direct/_silence_policy.ts
@@ -1,15 +1,21 @@
 /**
- * Decides whether a silent attempt is given up.
+ * Decides whether another server is asked beside a silent one.
  *
  * @module
  */
-import { mayServe } from '../../domain/backend_servers/mod.js';
+import type {
+  BackendServerEntry,
+  Candidate,
+  ServerLoad,
+} from '../../domain/backend_servers/mod.js';
 import type { DirectReply } from '../../ports/mod.js';
 import { PermitKind } from '../crashes/mod.js';
 import type { Permit } from '../crashes/mod.js';
 import type { AttemptBudget } from './_attempt_budget.js';
 import type { CallRecorder } from './_call_recorder.js';
 import type { CallRetries } from './_call_retries.js';
+import type { DirectAttempt } from './_direct_attempt.js';
+import type { DirectCallOptions } from './direct_call_options.js';
 import type { DirectServices } from './direct_services.js';
 import type { QueuedCall } from './service_queue_options.js';
 
@@ -21,26 +27,27 @@
   NoAttempt = 'no_attempt',
   /** No other server that has room could answer in the time that is left. */
   NoServer = 'no_server',
+  /** The call may not be sent again: its key was revoked, or its content ends servers. */
+  NotAllowed = 'not_allowed',
+  /** Other servers are silent as well, as far as this host can tell. */
+  AllSilent = 'all_silent',
   /** The retry budget of the service is used up. */
   NoBudget = 'no_budget',
 }
 
-/** A silent attempt. */
-export interface SilentAttempt {
-  /** Incarnation ID of its server. */
-  readonly serverId: string;
-  /** Permit by which it was sent. */
+/** A server that may be sent the request at once. */
+export interface PermittedServer {
+  readonly server: BackendServerEntry;
+  readonly load: ServerLoad;
   readonly permit: Permit;
-  /** Whether the server may have received any part of the request. */
-  readonly mayHaveBeenSent: boolean;
-  /** Whether another server can go on behind what the caller has of the answer. */
-  readonly canContinue: boolean;
 }
 
 /** The call, and what its next attempt depends on. */
-export interface SilencePolicyOptions {
-  readonly services: Pick<DirectServices, 'clock' | 'servers'>;
-  readonly serviceId: string;
+export interface SilencePolicyOptions extends Pick<
+  DirectCallOptions,
+  'contentId' | 'details' | 'queue' | 'findDispatchRefusal' | 'route' | 'serviceId'
+> {
+  readonly services: Pick<DirectServices, 'clock' | 'servers' | 'crashes'>;
   readonly call: QueuedCall;
   readonly attempts: AttemptBudget;
   readonly retries: CallRetries;
@@ -49,9 +56,9 @@
 }
 
 /**
- * Gives an attempt up only for something better: another server with room and the time to answer,
- * and a retry that is granted before anything is cancelled. A server that is only slow still answers;
- * an attempt that is given up for nothing turns its answer into an error and its work into waste.
+ * Finds a server that may be asked beside a silent one: all that could refuse the call is asked
+ * before, and at the same moment. A server that is only slow still answers; an attempt that is given
+ * up for nothing turns its answer into an error and its work into waste.
  */
 export class SilencePolicy {
   readonly #options: SilencePolicyOptions;
@@ -64,43 +71,69 @@
   }
 
   /**
-   * Decides whether an attempt is given up. If so, the retry that it is given up for is granted.
+   * Finds the server to ask beside a silent one. Its retry is granted then.
    *
    * @param attempt - an attempt that has been silent for longer than its limit
-   * @returns whether to cancel it
+   * @param permit - permit by which it was sent
+   * @returns the server; undefined if the attempt is kept alone
    */
-  mayGiveUp(attempt: SilentAttempt): boolean {
-    const reason = this.#findReason(attempt);
-    if (reason === undefined) return true;
-    if (!this.#recorded.has(reason)) this.#options.recorder.recordKept(attempt.serverId, reason);
-    this.#recorded.add(reason);
-    return false;
+  findNext(attempt: DirectAttempt, permit: Permit): PermittedServer | undefined {
+    const found = this.#find(attempt, permit);
+    if (typeof found !== 'string') return found;
+    if (!this.#recorded.has(found)) this.#options.recorder.recordKept(attempt.incarnationId, found);
+    this.#recorded.add(found);
+    return undefined;
   }
 
-  #findReason(attempt: SilentAttempt): KeepReason | undefined {
-    const { serverId, permit, mayHaveBeenSent, canContinue } = attempt;
-    const { attempts, retries, reply } = this.#options;
+  #find(attempt: DirectAttempt, permit: Permit): PermittedServer | KeepReason {
+    const { attempts, reply, findDispatchRefusal, queue, call, services } = this.#options;
     if (permit.kind === PermitKind.Trial) return KeepReason.Trial;
-    if (!attempts.mayRunAgain() || (reply.hasStarted && !canContinue)) return KeepReason.NoAttempt;
-    if (!this.#hasOtherServer(serverId)) return KeepReason.NoServer;
+    const canContinue = !reply.hasStarted || attempt.stream?.lastEventId !== undefined;
+    if (!attempts.mayRunAgain() || !canContinue) return KeepReason.NoAttempt;
+    if (findDispatchRefusal()) return KeepReason.NotAllowed;
+    const quiet = this.#listQuiet();
+    if (quiet === undefined) return KeepReason.AllSilent;
+    const candidate = queue.pickBeside(call, quiet);
+    const server = candidate && services.servers.findEntry(candidate.id);
+    if (!server) return KeepReason.NoServer;
+    const next = this.#acquirePermit();
+    if (!next) return KeepReason.Trial;
     // A request that was never written costs the service nothing.
-    if (!mayHaveBeenSent) return undefined;
-    // The budget is asked once: each refusal is logged, and it seldom changes within one call.
-    const mayAsk = !this.#recorded.has(KeepReason.NoBudget);
-    return mayAsk && retries.take() ? undefined : KeepReason.NoBudget;
+    if (attempt.mayHaveBeenSent && !this.#takeRetry()) return KeepReason.NoBudget;
+    return { server, load: candidate.load, permit: next };
   }
 
-  #hasOtherServer(serverId: string): boolean {
-    const { services, serviceId, call, attempts } = this.#options;
+  /**
+   * Lists servers that have fallen silent as well: a stream that is given up for one of them may be
+   * declined later.
+   *
+   * @returns their incarnation IDs; undefined if all servers are silent of which signs are due
+   */
+  #listQuiet(): readonly string[] | undefined {
+    const { services, serviceId, route } = this.#options;
+    if (!route.isStream) return [];
     const nowMs = services.clock.nowMs();
-    return services.servers
-      .listCandidates(serviceId)
-      .filter((candidate) => candidate.id !== serverId && mayServe(candidate, call))
-      .some(
-        ({ load }) =>
-          !load.mustAvoid(nowMs) &&
-          load.countOpenSlots(nowMs) > 0 &&
-          load.predictFirstByteMs(call.work) <= attempts.timeLeftMs,
-      );
+    const awaited = services.servers.listCandidates(serviceId).filter(isAwaited);
+    const quiet = awaited.filter(({ load }) => load.signs.isQuiet(nowMs));
+    const isAll = quiet.length > 1 && quiet.length === awaited.length;
+    return isAll ? undefined : quiet.map(({ id }) => id);
+  }
+
+  /** @returns a permit that is no trial: the silent attempt may still show what its content does */
+  #acquirePermit(): Permit | undefined {
+    const { services, contentId, details, attempts } = this.#options;
+    const permit = services.crashes.acquirePermit(contentId, details, attempts.hasTimeForTrial);
+    if (permit.kind === PermitKind.Free) return permit;
+    permit.returnUnused();
+    return undefined;
   }
+
+  /** The budget is asked once: each refusal is logged, and it seldom changes within one call. */
+  #takeRetry(): boolean {
+    return !this.#recorded.has(KeepReason.NoBudget) && this.#options.retries.take();
+  }
+}
+
+function isAwaited({ load }: Candidate): boolean {
+  return load.signs.isAwaited;
 }
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -3,9 +3,8 @@
  *
  * @module
  */
-import { ServerOutcome } from '../../domain/backend_servers/mod.js';
 import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
-import { computeMaxFailoverWaitMs, computeUrgency } from '../../domain/direct/mod.js';
+import { computeMaxFailoverWaitMs } from '../../domain/direct/mod.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { intersectRegions } from '../../domain/places/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
@@ -15,17 +14,18 @@
 import type { LogFields, Timer } from '../../ports/mod.js';
 import { PermitKind } from '../crashes/mod.js';
 import type { Permit } from '../crashes/mod.js';
-import { buildBackendRequest } from './_backend_request.js';
 import { buildShedRefusal, correctRefusal, findRejection } from './_call_rejection.js';
 import { CallRecorder, buildAnswerFields, buildErrorFields } from './_call_recorder.js';
 import { CallStream } from './_call_stream.js';
 import { CallRetries } from './_call_retries.js';
 import { AttemptBudget } from './_attempt_budget.js';
-import { DirectAttempt } from './_direct_attempt.js';
+import { AttemptsInFlight } from './_attempts_in_flight.js';
+import type { DirectAttempt } from './_direct_attempt.js';
 import { deriveAttemptCause, EndCause } from './_end_cause.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
 import { computeCallTimes } from './_call_times.js';
 import { SilencePolicy } from './_silence_policy.js';
+import type { PermittedServer } from './_silence_policy.js';
 import { ProbationWait } from './_probation_wait.js';
 import { mayAttemptHaveRun, CrashEvidence } from './_crash_evidence.js';
 import type { DirectCallOptions } from './direct_call_options.js';
@@ -54,7 +54,7 @@
 
   latestStartAtMs: number;
 
-  #attempt: DirectAttempt | undefined;
+  readonly #inFlight: AttemptsInFlight;
 
   readonly #stream: CallStream;
 
@@ -64,6 +64,9 @@
 
   #probationWait: ProbationWait | undefined;
 
+  /** Sends the last error answer of a server, in case no other answers. */
+  #sendFallback: (() => void) | undefined;
+
   readonly #timer: Timer;
 
   readonly #recorder: CallRecorder;
@@ -91,6 +94,16 @@
     this.#attempts = new AttemptBudget(this, route, services.clock);
     this.#recorder = new CallRecorder({ ...options, arrivedAtMs: this.arrivedAtMs });
     this.#retries = new CallRetries(services, options.serviceId, this.#recorder);
+    this.#inFlight = new AttemptsInFlight({
+      options,
+      call: this,
+      stream: this.#stream,
+      budget: this.#attempts,
+      retries: this.#retries,
+      recorder: this.#recorder,
+      onStall: (attempt, permit) => this.#handleStall(attempt, permit),
+      onEnd: (serverId, result, permit) => this.#handleAttemptResult(serverId, result, permit),
+    });
     this.#silence = new SilencePolicy({
       ...options,
       call: this,
@@ -125,57 +138,39 @@
     else this.#options.queue.submit(this);
   }
 
-  grant({ id, load }: Candidate): void {
-    const { services, serviceId, route, request, account, contentId, details } = this.#options;
+  grant(candidate: Candidate): void {
+    const { services, contentId, details } = this.#options;
     const refusal = this.#options.findDispatchRefusal();
     if (refusal) {
       this.fail(refusal, EndCause.NotAllowed);
       return;
     }
-    const server = services.servers.findEntry(id);
-    const version = services.servers.versions.find(id);
-    if (!server || !mayContinueStream(this.origin, version)) {
+    const server = services.servers.findEntry(candidate.id);
+    if (!server || !mayContinueStream(this.origin, services.servers.versions.find(candidate.id))) {
       this.shed(0);
       return;
     }
-    const hasTime = this.#attempts.hasTimeForTrial;
-    const permit = services.crashes.acquirePermit(contentId, details, hasTime);
-    if (permit.kind === PermitKind.Wait) {
-      this.#waitForPermit();
-      return;
-    }
-    this.#attempts.recordSent();
-    this.#retries.recordSent();
-    this.#recorder.recordDispatch(server, load, {
-      attempt: this.#attempts.count,
-      isReturning: this.isLate,
-      promptTokens: this.work.promptTokens,
-      expectedTokens: Math.round(this.expectedTokens),
-      ...this.#stream.describe(),
-    });
-    this.#attempt = new DirectAttempt({
-      services,
-      reply: this.#options.reply,
-      route,
-      load,
-      stream: this.#stream.relay,
-      tokensPerEvent: this.#options.tokensPerEvent,
-      mayGiveUp: (state) => this.#silence.mayGiveUp({ ...state, serverId: id, permit }),
-      request: buildBackendRequest(
-        {
-          request,
-          account,
-          timeLeftMs: this.#attempts.timeLeftMs,
-          stream: this.#stream.relay,
-          urgency: computeUrgency(this),
-        },
-        server,
-      ),
-      onArrival: () => this.#retries.recordArrival(),
-      onBegin: () => this.#stream.recordBegin({ serviceId, version }),
-      onEnd: (end) => this.#handleAttemptResult(id, end, permit),
-    });
-    this.#attempt.start();
+    const permit = services.crashes.acquirePermit(
+      contentId,
+      details,
+      this.#attempts.hasTimeForTrial,
+    );
+    if (permit.kind === PermitKind.Wait) this.#waitForPermit();
+    else this.#send({ server, load: candidate.load, permit });
+  }
+
+  #send(next: PermittedServer): void {
+    this.excluded.add(next.server.id);
+    this.#inFlight.start(next);
+  }
+
+  /** Asks another server beside one that is silent, if it may bring the answer. */
+  #handleStall(attempt: DirectAttempt, permit: Permit): void {
+    const next = this.#silence.findNext(attempt, permit);
+    if (!next) return;
+    attempt.recordSilence();
+    this.#stream.recordStream(attempt.stream);
+    this.#send(next);
   }
 
   /** Waits while a trial shows whether the call's content crashes backend servers. */
@@ -216,27 +211,25 @@
 
   /** @param incarnationId - ID of an incarnation of a backend server that has ended */
   handleServerEnded(incarnationId: string): void {
-    if (this.#attempt?.incarnationId === incarnationId) this.#attempt.abandonEndedServer();
+    this.#inFlight.abandonAt(incarnationId);
   }
 
   /** @param causeId - content or part of a prompt that is no longer sent anywhere */
   handleQuarantine(causeId: string): void {
     const { contentId, details } = this.#options;
-    if (![contentId, ...details.partIds].includes(causeId) || this.#attempt) return;
+    if (![contentId, ...details.partIds].includes(causeId) || !this.#inFlight.isEmpty) return;
     const refusal = this.#options.findDispatchRefusal();
     if (refusal) this.fail(refusal, EndCause.NotAllowed);
   }
 
   /** Ends the call because this process stops. */
   stop(): void {
-    this.#cancelAttempt();
+    this.#inFlight.cancelAll();
     this.fail(new SchedulerError(ErrorKind.EntryHostStopping), EndCause.HostStops);
   }
 
   #handleAttemptResult(serverId: string, result: DirectAttemptResult, permit: Permit): void {
     if (!mayAttemptHaveRun(result)) permit.returnUnused();
-    this.#attempt = undefined;
-    this.excluded.add(serverId);
     this.#crashEvidence.recordAttempt(serverId, result, permit);
     this.#recorder.recordAnswerEnd(result);
     if (result.failure === undefined) {
@@ -245,7 +238,7 @@
       this.#end('call_answered', buildAnswerFields(serverId, result));
     } else {
       this.#recorder.recordAttemptFailure(serverId, this.#attempts.count, result);
-      this.#stream.recordFailure(result);
+      this.#stream.recordStream(result.stream);
       this.#handleFailure(serverId, result);
     }
     this.#options.queue.handleSlotFreed(serverId, result.totalMs);
@@ -258,33 +251,30 @@
     if (!mayHaveRun) this.#attempts.recordNotRun();
     if (failure === BackendFailure.Misdirected)
       this.#options.services.servers.recordEnded(serverId);
+    this.#sendFallback = sendFallback ?? this.#sendFallback;
+    if (!this.#inFlight.isEmpty) return;
     const isAllowed = mayHaveRun ? this.#attempts.mayRunAgain() : this.#attempts.maySendAgain();
     const isUncountedRetry = failure === BackendFailure.NotSent;
     const canResume = !this.#options.reply.hasStarted || this.#stream.canContinue;
     if (isAllowed && canResume && (isUncountedRetry || this.#retries.take())) this.#resubmit();
-    else if (sendFallback && !this.#options.reply.hasStarted) {
-      sendFallback();
+    else if (this.#sendFallback && !this.#options.reply.hasStarted) {
+      this.#sendFallback();
       this.#end('call_answered', { backendServer: serverId, failure });
     } else if (mayHaveRun) this.fail(new SchedulerError(ErrorKind.BackendServerLost), cause);
     else this.shed(0, cause);
   }
 
-  #cancelAttempt(): void {
-    // An unsent request can't arrive any more: its connection is closed before it opens.
-    if (this.#attempt?.mayHaveBeenSent === false) this.#attempts.recordNotRun();
-    this.#attempt?.cancel(ServerOutcome.Cancelled);
-  }
-
   #handleTimeout(): void {
-    this.#cancelAttempt();
+    this.#inFlight.cancelAll();
     const kind = this.mayHaveRun ? ErrorKind.AnswerTimeout : ErrorKind.DeadlineUnreachable;
     this.fail(new SchedulerError(kind), EndCause.Deadline);
   }
 
   #handleDisconnect(): void {
     if (this.#hasEnded) return;
-    this.#cancelAttempt();
-    this.#end('caller_gone', { wasSent: this.#attempt !== undefined });
+    const wasSent = !this.#inFlight.isEmpty;
+    this.#inFlight.cancelAll();
+    this.#end('caller_gone', { wasSent });
   }
 
   #end(event: string, fields: LogFields): void {
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -86,6 +86,24 @@
     this.#scheduleCheck();
   }
 
+  /**
+   * Picks another server for a call that is in flight: one with room that is not avoided and is
+   * expected to answer in time. Calls that wait go first.
+   *
+   * @param call - the call
+   * @param quietIds - incarnation IDs of further servers that it must not be sent to
+   * @returns the server; undefined if there is none
+   */
+  pickBeside(call: QueuedCall, quietIds: readonly string[]): Candidate | undefined {
+    if (this.#countAhead(call) > 0) return undefined;
+    const nowMs = this.#options.clock.nowMs();
+    const excluded = new Set([...call.excluded, ...quietIds]);
+    const candidate = this.#pickCandidate(call, this.#queue.size, excluded);
+    if (!candidate || candidate.load.mustAvoid(nowMs)) return undefined;
+    const isInTime = candidate.load.predictFirstByteMs(call.work) <= call.deadlineAtMs - nowMs;
+    return isInTime ? candidate : undefined;
+  }
+
   /** @param call - the call to remove from the queue */
   remove(call: QueuedCall): void {
     this.#queue.remove(call);
@@ -209,8 +227,12 @@
     return candidate !== undefined;
   }
 
-  #pickCandidate(call: QueuedCall, ownWaitingCalls: number): Candidate | undefined {
-    const { work, expectedTokens, deadlineAtMs, excluded, regions, origin } = call;
+  #pickCandidate(
+    call: QueuedCall,
+    ownWaitingCalls: number,
+    excluded = call.excluded,
+  ): Candidate | undefined {
+    const { work, expectedTokens, deadlineAtMs, regions, origin } = call;
     const { clock, random, listCandidates, countWaitingAtPeers, getPeerUrgency } = this.#options;
     const nowMs = clock.nowMs();
     return pickServer(listCandidates(), {
--- /dev/null
+++ b/src/application/direct/silent_attempts_test.ts
@@ -0,0 +1,161 @@
+/**
+ * Tests two attempts of one call: one that is silent, and another one beside it.
+ *
+ * @module
+ */
+import t from 'tap';
+import type { Test } from 'tap';
+import { buildDocument, startDirectHost } from '../../../test/support/direct_host.js';
+import type { DirectHost } from '../../../test/support/direct_host.js';
+import type { FakeReply } from '../../../test/support/direct_ends.js';
+import { BackendFailure } from '../../ports/mod.js';
+
+const STREAM = {
+  isStream: true,
+  isResumable: true,
+  timeoutMs: 8_000,
+  targetMs: 200,
+  targetGapMs: 100,
+  maxAttempts: 2,
+};
+
+const READ = { isRepeatable: true, timeoutMs: 2_000, targetMs: 200, maxAttempts: 2 };
+
+const REQUEST = { deadlineMs: 8_000 };
+
+interface SilentStream {
+  readonly host: DirectHost;
+  readonly reply: FakeReply;
+}
+
+/** Starts a stream whose server falls silent after its second event, until another one is asked. */
+async function startSilentStream(t: Test): Promise<SilentStream> {
+  const host = await startDirectHost(t, { route: STREAM }, ['s-1', 's-2']);
+  const reply = host.call(REQUEST);
+  host.getSent(0).sendHead({ isEventStream: true });
+  host.getSent(0).events(1, 2);
+  await host.clock.advance(1_450);
+  t.equal(host.backend.sent.length, 2, 'another server is asked');
+  t.notOk(host.getSent(0).isCancelled, 'the silent one is kept');
+  return { host, reply };
+}
+
+function listEventIds({ body }: FakeReply): string[] {
+  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => String(id));
+}
+
+t.test('a stream stays at its silent server while its key is revoked', async (t) => {
+  // Guards against streams that are given up for a server which they may not be sent to.
+  const host = await startDirectHost(t, { route: STREAM }, ['s-1', 's-2']);
+  const reply = host.call(REQUEST);
+  host.getSent(0).sendHead({ isEventStream: true });
+  host.getSent(0).events(1, 1);
+  await host.clock.advance(500);
+  host.feed.put('configuration', buildDocument(2, { route: STREAM, keys: ['key-b'] }));
+  await host.clock.advance(1_500);
+  t.notOk(host.getSent(0).isCancelled);
+  t.match(host.log.list('attempt_kept'), [{ reason: 'not_allowed' }]);
+  host.getSent(0).events(2, 3);
+  host.getSent(0).listener.onComplete();
+  t.ok(reply.hasEnded && !reply.isAborted);
+  t.same(listEventIds(reply), ['1', '2', '3']);
+});
+
+t.test('a stream stays at its silent server if the other one declines it', async (t) => {
+  // Guards against streams that are given up for a server that turns out to be full.
+  const { host, reply } = await startSilentStream(t);
+  host.getSent(1).fail(BackendFailure.Declined);
+  await host.clock.advance(500);
+  t.notOk(host.getSent(0).isCancelled);
+  host.getSent(0).events(3, 4);
+  host.getSent(0).listener.onComplete();
+  t.ok(reply.hasEnded && !reply.isAborted);
+  t.same(listEventIds(reply), ['1', '2', '3', '4']);
+});
+
+t.test('a silent server that goes on keeps its stream', async (t) => {
+  // Guards against events that come twice, from a silent server and from the one asked beside it.
+  const { host, reply } = await startSilentStream(t);
+  host.getSent(0).events(3, 3);
+  t.ok(host.getSent(1).isCancelled);
+  host.getSent(1).sendHead({ isEventStream: true });
+  host.getSent(1).events(3, 5);
+  host.getSent(0).events(4, 4);
+  host.getSent(0).listener.onComplete();
+  t.ok(reply.hasEnded);
+  t.same(listEventIds(reply), ['1', '2', '3', '4']);
+});
+
+t.test('a stream goes on at the other server with whole events', async (t) => {
+  // Guards against pieces of an event that two servers have sent.
+  const host = await startDirectHost(t, { route: STREAM }, ['s-1', 's-2']);
+  const reply = host.call(REQUEST);
+  host.getSent(0).sendHead({ isEventStream: true });
+  host.getSent(0).events(1, 1);
+  host.getSent(0).listener.onBody(Buffer.from('id: 2\nda'));
+  await host.clock.advance(1_450);
+  host.getSent(1).sendHead({ isEventStream: true });
+  t.notOk(host.getSent(0).isCancelled, 'a head alone brings nothing');
+  host.getSent(1).events(2, 3);
+  t.ok(host.getSent(0).isCancelled);
+  host.getSent(0).listener.onBody(Buffer.from('ta: 2\n\n'));
+  host.getSent(1).listener.onComplete();
+  t.ok(reply.hasEnded && !reply.isAborted);
+  t.equal(reply.body, 'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n');
+});
+
+t.test('two servers work on one stream for a moment only', async (t) => {
+  // Guards against a run that goes on unnoticed while another server has taken the stream.
+  const { host } = await startSilentStream(t);
+  await host.clock.advance(200);
+  t.ok(host.getSent(0).isCancelled);
+  t.notOk(host.getSent(1).isCancelled);
+});
+
+t.test('the first whole answer to a read is delivered, and the other attempt ends', async (t) => {
+  // Guards against reads that are given up for a server that takes as long.
+  for (const winner of [0, 1]) {
+    const host = await startDirectHost(t, { route: READ }, ['s-1', 's-2']);
+    const reply = host.call();
+    await host.clock.advance(1_200);
+    t.equal(host.backend.sent.length, 2);
+    t.notOk(host.getSent(0).isCancelled);
+    host.getSent(winner).sendResponse(200, `answer ${winner}`);
+    t.equal(reply.body, `answer ${winner}`);
+    t.ok(host.getSent(1 - winner).isCancelled);
+    t.equal(host.gateway.callCount, 0);
+  }
+});
+
+t.test('a read whose second attempt fails is answered by the first one', async (t) => {
+  // Guards against errors that are passed on while another server still works on the answer.
+  for (const failure of [BackendFailure.Declined, BackendFailure.Lost, undefined]) {
+    const host = await startDirectHost(t, { route: READ }, ['s-1', 's-2']);
+    const reply = host.call();
+    await host.clock.advance(700);
+    if (failure) host.getSent(1).fail(failure);
+    else host.getSent(1).sendResponse(500, 'broken');
+    t.equal(reply.head, undefined);
+    host.getSent(0).sendResponse();
+    t.equal(reply.head?.status, 200, String(failure));
+  }
+});
+
+t.test('a caller that leaves ends both attempts', async (t) => {
+  // Guards against servers that work on for callers that have gone.
+  const { host, reply } = await startSilentStream(t);
+  reply.disconnect();
+  t.ok(host.getSent(0).isCancelled && host.getSent(1).isCancelled);
+  t.equal(host.gateway.callCount, 0);
+});
+
+t.test('a call whose two attempts both fail ends once', async (t) => {
+  // Guards against two answers to one call, and against calls without any.
+  const host = await startDirectHost(t, { route: READ }, ['s-1', 's-2']);
+  const reply = host.call();
+  await host.clock.advance(700);
+  host.getSent(0).sendResponse(500, 'broken');
+  host.getSent(1).fail(BackendFailure.Lost);
+  t.equal(reply.head?.status, 500, 'the answer that a server gave is passed on');
+  t.equal(host.gateway.callCount, 0);
+});
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -6,6 +6,7 @@
 import { ServerPace } from '../places/mod.js';
 import { ServerSpeed } from '../scheduling/server_speed.js';
 import type { NominalSpeed } from '../scheduling/server_speed.js';
+import { ServerSigns } from './server_signs.js';
 import { SlotShare } from './slot_share.js';
 
 /**
@@ -71,8 +72,6 @@
   Declined = 'declined',
   /** The connection failed or broke. */
   Failed = 'failed',
-  /** No data arrived for too long: the server is gone or overloaded. */
-  TimedOut = 'silent',
   /** The caller disconnected, or the deadline passed while the server worked normally. */
   Cancelled = 'cancelled',
 }
@@ -89,6 +88,9 @@
   /** Pace at which this entry host may send to the server. */
   readonly pace = new ServerPace();
 
+  /** Signs that the server gives to this entry host. */
+  readonly signs = new ServerSigns();
+
   #ownInFlight = 0;
 
   #pendingPromptTokens = 0;
@@ -176,16 +178,16 @@
   }
 
   /**
-   * Records that a request ended without a first byte. One that was given up for its silence would
-   * have taken at least as long; one whose time ended says nothing, as its way may have been silent.
+   * Records that a request has been silent for too long: it takes at least as long as it was awaited.
+   * One whose time ends says nothing, as its way may have been silent.
    *
    * @param work - the request
-   * @param outcome - how it ended
-   * @param waitedMs - how long it was awaited, in milliseconds
+   * @param waitedMs - how long its first byte was awaited, in milliseconds; 0 if that has arrived
+   * @param nowMs - monotonic time in milliseconds
    */
-  recordNoFirstByte(work: RequestWork, outcome: ServerOutcome, waitedMs: number): void {
-    this.recordFirstByte(work);
-    if (outcome === ServerOutcome.TimedOut) this.speed.observeAtLeast(work.promptTokens, waitedMs);
+  recordSilence(work: RequestWork, waitedMs: number, nowMs: number): void {
+    if (waitedMs > 0) this.speed.observeAtLeast(work.promptTokens, waitedMs);
+    this.#pause(nowMs);
   }
 
   /**
@@ -206,10 +208,12 @@
       this.#lastAnsweredAtMs = nowMs;
       return;
     }
-    if (outcome !== ServerOutcome.TimedOut) {
-      this.#lastFailedAtMs = nowMs;
-      this.#wasFailureAnswered = outcome === ServerOutcome.ServerError;
-    }
+    this.#lastFailedAtMs = nowMs;
+    this.#wasFailureAnswered = outcome === ServerOutcome.ServerError;
+    this.#pause(nowMs);
+  }
+
+  #pause(nowMs: number): void {
     this.#consecutiveFailures += 1;
     const pauseMs = Math.min(MAX_PAUSE_MS, PAUSE_PER_FAILURE_MS * this.#consecutiveFailures);
     this.#pausedUntilMs = nowMs + pauseMs;
@@ -266,7 +270,7 @@
    */
   #isFailure(outcome: ServerOutcome): boolean {
     if (outcome === ServerOutcome.ServerError) return !this.speed.isPlain;
-    return outcome === ServerOutcome.Failed || outcome === ServerOutcome.TimedOut;
+    return outcome === ServerOutcome.Failed;
   }
 
   /**
