End the run of an answer that its caller does not read

What callers saw: nothing new; what servers saw: a run whose caller had been cut off at 4 MiB went on to its end, held its slot, and the log called it call_answered. Cause: NodeReply broke the answer off as if the call had asked for it, so that the disconnect was not told. Class: an end that one side is not told.

--- a/src/adapters/direct_http/_node_reply.ts
+++ b/src/adapters/direct_http/_node_reply.ts
@@ -81,7 +81,8 @@
     const bufferedBytes = response.writableLength;
     if (bufferedBytes <= MAX_BUFFERED_BYTES || this.#hasEnded) return;
     this.#options.onCallerTooSlow(bufferedBytes);
-    this.abort();
+    this.#breakOff();
+    this.#handleClose();
   }
 
   override end(): void {
@@ -101,8 +102,12 @@
   }
 
   override abort(): void {
-    const { response } = this.#options;
     this.#hasEnded = true;
+    this.#breakOff();
+  }
+
+  #breakOff(): void {
+    const { response } = this.#options;
     // Without a mark, only a reset differs from the end of the answer.
     if (response.headersSent && !this.#isMarked) response.socket?.resetAndDestroy();
     response.destroy();
