Exit from a planned stop only when callers have taken their answers

What callers saw: an answer that its server had given whole ended in the middle when the entry host was stopped: 3,932,330 of 5,242,880 bytes, and of 6,291,456, where the caller began to read 5.2 s after the signal and the stop had a limit of 8 s (trial on a real process, before). Cause: a call counts as ended once its answer is handed to Node; the process exited 50 ms later, with what waited for the caller. Class: an end that is taken as done before the other side has it.

A stop now waits for answers that have ended and are not handed to the system yet, until .86 of its limit, and until .95 where calls were cut; stop_ended tells cutAnswers.

--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -48,6 +48,9 @@
 
   readonly #excludedHeaders: ReadonlySet<string>;
 
+  /** Answers that have not ended, or whose last bytes wait for their callers. */
+  readonly #responses = new Set<ServerResponse>();
+
   /** @param options - the dialect, the limits and the handler */
   constructor(options: DirectListenerOptions) {
     this.#options = options;
@@ -74,6 +77,11 @@
     });
   }
 
+  /** Number of answers that have ended, and whose last bytes wait for their callers. */
+  get unsentCount(): number {
+    return [...this.#responses].filter((response) => response.writableEnded).length;
+  }
+
   /** Closes idle connections. */
   closeIdle(): void {
     this.#server.closeIdleConnections();
@@ -94,6 +102,8 @@
 
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
     const { dialect, mustClose, onCallerTooSlow } = this.#options;
+    this.#responses.add(response);
+    response.on('close', () => this.#responses.delete(response));
     const info = dialect.readCall(message.headers);
     const { requestId } = info;
     const reply = new NodeReply({
--- a/src/application/direct/direct_stop.ts
+++ b/src/application/direct/direct_stop.ts
@@ -15,6 +15,9 @@
 /** Fraction of the time limit after which the calls still in progress are ended. */
 const END_CALLS_FRACTION = 0.86;
 
+/** Fraction of the time limit until which answers that have ended are still sent to slow callers. */
+const SEND_ANSWERS_FRACTION = 0.95;
+
 /** Interval between checks whether all calls have ended, in milliseconds. */
 const POLL_INTERVAL_MS = 50;
 
@@ -32,12 +35,15 @@
   readonly refuseNewCalls: () => void;
   readonly closeIdleConnections: () => void;
   readonly countCalls: () => number;
+  /** @returns answers that have ended, and whose last bytes wait for their callers */
+  readonly countUnsentAnswers: () => number;
   readonly stopAllCalls: () => void;
 }
 
 /**
  * Runs the shutdown: announces it at once, accepts new calls for a short time, then refuses
- * them as not run and waits until the calls in progress have ended or the time limit is near.
+ * them as not run and waits until the calls in progress have ended and their answers are sent, or the
+ * time limit is near.
  *
  * @param options - steps and limits
  * @returns when the process may exit
@@ -51,17 +57,22 @@
   options.refuseNewCalls();
   const endCallsAtMs = startedAtMs + limitMs * END_CALLS_FRACTION;
   const refuseUntilMs = clock.nowMs() + REFUSAL_PERIOD_MS;
-  while (
-    clock.nowMs() < endCallsAtMs &&
-    (options.countCalls() > 0 || clock.nowMs() < refuseUntilMs)
-  ) {
+  const isBusy = (): boolean => options.countCalls() > 0 || options.countUnsentAnswers() > 0;
+  while (clock.nowMs() < endCallsAtMs && (isBusy() || clock.nowMs() < refuseUntilMs)) {
     await wait(clock, POLL_INTERVAL_MS);
   }
   const cutCalls = options.countCalls();
   options.stopAllCalls();
   options.closeIdleConnections();
-  await wait(clock, POLL_INTERVAL_MS);
-  log.write(LogLevel.Info, 'stop_ended', { cutCalls, tookMs: clock.nowMs() - startedAtMs });
+  const sendUntilMs = startedAtMs + limitMs * SEND_ANSWERS_FRACTION;
+  do {
+    await wait(clock, POLL_INTERVAL_MS);
+  } while (options.countUnsentAnswers() > 0 && clock.nowMs() < sendUntilMs);
+  log.write(LogLevel.Info, 'stop_ended', {
+    cutCalls,
+    cutAnswers: options.countUnsentAnswers(),
+    tookMs: clock.nowMs() - startedAtMs,
+  });
 }
 
 function wait(clock: Clock, delayMs: number): Promise<void> {
--- a/src/application/direct/direct_stop_test.ts
+++ b/src/application/direct/direct_stop_test.ts
@@ -6,8 +6,11 @@
 
 const LIMIT_MS = 8_000;
 
-/** Simulates a shutdown with calls in progress that end at the given times. */
-async function simulateStop(endsAtMs: readonly number[]): Promise<{
+/** Simulates a shutdown with calls in progress that end, and a last answer that is sent, at given times. */
+async function simulateStop(
+  endsAtMs: readonly number[],
+  sentAtMs = 0,
+): Promise<{
   readonly steps: string[];
   readonly tookMs: number;
 }> {
@@ -26,6 +29,7 @@
     refuseNewCalls: recordStep('refuse'),
     closeIdleConnections: recordStep('close'),
     stopAllCalls: recordStep('end'),
+    countUnsentAnswers: () => (clock.nowMs() - startMs < sentAtMs ? 1 : 0),
     countCalls: () => endsAtMs.filter((endMs) => clock.nowMs() - startMs < endMs).length,
   }).then(() => {
     tookMs = clock.nowMs() - startMs;
@@ -49,6 +53,17 @@
   t.ok(long.tookMs < LIMIT_MS);
 });
 
+t.test('runDirectStop() waits until the last answers are sent, up to its limit', async (t) => {
+  // Guards against answers that are whole here, and broken off as their callers read slowly.
+  const inTime = await simulateStop([], 6_000);
+  t.match(inTime.steps.at(-1), /close 60\d\d/);
+  const late = await simulateStop([60_000], 7_200);
+  t.match(late.steps.at(-2), /end 69\d\d/);
+  t.ok(late.tookMs >= 7_200 && late.tookMs < 7_300);
+  const never = await simulateStop([], 60_000);
+  t.ok(never.tookMs < LIMIT_MS);
+});
+
 t.test(
   'runDirectStop() cuts off no call that ends well before the limit, and is always in time',
   async () => {
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -107,13 +107,13 @@
   constructor(adapters: DirectEntryAdapters) {
     this.#adapters = adapters;
     const { settings } = adapters;
-    const shared = { clock: this.clock, log: this.log, metrics: this.metrics };
+    const { clock, log, metrics } = this;
+    const shared = { clock, log, metrics, random: this.#random };
     this.#self = buildDirectIdentity(settings, this.#random);
     this.#peers = createDirectPeers({
       ...shared,
       self: this.#self,
       settings,
-      random: this.#random,
     });
     this.#storeView = createDirectStoreView({
       ...shared,
@@ -134,7 +134,6 @@
     });
     this.#hostPaths = createHostPaths({
       ...shared,
-      random: this.#random,
       settings,
       dialect: adapters.dialect,
       peers: this.#peers,
@@ -146,7 +145,6 @@
       ...shared,
       peers: this.#peers,
       probe: this.#hostPaths.probe,
-      random: this.#random,
       paths: new DirectCrashPaths(this.#reports, this.#storeView.servers),
     });
     this.#streams = createStreamServices({
@@ -160,7 +158,6 @@
     this.#gateway = createDirectGateway({
       ...shared,
       settings,
-      random: this.#random,
       backend: this.#hostPaths.client,
       peers: this.#peers,
       reports: this.#reports,
@@ -246,6 +243,7 @@
       refuseNewCalls: () => this.#gateway.refuseNewCalls(),
       closeIdleConnections: () => this.#listener.closeIdle(),
       countCalls: () => this.#gateway.callCount + this.#hostPaths.server.exchangeCount,
+      countUnsentAnswers: () => this.#listener.unsentCount,
       stopAllCalls: () => this.#gateway.stopAllCalls(),
     });
   }
