Close kept connections by the limits in force, and never inside a head

What callers saw: a kept connection that ended without an answer to a request of which half had arrived, where the idle time is short (0.02 s in the test, closed at 1.02 s) and the header timeout is not over; and one that ended by the former idle time after a configuration had made it longer. Cause: Node sets its timer by the limit that was applied when a connection opened last, and closes on it without a look at what has arrived since. Class: what is at hand is given up by what held before.

IdleConnections decides when Node's timer fires: half a head gets the header timeout, other connections stay until the idle time that is in force now; limits are applied with each request too. Bodies in two parts and answers that take longer than the idle time were served before as well; tests hold that.

Header timeouts are checked by Node each 30 s, and were not played.

--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -9,6 +9,7 @@
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { CallerLimits } from '../../domain/routing/mod.js';
 import type { DirectReply, DirectRequest } from '../../ports/mod.js';
+import { IdleConnections } from './_idle_connections.js';
 import { NodeReply } from './_node_reply.js';
 import { pickRawHeaders } from './_raw_headers.js';
 import type { DirectDialect } from './direct_dialect.js';
@@ -46,6 +47,8 @@
 
   readonly #server: Server;
 
+  readonly #idleConnections: IdleConnections;
+
   readonly #excludedHeaders: ReadonlySet<string>;
 
   /** Answers that have not ended, or whose last bytes wait for their callers. */
@@ -57,7 +60,9 @@
     this.#excludedHeaders = new Set([...TERMINATED_HEADERS, ...options.dialect.reservedHeaders]);
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 });
     this.#server.on('request', (message, response) => this.#handleRequest(message, response));
+    this.#idleConnections = new IdleConnections(options.getLimits);
     this.#server.on('connection', () => this.#applyLimits());
+    this.#server.on('timeout', (socket) => this.#idleConnections.handleTimeout(socket));
   }
 
   /**
@@ -93,7 +98,7 @@
     this.#server.closeAllConnections();
   }
 
-  /** Applies the current timeouts, which may change; Node reads them for each connection. */
+  /** Applies the current timeouts, which may change; Node reads them for each connection and answer. */
   #applyLimits(): void {
     const limits = this.#options.getLimits();
     this.#server.headersTimeout = limits.headerTimeoutMs;
@@ -102,7 +107,9 @@
 
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
     const { dialect, mustClose, onCallerTooSlow } = this.#options;
+    this.#applyLimits();
     this.#responses.add(response);
+    response.on('finish', () => this.#idleConnections.recordQuiet(message.socket));
     response.on('close', () => this.#responses.delete(response));
     const info = dialect.readCall(message.headers);
     const { requestId } = info;
--- a/src/adapters/direct_http/direct_listener_test.ts
+++ b/src/adapters/direct_http/direct_listener_test.ts
@@ -20,20 +20,24 @@
 /** More than the buffers of two sockets hold. */
 const LONG_BODY = Buffer.alloc(16_777_216);
 
+/** Shortest idle time; what it leaves open is closed a second later. */
+const SHORT_IDLE = { ...LIMITS, idleTimeoutMs: 20 };
+
 /** A listener and one connection of a caller. */
 interface Connection {
   readonly listener: DirectListener;
+  readonly port: number;
   readonly socket: Socket;
 }
 
 async function openConnection(
   t: Test,
   handle: (reply: DirectReply) => void,
-  limits = LIMITS,
+  getLimits = () => LIMITS,
 ): Promise<Connection> {
   const listener = new DirectListener({
     dialect: new TestDialect(),
-    getLimits: () => limits,
+    getLimits,
     mustClose: () => false,
     handle: (_request, reply) => handle(reply),
     onCallerTooSlow: () => undefined,
@@ -46,7 +50,24 @@
     listener.stop();
   });
   await once(socket, 'connect');
-  return { listener, socket };
+  return { listener, port, socket };
+}
+
+/** Waits until the listener closes another connection that has been idle since its answer. */
+async function passIdleTime(port: number): Promise<void> {
+  const socket = connect({ port, host: '127.0.0.1' });
+  socket.write(REQUEST);
+  socket.resume();
+  await once(socket, 'close');
+}
+
+/** @returns whether bytes arrive before the connection ends */
+async function isAnswered(socket: Socket): Promise<boolean> {
+  if (socket.destroyed) return false;
+  return Promise.race([
+    once(socket, 'data').then(() => true),
+    once(socket, 'close').then(() => false),
+  ]);
 }
 
 function sendAnswer(reply: DirectReply, body = Buffer.from('ok')): void {
@@ -71,3 +92,61 @@
   while (listener.unsentCount > 0) await setImmediate();
   t.pass('none once it is read');
 });
+
+t.test(
+  'a request on a kept connection may take its time, however short idle ones last',
+  async (t) => {
+    // Guards against connections that are closed as idle while a request or its answer is under way.
+    const parts = {
+      head: ['GET /a HTTP/1.1\r\nHost: a\r\n', 'X-Id: r-2\r\n\r\n'],
+      body: ['POST /a HTTP/1.1\r\nHost: a\r\nX-Id: r-2\r\nContent-Length: 4\r\n\r\nab', 'cd'],
+      'first line': ['GET /a HT', 'TP/1.1\r\nHost: a\r\nX-Id: r-2\r\n\r\n'],
+    };
+    await Promise.all(
+      Object.entries(parts).map(async ([name, [first = '', second = '']]) => {
+        const { socket, port } = await openConnection(t, sendAnswer, () => SHORT_IDLE);
+        socket.write(REQUEST);
+        t.ok(await isAnswered(socket), `${name}: the first request is answered`);
+        socket.write(first);
+        await passIdleTime(port);
+        socket.write(second);
+        t.ok(await isAnswered(socket), `${name}: the second one is answered`);
+      }),
+    );
+  },
+);
+
+t.test('an answer may take longer than the idle time', async (t) => {
+  // Guards against connections that are closed as idle while their caller waits.
+  const other = await openConnection(t, sendAnswer, () => SHORT_IDLE);
+  const handle = (reply: DirectReply): void => {
+    passIdleTime(other.port).then(() => sendAnswer(reply), t.threw);
+  };
+  const { socket } = await openConnection(t, handle, () => SHORT_IDLE);
+  socket.write(REQUEST);
+  t.ok(await isAnswered(socket));
+});
+
+t.test('a longer idle time holds for connections that are open', async (t) => {
+  // Guards against a new configuration whose callers find their connections closed too soon.
+  let limits = SHORT_IDLE;
+  const other = await openConnection(t, sendAnswer, () => SHORT_IDLE);
+  const { socket } = await openConnection(t, sendAnswer, () => limits);
+  socket.write(REQUEST);
+  t.ok(await isAnswered(socket), 'the first request is answered');
+  limits = LIMITS;
+  await passIdleTime(other.port);
+  socket.write(REQUEST);
+  t.ok(await isAnswered(socket), 'the second one is answered');
+});
+
+t.test('an idle connection is closed after its time, also one with half a head', async (t) => {
+  // Guards against connections that nobody uses and that are kept for good.
+  const limits = { ...SHORT_IDLE, headerTimeoutMs: 20 };
+  const { socket } = await openConnection(t, sendAnswer, () => limits);
+  socket.write(REQUEST);
+  t.ok(await isAnswered(socket));
+  socket.write('GET /a HT');
+  await once(socket, 'close');
+  t.pass('closed');
+});
