Send calls to servers that have started since no host reached any

Thirty reads at once that share a part which ends servers take down nearly all servers. Callers of sound requests went on hearing 503 after the servers were back, up to half a second at each entry host: "queue_full" after 0 ms, four attempts of which each failed with "no host could connect a moment ago".

Cause: a host that reaches no server, and whose peers reach none either, refused requests to any server at once until its next try of its own links. That verdict was kept for all servers, also for those whose entry came after it. Class: a verdict on a set that is applied to what joins it later.

Evidence: logs of each host in a play over fakes. All servers are down from 0.97 s, hosts write no_peer_reaches_servers at 1.1 s, ten servers are registered at 3.06 s (backend_server_ready), and calls are refused as above until server_search_ended, 3.16 to 3.55 s. Nothing sound was on probation or held at that time.

The verdict now holds for the servers that were there when peers were asked. A request to one that has started since has the own links tried at once, that server first, and is sent when it answers. Each such server brings one try of its own; the others come each half a second, as before.

The fakes: hosts of a crash fleet may share reports and send notes along their links, as in the product; parts of a prompt are known to servers however the request comes, since a request that went through a peer named none, and was answered by a server that its part should have ended.

--- a/src/application/paths/_loss_watch.ts
+++ b/src/application/paths/_loss_watch.ts
@@ -14,7 +14,7 @@
 /** Interval at which the own links are tried again, in milliseconds. */
 const RETRY_INTERVAL_MS = 500;
 
-/** Shortest time between two tries where a loss is new, in milliseconds. */
+/** Shortest time between two tries where a loss or a server is new, in milliseconds. */
 const MIN_INTERVAL_MS = 100;
 
 /** Time in which working own links show before any peer is asked, in milliseconds. */
@@ -53,6 +53,9 @@
 
   #searchCount = 0;
 
+  /** Servers that were there when the own links were last tried. */
+  #triedIds: ReadonlySet<string> = new Set();
+
   /** @param options - dependencies and callbacks */
   constructor(options: LossWatchOptions) {
     this.#options = options;
@@ -62,7 +65,8 @@
   start(): void {
     const ageMs = this.#options.clock.nowMs() - this.#startedAtMs;
     const isNewLoss = !this.#options.paths.isLossConfirmed && ageMs >= MIN_INTERVAL_MS;
-    if (this.#isProbing || (this.#timer && !isNewLoss)) return;
+    const mustProbe = isNewLoss || (ageMs >= MIN_INTERVAL_MS && this.#hasNewServer());
+    if (this.#isProbing || (this.#timer && !mustProbe)) return;
     this.#timer?.cancel();
     this.#runRound();
   }
@@ -73,11 +77,22 @@
     this.#timer?.cancel();
   }
 
+  /** Whether a server has started since the last try, while no host was found to reach any. */
+  #hasNewServer(): boolean {
+    const { paths } = this.#options;
+    return paths.isNoneReachable && this.#listServerIds().some((id) => !this.#triedIds.has(id));
+  }
+
+  #listServerIds(): string[] {
+    return this.#options.listServers().map(({ incarnationId }) => incarnationId);
+  }
+
   async #runRound(): Promise<void> {
     const { clock, paths, ownReach, proxies, onChange } = this.#options;
     this.#timer = undefined;
     this.#isProbing = true;
     this.#startedAtMs = clock.nowMs();
+    this.#triedIds = new Set(this.#listServerIds());
     if (!paths.isCutOff || !proxies.hasPeers) this.#search();
     await ownReach.probe();
     this.#isProbing = false;
@@ -90,13 +105,15 @@
     const { clock, paths, onChange } = this.#options;
     if (this.#isSearching) return;
     this.#isSearching = true;
+    const ids = this.#listServerIds();
     const deadlineAtMs = clock.nowMs() + SEARCH_MS;
     await waitFor(clock, HEAD_START_MS);
     let hasReachingPeer = false;
     while (paths.reachesNothing && !hasReachingPeer && this.#mayAskUntil(deadlineAtMs)) {
       hasReachingPeer = await this.#askOnce();
     }
-    if (paths.reachesNothing) paths.recordPeers(hasReachingPeer);
+    if (hasReachingPeer && paths.reachesNothing) paths.recordReachingPeer();
+    else if (paths.reachesNothing) paths.recordNoReachingPeer(ids);
     onChange();
     this.#isSearching = false;
   }
--- a/src/application/paths/own_reach.ts
+++ b/src/application/paths/own_reach.ts
@@ -41,8 +41,8 @@
 
 /**
  * Opens connections to a few servers, those first that were reached last: where most servers have
- * crashed, these are the likeliest to live. Data on connections that were open before proves
- * nothing about new ones.
+ * crashed, these are the likeliest to live. Where none could be reached, those that have started
+ * since go first. Data on connections that were open before proves nothing about new ones.
  */
 export class OwnReach {
   readonly #options: OwnReachOptions;
@@ -158,7 +158,11 @@
     const servers = listServers().filter(({ address }) => address !== exceptAddress);
     const reachedAt = ({ incarnationId }: ServerAddress): number =>
       paths.findReachedAt(incarnationId) ?? Number.NEGATIVE_INFINITY;
-    const byReach = [...servers].sort((a, b) => reachedAt(b) - reachedAt(a));
+    const isNew = ({ incarnationId }: ServerAddress): boolean =>
+      paths.isNewSinceLoss(incarnationId);
+    const byReach = [...servers].sort(
+      (a, b) => Number(isNew(b)) - Number(isNew(a)) || reachedAt(b) - reachedAt(a),
+    );
     const latest = byReach.slice(0, PROBED_SERVERS - 1);
     const rest = servers.filter((server) => !latest.includes(server));
     this.#nextIndex = (this.#nextIndex + 1) % Math.max(1, rest.length);
--- a/src/application/paths/path_checks.ts
+++ b/src/application/paths/path_checks.ts
@@ -188,7 +188,7 @@
       const isConfirmed = result.verdict === PathVerdict.Unreachable;
       paths.recordUnreachable(incarnationId, clock.nowMs(), isConfirmed);
     }
-    if (result.hasReachingPeer) paths.recordPeers(true);
+    if (result.hasReachingPeer) paths.recordReachingPeer();
     if (paths.mayHaveLostAll(clock.nowMs())) this.watch();
     this.#publishChanges();
   }
--- a/src/domain/paths/server_paths.ts
+++ b/src/domain/paths/server_paths.ts
@@ -31,7 +31,7 @@
  * | fail to two, none was reached since  | any                    | requests wait while more are probed |
  * | so do those to the last ones reached | not known yet          | requests wait for what peers find   |
  * | the same                             | yes                    | all paths are cut                   |
- * | the same                             | none of those asked    | no host reaches any server          |
+ * | the same                             | none of those asked    | no host reaches any of these servers |
  *
  * Data from any server, or a new connection to one, undoes all but the first row.
  */
@@ -51,8 +51,8 @@
   /** Whether a peer was found since then that reaches a server. */
   #hasReachingPeer = false;
 
-  /** Whether all peers that could be asked since then reach no server either. */
-  #isNoneReachable = false;
+  /** Servers that were there when all peers that could be asked reached none; undefined: some do. */
+  #noneReachableIds: ReadonlySet<string> | undefined;
 
   /** Whether several servers were probed since then, and none could be connected to. */
   #isLossConfirmed = false;
@@ -93,7 +93,7 @@
 
   /** Whether neither this host nor any peer that could be asked reaches a server. */
   get isNoneReachable(): boolean {
-    return this.#isLossConfirmed && this.#isNoneReachable;
+    return this.#isLossConfirmed && this.#noneReachableIds !== undefined;
   }
 
   /** @param id - a server. @returns when it was last reached directly */
@@ -114,7 +114,7 @@
     this.#lastReachedAtMs = nowMs;
     this.#lostSinceReached.clear();
     this.#hasReachingPeer = false;
-    this.#isNoneReachable = false;
+    this.#noneReachableIds = undefined;
     this.#isLossConfirmed = false;
   }
 
@@ -151,10 +151,28 @@
     this.#isLossConfirmed = true;
   }
 
-  /** @param hasReachingPeer - whether any of the peers that could be asked reaches a server */
-  recordPeers(hasReachingPeer: boolean): void {
-    this.#hasReachingPeer = hasReachingPeer;
-    this.#isNoneReachable = !hasReachingPeer;
+  /** Records that a peer reaches a server. */
+  recordReachingPeer(): void {
+    this.#hasReachingPeer = true;
+    this.#noneReachableIds = undefined;
+  }
+
+  /**
+   * Records that none of the peers that could be asked reaches a server.
+   *
+   * @param ids - servers that were there; those that start later may be reached
+   */
+  recordNoReachingPeer(ids: readonly string[]): void {
+    this.#hasReachingPeer = false;
+    this.#noneReachableIds = new Set(ids);
+  }
+
+  /**
+   * @param id - a server
+   * @returns whether it has started since no host was found to reach any server
+   */
+  isNewSinceLoss(id: string): boolean {
+    return this.isNoneReachable && this.#noneReachableIds?.has(id) === false;
   }
 
   /**
@@ -178,7 +196,7 @@
    */
   recordCut(id: string, nowMs: number): void {
     this.#lostSinceReached.add(id);
-    this.recordPeers(true);
+    this.recordReachingPeer();
     this.#unreachableUntilMs.delete(id);
     this.#cuts.add(id, nowMs);
   }
@@ -203,9 +221,8 @@
    * @returns whether nobody could connect to the server a moment ago
    */
   isUnreachable(id: string, nowMs: number): boolean {
-    return (
-      this.isNoneReachable || nowMs < (this.#unreachableUntilMs.get(id) ?? Number.NEGATIVE_INFINITY)
-    );
+    if (this.isNoneReachable && !this.isNewSinceLoss(id)) return true;
+    return nowMs < (this.#unreachableUntilMs.get(id) ?? Number.NEGATIVE_INFINITY);
   }
 
   /** @param id - a server. @returns whether requests to it must go through a peer */
--- a/src/domain/paths/server_paths_test.ts
+++ b/src/domain/paths/server_paths_test.ts
@@ -57,14 +57,29 @@
   ['s-1', 's-2'].forEach((id) => paths.recordLost(id, 0));
   t.ok(paths.mayHaveLostAll(0) && !paths.isCutOff && !paths.isNoneReachable);
   paths.confirmLoss();
-  paths.recordPeers(false);
+  paths.recordNoReachingPeer(['s-1', 's-2', 's-3']);
   t.ok(paths.isNoneReachable && paths.isUnreachable('s-3', 0) && !paths.isCutOff);
-  paths.recordPeers(true);
+  paths.recordReachingPeer();
   t.ok(paths.isCutOff && !paths.isNoneReachable);
   paths.recordConnected('s-3', 10);
   t.notOk(paths.isCutOff || paths.isLossConfirmed || paths.mayHaveLostAll(500));
 });
 
+t.test('a server that starts while no host reaches any may be reached', async (t) => {
+  // Guards against calls that are refused although new servers have taken the place of dead ones.
+  const paths = new ServerPaths();
+  ['s-1', 's-2'].forEach((id) => paths.recordLost(id, 0));
+  paths.confirmLoss();
+  t.notOk(paths.isNewSinceLoss('s-3'), 'nothing is known of other hosts yet');
+  paths.recordNoReachingPeer(['s-1', 's-2']);
+  t.ok(paths.isNewSinceLoss('s-3') && !paths.isUnreachable('s-3', 100));
+  t.ok(!paths.isNewSinceLoss('s-1') && paths.isUnreachable('s-1', 100));
+  paths.recordNoReachingPeer(['s-1', 's-2', 's-3']);
+  t.ok(paths.isUnreachable('s-3', 200), 'it was there when no host reached any once more');
+  paths.recordConnected('s-3', 300);
+  t.notOk(paths.isNewSinceLoss('s-4') || paths.isUnreachable('s-4', 300));
+});
+
 t.test('a host that hears a server now and then has not lost all links', async (t) => {
   // Guards against calls that wait where several servers have crashed and others answer.
   const paths = new ServerPaths();
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -24,6 +24,12 @@
 const RESTART_DELAY_MS = 4_000;
 const ENTRY_REMOVAL_DELAY_MS = 1_500;
 
+/** Where hosts that exchange reports find each other. */
+const SEED_URLS = [1, 2, 3].map((number) => `ws://h-${number}.test`);
+
+/** Time until hosts that exchange reports know each other, in milliseconds. */
+const DISCOVERY_MS = 2_500;
+
 /** Options of a {@link CrashFleet}. */
 export interface CrashFleetOptions extends DocumentChanges {
   readonly hosts: number;
@@ -46,6 +52,13 @@
   readonly restartDelayMs?: number;
   /** Whether a crashing request on a stream first brings its head and an event. Default: false. */
   readonly beginsBeforeCrash?: boolean;
+  /**
+   * Whether hosts exchange reports, so that they share slots, and send crash notes along the links
+   * of the reports: through relays in a fleet of more than twelve. Default: all send to all.
+   */
+  readonly sharesReports?: boolean;
+  /** Time for which messages between hosts are on their way, in milliseconds. Default: 0. */
+  readonly messageDelayMs?: number;
   /** Seed for the choice of responses with an error or without a length. */
   readonly seed?: number;
 }
@@ -63,7 +76,7 @@
 export class CrashFleet {
   readonly clock = new VirtualClock();
 
-  readonly hub = new FakePeerHub();
+  readonly hub: FakePeerHub;
 
   /** Reachability of each server by address. */
   readonly #reachability = new Map<string, Reachability>();
@@ -83,15 +96,21 @@
   /** ID of the server that runs each request. */
   readonly #running = new Map<FakeExchange, string>();
 
+  /** Parts of each body's prompt that other requests may share. Requests through peers name none. */
+  readonly #sharedParts = new Map<string, readonly string[]>();
+
   #incarnationCount = 0;
 
-  readonly #startedAtMs = this.clock.nowMs();
+  #startedAtMs = Infinity;
 
   readonly #random: SeededRandom;
 
   constructor(t: Test, options: CrashFleetOptions) {
     this.#options = options;
     this.#random = new SeededRandom(options.seed);
+    this.hub = new FakePeerHub(options.sharesReports);
+    const { messageDelayMs = 0 } = options;
+    if (messageDelayMs > 0) this.hub.delay = { clock: this.clock, pickMs: () => messageDelayMs };
     for (let index = 1; index <= options.hosts; index += 1) this.addHost(t, index);
     t.teardown(() => this.hosts.forEach((host) => host.stop()));
   }
@@ -101,7 +120,8 @@
     const { clock, hub } = this;
     const probe = new FakeProbe(this.#reachability);
     const identity = buildIdentity(`h-${index}`);
-    const host = new DirectHost({ clock, hub, probe, identity });
+    const seeds = this.#options.sharesReports ? SEED_URLS : undefined;
+    const host = new DirectHost({ clock, hub, probe, identity, ...(seeds ? { seeds } : {}) });
     this.hosts.push(host);
     host.backend.onSend = (exchange) => this.#serve(exchange);
     host.feed.put('configuration', buildDocument(1, this.#options));
@@ -114,11 +134,20 @@
 
   async start(): Promise<void> {
     for (let index = 1; index <= this.#options.servers; index += 1) this.#startServer(`s-${index}`);
-    await settle();
+    if (this.#options.sharesReports) await this.clock.advance(DISCOVERY_MS);
+    else await settle();
+    this.#startedAtMs = this.clock.nowMs();
+  }
+
+  /** Number of servers that are up. */
+  get upCount(): number {
+    return [...this.#incarnations.values()].filter((id) => id !== undefined).length;
   }
 
   /** Sends a call to one entry host. */
   call(hostIndex: number, body: string, changes: Partial<DirectRequest> = {}): FakeReply {
+    const shared = (changes.prompt?.parts ?? []).slice(0, -1).map(({ id }) => id);
+    if (shared.length > 0) this.#sharedParts.set(body, shared);
     const host = this.hosts[hostIndex % this.hosts.length] as DirectHost;
     return host.call({ body: Buffer.from(body), ...changes });
   }
@@ -207,7 +236,7 @@
       return;
     }
     const body = request.body.toString();
-    const parts = (request.prompt?.parts ?? []).slice(0, -1).map(({ id }) => id);
+    const parts = this.#sharedParts.get(body) ?? [];
     this.arrivals.push({ atMs: this.clock.nowMs(), body, parts, incarnationId });
     this.#running.set(exchange, serverId);
     if (this.#random.nextFraction() < (this.#options.errorFraction ?? 0)) {
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -22,11 +22,13 @@
 } from '../../src/application/direct/mod.js';
 import { HostPaths } from '../../src/application/paths/mod.js';
 import { CrashQuarantine } from '../../src/application/crashes/mod.js';
+import type { CrashPaths } from '../../src/application/crashes/mod.js';
 import type { DirectHostOptions } from './direct_host_options.js';
 import { IncarnationCrashPaths } from './incarnation_crash_paths.js';
+import { ReportCrashPaths } from './report_crash_paths.js';
 import { ServerPaths } from '../../src/domain/paths/mod.js';
 import type { HostState } from '../../src/domain/overlay/mod.js';
-import type { DirectRequest } from '../../src/ports/mod.js';
+import type { DirectRequest, RandomSource } from '../../src/ports/mod.js';
 import { buildDocument, buildServer, TEST_LAYOUT } from './direct_documents.js';
 import type { DocumentChanges } from './direct_documents.js';
 import { FakeBackend, FakeProbe, FakeReply } from './direct_ends.js';
@@ -141,13 +143,7 @@
       ...shared,
       probe: this.hostPaths.probe,
       peers: this.peers,
-      paths: new IncarnationCrashPaths({
-        peers: this.peers,
-        random,
-        selfId: identity.id,
-        findAddress: (id) =>
-          this.servers.isUsable(id) ? this.servers.findEntry(id)?.address : undefined,
-      }),
+      paths: this.#createCrashPaths(options.seeds !== undefined, random),
     });
     this.streams = createStreamServices({
       ...shared,
@@ -214,6 +210,17 @@
     this.reports?.stop();
   }
 
+  #createCrashPaths(hasReports: boolean, random: RandomSource): CrashPaths {
+    const { peers, servers } = this;
+    if (hasReports) return new ReportCrashPaths(() => this.reports as HostReports, servers);
+    return new IncarnationCrashPaths({
+      peers,
+      random,
+      selfId: peers.identity.id,
+      findAddress: (id) => (servers.isUsable(id) ? servers.findEntry(id)?.address : undefined),
+    });
+  }
+
   #createReports(seeds: readonly string[]): HostReports {
     const { clock, log, peers, servers, routing, gateway, spending } = this;
     return new HostReports({
--- a/test/support/part_storm.ts
+++ b/test/support/part_storm.ts
@@ -17,6 +17,12 @@
 /** Number of crashes under a part after which few requests with it may reach servers. */
 const CRASHES_TO_HOLD = 5;
 
+/** Time after those crashes in which requests that were under way then may still crash servers. */
+const REPEAT_MS = 2_000;
+
+/** Time in which servers that have returned should serve as before, in milliseconds. */
+const RETURN_MS = 2_000;
+
 const STEP_MS = 25;
 
 const MS_PER_SECOND = 1_000;
@@ -32,8 +38,10 @@
   readonly calmMs?: number;
   /** Time in which crashing requests come, in milliseconds. Default: 12,000. */
   readonly stormMs?: number;
-  /** Crashing requests that come at once at the beginning. Default: 0. */
+  /** Crashing requests that come at once. Default: 0. */
   readonly burst?: number;
+  /** When these come, in milliseconds after the first crashing request. Default: 0. */
+  readonly burstAtMs?: number;
   /** Builds the shared parts of a crashing request. Default: a first part and the crashing one. */
   readonly pickCrashing?: (random: SeededRandom, elapsedMs: number) => readonly string[];
   /** Builds the shared parts of a sound request. Default: the same first part and one of ten. */
@@ -54,6 +62,11 @@
   readonly late: number;
   /** Fraction of the sound requests that were served once each part had crashed five servers. */
   readonly soundServed: number;
+  /**
+   * Fraction of the sound requests that were served in the two seconds from when half of the servers
+   * were up again; at the earliest, two seconds after the fifth crash of each part.
+   */
+  readonly servedOnReturn: number;
   /** Number of sound requests that were refused as ones that crash servers. */
   readonly soundHeld: number;
   /** Refusals as not run of requests that ran. */
@@ -64,6 +77,8 @@
   readonly atMs: number;
   readonly body: string;
   readonly reply: FakeReply;
+  /** Number of servers that were up. */
+  readonly upCount: number;
 }
 
 /** The shared parts that all prompts begin with by default. */
@@ -83,13 +98,13 @@
   options: PartStormOptions,
 ): Promise<PartStormResult> {
   const { seed, crashingPerSecond = 8, soundPerSecond = 40, calmMs = 2_000 } = options;
-  const { stormMs = 12_000, burst = 0, strayCrashes = 0 } = options;
+  const { stormMs = 12_000, burst = 0, burstAtMs = 0, strayCrashes = 0, servers = 14 } = options;
   const { pickCrashing = () => [FIRST_PART, 'ends-1'], pickSound = pickDefaultSound } = options;
   const { soundKeys = ['key-a'] } = options;
   const random = new SeededRandom(seed);
   const fleet = new CrashFleet(t, {
     hosts: 6,
-    servers: 14,
+    servers,
     restartDelayMs: 3_000,
     accounts: ['firm-b', 'firm-c'],
     ...options,
@@ -103,8 +118,10 @@
       parts: [...parts, `own-${all.length}`].map((id) => ({ id, tokens: 100 })),
     };
     const host = Math.floor(random.nextFraction() * fleet.hosts.length);
-    const reply = fleet.call(host, body, { prompt, ...changes });
-    const request = { atMs: fleet.clock.nowMs(), body, reply };
+    const { upCount } = fleet;
+    const requestId = `call-${all.length}`;
+    const reply = fleet.call(host, body, { requestId, prompt, ...changes });
+    const request = { atMs: fleet.clock.nowMs(), body, reply, upCount };
     all.push(request);
     if (body.startsWith('sound')) sound.push(request);
   };
@@ -123,7 +140,7 @@
       send(`sound ${all.length}`, pickSound(random), { key });
     });
     if (stormElapsedMs >= 0) sendMany(crashingPerSecond, sendCrashing);
-    if (stormElapsedMs === 0) for (let left = burst; left > 0; left -= 1) sendCrashing();
+    if (stormElapsedMs === burstAtMs) for (let left = burst; left > 0; left -= 1) sendCrashing();
     if (strayCrashes > 0 && elapsedMs % 2_000 === 0) {
       const ids = Array.from({ length: strayCrashes }, () => pickServer(random, options));
       fleet.crashServers(ids);
@@ -139,12 +156,19 @@
   });
   const isSettled = ({ atMs }: SentRequest): boolean =>
     atMs >= stormAtMs && parts.every((part) => !isUnsettled(fleet, part, atMs));
+  const fifthCrashesAtMs = parts.map((part) => fleet.findCrashMs(part, CRASHES_TO_HOLD));
+  const isReturned = ({ atMs, upCount }: SentRequest): boolean =>
+    upCount >= servers / 2 && atMs >= Math.max(...fifthCrashesAtMs) + REPEAT_MS;
+  const returnedAtMs = sound.find(isReturned)?.atMs ?? Infinity;
+  const isSentOnReturn = ({ atMs }: SentRequest): boolean =>
+    atMs >= returnedAtMs && atMs < returnedAtMs + RETURN_MS;
   const lateSound = sound.filter(isSettled);
   const ran = new Set(fleet.arrivals.map(({ body }) => body));
   return {
     crashes: Object.fromEntries(parts.map((part) => [part, countCrashes(fleet, part)])),
     late: Math.max(0, ...counts.map(({ late }) => late)),
     soundServed: computeServed(lateSound),
+    servedOnReturn: computeServed(sound.filter(isSentOnReturn)),
     soundHeld: sound.filter(({ reply }) => reply.error?.kind === ErrorKind.RequestHeld).length,
     untrueRefusals: all.filter(
       ({ body, reply }) => reply.error?.run === RunOutcome.NotRun && ran.has(body),
