Offer a silent attempt to a few servers only

A silent stream whose other server declined it was offered to the next one each tenth of a second, as a declined offer counts as none of the route's attempts; each takes a retry from the budget of the service. silent_attempts_test: eight servers got the stream within six seconds before, four now, the bound that calls have whose attempts were not run.

--- a/src/application/direct/_silence_policy.ts
+++ b/src/application/direct/_silence_policy.ts
@@ -89,7 +89,8 @@
     const { attempts, reply, findDispatchRefusal, queue, call, services } = this.#options;
     if (permit.kind === PermitKind.Trial) return KeepReason.Trial;
     const canContinue = !reply.hasStarted || attempt.stream?.lastEventId !== undefined;
-    if (!attempts.mayRunAgain() || !canContinue) return KeepReason.NoAttempt;
+    const mayRunAgain = attempts.mayRunAgain() && attempts.maySendAgain();
+    if (!mayRunAgain || !canContinue) return KeepReason.NoAttempt;
     if (findDispatchRefusal()) return KeepReason.NotAllowed;
     const quiet = this.#listQuiet();
     if (quiet === undefined) return KeepReason.AllSilent;
--- a/src/application/direct/silent_attempts_test.ts
+++ b/src/application/direct/silent_attempts_test.ts
@@ -73,6 +73,20 @@
   t.same(listEventIds(reply), ['1', '2', '3', '4']);
 });
 
+t.test('a silent stream is offered to a few servers only', async (t) => {
+  // Guards against a silent stream whose offers use the retry budget of its service up.
+  const servers = ['s-1', 's-2', 's-3', 's-4', 's-5', 's-6', 's-7', 's-8'];
+  const host = await startDirectHost(t, { route: STREAM }, servers);
+  host.backend.onSend = (exchange) => {
+    if (host.backend.sent.length > 1)
+      host.clock.setTimer(1, () => exchange.fail(BackendFailure.Declined));
+  };
+  host.call(REQUEST);
+  await host.clock.advance(6_000);
+  t.equal(host.backend.sent.length, 4);
+  t.notOk(host.getSent(0).isCancelled);
+});
+
 t.test('a silent server that goes on keeps its stream', async (t) => {
   // Guards against events that come twice, from a silent server and from the one asked beside it.
   const { host, reply } = await startSilentStream(t);
