Ask the retry budget again for a silent attempt

Cause: the answer of the budget was taken for good within one call. It is asked again each half a second now, so that refusals stay few in the log. silent_attempts_test: red before (the frozen attempt stays), passes now.

--- a/src/application/direct/_silence_policy.ts
+++ b/src/application/direct/_silence_policy.ts
@@ -19,6 +19,9 @@
 import type { DirectServices } from './direct_services.js';
 import type { QueuedCall } from './service_queue_options.js';
 
+/** Time after a refusal of the retry budget in which it is not asked again, in milliseconds. */
+const BUDGET_INTERVAL_MS = 500;
+
 /** Why a silent attempt is kept. */
 export enum KeepReason {
   /** It is a trial, whose result is worth more than a server that may be faster. */
@@ -65,6 +68,9 @@
 
   readonly #recorded = new Set<KeepReason>();
 
+  /** When the retry budget refused the call last, on the monotonic clock in milliseconds. */
+  #refusedAtMs = Number.NEGATIVE_INFINITY;
+
   /** @param options - the call and what its next attempt depends on */
   constructor(options: SilencePolicyOptions) {
     this.#options = options;
@@ -129,9 +135,14 @@
     return undefined;
   }
 
-  /** The budget is asked once: each refusal is logged, and it seldom changes within one call. */
+  /** Each refusal is logged, so that the budget is asked again only now and then. */
   #takeRetry(): boolean {
-    return !this.#recorded.has(KeepReason.NoBudget) && this.#options.retries.take();
+    const { services, retries } = this.#options;
+    const nowMs = services.clock.nowMs();
+    if (nowMs - this.#refusedAtMs < BUDGET_INTERVAL_MS) return false;
+    if (retries.take()) return true;
+    this.#refusedAtMs = nowMs;
+    return false;
   }
 }
 
--- a/src/application/direct/silent_attempts_test.ts
+++ b/src/application/direct/silent_attempts_test.ts
@@ -40,6 +40,15 @@
   return { host, reply };
 }
 
+/** Lets attempts fail until the retry budget grants no more. */
+function useUpRetries(host: DirectHost): void {
+  while (host.log.list('retry_refused').length === 0) {
+    host.call(REQUEST);
+    host.backend.sent.at(-1)?.fail();
+    host.backend.sent.at(-1)?.sendResponse();
+  }
+}
+
 function listEventIds({ body }: FakeReply): string[] {
   return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => String(id));
 }
@@ -155,6 +164,30 @@
   }
 });
 
+t.test(
+  'a silent attempt whose retry was refused is retried once the budget allows it',
+  async (t) => {
+    // Guards against calls that stay at a frozen server for as long as their time lasts.
+    const host = await startDirectHost(t, { route: { ...READ, timeoutMs: 8_000 } }, ['s-1', 's-2']);
+    useUpRetries(host);
+    await host.clock.advance(4_500);
+    host.call(REQUEST);
+    const frozen = host.backend.sent.at(-1);
+    await host.clock.advance(700);
+    t.match(host.log.list('attempt_kept'), [{ reason: 'no_budget' }]);
+    host.backend.onSend = (exchange) => {
+      host.clock.setTimer(1, () => exchange.sendResponse());
+    };
+    for (let count = 0; count < 30; count += 1) {
+      host.call(REQUEST);
+      await host.clock.advance(20);
+    }
+    await host.clock.advance(500);
+    t.ok(frozen?.isCancelled, 'the other server has answered');
+    t.equal(host.gateway.callCount, 0);
+  },
+);
+
 t.test('a caller that leaves ends both attempts', async (t) => {
   // Guards against servers that work on for callers that have gone.
   const { host, reply } = await startSilentStream(t);
