--- a/src/application/direct/slow_answers_test.ts
+++ b/src/application/direct/slow_answers_test.ts
@@ -5,7 +5,8 @@
  */
 import t from 'tap';
 import type { Test } from 'tap';
-import { CutFleet } from '../../../test/support/cut_fleet.js';
+import { GRACE_MS, pickFraction } from '../../../test/support/cut_cases.js';
+import { CutFleet, CutMode } from '../../../test/support/cut_fleet.js';
 import { startDirectHost } from '../../../test/support/direct_host.js';
 
 const TEST_TIMEOUT_MS = 120_000;
@@ -49,6 +50,29 @@
   for (const hosts of [6, 20]) await checkServed(t, hosts, 1_200);
 });
 
+t.test('reads of sound servers that are slow are answered in a large fleet', async (t) => {
+  // Guards against members that know fewer of the others' calls than hosts of a mesh do.
+  t.setTimeout(TEST_TIMEOUT_MS);
+  for (const runMs of [700, 1_200]) await checkServed(t, 66, runMs);
+});
+
+t.test('reads of slow servers are answered at hosts that have lost their links', async (t) => {
+  // Guards against requests through peers that are given up because the answers take long.
+  t.setTimeout(TEST_TIMEOUT_MS);
+  for (const hosts of [6, 20]) {
+    for (const fraction of [0.3, 0.5]) {
+      const fleet = await playSlow(t, hosts, 700);
+      const cutIds = pickFraction(fraction)(fleet);
+      fleet.cut(cutIds, CutMode.Hang);
+      const fromMs = fleet.clock.nowMs() + GRACE_MS;
+      await fleet.run({ ...LOAD, durationMs: 2 * LOAD.durationMs });
+      await fleet.clock.advance(ROUTE.timeoutMs);
+      const { served, sent } = fleet.measureServed(cutIds, fromMs);
+      t.ok(served / sent >= MIN_SERVED, `${hosts} hosts, ${fraction}: ${served} of ${sent}`);
+    }
+  }
+});
+
 t.test(
   'a silent attempt is kept, and its answer delivered, where nothing better follows',
   async (t) => {
