Fail attempts whose answer has a status below 200

What callers saw: no answer until their deadline, for a server that answers with status 000 or 099, also on routes that allow another server. Cause: Node's client reads such a status and its server throws when it is to write it; the exception ended nothing, the call kept its slot until its time was over (internal_fault in the log). Class: an exception in one callback that leaves a call without an end.

A trial over real sockets sent 21 odd heads, plain and as streams: these two left the call without an end (4 of 42), the others were answered or failed at once, but one that never closes its connection. The test was red first for both, and passes now.

--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -23,6 +23,9 @@
 /** Error codes of a connection that the server has closed or reset. */
 const CONNECTION_LOST_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 
+/** Lowest status of a final answer. Node reads lower ones, and throws when it is to write them. */
+const MIN_STATUS = 200;
+
 const NO_HEADERS: ReadonlySet<string> = new Set();
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
@@ -145,6 +148,8 @@
       this.#fail(BackendFailure.Broken, `answer belongs to request ${info.requestId}`);
     } else if (info.isMisdirected) {
       this.#fail(BackendFailure.Misdirected, 'another incarnation answers at this address');
+    } else if (status < MIN_STATUS) {
+      this.#fail(BackendFailure.Broken, `answer with status ${status}`);
     } else if (info.hasNotRun) {
       this.#handleDecline(status);
     } else if (info.requestId === undefined) {
--- a/src/adapters/direct_http/http_direct_backend_client_test.ts
+++ b/src/adapters/direct_http/http_direct_backend_client_test.ts
@@ -82,6 +82,18 @@
   }
 });
 
+t.test(
+  'HttpDirectBackend fails when the answer has a status that HTTP does not know',
+  async (t) => {
+    // Guards against calls that wait for their deadline, as no such status can be passed on.
+    for (const status of ['000', '099']) {
+      const rest = 'X-Id: r-1\r\nX-Mark: m\r\nContent-Length: 2\r\n\r\nno';
+      const seen = await exchangeOnce((socket) => socket.write(`HTTP/1.1 ${status} X\r\n${rest}`));
+      t.equal(seen.failure, BackendFailure.Broken, status);
+    }
+  },
+);
+
 t.test('HttpDirectBackend detects an incomplete answer', async (t) => {
   // Guards against half an answer being taken for a complete one: the server announces ten
   // bytes, or chunks, and crashes before the last of them. The end of the connection must
