Refuse a taken up stream at once when the search for it fails

What callers saw: nothing until their own time was over, had the search thrown: a call that takes up a stream has no timer of its own until its origin is known. Class: an exception in one callback that leaves a call without an end.

The test was red first (unhandled rejection, no answer), and passes now with the rest of stream_take_ups_test.

--- a/src/application/direct/_take_ups.ts
+++ b/src/application/direct/_take_ups.ts
@@ -78,7 +78,10 @@
         isAgeLimited: !route.mayBeAnonymous,
         maxWaitMs: Math.min(request.deadlineMs ?? Infinity, route.timeoutMs),
       })
-      .then((answer) => this.#settle(takeUp, answer, clock.nowMs() - arrivedAtMs));
+      .then(
+        (answer) => this.#settle(takeUp, answer, clock.nowMs() - arrivedAtMs),
+        (cause: unknown) => this.#refuse(takeUp, cause),
+      );
   }
 
   /**
@@ -110,6 +113,11 @@
     else takeUp.onResolved(origin, waitedMs);
   }
 
+  #refuse(takeUp: TakeUp, cause: unknown): void {
+    if (this.#waiting.delete(takeUp))
+      takeUp.onRefused(new SchedulerError(ErrorKind.Internal, { cause }));
+  }
+
   #record(
     { checked, request }: TakeUp,
     { source, origin, peersAsked, peersAnswered }: OriginAnswer,
--- a/src/application/direct/stream_take_ups_test.ts
+++ b/src/application/direct/stream_take_ups_test.ts
@@ -34,6 +34,18 @@
   t.equal(countSent(fleet), sentBefore);
 });
 
+/** Guards against callers that never hear of a fault in the search for their stream. */
+t.test('a call whose stream can not be searched for is refused at once', async (t) => {
+  const fleet = await startStreamFleet(t);
+  const host = fleet.hosts[1] as DirectHost;
+  host.streams.resolver.resolve = () => Promise.reject(new Error('test'));
+  const caller = fleet.createCaller();
+  caller.send(host, { resumedRequestId: 'any', lastEventId: '2' });
+  await fleet.clock.advance(QUICK_MS);
+  t.match(caller.last.reply.error, { kind: ErrorKind.Internal });
+  t.equal(host.gateway.callCount, 0);
+});
+
 /** Guards against a version that an event's ID alone is taken to stand for. */
 t.test('a stream that its caller does not name is refused beside two versions', async (t) => {
   const fleet = await startStreamFleet(t);
