Refuse new connections in the last moment of a planned stop

Cause: the process went on listening until it was gone, through its last wait and the time that its exit takes. Class: an end that callers are not told.

The listener closes after the last calls have been ended and before the last wait; open answers go on.

--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -87,8 +87,9 @@
     return [...this.#responses].filter((response) => response.writableEnded).length;
   }
 
-  /** Closes idle connections. */
-  closeIdle(): void {
+  /** Refuses new connections and closes idle ones; open answers go on. */
+  stopAccepting(): void {
+    this.#server.close();
     this.#server.closeIdleConnections();
   }
 
--- a/src/adapters/direct_http/direct_listener_test.ts
+++ b/src/adapters/direct_http/direct_listener_test.ts
@@ -150,3 +150,27 @@
   await once(socket, 'close');
   t.pass('closed');
 });
+
+t.test(
+  'DirectListener refuses new connections once it accepts none, and ends its answers',
+  async (t) => {
+    // Guards against callers whose requests are written to a process that exits without reading them.
+    let reply: DirectReply | undefined;
+    let onHandled = (): void => undefined;
+    const handled = new Promise<void>((resolve) => {
+      onHandled = resolve;
+    });
+    const { listener, port, socket } = await openConnection(t, (open) => {
+      reply = open;
+      onHandled();
+    });
+    socket.write(REQUEST);
+    await handled;
+    listener.stopAccepting();
+    const late = connect({ port, host: '127.0.0.1' });
+    const [error] = (await once(late, 'error')) as [NodeJS.ErrnoException];
+    t.equal(error.code, 'ECONNREFUSED');
+    if (reply) sendAnswer(reply);
+    t.ok(await isAnswered(socket), 'the open answer arrives');
+  },
+);
--- a/src/application/direct/direct_stop.ts
+++ b/src/application/direct/direct_stop.ts
@@ -33,7 +33,8 @@
   /** Announces that callers must no longer be sent to this entry host. */
   readonly announceStop: () => void;
   readonly refuseNewCalls: () => void;
-  readonly closeIdleConnections: () => void;
+  /** Refuses new connections: their callers then know at once that nothing was read. */
+  readonly stopAccepting: () => void;
   readonly countCalls: () => number;
   /** @returns answers that have ended, and whose last bytes wait for their callers */
   readonly countUnsentAnswers: () => number;
@@ -63,7 +64,7 @@
   }
   const cutCalls = options.countCalls();
   options.stopAllCalls();
-  options.closeIdleConnections();
+  options.stopAccepting();
   const sendUntilMs = startedAtMs + limitMs * SEND_ANSWERS_FRACTION;
   do {
     await wait(clock, POLL_INTERVAL_MS);
--- a/src/application/direct/direct_stop_test.ts
+++ b/src/application/direct/direct_stop_test.ts
@@ -27,7 +27,7 @@
     limitMs: LIMIT_MS,
     announceStop: recordStep('announce'),
     refuseNewCalls: recordStep('refuse'),
-    closeIdleConnections: recordStep('close'),
+    stopAccepting: recordStep('close'),
     stopAllCalls: recordStep('end'),
     countUnsentAnswers: () => (clock.nowMs() - startMs < sentAtMs ? 1 : 0),
     countCalls: () => endsAtMs.filter((endMs) => clock.nowMs() - startMs < endMs).length,
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -241,7 +241,7 @@
         this.#reports.sendNow();
       },
       refuseNewCalls: () => this.#gateway.refuseNewCalls(),
-      closeIdleConnections: () => this.#listener.closeIdle(),
+      stopAccepting: () => this.#listener.stopAccepting(),
       countCalls: () => this.#gateway.callCount + this.#hostPaths.server.exchangeCount,
       countUnsentAnswers: () => this.#listener.unsentCount,
       stopAllCalls: () => this.#gateway.stopAllCalls(),
