Let requests through peers outlive the link to the peer

Symptom: a link between two sound hosts is silent for more than 1.2 s and goes on. LinkMonitor ends it, ProxyClient fails all its exchanges ("the link to the peer is down"), ProxyServer cancels their runs: streams break off, writes are told 502. Class: what is at hand is given up before it is known that something better follows.

A link that comes up again to the same process goes on with the exchanges: the asker lists what it still wants with the first event that it lacks, the peer sends on from there and cancels the rest. Hosts say resumesExchanges in their identity; with a former version on either side requests end with the link, as before.

The fake hub's link states moved to fake_links.ts.

--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -20,6 +20,8 @@
   proxyProbeSchema,
   proxyReplySchema,
   proxyRequestSchema,
+  proxyResumedSchema,
+  proxyResumeSchema,
 } from './_proxy_schemas.js';
 import { MAX_NAME_LENGTH } from './_record_checks.js';
 import {
@@ -258,6 +260,8 @@
   [PeerMessageType.ProxyRequest]: proxyRequestSchema,
   [PeerMessageType.ProxyReply]: proxyReplySchema,
   [PeerMessageType.ProxyCancel]: proxyCancelSchema,
+  [PeerMessageType.ProxyResume]: proxyResumeSchema,
+  [PeerMessageType.ProxyResumed]: proxyResumedSchema,
   [PeerMessageType.ProxyProbe]: proxyProbeSchema,
   [PeerMessageType.ProxyProbeReply]: proxyProbeReplySchema,
   [PeerMessageType.StreamOrigins]: streamOriginsSchema,
--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -252,6 +252,12 @@
     },
   },
   [PeerMessageType.ProxyCancel]: { type: PeerMessageType.ProxyCancel, exchangeId: 4 },
+  [PeerMessageType.ProxyResume]: {
+    type: PeerMessageType.ProxyResume,
+    resumeId: 2,
+    exchanges: [{ exchangeId: 4, nextIndex: 3, ageMs: 12.5 }],
+  },
+  [PeerMessageType.ProxyResumed]: { type: PeerMessageType.ProxyResumed, resumeId: 2 },
   [PeerMessageType.ProxyProbe]: {
     type: PeerMessageType.ProxyProbe,
     probeId: 5,
--- a/src/adapters/peers_ws/_proxy_schemas.ts
+++ b/src/adapters/peers_ws/_proxy_schemas.ts
@@ -18,6 +18,8 @@
 const MAX_TEXT_LENGTH = 65_536;
 const MAX_HEADER_FIELDS = 2_000;
 
+const MAX_RESUMED_EXCHANGES = 65_536;
+
 const name = z.string().max(MAX_NAME_LENGTH);
 const text = z.string().max(MAX_TEXT_LENGTH);
 const bytes = z.instanceof(Uint8Array);
@@ -109,6 +111,21 @@
   exchangeId: count,
 });
 
+/** Schema of the exchanges that a peer goes on with. */
+export const proxyResumeSchema = z.object({
+  type: z.literal(PeerMessageType.ProxyResume),
+  resumeId: count,
+  exchanges: z
+    .array(z.object({ exchangeId: count, nextIndex: count, ageMs: amount }))
+    .max(MAX_RESUMED_EXCHANGES),
+});
+
+/** Schema of the confirmation that they go on. */
+export const proxyResumedSchema = z.object({
+  type: z.literal(PeerMessageType.ProxyResumed),
+  resumeId: count,
+});
+
 /** Schema of a probe that a peer makes. */
 export const proxyProbeSchema = z.object({
   type: z.literal(PeerMessageType.ProxyProbe),
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -25,6 +25,7 @@
   availabilityZone: name,
   // Hosts of earlier versions lack it.
   keepsStreamOrigins: z.boolean().optional(),
+  resumesExchanges: z.boolean().optional(),
 });
 
 const rosterEntrySchema = z.object({
--- a/src/adapters/peers_ws/ws_peer_network.ts
+++ b/src/adapters/peers_ws/ws_peer_network.ts
@@ -272,7 +272,8 @@
     new Set([dialledUrl, peer?.peerUrl]).forEach((url) => {
       if (url !== undefined) this.#dialer.scheduleRedial(url, lifetimeMs);
     });
-    if (peer && wasLastLink) this.#notifyLink({ peer, up: false });
+    const wasSilent = cause === LinkEndCause.Silent || cause === LinkEndCause.Replaced;
+    if (peer && wasLastLink) this.#notifyLink({ peer, up: false, wasSilent });
   }
 
   #logEnd({ peer, dialledUrl }: PeerLink, cause: LinkEndCause, reason: string): void {
--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -19,6 +19,8 @@
   ServerNotice,
   Timer,
 } from '../../ports/mod.js';
+import { ReplyLog } from './_reply_log.js';
+import type { KeptBytes } from './_reply_log.js';
 
 /** Longest time for which a request waits for room, in milliseconds. */
 const MAX_WAIT_MS = 250;
@@ -35,6 +37,9 @@
   readonly recordNotice: (evidence: ServerEvidence) => void;
   /** Called if this host could not connect to the server. */
   readonly onNotConnected: () => void;
+  /** Whether the peer may ask for events again. */
+  readonly isKept: boolean;
+  readonly keptBytes: KeptBytes;
   /** Sends an event to the peer. Returns false if that was not possible. */
   readonly reply: (index: number, event: ProxyEvent) => boolean;
   /** Called once, when the exchange has ended, with its result and how long it waited for room. */
@@ -43,6 +48,9 @@
 
 /** Waits for room, sends the request, and reports each event in order. */
 export class ProxiedExchange implements BackendListener {
+  /** Events of the exchange on their way to the peer. */
+  readonly log: ReplyLog;
+
   readonly #options: ProxiedExchangeOptions;
 
   readonly #arrivedAtMs: number;
@@ -58,14 +66,17 @@
   /** Time for which the request waited for room, in milliseconds. */
   #waitedMs = 0;
 
-  #nextIndex = 0;
-
   #hasEnded = false;
 
   /** @param options - the request, and the way back to the peer */
   constructor(options: ProxiedExchangeOptions) {
     this.#options = options;
     this.#arrivedAtMs = options.clock.nowMs();
+    this.log = new ReplyLog({
+      ...options,
+      send: options.reply,
+      onLost: () => this.#abandon('lost'),
+    });
     this.#job = {
       urgency: options.request.urgency,
       start: () => this.#send(),
@@ -96,9 +107,8 @@
 
   /** Ends the exchange without a reply. */
   cancel(): void {
-    this.#exchange?.cancel();
-    this.#options.gate.remove(this.#job);
-    this.#end('cancelled');
+    this.log.close();
+    this.#abandon('cancelled');
   }
 
   onNotice(notice: ServerNotice, isAuthentic: boolean): void {
@@ -154,12 +164,16 @@
     this.#end('busy');
   }
 
-  /** An event that the peer doesn't get would leave a gap, so the exchange ends instead. */
-  #report(event: ProxyEvent): void {
+  /** A connection whose answer is complete may carry another request by now. */
+  #abandon(result: string): void {
     if (this.#hasEnded) return;
-    const isSent = this.#options.reply(this.#nextIndex, event);
-    this.#nextIndex += 1;
-    if (!isSent) this.cancel();
+    this.#exchange?.cancel();
+    this.#options.gate.remove(this.#job);
+    this.#end(result);
+  }
+
+  #report(event: ProxyEvent): void {
+    if (!this.#hasEnded) this.log.append(event);
   }
 
   #end(result: string): void {
--- a/src/application/paths/host_paths.ts
+++ b/src/application/paths/host_paths.ts
@@ -97,9 +97,11 @@
     this.#checks.recordConnected(incarnationId);
   }
 
-  /** Ends all checks that repeat by themselves. */
+  /** Ends all checks that repeat by themselves, and the exchanges of peers. */
   stop(): void {
     this.#checks.stop();
+    this.proxies.stop();
+    this.server.stop();
   }
 
   /**
@@ -116,11 +118,14 @@
    * Lists the peers to keep links to, for checks and for requests that go through them.
    *
    * @param hostId - ID of this entry host
-   * @returns the peers; none while this host reaches all servers
+   * @returns the peers; while this host reaches all servers, only those whose link was lost under
+   *   requests
    */
   listWantedPeers(hostId: string): readonly HostState[] {
-    if (!this.#checks.needsPeers) return [];
+    const suspended = this.proxies.listSuspended();
+    if (!this.#checks.needsPeers) return suspended;
     const candidates = this.proxies.listCandidates();
-    return pickProxyHosts({ hostId, availabilityZone: this.#availabilityZone, candidates });
+    const picked = pickProxyHosts({ hostId, availabilityZone: this.#availabilityZone, candidates });
+    return [...picked, ...suspended.filter((one) => !picked.includes(one))];
   }
 }
--- a/src/application/paths/proxy_client.ts
+++ b/src/application/paths/proxy_client.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import { LogLevel } from '../../domain/errors/mod.js';
 import type { HostState } from '../../domain/overlay/mod.js';
 import { mayProxy } from '../../domain/paths/mod.js';
 import type { PeerObservation } from '../../domain/paths/mod.js';
-import { BackendFailure, PeerMessageType, ProxyEventKind, Reachability } from '../../ports/mod.js';
+import { Reachability } from '../../ports/mod.js';
 import type {
   BackendExchange,
   BackendListener,
@@ -16,11 +15,9 @@
   EventLog,
   Metrics,
   PeerNetwork,
-  ProxiedRequest,
-  ProxyEvent,
-  ProxyReplyMessage,
   RandomSource,
 } from '../../ports/mod.js';
+import { OutgoingExchanges } from './_outgoing_exchanges.js';
 import { PeerProbes } from './_peer_probes.js';
 import { PeerReach } from './_peer_reach.js';
 
@@ -30,9 +27,6 @@
 /** Number of peers that are asked for one probe. */
 const PROBING_PEERS = 2;
 
-/** Number of peers that an exchange is offered to while each of them has no room. */
-const MAX_PEERS_PER_EXCHANGE = 3;
-
 /** Dependencies of {@link ProxyClient}. */
 export interface ProxyClientOptions {
   readonly peers: PeerNetwork;
@@ -46,22 +40,11 @@
   readonly listHeard: () => readonly HostState[];
 }
 
-/** One request that a peer sends. */
-interface PendingExchange {
-  readonly request: BackendRequest;
-  readonly listener: BackendListener;
-  /** Incarnations of the peers that the request was offered to. */
-  readonly offeredTo: Set<string>;
-  /** Incarnation of the peer that has the request. */
-  peer: string;
-  nextIndex: number;
-}
-
 /** Picks peers, hands them requests and probes, and passes on what they report. */
 export class ProxyClient {
   readonly #options: ProxyClientOptions;
 
-  readonly #exchanges = new Map<number, PendingExchange>();
+  readonly #exchanges: OutgoingExchanges;
 
   readonly #probes: PeerProbes;
 
@@ -70,30 +53,29 @@
   /** When peers were last found to reach no server, by incarnation, in monotonic milliseconds. */
   readonly #lostAtMs = new Map<string, number>();
 
-  #lastId = 0;
-
   /** @param options - dependencies */
   constructor(options: ProxyClientOptions) {
     this.#options = options;
     this.#reach = new PeerReach(options.clock);
     this.#probes = new PeerProbes(options);
-    const { peers } = options;
-    peers.handle(PeerMessageType.ProxyReply, ({ incarnation }, reply) =>
-      this.#handleReply(incarnation, reply),
-    );
-    peers.onLinkChange(({ peer, up }) => {
-      if (!up) this.#handleLinkDown(peer.incarnation);
+    this.#exchanges = new OutgoingExchanges({
+      ...options,
+      reach: this.#reach,
+      listLinkedFor: (excluded, address) => this.listLinkedFor(excluded, address),
+    });
+    options.peers.onLinkChange(({ peer, up }) => {
+      if (!up) this.#lostAtMs.delete(peer.incarnation);
     });
   }
 
   /** Number of requests in flight through peers. */
   get exchangeCount(): number {
-    return this.#exchanges.size;
+    return this.#exchanges.count;
   }
 
   /** @param peer - incarnation of a peer. @returns whether requests are in flight through it */
   isUsing(peer: string): boolean {
-    return [...this.#exchanges.values()].some((exchange) => exchange.peer === peer);
+    return this.#exchanges.isUsing(peer);
   }
 
   /** Whether any peer can be asked to send a request. */
@@ -109,15 +91,12 @@
    * @returns a handle of the request; undefined if there is no peer, and then nothing is called
    */
   send(request: BackendRequest, listener: BackendListener): BackendExchange | undefined {
-    this.#lastId += 1;
-    const exchangeId = this.#lastId;
-    const exchange = { request, listener, offeredTo: new Set<string>(), peer: '', nextIndex: 0 };
-    if (!this.#offer(exchangeId, exchange)) return undefined;
-    return {
-      // Only the peer knows; if it can't send the request, it says so.
-      mayHaveBeenSent: true,
-      cancel: () => this.#cancel(exchangeId),
-    };
+    return this.#exchanges.send(request, listener);
+  }
+
+  /** Ends all timers. */
+  stop(): void {
+    this.#exchanges.stop();
   }
 
   /**
@@ -195,6 +174,14 @@
       .filter(({ identity }) => !(Number(this.#lostAtMs.get(identity.incarnation)) > lostSinceMs));
   }
 
+  /** @returns peers without a link that have requests of this host in flight */
+  listSuspended(): readonly HostState[] {
+    const suspended = new Set(this.#exchanges.listSuspended());
+    return this.#options
+      .listHeard()
+      .filter(({ identity: { incarnation } }) => suspended.has(incarnation));
+  }
+
   /**
    * @param asked - incarnations of peers
    * @returns whether there are other peers that may reach the backend servers, linked or not
@@ -202,95 +189,4 @@
   hasPeersBeyond(asked: ReadonlySet<string>): boolean {
     return this.listCandidates().some(({ identity }) => !asked.has(identity.incarnation));
   }
-
-  #offer(exchangeId: number, exchange: PendingExchange): boolean {
-    if (exchange.offeredTo.size >= MAX_PEERS_PER_EXCHANGE) return false;
-    const { peers, metrics } = this.#options;
-    const { address } = exchange.request;
-    const request = buildProxiedRequest(exchange.request);
-    const message = { type: PeerMessageType.ProxyRequest, exchangeId, request } as const;
-    const linked = this.listLinkedFor(exchange.offeredTo, address);
-    const peer = linked.find((one) => peers.send(one, message));
-    if (peer === undefined) return false;
-    exchange.offeredTo.add(peer);
-    Object.assign(exchange, { peer, nextIndex: 0 });
-    this.#exchanges.set(exchangeId, exchange);
-    metrics.count('proxied_requests_total', { event: 'offered' });
-    this.#logOffer(exchange);
-    return true;
-  }
-
-  #logOffer({ request, peer, offeredTo }: PendingExchange): void {
-    this.#options.log.write(LogLevel.Info, 'request_sent_through_peer', {
-      requestId: request.request.requestId,
-      backendServer: request.incarnationId,
-      peer,
-      offers: offeredTo.size,
-      urgency: request.urgency,
-      deadlineMs: Math.round(request.deadlineMs),
-    });
-  }
-
-  #cancel(exchangeId: number): void {
-    const exchange = this.#exchanges.get(exchangeId);
-    this.#exchanges.delete(exchangeId);
-    if (!exchange) return;
-    const message = { type: PeerMessageType.ProxyCancel, exchangeId } as const;
-    this.#options.peers.send(exchange.peer, message);
-  }
-
-  #handleReply(peer: string, { exchangeId, index, event }: ProxyReplyMessage): void {
-    const exchange = this.#exchanges.get(exchangeId);
-    if (exchange?.peer !== peer) return;
-    if (index !== exchange.nextIndex) {
-      this.#cancel(exchangeId);
-      exchange.listener.onFailure(BackendFailure.Broken, 'a message of the peer was lost');
-      return;
-    }
-    exchange.nextIndex += 1;
-    this.#applyEvent(exchangeId, exchange, event);
-  }
-
-  #applyEvent(exchangeId: number, exchange: PendingExchange, event: ProxyEvent): void {
-    const { listener } = exchange;
-    if (event.kind === ProxyEventKind.Notice) listener.onNotice(event.notice, event.isAuthentic);
-    else if (event.kind === ProxyEventKind.Head) {
-      this.#reach.record(exchange.peer, exchange.request.address, true);
-      listener.onHead(event.head);
-    } else if (event.kind === ProxyEventKind.Body) listener.onBody(Buffer.from(event.bytes));
-    else {
-      this.#exchanges.delete(exchangeId);
-      if (event.kind === ProxyEventKind.Complete) listener.onComplete();
-      else if (!this.#offerElsewhere(exchangeId, exchange, event))
-        listener.onFailure(event.failure, event.reason);
-    }
-  }
-
-  /** Offers a request that was not sent to another peer: the former had no room, or no connection. */
-  #offerElsewhere(
-    exchangeId: number,
-    exchange: PendingExchange,
-    { failure, isBusy }: Extract<ProxyEvent, { kind: ProxyEventKind.Failure }>,
-  ): boolean {
-    const { peer, request } = exchange;
-    const hasNotConnected = failure === BackendFailure.NotSent && !isBusy;
-    if (hasNotConnected) this.#reach.record(peer, request.address, false);
-    return (isBusy || hasNotConnected) && this.#offer(exchangeId, exchange);
-  }
-
-  /** The peer may have sent its requests, so nothing is said about whether they ran. */
-  #handleLinkDown(incarnation: string): void {
-    this.#lostAtMs.delete(incarnation);
-    [...this.#exchanges]
-      .filter(([, { peer }]) => peer === incarnation)
-      .forEach(([exchangeId, { listener }]) => {
-        this.#exchanges.delete(exchangeId);
-        listener.onFailure(BackendFailure.Broken, 'the link to the peer is down');
-      });
-  }
-}
-
-function buildProxiedRequest({ request, ...rest }: BackendRequest): ProxiedRequest {
-  const { requestId, method, target, headers, body } = request;
-  return { ...rest, requestId, method, target, headers, body };
 }
--- a/src/application/paths/proxy_server.ts
+++ b/src/application/paths/proxy_server.ts
@@ -3,8 +3,6 @@
  *
  * @module
  */
-import { LogLevel } from '../../domain/errors/mod.js';
-import { UrgencyGate } from '../../domain/paths/mod.js';
 import type { ServerPaths } from '../../domain/paths/mod.js';
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
 import { PeerMessageType, ProbeCause, Reachability } from '../../ports/mod.js';
@@ -14,21 +12,14 @@
   EventLog,
   Metrics,
   PeerNetwork,
-  ProxyRequestMessage,
   ServerEvidence,
   ServerProbe,
 } from '../../ports/mod.js';
-import { ProxiedExchange } from './_proxied_exchange.js';
+import { IncomingExchanges } from './_incoming_exchanges.js';
 import type { OwnReach, ServerAddress } from './own_reach.js';
 import type { ProbeReply } from './_peer_probes.js';
 import { waitFor } from './_wait_for.js';
 
-/** Maximum number of requests that are sent for peers at a time. */
-const MAX_RUNNING = 96;
-
-/** Maximum number of requests of peers that wait. */
-const MAX_WAITING = 64;
-
 /** Time after which a connection that is not open yet makes a check of the own links worthwhile, in ms. */
 const HEAD_START_MS = 100;
 
@@ -65,9 +56,7 @@
 export class ProxyServer {
   readonly #options: ProxyServerOptions;
 
-  readonly #gate = new UrgencyGate({ maxRunning: MAX_RUNNING, maxWaiting: MAX_WAITING });
-
-  readonly #exchanges = new Map<string, ProxiedExchange>();
+  readonly #exchanges: IncomingExchanges;
 
   /** Probes for peers that are under way, by address. */
   readonly #probes = new Map<string, Promise<ProbeReply>>();
@@ -79,21 +68,22 @@
   constructor(options: ProxyServerOptions) {
     this.#options = options;
     const { peers } = options;
-    peers.handle(PeerMessageType.ProxyRequest, (from, message) => this.#handle(from, message));
-    peers.handle(PeerMessageType.ProxyCancel, (from, { exchangeId }) => {
-      this.#exchanges.get(formatKey(from.incarnation, exchangeId))?.cancel();
+    this.#exchanges = new IncomingExchanges(options);
+    peers.handle(PeerMessageType.ProxyRequest, (from, message) => {
+      this.#usedAtMs.set(from.incarnation, options.clock.nowMs());
+      this.#exchanges.handle(from, message);
     });
     peers.handle(PeerMessageType.ProxyProbe, (from, { probeId, address }) => {
       this.#probe(from, probeId, address);
     });
     peers.onLinkChange(({ peer, up }) => {
-      if (!up) this.#cancelAll(peer);
+      if (!up) this.#usedAtMs.delete(peer.incarnation);
     });
   }
 
   /** Number of requests of peers that are in flight or wait. */
   get exchangeCount(): number {
-    return this.#exchanges.size;
+    return this.#exchanges.count;
   }
 
   /**
@@ -103,42 +93,14 @@
   isUsedBy(incarnation: string): boolean {
     const usedAtMs = this.#usedAtMs.get(incarnation) ?? Number.NEGATIVE_INFINITY;
     return (
-      this.#options.clock.nowMs() - usedAtMs < LINK_USE_MS || this.#listOf(incarnation).length > 0
+      this.#options.clock.nowMs() - usedAtMs < LINK_USE_MS ||
+      this.#exchanges.countOf(incarnation) > 0
     );
   }
 
-  #handle(from: EntryHostIdentity, { exchangeId, request }: ProxyRequestMessage): void {
-    const { peers, clock, log, backend, metrics, mayReceive, recordNotice, checkServer } =
-      this.#options;
-    const key = formatKey(from.incarnation, exchangeId);
-    this.#usedAtMs.set(from.incarnation, clock.nowMs());
-    const exchange = new ProxiedExchange({
-      request,
-      clock,
-      backend,
-      gate: this.#gate,
-      mayReceive: () => mayReceive(request.incarnationId),
-      recordNotice,
-      onNotConnected: () => checkServer(request),
-      reply: (index, event) => {
-        const reply = { type: PeerMessageType.ProxyReply, exchangeId, index, event } as const;
-        return peers.send(from.incarnation, reply);
-      },
-      onEnd: (result, waitedMs) => {
-        this.#exchanges.delete(key);
-        metrics.count('requests_sent_for_peers_total', { result });
-        log.write(LogLevel.Info, 'request_sent_for_peer', {
-          requestId: request.requestId,
-          backendServer: request.incarnationId,
-          entryHost: from.id,
-          urgency: request.urgency,
-          waitedMs: Math.round(waitedMs),
-          result,
-        });
-      },
-    });
-    this.#exchanges.set(key, exchange);
-    exchange.start();
+  /** Cancels all requests of peers. */
+  stop(): void {
+    this.#exchanges.stop();
   }
 
   async #probe(from: EntryHostIdentity, probeId: number, address: string): Promise<void> {
@@ -181,20 +143,4 @@
     if (reachability === Reachability.Open && incarnationId !== undefined)
       paths.recordConnected(incarnationId, clock.nowMs());
   }
-
-  #cancelAll(peer: EntryHostIdentity): void {
-    this.#usedAtMs.delete(peer.incarnation);
-    this.#listOf(peer.incarnation).forEach((exchange) => exchange.cancel());
-  }
-
-  #listOf(incarnation: string): ProxiedExchange[] {
-    const prefix = formatKey(incarnation, '');
-    return [...this.#exchanges]
-      .filter(([key]) => key.startsWith(prefix))
-      .map(([, exchange]) => exchange);
-  }
-}
-
-function formatKey(incarnation: string, exchangeId: number | string): string {
-  return `${incarnation}/${exchangeId}`;
 }
--- a/src/commands/_direct_peers.ts
+++ b/src/commands/_direct_peers.ts
@@ -42,6 +42,7 @@
     peerUrl: formatPeerUrl(settings.advertisedPeersAddress ?? settings.peersAddress),
     availabilityZone: settings.availabilityZone,
     keepsStreamOrigins: true,
+    resumesExchanges: true,
   };
 }
 
--- a/src/domain/membership/types.ts
+++ b/src/domain/membership/types.ts
@@ -20,6 +20,11 @@
    * drop the link for one.
    */
   readonly keepsStreamOrigins?: boolean | undefined;
+  /**
+   * Whether its requests through peers outlive a link; undefined in a version that doesn't know the
+   * messages for that, and would drop the link for one.
+   */
+  readonly resumesExchanges?: boolean | undefined;
 }
 
 /** State of a peer as an entry host sees it. */
--- a/src/ports/peer_message_type.ts
+++ b/src/ports/peer_message_type.ts
@@ -32,6 +32,8 @@
   ProxyRequest = 'proxy_request',
   ProxyReply = 'proxy_reply',
   ProxyCancel = 'proxy_cancel',
+  ProxyResume = 'proxy_resume',
+  ProxyResumed = 'proxy_resumed',
   ProxyProbe = 'proxy_probe',
   ProxyProbeReply = 'proxy_probe_reply',
   StreamOrigins = 'stream_origins',
--- a/src/ports/peer_messages.ts
+++ b/src/ports/peer_messages.ts
@@ -24,6 +24,8 @@
   ProxyProbeMessage,
   ProxyProbeReplyMessage,
   ProxyReplyMessage,
+  ProxyResumeMessage,
+  ProxyResumedMessage,
   ProxyRequestMessage,
 } from './proxy_messages.js';
 import type {
@@ -253,6 +255,8 @@
   | ProxyRequestMessage
   | ProxyReplyMessage
   | ProxyCancelMessage
+  | ProxyResumeMessage
+  | ProxyResumedMessage
   | ProxyProbeMessage
   | ProxyProbeReplyMessage
   | StreamOriginsMessage
--- a/src/ports/peer_network.ts
+++ b/src/ports/peer_network.ts
@@ -21,6 +21,8 @@
   readonly peer: EntryHostIdentity;
   /** True if the first link to this incarnation was opened, false if the last was closed. */
   readonly up: boolean;
+  /** Whether this end closed the last link since nothing arrived on it; the peer may live on. */
+  readonly wasSilent?: boolean | undefined;
 }
 
 /**
--- a/src/ports/proxy_messages.ts
+++ b/src/ports/proxy_messages.ts
@@ -72,6 +72,32 @@
   readonly exchangeId: number;
 }
 
+/** An exchange that its asker goes on with. */
+export interface ResumedExchange {
+  readonly exchangeId: number;
+  /** Number of the first event that the asker lacks. */
+  readonly nextIndex: number;
+  /** Time since the request was handed to the receiver, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/**
+ * Goes on with exchanges after a link was lost. The sender needs none but those listed; the receiver
+ * cancels all others of that sender.
+ */
+export interface ProxyResumeMessage {
+  readonly type: PeerMessageType.ProxyResume;
+  /** Increases with each message of this type. */
+  readonly resumeId: number;
+  readonly exchanges: readonly ResumedExchange[];
+}
+
+/** Confirms that exchanges go on; the missing events were sent before. */
+export interface ProxyResumedMessage {
+  readonly type: PeerMessageType.ProxyResumed;
+  readonly resumeId: number;
+}
+
 /** Requests that the receiver probes a backend server's address. */
 export interface ProxyProbeMessage {
   readonly type: PeerMessageType.ProxyProbe;
--- a/test/support/fake_peer_network.ts
+++ b/test/support/fake_peer_network.ts
@@ -18,20 +18,9 @@
 } from '../../src/ports/mod.js';
 import type { EntryHostIdentity } from '../../src/domain/membership/types.js';
 
-export { buildIdentity } from './identities.js';
-
-/** State of a link between two entry hosts. */
-enum LinkState {
-  Up = 'up',
-  /** The link is down, and both ends know it. */
-  Cut = 'cut',
-  /** Messages are lost, and neither end knows it. */
-  Silent = 'silent',
-}
+import { FakeLinks, formatPair, LinkState } from './fake_links.js';
 
-function formatPair(a: string, b: string): string {
-  return a < b ? `${a}|${b}` : `${b}|${a}`;
-}
+export { buildIdentity } from './identities.js';
 
 /** How long messages are on their way. */
 export interface MessageDelay {
@@ -54,7 +43,7 @@
   /** When the last message of each ordered pair arrives, in milliseconds. */
   readonly #lastDueMs = new Map<string, number>();
 
-  readonly #links = new Map<string, LinkState>();
+  readonly #links = new FakeLinks();
 
   /** Linked networks of each network, in a hub whose links are dialled. */
   readonly #partners = new Map<FakePeerNetwork, Set<FakePeerNetwork>>();
@@ -64,15 +53,18 @@
 
   /** Delivers a message of one host to another, in order. */
   deliver(from: string, to: string, run: () => void): void {
+    const arrive = (): void => {
+      if (!this.#links.tryHold({ from, to, run })) run();
+    };
     if (!this.delay) {
-      queueMicrotask(run);
+      queueMicrotask(arrive);
       return;
     }
     const { clock, pickMs } = this.delay;
     const pair = `${from}>${to}`;
     const dueMs = Math.max(clock.nowMs() + pickMs(), this.#lastDueMs.get(pair) ?? 0);
     this.#lastDueMs.set(pair, dueMs);
-    clock.setTimer(dueMs - clock.nowMs(), run);
+    clock.setTimer(dueMs - clock.nowMs(), arrive);
   }
 
   /** Links two networks and notifies both. */
@@ -107,9 +99,9 @@
     return partners;
   }
 
-  /** Cuts the link between two entry hosts; both ends are notified. */
-  cut(a: string, b: string): void {
-    this.#setLink(a, b, LinkState.Cut);
+  /** Cuts the link between two entry hosts; both ends are notified, also of a silence before. */
+  cut(a: string, b: string, wasSilent = false): void {
+    this.#setLink(a, b, LinkState.Cut, wasSilent);
   }
 
   /** Silences a link: sends succeed, but no message arrives and neither end is notified. */
@@ -117,6 +109,11 @@
     this.#setLink(a, b, LinkState.Silent);
   }
 
+  /** Holds messages back on a link, which neither end notices, until it is restored or cut. */
+  hold(a: string, b: string): void {
+    this.#setLink(a, b, LinkState.Held);
+  }
+
   /** Restores a link; both ends are notified if they had been notified of the cut. */
   heal(a: string, b: string): void {
     this.#setLink(a, b, LinkState.Up);
@@ -129,35 +126,29 @@
 
   /** Restores all links. */
   healAll(): void {
-    [...this.#links.keys()].forEach((pair) => {
-      const [a, b] = pair.split('|') as [string, string];
-      this.heal(a, b);
-    });
+    this.#links.listPairs().forEach(([a, b]) => this.heal(a, b));
   }
 
   /** @returns whether both ends consider the link as up */
   isLinked(a: string, b: string): boolean {
-    return this.#getLink(a, b) !== LinkState.Cut;
+    return this.#links.get(a, b) !== LinkState.Cut;
   }
 
   /** @returns whether messages on the link arrive */
   isOpen(a: string, b: string): boolean {
-    return this.#getLink(a, b) === LinkState.Up;
-  }
-
-  #getLink(a: string, b: string): LinkState {
-    return this.#links.get(formatPair(a, b)) ?? LinkState.Up;
+    return this.#links.get(a, b) === LinkState.Up;
   }
 
-  #setLink(a: string, b: string, state: LinkState): void {
+  #setLink(a: string, b: string, state: LinkState, wasSilent = false): void {
     const wasLinked = this.isLinked(a, b);
-    this.#links.set(formatPair(a, b), state);
+    const released = this.#links.set(a, b, state);
+    released.forEach(({ from, to, run }) => this.deliver(from, to, run));
     const isLinked = this.isLinked(a, b);
     if (wasLinked === isLinked) return;
     this.networks.forEach((one) => {
       this.networks.forEach((other) => {
         if (formatPair(one.identity.id, other.identity.id) === formatPair(a, b) && one !== other)
-          one.notifyLink({ peer: other.identity, up: isLinked });
+          one.notifyLink({ peer: other.identity, up: isLinked, wasSilent });
       });
     });
   }
--- a/test/support/identities.ts
+++ b/test/support/identities.ts
@@ -20,5 +20,6 @@
     peerUrl: `ws://${id}.test`,
     availabilityZone: 'hall-a',
     keepsStreamOrigins: true,
+    resumesExchanges: true,
   };
 }
