End no answer on the word alone that its server has restarted

What callers saw: a stream whose server goes on sending was broken off at once when an entry, or a 421 to another call, told of a new start, although the route allowed no other server. Cause: the word was taken for the end of the connection, which ends by itself when the process does, but for a power loss.

--- a/src/application/direct/_attempt_load.ts
+++ b/src/application/direct/_attempt_load.ts
@@ -21,6 +21,8 @@
 
   #firstByteMs = 0;
 
+  #signCount = 0;
+
   /**
    * @param load - load of the server
    * @param work - the request; its time starts now
@@ -57,8 +59,14 @@
     this.#load.signs.recordSent(nowMs);
   }
 
+  /** Number of parts of the answer that have arrived. */
+  get signCount(): number {
+    return this.#signCount;
+  }
+
   /** Records a part of the answer. */
   recordSign(): void {
+    this.#signCount += 1;
     this.#load.signs.recordHeard(this.#clock.nowMs());
   }
 
--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -109,11 +109,11 @@
     this.#attempts.forEach((attempt) => this.#cancel(attempt));
   }
 
-  /** @param incarnationId - ID of an incarnation of a backend server that has ended */
-  abandonAt(incarnationId: string): void {
+  /** @param incarnationId - ID of an incarnation of a backend server that is said to have ended */
+  expectEndAt(incarnationId: string): void {
     this.#attempts
       .filter((attempt) => attempt.incarnationId === incarnationId)
-      .forEach((attempt) => attempt.abandonEndedServer());
+      .forEach((attempt) => attempt.expectEnd());
   }
 
   get #newest(): DirectAttempt | undefined {
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -27,6 +27,9 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Silence after which a server counts as ended that is said to have restarted, in milliseconds. */
+const ENDED_SILENCE_MS = 200;
+
 /** Sends the request, relays the answer, and fails the attempt when the answer stalls. */
 export class DirectAttempt implements BackendListener {
   readonly #options: DirectAttemptOptions;
@@ -114,12 +117,16 @@
   }
 
   /**
-   * Ends the attempt because its backend server restarted. The connection to the previous
-   * incarnation may stay silent: after a power loss, for example, nothing closes it, and the
-   * caller would wait until its deadline for an answer that no process works on.
+   * Notes that the backend server is said to have restarted. Its connection may stay silent for good, as
+   * after a power loss, or still bring the answer: the attempt ends if nothing more comes.
    */
-  abandonEndedServer(): void {
-    if (!this.#hasEnded) this.#abandon(AbandonReason.Restart);
+  expectEnd(): void {
+    this.#options.onStall();
+    const { signCount } = this.#load;
+    this.#options.services.clock.setTimer(ENDED_SILENCE_MS, () => {
+      if (!this.#hasEnded && this.#load.signCount === signCount)
+        this.#abandon(AbandonReason.Restart);
+    });
   }
 
   onNotice(notice: ServerNotice, isAuthentic: boolean): void {
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -211,7 +211,7 @@
 
   /** @param incarnationId - ID of an incarnation of a backend server that has ended */
   handleServerEnded(incarnationId: string): void {
-    this.#inFlight.abandonAt(incarnationId);
+    this.#inFlight.expectEndAt(incarnationId);
   }
 
   /** @param causeId - content or part of a prompt that is no longer sent anywhere */
