--- a/src/adapters/direct_http/direct_listener_test.ts
+++ b/src/adapters/direct_http/direct_listener_test.ts
@@ -174,3 +174,35 @@
     t.ok(await isAnswered(socket), 'the open answer arrives');
   },
 );
+
+t.test(
+  'a body may arrive in parts while its limit shrinks, and not beyond the limit',
+  async (t) => {
+    // Guards against requests that a new configuration breaks off, and against bodies without a bound.
+    let limits = LIMITS;
+    let reads = 0;
+    const { socket } = await openConnection(t, sendAnswer, () => {
+      reads += 1;
+      return limits;
+    });
+    const head = (bytes: number): string =>
+      `POST /a HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\nContent-Length: ${bytes}\r\n\r\n`;
+    let answer = '';
+    socket.on('data', (bytes: Buffer) => {
+      answer += bytes.toString('latin1');
+    });
+    const write = async (text: string): Promise<string> => {
+      answer = '';
+      socket.write(text);
+      await once(socket, 'data');
+      return answer.slice(0, 12);
+    };
+    socket.write(`${head(4)}ab`);
+    // The limits are read for the connection, and twice for its request.
+    while (reads < 3) await setImmediate();
+    limits = { ...LIMITS, maxBodyBytes: 3 };
+    t.equal(await write('cd'), 'HTTP/1.1 200', 'the limit at its head counts');
+    t.equal(await write(`${head(4)}abcd`), 'HTTP/1.1 413', 'the new limit counts for the next one');
+    t.equal(await write(`${head(2)}ab`), 'HTTP/1.1 200', 'the connection stays');
+  },
+);
