Remember that a content ran at ends for which there is no room

Where many requests at once ended more than eight servers, a request of the same kind that ended its server in a trial was not held for that: it had one or two trials more, and 4 to 7 requests reached servers later than three seconds after the fifth end, where three are allowed.

Cause: where servers also end without a content, a second end of its own is asked for beside the trial. A content keeps eight ends, cleared ones are dropped first, and an end that was dropped counted as one without the content. Class: what was forgotten is taken for what did not happen.

Evidence: a fleet of six hosts, 39 reads at once with a part that was served until then, twelve ends. At the trial's end nothing else is suspected, yet "a server ended without it" is true; only the third trial, 4.8 s after the first, has it held (request_tried and request_held in the hosts' logs).

A content now remembers 64 further ends at which it ran, by name alone.

Unit test in crash_ledger_test, red before.

--- a/src/domain/crashes/_crash_suspect_counts.ts
+++ b/src/domain/crashes/_crash_suspect_counts.ts
@@ -37,8 +37,8 @@
   }
 
   /** @param suspect - a content. @returns whether any server crashed without running it */
-  hasCrashWithout({ runs }: Suspect): boolean {
-    return [...this.#counts.keys()].some((crashId) => !runs.has(crashId));
+  hasCrashWithout(suspect: Suspect): boolean {
+    return [...this.#counts.keys()].some((crashId) => !suspect.hasRunAt(crashId));
   }
 
   /**
--- a/src/domain/crashes/_suspect.ts
+++ b/src/domain/crashes/_suspect.ts
@@ -4,6 +4,10 @@
  * @module
  */
 import { CrashState } from './crash_note.js';
+import { mergeRun } from './_suspect_run.js';
+import type { SuspectRun } from './_suspect_run.js';
+
+export type { SuspectRun } from './_suspect_run.js';
 
 /**
  * Maximum number of crashes kept per content. Three crashes with no other likely cause are enough
@@ -21,8 +25,8 @@
 /** Number of crashes that does so although the content was answered until then. */
 const MIN_CRASHES_DESPITE_ANSWERS = 4;
 
-/** Maximum number of client accounts kept per crash: two tell that it was not one alone. */
-const MAX_ACCOUNTS_KEPT = 2;
+/** Maximum number of crashes kept per content of which nothing else is kept. */
+const MAX_FORMER_CRASHES_KEPT = 64;
 
 /** Maximum number of trials kept per content; trials older than its crashes no longer count. */
 const MAX_TRIALS_KEPT = 8;
@@ -33,20 +37,6 @@
  */
 const SEEN_ANNOUNCE_INTERVAL_MS = 60_000;
 
-/** One run that ended with a crash, in times of this process's monotonic clock. */
-export interface SuspectRun {
-  readonly crashId: string;
-  readonly startedAtMs: number;
-  readonly endedAtMs: number;
-  state: CrashState;
-  /** Whether the content was answered within a minute before the crash. */
-  isVouched: boolean;
-  /** Whether it was answered at about that time, by a run that began clearly before this one. */
-  isExcused: boolean;
-  /** Client accounts whose requests ran it there, two at most. */
-  readonly accountIds: Set<string>;
-}
-
 /** What may be sent of a content. */
 export enum SuspectState {
   /** Its requests are sent without restriction. */
@@ -69,6 +59,9 @@
 export class Suspect {
   readonly runs = new Map<string, SuspectRun>();
 
+  /** Crashes at which the content ran too, but whose runs there was no room for; oldest first. */
+  readonly #formerCrashIds = new Set<string>();
+
   #lastSeenAtMs = Number.NEGATIVE_INFINITY;
 
   /** When peers were last notified that the content is still requested. */
@@ -194,7 +187,10 @@
   apply(run: SuspectRun): boolean {
     const known = this.runs.get(run.crashId);
     if (known) return mergeRun(known, run);
-    if (this.runs.size >= MAX_CRASHES_KEPT) return false;
+    if (this.runs.size >= MAX_CRASHES_KEPT) {
+      this.#addFormerCrash(run.crashId);
+      return false;
+    }
     this.runs.set(run.crashId, run);
     return true;
   }
@@ -213,10 +209,25 @@
     const runs = [...this.runs.values()].sort((a, b) => a.endedAtMs - b.endedAtMs);
     const oldest = runs.slice(MIN_CRASHES_FOR_PROBATION).find((run) => run.endedAtMs < endedAtMs);
     const evicted = runs.find(({ state }) => state === CrashState.Cleared) ?? oldest;
-    if (evicted) this.runs.delete(evicted.crashId);
+    if (evicted) {
+      this.runs.delete(evicted.crashId);
+      this.#addFormerCrash(evicted.crashId);
+    }
     return evicted?.crashId;
   }
 
+  /** @param crashId - a crash. @returns whether the content ran there, cleared of it or not */
+  hasRunAt(crashId: string): boolean {
+    return this.runs.has(crashId) || this.#formerCrashIds.has(crashId);
+  }
+
+  #addFormerCrash(crashId: string): void {
+    this.#formerCrashIds.add(crashId);
+    const [oldest] = this.#formerCrashIds;
+    if (this.#formerCrashIds.size > MAX_FORMER_CRASHES_KEPT && oldest !== undefined)
+      this.#formerCrashIds.delete(oldest);
+  }
+
   /**
    * @param crashId - a crash that the content did not cause
    * @returns its run at the crash; undefined if there is none or it was cleared before
@@ -260,22 +271,3 @@
     return run?.state === CrashState.Suspected && !run.isVouched;
   }
 }
-
-/**
- * Merges a second crash note about a run into the known one.
- *
- * @returns whether the known run changed
- */
-function mergeRun(known: SuspectRun, run: SuspectRun): boolean {
-  const isCleared = known.state !== CrashState.Cleared && run.state === CrashState.Cleared;
-  const isVouched = !known.isVouched && run.isVouched;
-  if (isCleared) Object.assign(known, { state: CrashState.Cleared });
-  const isExcused = !known.isExcused && run.isExcused;
-  if (isVouched) Object.assign(known, { isVouched });
-  if (isExcused) Object.assign(known, { isExcused });
-  const accountCount = known.accountIds.size;
-  run.accountIds.forEach((id) => {
-    if (known.accountIds.size < MAX_ACCOUNTS_KEPT) known.accountIds.add(id);
-  });
-  return isCleared || isVouched || isExcused || known.accountIds.size > accountCount;
-}
--- a/src/domain/crashes/crash_ledger_test.ts
+++ b/src/domain/crashes/crash_ledger_test.ts
@@ -197,3 +197,27 @@
   });
   fc.assert(property, { seed: SEED, numRuns: 300 });
 });
+
+t.test('ends for which there is no room are not taken for ends without the content', async (t) => {
+  // Guards against asking for a second trial that ends its server, as if servers failed by themselves.
+  const ledger = new CrashLedger();
+  const crashTogether = (ids: readonly string[], ago: readonly [number, number]): void => {
+    ledger.apply(
+      ids.flatMap((id) => [buildNote('a', id, ago), buildNote(`only at ${id}`, id, ago)]),
+      NOW_MS,
+    );
+  };
+  const ids = Array.from({ length: 12 }, (_, index) => `s-${index}`);
+  crashTogether(ids, [10_100, 10_000]);
+  ledger.clearContent('a', NOW_MS - 9_950, NOW_MS - 10_050);
+  ['t-1', 't-2', 't-3'].forEach((id, index) => {
+    const endedAgoMs = 5_000 - index * 500;
+    const ago = [endedAgoMs + 100, endedAgoMs] as const;
+    ledger.apply([{ ...buildNote('a', id, ago), isVouched: true }], NOW_MS);
+    ledger.apply([buildNote(`beside at ${id}`, id, ago)], NOW_MS);
+  });
+  t.equal(ledger.probationList.findProgress('a')?.trialCount, 0, 'it is on probation');
+  ledger.recordTrial('a', { id: 'trial', startedAtMs: NOW_MS - 2_000, isVoid: false }, NOW_MS);
+  ledger.apply([buildNote('a', 't-4', [2_000, 1_900])], NOW_MS);
+  t.ok(ledger.isHeld('a'));
+});
