Play sound servers that fall silent beside new configurations

Users saw whole requests without an answer beside a change of the configuration. A sound server may be silent for a second or so, which no stand-in played: replicas answered at once or never.

`npm run bench -- silent-servers` plays entry hosts as processes, kept connections, streams of 2.5 to 12.6 s, reads and writes, silences of 0.5 to 2 s of one server, a zone or all, and a configuration each 0.9 s that moves, drops and adds routes, changes timeouts and limits, and takes keys away.

--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -21,6 +21,7 @@
 import { runLeavingNotice } from './leaving_notice.js';
 import { runGroupSize, runOverload, runReserve } from './overload.js';
 import { runSilentLink } from './silent_link.js';
+import { runSilentServers } from './silent_servers.js';
 import { runThroughputOneHost } from './throughput_one_host.js';
 import { runWideFleet } from './wide_fleet.js';
 
@@ -66,6 +67,11 @@
     description: 'detection time of a link that goes silent without closing, by kind of link',
     run: runSilentLink,
   },
+  {
+    name: 'silent-servers',
+    description: 'calls without an answer while servers fall silent beside new configurations',
+    run: runSilentServers,
+  },
   {
     name: 'dead-peer',
     description: 'detection time of a killed or paused entry host',
