Lend free slots of servers that bear few refusals

Cause: each slot belongs to one host, and freed slots of such servers are not handed on, since reports are too old to share them.

Change: a host lends a slot that has been free for 20 ms to the host with the most urgent waiting call, over the message for freed slots, through relays. The owner leaves it unused until it is returned or until no request under the loan can be running: start window, longest timeout of the service's routes, and a second for requests that were broken off. The borrower bounds the age of the offer by the reports that the sender had heard, and starts nothing after the window. Nothing is lent over a link whose last report is over 300 ms old. A refusal under a loan pauses both hosts. The queue counts slots that are free at others before it refuses a call for a long wait.

Why it holds: a lost message, a killed borrower or a cut costs the owner the slot for seconds and never gives it to two hosts. An owner that is killed forgets its loans: a refusal may follow, and pauses it.

--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -80,6 +80,8 @@
   serverId: name,
   hops: count,
   turn: z.object({ heardSequence: count, ageMs: amount }).optional(),
+  lent: z.object({ loanId: count, heardSequence: count, ageMs: amount }).optional(),
+  returned: z.object({ loanId: count, wasDeclined: z.boolean() }).optional(),
 });
 
 /** Schema of the announcement of a waiting call. */
--- a/src/application/direct/_refusal_limits.ts
+++ b/src/application/direct/_refusal_limits.ts
@@ -51,14 +51,26 @@
   /** By service ID. */
   readonly #splits = new Map<string, SlotSplit>();
 
+  readonly #beginHandlers: (() => void)[] = [];
+
   /** @param options - dependencies */
   constructor(options: RefusalLimitsOptions) {
     this.#options = options;
   }
 
+  /** @returns IDs of the services whose servers limit their refusals now */
+  listLimitedServices(): readonly string[] {
+    return [...this.#states.keys()].filter((id) => this.find(id) !== undefined);
+  }
+
   /** Number of services whose servers limit their refusals now. */
   get count(): number {
-    return [...this.#states.keys()].filter((id) => this.find(id) !== undefined).length;
+    return this.listLimitedServices().length;
+  }
+
+  /** @param handler - called when a service begins to limit its refusals, or names another limit */
+  onBegin(handler: () => void): void {
+    this.#beginHandlers.push(handler);
   }
 
   /**
@@ -137,7 +149,8 @@
     const namedAtMs = this.#options.clock.nowMs() - ageMs;
     const known = this.#states.get(serviceId);
     if (ageMs >= HOLD_MS || (known && known.namedAtMs >= namedAtMs)) return;
-    if (this.find(serviceId) !== declinesPerSecond) {
+    const isNew = this.find(serviceId) !== declinesPerSecond;
+    if (isNew) {
       this.#options.log.write(LogLevel.Warn, 'service_refusals_limited', {
         service: serviceId,
         declinesPerSecond,
@@ -146,5 +159,6 @@
       });
     }
     this.#states.set(serviceId, { declinesPerSecond, namedAtMs });
+    if (isNew) this.#beginHandlers.forEach((handler) => handler());
   }
 }
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -32,6 +32,7 @@
 import type { ServerRegistry } from './server_registry.js';
 import type { StreamServices } from './stream_services.js';
 import { ServiceQueue } from './service_queue.js';
+import { SlotLender } from './slot_lender.js';
 import { WaitingNotices } from './waiting_notices.js';
 
 /** Dependencies and limits of {@link DirectGateway}. */
@@ -98,12 +99,14 @@
     this.#checks = new CallChecks(options);
     this.#takeUps = new TakeUps(options);
     this.#services = { ...options, ...createRetryShares(options) };
-    this.#freedSlotForwarder = new FreedSlotForwarder({
-      ...options,
-      getFirstUrgency: (serviceId) => this.#queues.get(serviceId)?.firstUrgency ?? Infinity,
-      dispatchWaiting: (serviceId) => this.#queues.get(serviceId)?.dispatchWaiting(),
-    });
-    this.#waitingNotices = new WaitingNotices(options);
+    const queues = {
+      getFirstUrgency: (id: string) => this.#queues.get(id)?.firstUrgency ?? Infinity,
+      dispatchWaiting: (id: string) => this.#queues.get(id)?.dispatchWaiting(),
+    };
+    const lender = new SlotLender({ ...options, ...queues });
+    this.#freedSlotForwarder = new FreedSlotForwarder({ ...options, ...queues, lender });
+    const onNotice = (id: string): void => lender.offer(id);
+    this.#waitingNotices = new WaitingNotices({ ...options, onNotice });
     options.servers.onRestart((endedId) => {
       [...this.#calls].forEach((call) => call.handleServerEnded(endedId));
     });
--- a/src/application/direct/freed_slot_forwarder.ts
+++ b/src/application/direct/freed_slot_forwarder.ts
@@ -16,6 +16,7 @@
 } from '../../ports/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type { ServerRegistry } from './server_registry.js';
+import type { SlotLender } from './slot_lender.js';
 
 /**
  * Maximum number of times that a slot is forwarded: from a member to its relay, to another
@@ -60,6 +61,8 @@
   readonly getFirstUrgency: (serviceId: string) => number;
   /** @param serviceId - ID of the service whose free slots are given to calls waiting here */
   readonly dispatchWaiting: (serviceId: string) => void;
+  /** Lends slots of servers that bear few refusals. */
+  readonly lender?: SlotLender;
 }
 
 /**
@@ -97,9 +100,15 @@
   /** @param serverId - incarnation ID of the backend server where an own request ended */
   forward(serverId: string): void {
     this.#forwardOrDispatch(serverId, 0);
+    this.#options.lender?.handleFreed(serverId);
   }
 
-  #handle(from: string, { serverId, hops, turn }: FreedSlotMessage): void {
+  #handle(from: string, message: FreedSlotMessage): void {
+    const { serverId, hops, turn, lent, returned } = message;
+    if (lent || returned) {
+      this.#options.lender?.handle(from, message);
+      return;
+    }
     if (turn) this.#acceptTurn(serverId, turn);
     else this.#adjustPeerInFlight(from, serverId, -1);
     this.#forwardOrDispatch(serverId, hops, from);
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -11,6 +11,7 @@
   WaitQueue,
   WaitSuccessTracker,
 } from '../../domain/direct/mod.js';
+import { countUsedSlots } from '../../domain/places/mod.js';
 import type { Timer } from '../../ports/mod.js';
 import type { QueuedCall, ServiceQueueOptions } from './service_queue_options.js';
 
@@ -187,7 +188,8 @@
   #estimateWaitMs(call: QueuedCall): number {
     this.#dropOldFreedTimes();
     const msPerFreedSlot = FREED_WINDOW_MS / Math.max(MIN_FREED_SLOTS, this.#freedAtMs.length);
-    const waitMs = (this.#countAhead(call) + 1) * msPerFreedSlot;
+    const slotsNeeded = Math.max(0, this.#countAhead(call) + 1 - this.#countFreeElsewhere());
+    const waitMs = slotsNeeded * msPerFreedSlot;
     const blockedMs = this.#options.estimateBlockedMs();
     return Math.max(waitMs, blockedMs, this.#estimatePacedWaitMs(call));
   }
@@ -220,6 +222,13 @@
       .reduce((sum, { load }) => sum + load.countOpenSlots(nowMs), 0);
   }
 
+  /** Counts free slots that other entry hosts own and may lend. */
+  #countFreeElsewhere(): number {
+    const paced = this.#options.listCandidates().filter(({ load }) => load.pace.slots.isPaced);
+    const freeSlots = paced.map(({ load }) => countUsedSlots(load.slots) - load.inFlight);
+    return freeSlots.reduce((sum, free) => sum + Math.max(0, free), 0);
+  }
+
   #tryDispatch(call: QueuedCall): boolean {
     // No waiting call goes before this one, so none of them competes for the free slot.
     const candidate = this.#pickCandidate(call, 0);
--- a/src/application/direct/waiting_notices.ts
+++ b/src/application/direct/waiting_notices.ts
@@ -33,6 +33,8 @@
   readonly metrics: Metrics;
   readonly peers: PeerNetwork;
   readonly servers: ServerRegistry;
+  /** @param serviceId - ID of the service for whose slots calls wait at a peer */
+  readonly onNotice?: (serviceId: string) => void;
 }
 
 interface SentNotice {
@@ -58,9 +60,10 @@
   /** @param options - dependencies */
   constructor(options: WaitingNoticesOptions) {
     this.#options = options;
-    options.peers.handle(PeerMessageType.WaitingNotice, ({ incarnation }, notice) =>
-      options.servers.peers.applyWaitingNotice(incarnation, notice),
-    );
+    options.peers.handle(PeerMessageType.WaitingNotice, ({ incarnation }, notice) => {
+      options.servers.peers.applyWaitingNotice(incarnation, notice);
+      options.onNotice?.(notice.serviceId);
+    });
   }
 
   /** @param serviceId - ID of the service that a call waits for. @param queue - its queue */
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -221,6 +221,7 @@
 
   #recordSlotEnd(outcome: ServerOutcome, nowMs: number): void {
     const { slots } = this.pace;
+    slots.recordEnd(nowMs, this.#ownInFlight);
     if (outcome === ServerOutcome.Declined) slots.recordDeclined(nowMs);
     const wasAnswered = outcome === ServerOutcome.Answered || outcome === ServerOutcome.ServerError;
     if (!wasAnswered && outcome !== ServerOutcome.Declined) slots.recordBrokenOff(nowMs);
--- a/src/domain/places/slot_pacer.ts
+++ b/src/domain/places/slot_pacer.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { SlotLoans } from './slot_loans.js';
+import type { EndedLoan } from './slot_loans.js';
 
 /**
  * Shortest time between two requests, in milliseconds: longer than a refusal takes to arrive, so
@@ -11,7 +13,7 @@
 const SEND_INTERVAL_MS = 10;
 
 /** Time for which a request that was broken off may still hold its slot, in milliseconds. */
-const LINGER_MS = 1_000;
+export const LINGER_MS = 1_000;
 
 /**
  * Time from the first word of such a limit in which servers may still be overfilled from before,
@@ -20,6 +22,9 @@
 const SETTLE_MS = 2_500;
 const SETTLE_PAUSE_MS = 250;
 
+/** Time for which a slot must be free before it is lent, in milliseconds. */
+const IDLE_MS = 20;
+
 /** What one entry host may send to such a server. */
 export interface SlotQuota {
   /** Number of slots that this host may use at a time. */
@@ -39,9 +44,15 @@
 
   #pausedUntilMs = Number.NEGATIVE_INFINITY;
 
+  /** When all own slots were last seen in use. */
+  #fullAtMs = Number.NEGATIVE_INFINITY;
+
   /** When requests that were broken off give their slots back, oldest first. */
   readonly #lingerUntilMs: number[] = [];
 
+  /** Slots that this host lends or borrows. */
+  readonly loans = new SlotLoans();
+
   /**
    * @param quota - what this host may send; undefined: the server sets no such limit
    * @param nowMs - monotonic time in milliseconds
@@ -68,10 +79,45 @@
    */
   maySend(nowMs: number, ownInFlight: number): boolean {
     if (!this.#quota) return true;
-    while ((this.#lingerUntilMs[0] ?? Infinity) <= nowMs) this.#lingerUntilMs.shift();
-    const used = ownInFlight + this.#lingerUntilMs.length;
+    const ownFree = this.#updateLoans(nowMs, ownInFlight);
     const isDue = nowMs - this.#sentAtMs >= SEND_INTERVAL_MS && nowMs >= this.#pausedUntilMs;
-    return isDue && used < this.#quota.slots;
+    if (!isDue || ownFree > 0) return isDue;
+    return -ownFree <= this.loans.usedCount && this.loans.mayStart(nowMs);
+  }
+
+  /**
+   * @param nowMs - monotonic time in milliseconds
+   * @param ownInFlight - requests of this host on the server
+   * @returns number of slots of this host that it may lend
+   */
+  countLendable(nowMs: number, ownInFlight: number): number {
+    if (!this.#quota || nowMs < this.#pausedUntilMs) return 0;
+    const ownFree = this.#updateLoans(nowMs, ownInFlight);
+    return nowMs - this.#fullAtMs >= IDLE_MS ? ownFree : 0;
+  }
+
+  /**
+   * @param nowMs - monotonic time in milliseconds
+   * @param ownInFlight - requests of this host on the server
+   * @param isNeeded - whether a call waits for a slot
+   * @returns borrowed slots that this host gives back
+   */
+  takeUnusedLoans(nowMs: number, ownInFlight: number, isNeeded: boolean): readonly EndedLoan[] {
+    const ownFree = this.#updateLoans(nowMs, ownInFlight);
+    // Without a limit, requests need no slot of another host.
+    if (!this.#quota) this.loans.updateUse(0);
+    else if (ownFree > 0 && isNeeded) return this.loans.takeUnused(nowMs, false);
+    return this.loans.takeUnused(nowMs, isNeeded && this.#quota !== undefined);
+  }
+
+  /** @returns own slots that are free; negative: number of requests that hold borrowed slots */
+  #updateLoans(nowMs: number, ownInFlight: number): number {
+    while ((this.#lingerUntilMs[0] ?? Infinity) <= nowMs) this.#lingerUntilMs.shift();
+    const ownSlots = (this.#quota?.slots ?? 0) - this.loans.countLent(nowMs);
+    const ownFree = ownSlots - ownInFlight - this.#lingerUntilMs.length;
+    if (ownFree <= 0) this.#fullAtMs = nowMs;
+    this.loans.updateUse(Math.max(0, -ownFree));
+    return ownFree;
   }
 
   /** @param nowMs - monotonic time at which a request is sent */
@@ -82,11 +128,20 @@
   /** @param nowMs - monotonic time at which the server refused a request for lack of room */
   recordDeclined(nowMs: number): void {
     if (!this.#quota) return;
+    this.loans.recordDeclined();
     const isSettling = nowMs - this.#pacedSinceMs < SETTLE_MS;
     const pauseMs = isSettling ? SETTLE_PAUSE_MS : this.#quota.pauseMs;
     this.#pausedUntilMs = nowMs + pauseMs;
   }
 
+  /**
+   * @param nowMs - monotonic time at which a request ended
+   * @param ownInFlight - requests of this host that are left on the server
+   */
+  recordEnd(nowMs: number, ownInFlight: number): void {
+    if (this.#quota) this.#updateLoans(nowMs, ownInFlight + 1);
+  }
+
   /** @param nowMs - monotonic time at which a request was broken off */
   recordBrokenOff(nowMs: number): void {
     if (this.#quota) this.#lingerUntilMs.push(nowMs + LINGER_MS);
--- a/src/domain/places/slot_split.ts
+++ b/src/domain/places/slot_split.ts
@@ -79,6 +79,7 @@
   return { slots: ownSlots, pauseMs };
 }
 
-function countUsedSlots(slots: number): number {
+/** @param slots - slots of a server. @returns how many of them hosts use while it bears few refusals */
+export function countUsedSlots(slots: number): number {
   return slots < SPARE_SLOT_FROM ? slots : slots - 1;
 }
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -82,6 +82,20 @@
   readonly ageMs: number;
 }
 
+/** Right of another entry host to one slot, which its owner leaves unused meanwhile. */
+export interface LentSlot extends DispatchTurn {
+  /** Number of the loan in the sender's process. */
+  readonly loanId: number;
+}
+
+/** The end of such a right. */
+export interface ReturnedSlot {
+  /** Number of the loan in the receiver's process. */
+  readonly loanId: number;
+  /** Whether the backend server has refused a request under it. */
+  readonly wasDeclined: boolean;
+}
+
 /**
  * Forwards a slot to a receiver that has a more urgent waiting call: one that a request of the
  * sender has just released, or a turn at a backend server that names a limit.
@@ -94,6 +108,10 @@
   readonly hops: number;
   /** Set if the backend server is limited; then the slot may be used only with this right. */
   readonly turn?: DispatchTurn | undefined;
+  /** Set if the slot is lent; then the receiver has to return it. */
+  readonly lent?: LentSlot | undefined;
+  /** Set if a slot that the receiver has lent or passed on is returned. */
+  readonly returned?: ReturnedSlot | undefined;
 }
 
 /** Announces between two reports that a more urgent call is waiting than was last reported. */
