Give a restarted host its slots back once settled peers know the same hosts

Cause: a host owns no slot for 2 s from its start, as it may not know all others yet; the others keep its slots for it all the while.

Change: reports state a digest of the hosts that the sender knows, silent ones too, once it has settled. A host that started a second ago owns its slots if all settled peers that report to it state the digest of its own list; a member asks its relay alone. Hosts that all start at once state none and wait for 2 s as before. The window to start requests on a lent slot is 1 s now (1.5 s), so that nobody starts one any more on a slot that the killed process had lent.

--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -68,6 +68,7 @@
   refusalLimits: z.record(name, z.object({ declinesPerSecond: amount, ageMs: amount })).default({}),
   configurationVersion: count.default(0),
   view: count.optional(),
+  knownHosts: count.optional(),
   roster: z.array(rosterEntrySchema).max(MAX_LIST_LENGTH),
   rosterRevision: count,
   heardRosterRevision: count,
--- a/src/application/direct/_pace_roles.ts
+++ b/src/application/direct/_pace_roles.ts
@@ -22,6 +22,8 @@
   readonly listPresent: () => readonly HostState[];
   /** @returns whether this entry host has been up for long enough to know all others */
   readonly isSettled: () => boolean;
+  /** @returns whether it has, or hosts that have been up for so long know the same hosts */
+  readonly isConfirmed: () => boolean;
 }
 
 interface CachedPosition {
--- a/src/application/direct/_refusal_limits.ts
+++ b/src/application/direct/_refusal_limits.ts
@@ -121,7 +121,7 @@
       return;
     }
     const { hosts } = this.#options;
-    const ownSlots = hosts.isSettled() ? (this.#splitSlots(serviceId).get(id) ?? 0) : 0;
+    const ownSlots = hosts.isConfirmed() ? (this.#splitSlots(serviceId).get(id) ?? 0) : 0;
     const hostCount = hosts.listKnown().length + 1;
     const bound = { slots: load.slots, declinesPerSecond, hostCount };
     load.pace.slots.configure(deriveSlotQuota(ownSlots, bound), nowMs);
--- a/src/application/direct/_report_builder.ts
+++ b/src/application/direct/_report_builder.ts
@@ -11,6 +11,7 @@
 import { NO_STATS } from './report_stats.js';
 import type { StatsSources, ReportStats } from './report_stats.js';
 import type { ReportRole } from './_report_role.js';
+import type { Settling } from './_settling.js';
 import type { ReceivedReports } from './_received_reports.js';
 import type { ViewComparison } from './_view_comparison.js';
 
@@ -20,6 +21,7 @@
   readonly role: ReportRole;
   readonly received: ReceivedReports;
   readonly views: ViewComparison;
+  readonly settling: Settling;
   readonly buildStats: (sources: StatsSources) => ReportStats;
 }
 
@@ -59,6 +61,7 @@
       hostCount: hasStats ? hostCount : 0,
       ...stats,
       view: scope === ReportScope.Group ? this.#options.views.digest : undefined,
+      knownHosts: this.#options.settling.reported,
       roster: this.#listRosterEntries(peer, scope, ackedRevision),
       rosterRevision: roster.revision,
       heardRosterRevision: lastReport?.rosterRevision ?? 0,
--- a/src/application/direct/host_reports.ts
+++ b/src/application/direct/host_reports.ts
@@ -19,7 +19,7 @@
 import { ReportRole } from './_report_role.js';
 import { RosterLog } from './_roster_log.js';
 import { ReportScheduler } from './_report_scheduler.js';
-import { hasSettled } from './_settling.js';
+import { Settling } from './_settling.js';
 import { SentReports } from './_sent_reports.js';
 import { ViewComparison } from './_view_comparison.js';
 import { isCounted, ReceivedReports } from './_received_reports.js';
@@ -46,7 +46,8 @@
 
   readonly #sentReports: SentReports;
 
-  readonly #startedAtMs: number;
+  /** Whether this entry host knows all others. */
+  readonly settling: Settling;
 
   readonly #scheduler: ReportScheduler;
 
@@ -60,7 +61,6 @@
     this.#rosterLog = new RosterLog(options.log);
     const { peers, clock, log, self, cores, seedPeerUrls } = options;
     this.#sentReports = new SentReports(clock);
-    this.#startedAtMs = clock.nowMs();
     this.#roster = new Roster({
       identity: self,
       bornAtMs: clock.wallMs(),
@@ -74,7 +74,9 @@
     this.#views = new ViewComparison({ clock, log, roster: this.#roster });
     const shared = { roster: this.#roster, received: this.#received, views: this.#views };
     this.#role = new ReportRole(shared);
-    this.#builder = new ReportBuilder({ ...shared, ...options, role: this.#role });
+    this.settling = new Settling({ ...shared, clock, role: this.#role });
+    const { settling } = this;
+    this.#builder = new ReportBuilder({ ...shared, ...options, role: this.#role, settling });
     this.#links = new PeerLinks({ peers, clock, log, selfUrl: self.peerUrl, seeds: seedPeerUrls });
     this.#scheduler = new ReportScheduler({
       clock,
@@ -123,8 +125,7 @@
 
   /** Whether this entry host has had enough time to discover all others. */
   get isSettled(): boolean {
-    const ageMs = this.#options.clock.nowMs() - this.#startedAtMs;
-    return hasSettled(ageMs, this.listHeard().length);
+    return this.settling.isSettled;
   }
 
   /** @returns number of heard peers that serve callers */
--- a/src/application/direct/slot_lender.ts
+++ b/src/application/direct/slot_lender.ts
@@ -26,7 +26,7 @@
 const CHECK_INTERVAL_MS = 25;
 
 /** Time from the offer of a slot in which a request may be started on it, in milliseconds. */
-const START_WINDOW_MS = 1_500;
+const START_WINDOW_MS = 1_000;
 
 /**
  * Time since the last report of a peer for which slots are lent to it, in milliseconds. A slot
--- a/src/application/direct/slot_lender_test.ts
+++ b/src/application/direct/slot_lender_test.ts
@@ -159,3 +159,34 @@
   const served = computeServed(fleet, fromCall);
   t.ok(served >= SERVED_FRACTION, served.toFixed(2));
 });
+
+t.test('a host that has just restarted soon owns its slots again', async (t) => {
+  // Guards against slots that nobody uses for 2 s, as their owner waits to hear of hosts it knows.
+  const fleet = await startFleet(t, { hosts: 6, servers: 4, slots: 10 }, 1);
+  const host = fleet.hosts[4];
+  if (!host) return;
+  await fleet.removeHost(host);
+  await runLight(fleet, 500);
+  const { servers } = await fleet.addHost('h-5', { incarnation: 'h-5-2' });
+  await runLight(fleet, 1_300);
+  const { length } = servers
+    .listCandidates('engines')
+    .filter(({ load }) => Number(load.pace.slots.describe().ownSlots) > 0);
+  t.ok(length > 0);
+});
+
+t.test('hosts that all restart own no slot before they know each other', async (t) => {
+  // Guards against hosts that take their first peer for the whole fleet and use the same slots.
+  const fleet = await startFleet(t, { hosts: 6, servers: 2, slots: 4 }, 3);
+  const fromMs = fleet.clock.nowMs();
+  const ids = fleet.hosts.map(({ peers }) => peers.identity.id);
+  for (const host of [...fleet.hosts]) await fleet.removeHost(host);
+  await fleet.clock.advance(1_000);
+  for (const id of ids) {
+    await fleet.addHost(id, { incarnation: `${id}-2` });
+    await runLight(fleet, 60);
+  }
+  await runLight(fleet, 3_000);
+  const refusals = fleet.countMostRefusals(fromMs + 2_000);
+  t.ok(refusals <= DECLINES_PER_SECOND, `${refusals}`);
+});
--- a/src/commands/_direct_store_view.ts
+++ b/src/commands/_direct_store_view.ts
@@ -32,6 +32,7 @@
       listKnown: () => getReports().listKnown(),
       listPresent: () => getReports().listPresent(),
       isSettled: () => getReports().isSettled,
+      isConfirmed: () => getReports().settling.isConfirmed,
     },
   });
 }
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -61,6 +61,8 @@
    * states none.
    */
   readonly view?: number | undefined;
+  /** Digest of the hosts that the sender knows, silent ones too; undefined until it knows all. */
+  readonly knownHosts?: number | undefined;
   /** Roster entries that changed since the revision that the receiver is known to have. */
   readonly roster: readonly RosterEntry[];
   /** Revision of the sender's roster that the receiver has after applying these entries. */
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -121,6 +121,7 @@
         listKnown: () => this.reports?.listKnown() ?? NO_HOSTS,
         listPresent: () => this.reports?.listPresent() ?? NO_HOSTS,
         isSettled: () => this.isSettled && this.reports?.isSettled !== false,
+        isConfirmed: () => this.isSettled && this.reports?.settling.isConfirmed !== false,
       },
       countServing: () => (this.reports?.countServing() ?? 0) + 1,
     });
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -46,7 +46,13 @@
     isEngine: () => true,
     countServing: () => hostCount,
     places: new ZoneView({ ...shared, prefix: 'closed/' }),
-    hosts: { selfId: 'entry-1', listKnown: () => [], listPresent: () => [], isSettled: () => true },
+    hosts: {
+      selfId: 'entry-1',
+      listKnown: () => [],
+      listPresent: () => [],
+      isSettled: () => true,
+      isConfirmed: () => true,
+    },
     findWarmupLimit: () => undefined,
     findRegion: () => undefined,
   });
