Tell a peer that a link is closed for its silence

An end that closes a link for its silence now says so by a close code, so that the other one waits for the next link as well; after any other close it waits for 0.08 s.

--- a/src/adapters/peers_ws/_peer_link.ts
+++ b/src/adapters/peers_ws/_peer_link.ts
@@ -16,6 +16,9 @@
 /** Maximum number of bytes that an end may send before it is authenticated. */
 const MAX_HANDSHAKE_BYTES = 16_384;
 
+/** Code by which the other end learns that a link was closed for its silence. */
+const SILENT_CLOSE_CODE = 4_000;
+
 /** Prefix of the error codes of the `ws` library for protocol violations by the other end. */
 const WS_ERROR_CODE_PREFIX = 'WS_ERR_';
 
@@ -131,6 +134,8 @@
   /** Ends the link immediately, without a closing handshake. */
   end(cause: LinkEndCause, reason = ''): void {
     this.#reportEnd(cause, reason);
+    const isOpen = this.#webSocket.readyState === this.#webSocket.OPEN;
+    if (isOpen && cause === LinkEndCause.Silent) this.#webSocket.close(SILENT_CLOSE_CODE);
     this.#webSocket.terminate();
   }
 
@@ -172,7 +177,10 @@
     webSocket.on('ping', () => this.recordReceived());
     webSocket.on('pong', () => this.recordReceived());
     webSocket.on('error', (error) => this.#handleError(error));
-    webSocket.on('close', () => this.#reportEnd(LinkEndCause.Closed, 'connection closed'));
+    webSocket.on('close', (code) => {
+      const cause = code === SILENT_CLOSE_CODE ? LinkEndCause.Silent : LinkEndCause.Closed;
+      this.#reportEnd(cause, 'connection closed');
+    });
   }
 
   /** The `ws` library emits `error` for malformed or oversized frames and for lost connections. */
--- a/src/application/paths/_proxy_resumption.ts
+++ b/src/application/paths/_proxy_resumption.ts
@@ -9,10 +9,10 @@
 import { MAX_SUSPENSION_MS } from './_resume_times.js';
 
 /**
- * Time for a new link after the peer, or the network, has closed the former one, in milliseconds.
- * A peer that lives is linked again at once.
+ * Time for a new link after the former one was closed by the other end, in milliseconds. It is short
+ * since the requests of a peer that has crashed wait for it.
  */
-const MAX_CLOSED_MS = 500;
+const MAX_CLOSED_MS = 80;
 
 /** Interval at which a peer is asked to go on until it confirms that, in milliseconds. */
 const ASK_INTERVAL_MS = 400;
