Refuse requests of peers from the start of a stop, and tell who is cut

A process that got SIGTERM went on taking requests of peers that had not heard of it, also in the last moments of its grace, and cut them without a word. It now refuses them as having no room, so that another peer is asked, and ends those that are left with a reason; those that still wait are said not to have been sent.

A stop of a real process was not played.

--- a/src/application/direct/direct_stop.ts
+++ b/src/application/direct/direct_stop.ts
@@ -26,6 +26,14 @@
 
 /** Steps and limits of the shutdown. */
 export interface DirectStopOptions {
+  /** Requests that this host sends for its peers. */
+  readonly requestsOfPeers: {
+    readonly exchangeCount: number;
+    /** Has peers ask others. */
+    refuseNewRequests(): void;
+    /** Ends those that are left, and tells the peers. */
+    endAll(): void;
+  };
   readonly clock: Clock;
   readonly log: EventLog;
   /** Time limit of the whole shutdown, in milliseconds. */
@@ -50,20 +58,23 @@
  * @returns when the process may exit
  */
 export async function runDirectStop(options: DirectStopOptions): Promise<void> {
-  const { clock, log, limitMs } = options;
+  const { clock, log, limitMs, requestsOfPeers } = options;
+  const countAll = (): number => options.countCalls() + requestsOfPeers.exchangeCount;
   const startedAtMs = clock.nowMs();
-  log.write(LogLevel.Info, 'stop_begun', { calls: options.countCalls(), limitMs });
+  log.write(LogLevel.Info, 'stop_begun', { calls: countAll(), limitMs });
   options.announceStop();
+  requestsOfPeers.refuseNewRequests();
   await wait(clock, Math.min(ACCEPT_PERIOD_MS, limitMs / 2));
   options.refuseNewCalls();
   const endCallsAtMs = startedAtMs + limitMs * END_CALLS_FRACTION;
   const refuseUntilMs = clock.nowMs() + REFUSAL_PERIOD_MS;
-  const isBusy = (): boolean => options.countCalls() > 0 || options.countUnsentAnswers() > 0;
+  const isBusy = (): boolean => countAll() > 0 || options.countUnsentAnswers() > 0;
   while (clock.nowMs() < endCallsAtMs && (isBusy() || clock.nowMs() < refuseUntilMs)) {
     await wait(clock, POLL_INTERVAL_MS);
   }
-  const cutCalls = options.countCalls();
+  const cutCalls = countAll();
   options.stopAllCalls();
+  requestsOfPeers.endAll();
   options.stopAccepting();
   const sendUntilMs = startedAtMs + limitMs * SEND_ANSWERS_FRACTION;
   do {
--- a/src/application/direct/direct_stop_test.ts
+++ b/src/application/direct/direct_stop_test.ts
@@ -10,18 +10,30 @@
 async function simulateStop(
   endsAtMs: readonly number[],
   sentAtMs = 0,
+  peersEndAtMs = 0,
 ): Promise<{
   readonly steps: string[];
+  /** What happened to the requests of peers. */
+  readonly peerSteps: string[];
   readonly tookMs: number;
 }> {
   const clock = new VirtualClock();
   const startMs = clock.nowMs();
   const steps: string[] = [];
+  const peerSteps: string[] = [];
   let tookMs = Infinity;
   const recordStep = (step: string) => (): void => {
     steps.push(`${step} ${clock.nowMs() - startMs}`);
   };
+  const requestsOfPeers = {
+    get exchangeCount() {
+      return clock.nowMs() - startMs < peersEndAtMs ? 1 : 0;
+    },
+    refuseNewRequests: () => peerSteps.push(`refuse ${clock.nowMs() - startMs}`),
+    endAll: () => peerSteps.push(`end ${clock.nowMs() - startMs}`),
+  };
   const stopped = runDirectStop({
+    requestsOfPeers,
     clock,
     log: new FakeLog(),
     limitMs: LIMIT_MS,
@@ -36,7 +48,7 @@
   });
   await clock.advance(LIMIT_MS);
   await stopped;
-  return { steps, tookMs };
+  return { steps, peerSteps, tookMs };
 }
 
 t.test('runDirectStop() announces at once and accepts calls for three more seconds', async (t) => {
@@ -64,6 +76,17 @@
   t.ok(never.tookMs < LIMIT_MS);
 });
 
+t.test(
+  'runDirectStop() refuses requests of peers at once, and waits for those it has',
+  async (t) => {
+    // Guards against requests of peers that are taken, and lost, by a process that ends.
+    const { peerSteps } = await simulateStop([], 0, 6_000);
+    t.match(peerSteps, [/^refuse 0$/, /^end 60\d\d/]);
+    const { peerSteps: cut } = await simulateStop([], 0, 60_000);
+    t.match(cut.at(-1), /end 69\d\d/);
+  },
+);
+
 t.test(
   'runDirectStop() cuts off no call that ends well before the limit, and is always in time',
   async () => {
--- a/src/application/paths/_incoming_exchanges.ts
+++ b/src/application/paths/_incoming_exchanges.ts
@@ -51,6 +51,8 @@
 
   readonly #keptBytes: KeptBytes = { total: 0 };
 
+  #isRefusing = false;
+
   #pruneTimer: Timer | undefined;
 
   /** @param options - dependencies */
@@ -77,6 +79,20 @@
     return this.#askers.get(incarnation)?.runningCount ?? 0;
   }
 
+  /** Refuses all later requests, so that other peers are asked. */
+  refuseNew(): void {
+    this.#isRefusing = true;
+  }
+
+  /** Ends all exchanges, and tells the peers; first those that would take the room of others. */
+  endAll(): void {
+    this.refuseNew();
+    [...this.#askers.values()]
+      .flatMap((asker) => asker.listRunning())
+      .sort((a, b) => Number(a.isRunning) - Number(b.isRunning))
+      .forEach((exchange) => exchange.abort());
+  }
+
   /** Cancels all exchanges. */
   stop(): void {
     [...this.#lossTimers.keys()].forEach((incarnation) => this.#cancelLossTimers(incarnation));
@@ -107,7 +123,8 @@
       },
     });
     asker.add(exchangeId, exchange);
-    exchange.start();
+    if (this.#isRefusing) exchange.refuseBusy();
+    else exchange.start();
   }
 
   #buildReply(
--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -80,17 +80,22 @@
     this.#job = {
       urgency: options.request.urgency,
       start: () => this.#send(),
-      refuse: () => this.#refuseBusy(),
+      refuse: () => this.refuseBusy(),
     };
   }
 
+  /** Whether the request is not waiting for room any more. */
+  get isRunning(): boolean {
+    return this.#isRunning;
+  }
+
   /** Sends the request as soon as there is room. */
   start(): void {
     const { gate, clock } = this.#options;
     gate.submit(this.#job);
     if (this.#isRunning || this.#hasEnded) return;
     this.#waitTimer = clock.setTimer(MAX_WAIT_MS, () => {
-      if (gate.remove(this.#job)) this.#refuseBusy();
+      if (gate.remove(this.#job)) this.refuseBusy();
     });
   }
 
@@ -105,6 +110,27 @@
     this.#end('refused');
   }
 
+  /** Leaves the request, which is not sent, to another peer. */
+  refuseBusy(): void {
+    this.#report({
+      kind: ProxyEventKind.Failure,
+      failure: BackendFailure.NotSent,
+      reason: 'the peer has no room',
+      isBusy: true,
+    });
+    this.#end('busy');
+  }
+
+  /** Ends the exchange since this process ends. */
+  abort(): void {
+    if (this.#options.gate.remove(this.#job)) {
+      this.refuseBusy();
+      return;
+    }
+    this.#exchange?.cancel();
+    this.onFailure(BackendFailure.Broken, 'the peer has stopped');
+  }
+
   /** Ends the exchange without a reply. */
   cancel(): void {
     this.log.close();
@@ -154,16 +180,6 @@
     }
   }
 
-  #refuseBusy(): void {
-    this.#report({
-      kind: ProxyEventKind.Failure,
-      failure: BackendFailure.NotSent,
-      reason: 'the peer has no room',
-      isBusy: true,
-    });
-    this.#end('busy');
-  }
-
   /** A connection whose answer is complete may carry another request by now. */
   #abandon(result: string): void {
     if (this.#hasEnded) return;
--- a/src/application/paths/proxy_server.ts
+++ b/src/application/paths/proxy_server.ts
@@ -98,6 +98,16 @@
     );
   }
 
+  /** Sends no further requests of peers, which hear that this host has no room. */
+  refuseNewRequests(): void {
+    this.#exchanges.refuseNew();
+  }
+
+  /** Ends all requests of peers, which are told so. */
+  endAll(): void {
+    this.#exchanges.endAll();
+  }
+
   /** Cancels all requests of peers. */
   stop(): void {
     this.#exchanges.stop();
--- a/src/application/paths/proxy_server_test.ts
+++ b/src/application/paths/proxy_server_test.ts
@@ -7,7 +7,7 @@
 } from '../../../test/support/fake_peer_network.js';
 import { FakeLog, FakeMetrics } from '../../../test/support/fakes.js';
 import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
-import { PeerMessageType } from '../../ports/mod.js';
+import { BackendFailure, PeerMessageType } from '../../ports/mod.js';
 import type { ProxyReplyMessage } from '../../ports/mod.js';
 import { ServerPaths } from '../../domain/paths/mod.js';
 import { OwnReach } from './own_reach.js';
@@ -99,3 +99,37 @@
   backend.sent[0]?.sendResponse();
   t.equal(backend.sent[96]?.request.deadlineMs, 800);
 });
+
+t.test('a peer that stops sends new requests of peers elsewhere', async (t) => {
+  // Guards against requests that a peer takes although it ends before their answers.
+  const backend = new FakeBackend();
+  const { server, replies, send } = createPair(backend);
+  send(1, 0);
+  await settle();
+  server.refuseNewRequests();
+  send(2, 0);
+  await settle();
+  t.equal(backend.sent.length, 1);
+  t.match(
+    replies.map(({ exchangeId, event }) => ({ exchangeId, event })),
+    [{ exchangeId: 2, event: { failure: BackendFailure.NotSent, isBusy: true } }],
+  );
+  backend.sent[0]?.sendResponse();
+  await settle();
+  t.equal(server.exchangeCount, 0, 'the former request is answered');
+});
+
+t.test('peers hear of the requests that a peer cuts at the end of its stop', async (t) => {
+  // Guards against callers that wait for an answer which a process that has ended can't send.
+  const backend = new FakeBackend();
+  const { server, replies, send } = createPair(backend);
+  for (let id = 1; id <= 98; id += 1) send(id, 0);
+  await settle();
+  server.endAll();
+  await settle();
+  const failures = replies.flatMap(({ event }) => ('failure' in event ? event.failure : []));
+  t.equal(failures.filter((failure) => failure === BackendFailure.Broken).length, 96);
+  t.equal(failures.filter((failure) => failure === BackendFailure.NotSent).length, 2);
+  t.ok(backend.sent.every(({ isCancelled }) => isCancelled));
+  t.equal(server.exchangeCount, 0);
+});
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -226,8 +226,7 @@
     this.#crashes.start();
     this.#streams.origins.start();
     const { id: entryHost, incarnation, url, peerUrl } = this.#self;
-    const fields = { entryHost, incarnation, url, peerUrl };
-    this.log.write(LogLevel.Info, 'entry_host_started', fields);
+    this.log.write(LogLevel.Info, 'entry_host_started', { entryHost, incarnation, url, peerUrl });
   }
 
   /** Runs a planned stop. */
@@ -242,9 +241,10 @@
       },
       refuseNewCalls: () => this.#gateway.refuseNewCalls(),
       stopAccepting: () => this.#listener.stopAccepting(),
-      countCalls: () => this.#gateway.callCount + this.#hostPaths.server.exchangeCount,
+      countCalls: () => this.#gateway.callCount,
       countUnsentAnswers: () => this.#listener.unsentCount,
       stopAllCalls: () => this.#gateway.stopAllCalls(),
+      requestsOfPeers: this.#hostPaths.server,
     });
   }
 
