Hold no part for a trial that another one beside it explains

Cause: with the first server that returned, one host tried a sound request and another one with the part, at that server. It ended, and both were held: a companion in one's own trial counted as nothing else, though the popular part had a trial without it at the same time. Class: "always together" concluded from one pair.

Evidence: request_tried at 6.144 s by two hosts, the end at 6.221 s, request_held for the first part at 6.278 s, in a fleet of six hosts, 17 servers, 23 at once.

A companion now counts as such only if all trials of the suspect at that end tried both. A cause that is held voids the trials of others that its ends cut short, so that they are tried again.

--- a/src/domain/crashes/_crash_suspect_counts.ts
+++ b/src/domain/crashes/_crash_suspect_counts.ts
@@ -53,7 +53,8 @@
 
   /**
    * Counts without what the same trial tried as well and can't be told apart: what ran at this crash
-   * alone, and what ran at each crash at which the suspect did.
+   * alone, and what ran at each crash at which the suspect did. Where a trial of the suspect without
+   * the other began at the same time, they don't always come together.
    *
    * @param suspect - a content or part
    * @param crashId - a crash
@@ -61,11 +62,14 @@
    */
   countSuspectsOfOtherRequests(suspect: Suspect, crashId: string): number {
     const runs = suspect.listSuspectedRuns();
+    const ownRun = suspect.runs.get(crashId);
+    const sharesAll = (other: Suspect): boolean =>
+      ownRun === undefined || suspect.sharesTrialsOf(other, ownRun);
     const isCompanion = (other: Suspect): boolean =>
       other.suspectedCrashCount === 1 || runs.every((run) => other.runs.has(run.crashId));
     const companions = this.#suspects
       .filter((other) => other !== suspect && other.isSuspectedOf(crashId))
-      .filter((other) => other.sharesTrialWith(suspect) && isCompanion(other));
+      .filter((other) => other.sharesTrialWith(suspect) && sharesAll(other) && isCompanion(other));
     return this.countOtherSuspects(suspect, crashId) - companions.length;
   }
 
--- a/src/domain/crashes/_suspect.ts
+++ b/src/domain/crashes/_suspect.ts
@@ -28,6 +28,9 @@
 /** Maximum number of crashes kept per content of which nothing else is kept. */
 const MAX_FORMER_CRASHES_KEPT = 64;
 
+/** Largest difference between the start of a trial and that of its run, in milliseconds. */
+const SAME_START_MS = 250;
+
 /** Maximum number of trials kept per content; trials older than its crashes no longer count. */
 const MAX_TRIALS_KEPT = 8;
 
@@ -113,6 +116,23 @@
     return this.trials.some(({ id, isVoid }) => !isVoid && other.#trials.has(id));
   }
 
+  /**
+   * @param other - another suspect
+   * @param run - a run of this one
+   * @returns whether all trials of this one that began with the run were trials of both
+   */
+  sharesTrialsOf(other: Suspect, run: SuspectRun): boolean {
+    return this.listTrialsOf(run).every(({ id }) => other.#trials.has(id));
+  }
+
+  /** @param run - a run. @returns the trials that began about when it did */
+  listTrialsOf(run: SuspectRun): Trial[] {
+    return this.trials.filter(
+      ({ startedAtMs, isVoid }) =>
+        !isVoid && Math.abs(startedAtMs - run.startedAtMs) <= SAME_START_MS,
+    );
+  }
+
   /** Whether any trial is kept. */
   get hasTrials(): boolean {
     return this.#trials.size > 0;
--- a/src/domain/crashes/crash_ledger.ts
+++ b/src/domain/crashes/crash_ledger.ts
@@ -17,6 +17,7 @@
 import { isClearedByAnswer } from './answer_evidence.js';
 import { buildNote, listNotes } from './_suspect_notes.js';
 import { SuspectTable } from './_suspect_table.js';
+import { voidExplainedTrials } from './_explained_trials.js';
 
 /**
  * How long a content is remembered after it last ran or was requested, in milliseconds. A content
@@ -290,10 +291,10 @@
   }
 
   #setState(suspect: Suspect, state: SuspectState, nowMs: number): void {
-    const wasHeld = suspect.isHeld;
+    if (suspect.isHeld !== (state === SuspectState.Quarantined)) this.#revision += 1;
     suspect.setState(state, nowMs);
     this.#probationList.reset();
-    if (wasHeld !== suspect.isHeld) this.#revision += 1;
+    if (suspect.isHeld) voidExplainedTrials(suspect, this.#table);
     this.#stateChanges.push(buildStateChange(suspect, nowMs));
   }
 }
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -120,8 +120,10 @@
     const { clock, hub } = this;
     const probe = new FakeProbe(this.#reachability);
     const identity = buildIdentity(`h-${index}`);
-    const seeds = this.#options.sharesReports ? SEED_URLS : undefined;
-    const host = new DirectHost({ clock, hub, probe, identity, ...(seeds ? { seeds } : {}) });
+    const shared = { clock, hub, probe, identity };
+    const host = this.#options.sharesReports
+      ? new DirectHost({ ...shared, seeds: SEED_URLS, seed: index })
+      : new DirectHost(shared);
     this.hosts.push(host);
     host.backend.onSend = (exchange) => this.#serve(exchange);
     host.feed.put('configuration', buildDocument(1, this.#options));
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -107,7 +107,7 @@
     this.peers = new FakePeerNetwork(options.hub ?? new FakePeerHub(), identity);
     this.spending = new AccountSpending(this.clock);
     const { clock, feed, log, metrics } = this;
-    const random = new SeededRandom();
+    const random = new SeededRandom(options.seed);
     const shared = { clock, log, metrics, random };
     this.storeView = new StoreView({
       ...shared,
--- a/test/support/direct_host_options.ts
+++ b/test/support/direct_host_options.ts
@@ -17,6 +17,8 @@
   readonly identity?: EntryHostIdentity;
   /** Peer URLs where the host begins to exchange reports. Default: it exchanges none. */
   readonly seeds?: readonly string[];
+  /** Seed of the host's random choices and IDs. Default: the same for all hosts. */
+  readonly seed?: number | undefined;
   /** Whether the host sends requests through peers where its own links are cut. Default: true. */
   readonly usesPeers?: boolean | undefined;
   /** Whether the whole system starts for the first time. Default: false. */
--- a/test/support/part_storm.ts
+++ b/test/support/part_storm.ts
@@ -58,6 +58,8 @@
 export interface PartStormResult {
   /** Servers that crashed under each crashing part. */
   readonly crashes: Readonly<Record<string, number>>;
+  /** Requests with a crashing part that reached servers; the largest number of any part. */
+  readonly reached: number;
   /** Requests with a crashing part that reached servers too late; the largest number of any part. */
   readonly late: number;
   /** Fraction of the sound requests that were served once each part had crashed five servers. */
@@ -152,7 +154,8 @@
   const parts = [...new Set(fleet.crashes.flatMap(({ body }) => body ?? []))];
   const counts = parts.map((part) => {
     const fifthAtMs = fleet.findCrashMs(part, CRASHES_TO_HOLD);
-    return { part, late: fleet.countPartArrivals(part, fifthAtMs + CONTACT_MS) };
+    const reached = fleet.countPartArrivals(part, stormAtMs);
+    return { reached, late: fleet.countPartArrivals(part, fifthAtMs + CONTACT_MS) };
   });
   const isSettled = ({ atMs }: SentRequest): boolean =>
     atMs >= stormAtMs && parts.every((part) => !isUnsettled(fleet, part, atMs));
@@ -166,6 +169,7 @@
   const ran = new Set(fleet.arrivals.map(({ body }) => body));
   return {
     crashes: Object.fromEntries(parts.map((part) => [part, countCrashes(fleet, part)])),
+    reached: Math.max(0, ...counts.map(({ reached }) => reached)),
     late: Math.max(0, ...counts.map(({ late }) => late)),
     soundServed: computeServed(lateSound),
     servedOnReturn: computeServed(sound.filter(isSentOnReturn)),
