--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -104,6 +104,13 @@
     attempt.start();
   }
 
+  /** Cancels attempts that no server can have received yet: nothing of them is lost. */
+  cancelUnsent(): void {
+    this.#attempts
+      .filter(({ mayHaveBeenSent }) => !mayHaveBeenSent)
+      .forEach((attempt) => this.#cancel(attempt));
+  }
+
   /** Cancels all attempts. */
   cancelAll(): void {
     this.#attempts.forEach((attempt) => this.#cancel(attempt));
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -170,6 +170,7 @@
     if (!next) return;
     attempt.recordSilence();
     this.#stream.recordStream(attempt.stream);
+    this.#inFlight.cancelUnsent();
     this.#send(next);
   }
 
--- a/src/application/direct/silent_attempts_test.ts
+++ b/src/application/direct/silent_attempts_test.ts
@@ -188,6 +188,19 @@
   },
 );
 
+t.test('a read that was not sent yet is not sent to two servers', async (t) => {
+  // Guards against reads that run twice without a retry when the way to their servers is back.
+  const host = await startDirectHost(t, { route: READ }, ['s-1', 's-2']);
+  host.backend.onSend = (exchange) => {
+    Object.assign(exchange, { mayHaveBeenSent: false });
+  };
+  host.call();
+  await host.clock.advance(700);
+  t.ok(host.getSent(0).isCancelled);
+  t.notOk(host.getSent(1).isCancelled);
+  t.same(host.log.list('retry_granted'), []);
+});
+
 t.test('a caller that leaves ends both attempts', async (t) => {
   // Guards against servers that work on for callers that have gone.
   const { host, reply } = await startSilentStream(t);
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -179,7 +179,6 @@
 
   /**
    * Records that a request has been silent for too long: it takes at least as long as it was awaited.
-   * One whose time ends says nothing, as its way may have been silent.
    *
    * @param work - the request
    * @param waitedMs - how long its first byte was awaited, in milliseconds; 0 if that has arrived
