Pass a server's own error on where nothing better comes in time

Found on review: a read's answer of status 500 was held for a better one, and thrown away when the call's time ended or the host stopped; the caller got 504 or 502 of ours. Beside a silent attempt that was new, after a failed one old.

--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -195,15 +195,21 @@
   }
 
   /**
-   * Ends the call with an error. Does nothing after the call has ended.
+   * Ends the call with the last error answer of a server, or an error of this host. Does nothing after
+   * the call has ended.
    *
    * @param error - error to answer with; once the answer has begun, it is aborted instead
    * @param cause - what ends the call. @param details - values that the decision used, for the log
    */
   fail(error: SchedulerError, cause: EndCause, details: LogFields = {}): void {
     if (this.#hasEnded) return;
-    const reportedError = correctRefusal(error, this.mayHaveRun);
     const { hasStarted } = this.#options.reply;
+    if (!hasStarted && this.#sendFallback) {
+      this.#sendFallback();
+      this.#end('call_answered', { cause });
+      return;
+    }
+    const reportedError = correctRefusal(error, this.mayHaveRun);
     if (hasStarted) this.#options.reply.abort();
     else this.#options.reply.sendError(reportedError);
     const fields = { ...buildErrorFields(reportedError, cause), ...details };
@@ -258,10 +264,7 @@
     const isUncountedRetry = failure === BackendFailure.NotSent;
     const canResume = !this.#options.reply.hasStarted || this.#stream.canContinue;
     if (isAllowed && canResume && (isUncountedRetry || this.#retries.take())) this.#resubmit();
-    else if (this.#sendFallback && !this.#options.reply.hasStarted) {
-      this.#sendFallback();
-      this.#end('call_answered', { backendServer: serverId, failure });
-    } else if (mayHaveRun) this.fail(new SchedulerError(ErrorKind.BackendServerLost), cause);
+    else if (mayHaveRun) this.fail(new SchedulerError(ErrorKind.BackendServerLost), cause);
     else this.shed(0, cause);
   }
 
--- a/src/application/direct/silent_attempts_test.ts
+++ b/src/application/direct/silent_attempts_test.ts
@@ -201,6 +201,25 @@
   t.same(host.log.list('retry_granted'), []);
 });
 
+t.test("a server's own error is passed on if nothing better comes in time", async (t) => {
+  // Guards against answers of servers that are held for a better one, and then thrown away.
+  const ends = {
+    timeout: (host: DirectHost) => host.clock.advance(2_000),
+    stop: (host: DirectHost) => host.gateway.stopAllCalls(),
+  };
+  for (const [name, end] of Object.entries(ends)) {
+    for (const failing of [0, 1]) {
+      const host = await startDirectHost(t, { route: READ }, ['s-1', 's-2']);
+      const reply = host.call();
+      if (failing === 1) await host.clock.advance(700);
+      host.getSent(failing).sendResponse(500, 'broken');
+      t.equal(host.backend.sent.length, 2);
+      await end(host);
+      t.equal(reply.head?.status, 500, `${name}, attempt ${failing}`);
+    }
+  }
+});
+
 t.test('a caller that leaves ends both attempts', async (t) => {
   // Guards against servers that work on for callers that have gone.
   const { host, reply } = await startSilentStream(t);
