Keep streams at silent servers for a while only where no server speaks

Found on review: with every awaited server frozen for good, streams stayed there to the end of their time although idle servers had room (before the mend they went on); a server that had spoken a moment ago and owed nothing did not count.

--- a/src/application/direct/_silence_policy.ts
+++ b/src/application/direct/_silence_policy.ts
@@ -22,6 +22,9 @@
 /** Time after a refusal of the retry budget in which it is not asked again, in milliseconds. */
 const BUDGET_INTERVAL_MS = 500;
 
+/** Time for which a stream is kept while all servers are silent, in milliseconds. */
+const ALL_SILENT_MS = 1_000;
+
 /** Why a silent attempt is kept. */
 export enum KeepReason {
   /** It is a trial, whose result is worth more than a server that may be faster. */
@@ -68,6 +71,9 @@
 
   readonly #recorded = new Set<KeepReason>();
 
+  /** Since when all servers have been silent, on the monotonic clock in milliseconds. */
+  #allSilentSinceMs: number | undefined;
+
   /** When the retry budget refused the call last, on the monotonic clock in milliseconds. */
   #refusedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -112,18 +118,22 @@
 
   /**
    * Lists servers that have fallen silent as well: a stream that is given up for one of them may be
-   * declined later.
+   * declined later. While no server speaks, it is kept for a while, as sound ones go on then.
    *
-   * @returns their incarnation IDs; undefined if all servers are silent of which signs are due
+   * @returns their incarnation IDs; undefined if all servers are silent as far as this host can tell
    */
   #listQuiet(): readonly string[] | undefined {
     const { services, serviceId, route } = this.#options;
     if (!route.isStream) return [];
     const nowMs = services.clock.nowMs();
-    const awaited = services.servers.listCandidates(serviceId).filter(isAwaited);
-    const quiet = awaited.filter(({ load }) => load.signs.isQuiet(nowMs));
-    const isAll = quiet.length > 1 && quiet.length === awaited.length;
-    return isAll ? undefined : quiet.map(({ id }) => id);
+    const candidates = services.servers.listCandidates(serviceId);
+    const quiet = candidates.filter(({ load }) => load.signs.isQuiet(nowMs));
+    const areAllSilent =
+      quiet.length > 1 && !candidates.some(({ load }) => load.signs.hasSpoken(nowMs));
+    if (areAllSilent) this.#allSilentSinceMs ??= nowMs;
+    else this.#allSilentSinceMs = undefined;
+    const silentMs = nowMs - (this.#allSilentSinceMs ?? nowMs);
+    return areAllSilent && silentMs < ALL_SILENT_MS ? undefined : quiet.map(({ id }) => id);
   }
 
   /** @returns a permit that is no trial: the silent attempt may still show what its content does */
@@ -145,7 +155,3 @@
     return false;
   }
 }
-
-function isAwaited({ load }: Candidate): boolean {
-  return load.signs.isAwaited;
-}
--- a/src/application/direct/silent_attempts_test.ts
+++ b/src/application/direct/silent_attempts_test.ts
@@ -220,6 +220,38 @@
   }
 });
 
+t.test('streams at frozen servers go on at idle ones', async (t) => {
+  // Guards against streams that are kept at frozen servers for as long as their time lasts.
+  const servers = ['s-1', 's-2', 's-3', 's-4', 's-5'];
+  const host = await startDirectHost(t, { route: STREAM }, servers);
+  host.call(REQUEST);
+  host.call(REQUEST);
+  const used = new Set(host.backend.sent.map(({ request }) => request.incarnationId));
+  t.equal(used.size, 2, 'two servers');
+  for (const index of [0, 1]) {
+    host.getSent(index).sendHead({ isEventStream: true });
+    host.getSent(index).events(1, 2);
+  }
+  await host.clock.advance(2_600);
+  t.equal(host.backend.sent.length, 4);
+});
+
+t.test('a server that has just spoken shows that not all are silent', async (t) => {
+  // Guards against servers that count as silent as they have nothing to answer.
+  const servers = ['s-1', 's-2', 's-3', 's-4', 's-5'];
+  const host = await startDirectHost(t, { route: STREAM }, servers);
+  for (const index of [0, 1, 2]) {
+    host.call(REQUEST);
+    host.getSent(index).sendHead({ isEventStream: true });
+    host.getSent(index).events(1, 2);
+  }
+  await host.clock.advance(1_300);
+  host.getSent(2).events(3, 3);
+  host.getSent(2).listener.onComplete();
+  await host.clock.advance(200);
+  t.equal(host.backend.sent.length, 5);
+});
+
 t.test('a caller that leaves ends both attempts', async (t) => {
   // Guards against servers that work on for callers that have gone.
   const { host, reply } = await startSilentStream(t);
--- a/src/domain/backend_servers/server_signs.ts
+++ b/src/domain/backend_servers/server_signs.ts
@@ -31,9 +31,9 @@
     this.#awaitedCount = Math.max(0, this.#awaitedCount - 1);
   }
 
-  /** Whether answers of the server are awaited. */
-  get isAwaited(): boolean {
-    return this.#awaitedCount > 0;
+  /** @param nowMs - monotonic time in milliseconds. @returns whether it has spoken a moment ago */
+  hasSpoken(nowMs: number): boolean {
+    return nowMs - this.#heardAtMs <= QUIET_MS;
   }
 
   /**
@@ -41,6 +41,6 @@
    * @returns whether answers are awaited and nothing has come for some time
    */
   isQuiet(nowMs: number): boolean {
-    return this.isAwaited && nowMs - Math.max(this.#heardAtMs, this.#awaitedSinceMs) > QUIET_MS;
+    return this.#awaitedCount > 0 && nowMs - Math.max(this.#heardAtMs, this.#awaitedSinceMs) > QUIET_MS;
   }
 }
