Leave a silent server alone once for one silence

Found on review: each server to which a silent stream was offered and that declined it lengthened the pause of the silent one, 2.1 s after three. One silence counts once.

--- a/src/application/direct/_attempt_load.ts
+++ b/src/application/direct/_attempt_load.ts
@@ -23,6 +23,8 @@
 
   #signCount = 0;
 
+  #isSilenceRecorded = false;
+
   /**
    * @param load - load of the server
    * @param work - the request; its time starts now
@@ -84,8 +86,10 @@
     return true;
   }
 
-  /** Records that another server is asked because of the silence of this one. */
+  /** Records, once, that another server is asked because of the silence of this one. */
   recordSilence(): void {
+    if (this.#isSilenceRecorded) return;
+    this.#isSilenceRecorded = true;
     const waitedMs = this.#firstByteMs === 0 ? this.totalMs : 0;
     this.#load.recordSilence(this.#work, waitedMs, this.#clock.nowMs());
   }
