Count the overlap of two attempts from when the second may have been sent, and free the other's slot

The slot of an attempt that is cancelled beside another one is handed on like any other that becomes free (read, no test).

--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -99,9 +99,8 @@
       },
     });
     this.#attempts = [...this.#attempts, attempt];
-    if (route.isStream && this.#attempts.length > 1)
-      this.#scheduleOverlapEnd(MAX_STREAM_OVERLAP_MS);
     attempt.start();
+    if (route.isStream && this.#attempts.length > 1) this.#scheduleOverlapEnd();
   }
 
   /** Cancels attempts that no server can have received yet: nothing of them is lost. */
@@ -145,6 +144,7 @@
       .forEach((one) => {
         this.#options.recorder.recordGivenUp(one.incarnationId, attempt.incarnationId);
         this.#cancel(one);
+        this.#options.options.queue.handleSlotFreed(one.incarnationId, one.load.totalMs);
       });
   }
 
@@ -160,13 +160,19 @@
     attempt.cancel(ServerOutcome.Cancelled);
   }
 
-  #scheduleOverlapEnd(delayMs: number): void {
-    this.#overlapTimer?.cancel();
-    const { clock } = this.#options.options.services;
-    this.#overlapTimer = clock.setTimer(delayMs, () => {
-      const newest = this.#newest;
-      if (newest?.mayHaveBeenSent) this.#keepOnly(newest);
-      else this.#scheduleOverlapEnd(OVERLAP_CHECK_MS);
+  /** The overlap begins when the second server may have the request. */
+  #scheduleOverlapEnd(): void {
+    const newest = this.#newest;
+    const wasSent = newest?.mayHaveBeenSent === true;
+    this.#setOverlapTimer(wasSent ? MAX_STREAM_OVERLAP_MS : OVERLAP_CHECK_MS, () => {
+      if (wasSent && newest) this.#keepOnly(newest);
+      else this.#scheduleOverlapEnd();
     });
   }
+
+  #setOverlapTimer(delayMs: number, handle: () => void): void {
+    const { clock } = this.#options.options.services;
+    this.#overlapTimer?.cancel();
+    this.#overlapTimer = clock.setTimer(delayMs, handle);
+  }
 }
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -34,7 +34,8 @@
 export class DirectAttempt implements BackendListener {
   readonly #options: DirectAttemptOptions;
 
-  readonly #load: AttemptLoad;
+  /** What the attempt means for the load of its server. */
+  readonly load: AttemptLoad;
 
   /** Events that the caller received before this attempt. */
   readonly #initialEventCount: number;
@@ -64,18 +65,18 @@
     this.#stream = options.stream;
     this.#initialEventCount = options.stream?.eventCount ?? 0;
     const { clock } = options.services;
-    this.#load = new AttemptLoad(options.load, options.request.request.work, clock);
+    this.load = new AttemptLoad(options.load, options.request.request.work, clock);
     this.#stallDetector = new StallDetector({
       ...options,
       clock,
-      predictedFirstByteMs: this.#load.predictedFirstByteMs,
+      predictedFirstByteMs: this.load.predictedFirstByteMs,
     });
   }
 
   /** Sends the request. */
   start(): void {
     const { request, services } = this.#options;
-    this.#load.start();
+    this.load.start();
     try {
       this.#exchange = services.backend.send(request, this);
     } catch (error) {
@@ -106,11 +107,6 @@
     return this.#stream;
   }
 
-  /** Records that another server is asked beside this one because of its silence. */
-  recordSilence(): void {
-    this.#load.recordSilence();
-  }
-
   /** Incarnation ID of the backend server that the request was sent to. */
   get incarnationId(): string {
     return this.#options.request.incarnationId;
@@ -122,9 +118,9 @@
    */
   expectEnd(): void {
     this.#options.onStall();
-    const { signCount } = this.#load;
+    const { signCount } = this.load;
     this.#options.services.clock.setTimer(ENDED_SILENCE_MS, () => {
-      if (!this.#hasEnded && this.#load.signCount === signCount)
+      if (!this.#hasEnded && this.load.signCount === signCount)
         this.#abandon(AbandonReason.Restart);
     });
   }
@@ -132,19 +128,19 @@
   onNotice(notice: ServerNotice, isAuthentic: boolean): void {
     const { onArrival, request, services } = this.#options;
     onArrival();
-    this.#load.recordSign();
+    this.load.recordSign();
     services.servers.recordNotice({
       requestId: request.request.requestId,
       incarnationId: request.incarnationId,
       notice,
       isAuthentic,
-      sentAtMs: this.#load.startedAtMs,
+      sentAtMs: this.load.startedAtMs,
     });
   }
 
   onHead(head: BackendHead): void {
     this.#options.onArrival();
-    this.#load.recordHead();
+    this.load.recordHead();
     this.#status = head.status;
     this.#isFramed = head.isFramed;
     const { reply, route } = this.#options;
@@ -160,7 +156,7 @@
 
   onBody(bytes: Buffer): void {
     if (this.#hasEnded) return;
-    this.#load.recordSign();
+    this.load.recordSign();
     if (this.#relay === this.#stream) this.#takeOver();
     this.#recordFirstByte();
     try {
@@ -252,7 +248,7 @@
   }
 
   #recordFirstByte(): void {
-    if (this.#load.recordFirstByte()) this.#stallDetector.recordFirstByte(this.#stream);
+    if (this.load.recordFirstByte()) this.#stallDetector.recordFirstByte(this.#stream);
   }
 
   #end(
@@ -264,7 +260,7 @@
     if (this.#hasEnded) return;
     this.#finish(outcome);
     const outputTokens = this.#countOutputTokens();
-    if (failure === undefined && this.#status < 300) this.#load.learnSpeed(outputTokens);
+    if (failure === undefined && this.#status < 300) this.load.learnSpeed(outputTokens);
     this.#options.onEnd({
       failure,
       isComplete: failure === undefined || outcome === ServerOutcome.ServerError,
@@ -272,9 +268,9 @@
       answerEnd: this.#answerEnd,
       reason,
       status: this.#status,
-      firstByteMs: this.#load.firstByteMs,
-      predictedFirstByteMs: this.#load.predictedFirstByteMs,
-      totalMs: this.#load.totalMs,
+      firstByteMs: this.load.firstByteMs,
+      predictedFirstByteMs: this.load.predictedFirstByteMs,
+      totalMs: this.load.totalMs,
       outputTokens,
       stream: this.#stream,
       sendFallback,
@@ -290,7 +286,7 @@
   #finish(outcome: ServerOutcome): void {
     this.#hasEnded = true;
     this.#stallDetector.stop();
-    this.#load.end(outcome);
+    this.load.end(outcome);
   }
 }
 
--- a/src/application/direct/_silence_policy.ts
+++ b/src/application/direct/_silence_policy.ts
@@ -3,11 +3,7 @@
  *
  * @module
  */
-import type {
-  BackendServerEntry,
-  Candidate,
-  ServerLoad,
-} from '../../domain/backend_servers/mod.js';
+import type { BackendServerEntry, ServerLoad } from '../../domain/backend_servers/mod.js';
 import type { DirectReply } from '../../ports/mod.js';
 import { PermitKind } from '../crashes/mod.js';
 import type { Permit } from '../crashes/mod.js';
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -168,7 +168,7 @@
   #handleStall(attempt: DirectAttempt, permit: Permit): void {
     const next = this.#silence.findNext(attempt, permit);
     if (!next) return;
-    attempt.recordSilence();
+    attempt.load.recordSilence();
     this.#stream.recordStream(attempt.stream);
     this.#inFlight.cancelUnsent();
     this.#send(next);
--- a/src/application/direct/silent_attempts_test.ts
+++ b/src/application/direct/silent_attempts_test.ts
@@ -135,6 +135,23 @@
   t.notOk(host.getSent(1).isCancelled);
 });
 
+t.test('a server has its moment to decline a stream from when it has the request', async (t) => {
+  // Guards against streams that are given up for a server whose connection opened late.
+  const host = await startDirectHost(t, { route: STREAM }, ['s-1', 's-2']);
+  host.call(REQUEST);
+  host.getSent(0).sendHead({ isEventStream: true });
+  host.getSent(0).events(1, 2);
+  host.backend.onSend = (exchange) => {
+    Object.assign(exchange, { mayHaveBeenSent: false });
+  };
+  await host.clock.advance(1_600);
+  host.getSent(1).mayHaveBeenSent = true;
+  await host.clock.advance(150);
+  t.notOk(host.getSent(0).isCancelled);
+  await host.clock.advance(100);
+  t.ok(host.getSent(0).isCancelled);
+});
+
 t.test('the first whole answer to a read is delivered, and the other attempt ends', async (t) => {
   // Guards against reads that are given up for a server that takes as long.
   for (const winner of [0, 1]) {
