Start no trial each tenth of a second for a silent call on probation

Found on review: the question for a permit starts a trial and voids it at once; one silent call left 37 lines and twice as many notes to peers in five seconds. It is asked once a call now (the review's play was not run again).

--- a/src/application/direct/_silence_policy.ts
+++ b/src/application/direct/_silence_policy.ts
@@ -105,7 +105,8 @@
     const candidate = queue.pickBeside(call, quiet);
     const server = candidate && services.servers.findEntry(candidate.id);
     if (!server) return KeepReason.NoServer;
-    const next = this.#acquirePermit();
+    // A permit that is a trial is void at once, and peers are told of both.
+    const next = this.#recorded.has(KeepReason.Trial) ? undefined : this.#acquirePermit();
     if (!next) return KeepReason.Trial;
     // A request that was never written costs the service nothing.
     if (attempt.mayHaveBeenSent && !this.#takeRetry()) return KeepReason.NoBudget;
