Fail an attempt that ends without a head

Found on review: such an attempt left its call without an end until its deadline. No client of this program ends one so; the fake servers did, for a stream that was taken up behind its last event, and have a head now.

--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -201,7 +201,10 @@
   /** Ends the caller's answer, or fails the attempt if the backend server broke it off. */
   #endAnswer(): void {
     const relay = this.#relay;
-    if (!relay) return;
+    if (!relay) {
+      this.#end(BackendFailure.Broken, 'ended without a head');
+      return;
+    }
     const facts = this.#buildEndFacts(relay);
     this.#answerEnd = classifyAnswerEnd(facts);
     if (this.#answerEnd !== AnswerEnd.BrokenOff) {
--- a/test/support/silent_fleet.ts
+++ b/test/support/silent_fleet.ts
@@ -126,10 +126,10 @@
     this.#happen(run.exchange, stepMs, () => {
       const { exchange } = run;
       if (exchange.isCancelled) return;
+      const isFirst = next === Number(exchange.request.lastEventId ?? 0) + 1;
+      if (isFirst && events > 0) exchange.sendHead({ isEventStream: true });
       if (next > events) this.#answer(run);
       else {
-        if (next === Number(exchange.request.lastEventId ?? 0) + 1)
-          exchange.sendHead({ isEventStream: true });
         exchange.events(next, next);
         this.#goOn(run, String(next), stepMs);
       }
