--- a/src/domain/backend_servers/server_signs.ts
+++ b/src/domain/backend_servers/server_signs.ts
@@ -41,6 +41,8 @@
    * @returns whether answers are awaited and nothing has come for some time
    */
   isQuiet(nowMs: number): boolean {
-    return this.#awaitedCount > 0 && nowMs - Math.max(this.#heardAtMs, this.#awaitedSinceMs) > QUIET_MS;
+    return (
+      this.#awaitedCount > 0 && nowMs - Math.max(this.#heardAtMs, this.#awaitedSinceMs) > QUIET_MS
+    );
   }
 }
