--- a/src/application/direct/_attempt_budget.ts
+++ b/src/application/direct/_attempt_budget.ts
@@ -74,7 +74,7 @@
     this.#runCount += 1;
   }
 
-  /** Records that the last attempt did not run the request. */
+  /** Records that one of the attempts did not run the request. */
   recordNotRun(): void {
     this.#runCount -= 1;
   }
