Tell no call that it did not run by any status, once it may have run

Cause: only refusals of status 503 were corrected. Class: one rule that is checked by another fact. What counts is what the refusal says of the run. direct_call_test: not_run before, may_have_run now.

--- a/src/application/direct/_call_rejection.ts
+++ b/src/application/direct/_call_rejection.ts
@@ -10,7 +10,7 @@
 } from '../../domain/direct/mod.js';
 import { mayServe } from '../../domain/backend_servers/mod.js';
 import type { ServerLimits } from '../../domain/backend_servers/mod.js';
-import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import { ErrorKind, RunOutcome, SchedulerError } from '../../domain/errors/mod.js';
 import { isAllowedRegion } from '../../domain/places/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
 import type { LogFields } from '../../ports/mod.js';
@@ -112,7 +112,7 @@
  * @returns the error to report
  */
 export function correctRefusal(error: SchedulerError, mayHaveRun: boolean): SchedulerError {
-  return mayHaveRun && error.status === 503
+  return mayHaveRun && error.run === RunOutcome.NotRun
     ? new SchedulerError(ErrorKind.BackendServerLost)
     : error;
 }
--- a/src/application/direct/direct_call_test.ts
+++ b/src/application/direct/direct_call_test.ts
@@ -1,5 +1,5 @@
 import t from 'tap';
-import { buildServer, startDirectHost } from '../../../test/support/direct_host.js';
+import { buildDocument, buildServer, startDirectHost } from '../../../test/support/direct_host.js';
 import type { DocumentChanges } from '../../../test/support/direct_host.js';
 import { settle } from '../../../test/support/virtual_clock.js';
 import { formatIncarnationId } from '../../domain/backend_servers/mod.js';
@@ -75,6 +75,21 @@
   t.notOk(reply.isAborted);
 });
 
+t.test(
+  'a call that may have run is not told that it did not, when its key is revoked',
+  async (t) => {
+    // Guards against callers that repeat a request elsewhere although it ran.
+    const route = { isRepeatable: true };
+    const host = await startDirectHost(t, { route });
+    const reply = host.call();
+    host.feed.put('configuration', buildDocument(2, { route, keys: ['key-b'] }));
+    await settle();
+    host.getSent(0).fail(BackendFailure.Lost);
+    t.equal(host.backend.sent.length, 1);
+    t.equal(reply.error?.run, RunOutcome.MayHaveRun);
+  },
+);
+
 t.test("a server's own error is relayed when no other server can take over", async (t) => {
   const host = await startDirectHost(t);
   const reply = host.call();
