Name the faults of peers in one place, and lay none of them to a server

What operators saw: three of the five ways in which a peer's part of a request fails (it stopped, it dropped events, it has none) were logged and counted as server_failed, since the causes were matched by two texts that stood in another folder. Class: a fact that two places spell. The faults are one enum of the port now, and each of them is peer_link_lost. end_causes_test: three of five red with the two texts (read off the old table, not run).

--- a/src/application/direct/_end_cause.ts
+++ b/src/application/direct/_end_cause.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { ErrorKind } from '../../domain/errors/mod.js';
-import { BackendFailure } from '../../ports/mod.js';
+import { BackendFailure, PeerFault } from '../../ports/mod.js';
 
 /** Why an attempt failed, or why a call was refused or its answer broken off. */
 export enum EndCause {
@@ -18,7 +18,7 @@
   ServerDeclined = 'server_declined',
   /** No connection to the backend server could be opened. */
   NotConnected = 'not_connected',
-  /** The link to the peer that sent the request was lost. */
+  /** The peer that sent the request, or the link to it, was lost. */
   PeerLinkLost = 'peer_link_lost',
   /** The key, the account or the content may no longer be sent anywhere. */
   NotAllowed = 'not_allowed',
@@ -43,9 +43,7 @@
 
 const CAUSES_BY_REASON: Readonly<Record<string, EndCause>> = {
   [AbandonReason.Restart]: EndCause.ServerRestarted,
-  // Reasons of `ProxyClient`.
-  'the link to the peer is down': EndCause.PeerLinkLost,
-  'a message of the peer was lost': EndCause.PeerLinkLost,
+  ...Object.fromEntries(Object.values(PeerFault).map((fault) => [fault, EndCause.PeerLinkLost])),
 };
 
 const CAUSES_BY_FAILURE: Readonly<Record<BackendFailure, EndCause>> = {
--- a/src/application/direct/end_causes_test.ts
+++ b/src/application/direct/end_causes_test.ts
@@ -9,7 +9,8 @@
 import { buildDocument, buildServer, startDirectHost } from '../../../test/support/direct_host.js';
 import type { DirectHost, DocumentChanges } from '../../../test/support/direct_host.js';
 import { settle } from '../../../test/support/virtual_clock.js';
-import { BackendFailure } from '../../ports/mod.js';
+import { BackendFailure, PeerFault } from '../../ports/mod.js';
+import { deriveAttemptCause, EndCause } from './_end_cause.js';
 
 const STREAM = { isStream: true };
 
@@ -116,6 +117,12 @@
   t.same(host.log.list('attempt_failed'), []);
 });
 
+t.test('faults of peers are told from those of servers', async (t) => {
+  // Guards against servers that are blamed for peers which stop or lose events.
+  for (const fault of Object.values(PeerFault))
+    t.equal(deriveAttemptCause(BackendFailure.Broken, fault), EndCause.PeerLinkLost, fault);
+});
+
 t.test('a stream whose link to its peer is lost says so', async (t) => {
   // Guards against servers that are blamed for streams which a peer's end broke off.
   const route = { ...STREAM, timeoutMs: 20_000, targetGapMs: 1_000 };
--- a/src/application/paths/_incoming_exchanges.ts
+++ b/src/application/paths/_incoming_exchanges.ts
@@ -6,7 +6,7 @@
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
 import { UrgencyGate } from '../../domain/paths/mod.js';
-import { BackendFailure, PeerMessageType } from '../../ports/mod.js';
+import { BackendFailure, PeerFault, PeerMessageType } from '../../ports/mod.js';
 import type {
   ProxiedRequest,
   ProxyEvent,
@@ -179,7 +179,7 @@
     });
     if (asker.hasNeverReceived(exchange))
       log.setFailure(BackendFailure.NotSent, 'the request was lost on its way to the peer');
-    else log.setFailure(BackendFailure.Broken, 'the peer has no events of the request');
+    else log.setFailure(BackendFailure.Broken, PeerFault.NoEvents);
     asker.end(exchangeId, log);
     this.#schedulePrune();
     return log;
--- a/src/application/paths/_outgoing_exchanges.ts
+++ b/src/application/paths/_outgoing_exchanges.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { LogLevel } from '../../domain/errors/mod.js';
-import { BackendFailure, PeerMessageType, ProxyEventKind } from '../../ports/mod.js';
+import { BackendFailure, PeerFault, PeerMessageType, ProxyEventKind } from '../../ports/mod.js';
 import type {
   BackendExchange,
   BackendListener,
@@ -159,7 +159,7 @@
   #handleGap(exchangeId: number, { peer, listener }: PendingExchange): void {
     if (this.#resumption.isSuspended(peer) || this.#resumption.requestMissing(peer)) return;
     this.#cancel(exchangeId);
-    listener.onFailure(BackendFailure.Broken, 'a message of the peer was lost');
+    listener.onFailure(BackendFailure.Broken, PeerFault.MessageLost);
   }
 
   #applyEvent(exchangeId: number, exchange: PendingExchange, event: ProxyEvent): void {
@@ -206,7 +206,7 @@
   #failAll(peer: string): void {
     this.#listEntries(peer).forEach(([exchangeId, { listener }]) => {
       this.#cancel(exchangeId);
-      listener.onFailure(BackendFailure.Broken, 'the link to the peer is down');
+      listener.onFailure(BackendFailure.Broken, PeerFault.LinkDown);
     });
   }
 
--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -5,7 +5,7 @@
  */
 import { formatReason } from '../../domain/errors/mod.js';
 import type { GatedJob, UrgencyGate } from '../../domain/paths/mod.js';
-import { BackendFailure, ProxyEventKind } from '../../ports/mod.js';
+import { BackendFailure, PeerFault, ProxyEventKind } from '../../ports/mod.js';
 import type {
   BackendExchange,
   BackendHead,
@@ -128,7 +128,7 @@
       return;
     }
     this.#exchange?.cancel();
-    this.onFailure(BackendFailure.Broken, 'the peer has stopped');
+    this.onFailure(BackendFailure.Broken, PeerFault.Stopped);
   }
 
   /** Ends the exchange without a reply. */
--- a/src/application/paths/_reply_log.ts
+++ b/src/application/paths/_reply_log.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { BackendFailure, ProxyEventKind } from '../../ports/mod.js';
+import { BackendFailure, PeerFault, ProxyEventKind } from '../../ports/mod.js';
 import type { Clock, ProxyEvent, Timer } from '../../ports/mod.js';
 import { MAX_SUSPENSION_MS } from './_resume_times.js';
 
@@ -164,7 +164,7 @@
   }
 
   #lose(): void {
-    this.setFailure(BackendFailure.Broken, 'events for the peer were lost');
+    this.setFailure(BackendFailure.Broken, PeerFault.EventsDropped);
     this.#sendFailure();
     this.#options.onLost();
   }
--- a/src/ports/proxy_messages.ts
+++ b/src/ports/proxy_messages.ts
@@ -13,6 +13,15 @@
 import type { PeerMessageType } from './peer_message_type.js';
 import type { Reachability } from './server_probe.js';
 
+/** Faults of a peer that sends a request, or of the link to it; the values are written to logs. */
+export enum PeerFault {
+  LinkDown = 'the link to the peer is down',
+  MessageLost = 'a message of the peer was lost',
+  EventsDropped = 'events for the peer were lost',
+  NoEvents = 'the peer has no events of the request',
+  Stopped = 'the peer has stopped',
+}
+
 /** What a backend server receives of a caller's request. */
 export interface ProxiedRequest extends Omit<BackendRequest, 'request'> {
   readonly requestId: string;
