Count what a host awaits of a server in one place

ServerSigns counted the requests in flight a second time, beside ServerLoad. No change of behaviour: silent_attempts_test, silent_servers_test and direct_call_test as before.

--- a/src/application/direct/_attempt_load.ts
+++ b/src/application/direct/_attempt_load.ts
@@ -56,9 +56,9 @@
   /** Records that the request is sent. */
   start(): void {
     const nowMs = this.#clock.nowMs();
+    if (this.#load.ownInFlight === 0) this.#load.signs.recordAwaited(nowMs);
     this.#load.recordStart(this.#work);
     this.#load.pace.recordSent(nowMs);
-    this.#load.signs.recordSent(nowMs);
   }
 
   /** Number of parts of the answer that have arrived. */
@@ -97,7 +97,6 @@
   /** @param outcome - how the attempt ended */
   end(outcome: ServerOutcome): void {
     if (this.#firstByteMs === 0) this.#load.recordFirstByte(this.#work);
-    this.#load.signs.recordEnded();
     this.#load.recordEnd(outcome, this.#clock.nowMs());
   }
 
--- a/src/application/direct/_silence_policy.ts
+++ b/src/application/direct/_silence_policy.ts
@@ -124,7 +124,7 @@
     if (!route.isStream) return [];
     const nowMs = services.clock.nowMs();
     const candidates = services.servers.listCandidates(serviceId);
-    const quiet = candidates.filter(({ load }) => load.signs.isQuiet(nowMs));
+    const quiet = candidates.filter(({ load }) => load.signs.isQuiet(nowMs, load.ownInFlight));
     const areAllSilent =
       quiet.length > 1 && !candidates.some(({ load }) => load.signs.hasSpoken(nowMs));
     if (areAllSilent) this.#allSilentSinceMs ??= nowMs;
--- a/src/domain/backend_servers/server_signs.ts
+++ b/src/domain/backend_servers/server_signs.ts
@@ -13,12 +13,9 @@
 
   #awaitedSinceMs = Number.NEGATIVE_INFINITY;
 
-  #awaitedCount = 0;
-
-  /** Records a request that is sent. @param nowMs - monotonic time in milliseconds */
-  recordSent(nowMs: number): void {
-    if (this.#awaitedCount === 0) this.#awaitedSinceMs = nowMs;
-    this.#awaitedCount += 1;
+  /** Records that an answer is awaited, and none was before. @param nowMs - monotonic time in ms */
+  recordAwaited(nowMs: number): void {
+    this.#awaitedSinceMs = nowMs;
   }
 
   /** Records a part of an answer. @param nowMs - monotonic time in milliseconds */
@@ -26,11 +23,6 @@
     this.#heardAtMs = nowMs;
   }
 
-  /** Records that a request has ended. */
-  recordEnded(): void {
-    this.#awaitedCount = Math.max(0, this.#awaitedCount - 1);
-  }
-
   /** @param nowMs - monotonic time in milliseconds. @returns whether it has spoken a moment ago */
   hasSpoken(nowMs: number): boolean {
     return nowMs - this.#heardAtMs <= QUIET_MS;
@@ -38,11 +30,11 @@
 
   /**
    * @param nowMs - monotonic time in milliseconds
+   * @param ownInFlight - number of this host's requests on the server
    * @returns whether answers are awaited and nothing has come for some time
    */
-  isQuiet(nowMs: number): boolean {
-    return (
-      this.#awaitedCount > 0 && nowMs - Math.max(this.#heardAtMs, this.#awaitedSinceMs) > QUIET_MS
-    );
+  isQuiet(nowMs: number, ownInFlight: number): boolean {
+    const sinceMs = Math.max(this.#heardAtMs, this.#awaitedSinceMs);
+    return ownInFlight > 0 && nowMs - sinceMs > QUIET_MS;
   }
 }
