Give no attempt of a stream up for one that has ended

Callers of a resumable stream that may have three attempts got nothing more until their deadline, although two servers worked on it.

Cause: the timer that ends the overlap of two attempts keeps only the attempt that was the newest when the timer was set. A third one is asked early if the second server is said to have restarted. If that third server declines within 0.2 s, the first two are left, so the timer stays, and it cancels both for an attempt that is no longer there. The class of the incident: what is at hand is given up for something that does not follow.

Change: the timer ends the others only if that attempt is still the newest one; else the overlap is counted anew for the one that is. With one attempt left the timer is cancelled as before.

Left: each further attempt counts the overlap of the former ones anew. A drawn play (not in a test yet) has two servers work on one stream for 0.35 s that way.

--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -165,7 +165,8 @@
     const newest = this.#newest;
     const wasSent = newest?.mayHaveBeenSent === true;
     this.#setOverlapTimer(wasSent ? MAX_STREAM_OVERLAP_MS : OVERLAP_CHECK_MS, () => {
-      if (wasSent && newest) this.#keepOnly(newest);
+      const isStillNewest = newest === this.#newest;
+      if (newest && wasSent && isStillNewest) this.#keepOnly(newest);
       else this.#scheduleOverlapEnd();
     });
   }
