Tell a host that its peer has given a request up while their link was lost

Callers whose request goes through a peer waited until their deadline, or until a stream counted as silent, for a run that had been cancelled.

Cause: both hosts wait 3 s for the next link, each from the moment at which it noticed the loss itself, and these moments differ by up to the interval of the pings. Where the link opens between the two ends of the wait, the peer has cancelled the run and closed its log without a word, as nobody was there to hear it. The other host asks for the request's events; a closed log sends none, and the peer confirms all the same that the exchanges go on.

Change: of an exchange that was cancelled only the ID is kept. A host that asks for it is told that there are no events, as for one whose events were dropped after their time. "Not sent" is not said, as the ID is kept.

--- a/src/application/paths/_asker_record.ts
+++ b/src/application/paths/_asker_record.ts
@@ -78,7 +78,8 @@
   /** @param id - ID of an exchange. @param log - events that the peer may have missed */
   end(id: number, log: ReplyLog): void {
     this.#running.delete(id);
-    this.#ended.set(id, { endedAtMs: this.#clock.nowMs(), log });
+    const kept = log.isClosed ? undefined : log;
+    this.#ended.set(id, { endedAtMs: this.#clock.nowMs(), log: kept });
     if (this.#ended.size > MAX_ENDED) this.#forgetOldest();
   }
 
--- a/src/application/paths/_reply_log.ts
+++ b/src/application/paths/_reply_log.ts
@@ -67,6 +67,11 @@
     this.#options = options;
   }
 
+  /** Whether nothing more is sent. */
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
   /** @param event - the next event of the exchange */
   append(event: ProxyEvent): void {
     if (this.#failure || this.#isClosed) return;
--- /dev/null
+++ b/src/application/paths/proxy_link_ends_test.ts
@@ -0,0 +1,27 @@
+/**
+ * Tests requests through a peer where two hosts judge the loss of their link differently.
+ *
+ * @module
+ */
+import fc from 'fast-check';
+import t from 'tap';
+import { ProxyPair } from '../../../test/support/proxy_pair.js';
+import { settle } from '../../../test/support/virtual_clock.js';
+
+t.test(
+  'a request is ended at once that its peer has given up while the link was lost',
+  async (t) => {
+    // Guards against requests that wait for events which nobody sends any more.
+    const property = fc.asyncProperty(fc.integer({ min: 1, max: 600 }), async (laterMs) => {
+      const pair = new ProxyPair();
+      const answer = pair.send();
+      await settle();
+      await pair.loseAtPeerFirst(laterMs);
+      await pair.clock.advance(3_000 - Math.floor(laterMs / 2));
+      pair.restore();
+      await pair.clock.advance(1_000);
+      return answer?.end !== undefined;
+    });
+    await t.resolves(fc.assert(property, { seed: 16, numRuns: 20 }));
+  },
+);
--- a/test/support/proxy_pair.ts
+++ b/test/support/proxy_pair.ts
@@ -41,10 +41,13 @@
 
   server: ProxyServer;
 
+  readonly #asker: FakePeerNetwork;
+
   #peer: FakePeerNetwork;
 
   constructor(asker = buildIdentity('asker'), peer = buildIdentity('peer')) {
     const network = new FakePeerNetwork(this.hub, asker);
+    this.#asker = network;
     this.client = new ProxyClient({
       peers: network,
       clock: this.clock,
@@ -115,6 +118,14 @@
     this.hub.cut('asker', 'peer', true);
   }
 
+  /** The peer closes the silent link some time before the other end does. */
+  async loseAtPeerFirst(laterMs: number): Promise<void> {
+    this.hub.hold('asker', 'peer');
+    this.#peer.notifyLink({ peer: this.#asker.identity, up: false, wasSilent: true });
+    await this.clock.advance(laterMs);
+    this.lose();
+  }
+
   restore(): void {
     this.hub.heal('asker', 'peer');
   }
