Keep the events of an answer that has ended when its peer's wait ends

Callers whose whole answer lay at a peer got none of it: the call went on until its deadline or its silence.

Cause: the timer by which a peer ends the runs of a host that stays away holds the exchanges that were in flight when the link was lost. Those that have ended since lost their events by it, which are meant to stay for 5 s from their end. The host that asked, whose own wait ends later, was sent nothing when it came back.

Change: an exchange that has ended is not cancelled. Other callers of cancel() name exchanges in flight only; what has ended is dropped by its record.

--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -131,8 +131,9 @@
     this.onFailure(BackendFailure.Broken, PeerFault.Stopped);
   }
 
-  /** Ends the exchange without a reply. */
+  /** Ends the exchange without a reply; one that has ended keeps its events for its peer. */
   cancel(): void {
+    if (this.#hasEnded) return;
     this.log.close();
     this.#abandon('cancelled');
   }
--- a/src/application/paths/proxy_link_ends_test.ts
+++ b/src/application/paths/proxy_link_ends_test.ts
@@ -5,7 +5,7 @@
  */
 import fc from 'fast-check';
 import t from 'tap';
-import { ProxyPair } from '../../../test/support/proxy_pair.js';
+import { answerInParts, ProxyPair, WHOLE } from '../../../test/support/proxy_pair.js';
 import { settle } from '../../../test/support/virtual_clock.js';
 
 t.test(
@@ -25,3 +25,19 @@
     await t.resolves(fc.assert(property, { seed: 16, numRuns: 20 }));
   },
 );
+
+t.test('an answer that ended while the link was lost outlives the wait of its peer', async (t) => {
+  // Guards against whole answers that are dropped as if their run went on for nobody.
+  const property = fc.asyncProperty(fc.integer({ min: 2, max: 600 }), async (laterMs) => {
+    const pair = new ProxyPair();
+    answerInParts(pair);
+    const answer = pair.send();
+    await pair.clock.advance(250);
+    await pair.loseAtPeerFirst(laterMs);
+    await pair.clock.advance(3_000 - Math.floor(laterMs / 2));
+    pair.restore();
+    await pair.clock.advance(1_000);
+    return answer?.end === 'complete' && answer.parts.join() === WHOLE.join();
+  });
+  await t.resolves(fc.assert(property, { seed: 16, numRuns: 20 }));
+});
