Tell a host of a run that its full link has ended

What callers saw: a call whose request went through a peer waited for its silence or its deadline after the peer had cancelled its run, since the link between the two hosts took no more. Cause: the word of the failure was sent once, to the link that was full. For hosts of a former version any event that the link didn't take ended the run, without a word. Class: what is at hand is given up before it is known that something better follows, and nobody is told.

Change: ReplyLog sends the failure again each 50 ms until the link takes it or the log is closed. For hosts of a former version it keeps what is unsent, and nothing else, so that a moment without room ends nothing for them either; the second way to send an event is gone.

It holds since events are numbered: a host that lacks one asks for it, and the failure bears the number of the first event that was not sent.

--- a/src/application/paths/_reply_log.ts
+++ b/src/application/paths/_reply_log.ts
@@ -30,7 +30,7 @@
 /** Options of a {@link ReplyLog}. */
 export interface ReplyLogOptions {
   readonly clock: Clock;
-  /** Whether the peer may ask for events again; to another one, each event is sent once. */
+  /** Whether the peer may ask for events again; for another one, only what is unsent is kept. */
   readonly isKept: boolean;
   readonly keptBytes: KeptBytes;
   /** Sends an event to the peer. Returns false if there is no link, or it takes no more. */
@@ -75,10 +75,6 @@
   /** @param event - the next event of the exchange */
   append(event: ProxyEvent): void {
     if (this.#failure || this.#isClosed) return;
-    if (!this.#options.isKept) {
-      this.#sendOnce(event);
-      return;
-    }
     this.#events.push(event);
     this.#addBytes(measureBytes(event));
     if (!this.#retryTimer) this.#flush();
@@ -111,26 +107,18 @@
     const isBusy = failure === BackendFailure.NotSent;
     this.#failure = { kind: ProxyEventKind.Failure, failure, reason, isBusy };
     this.#drop(this.#events.length);
-    this.#retryTimer?.cancel();
+    this.#cancelRetry();
   }
 
   /** Drops all events, and sends nothing more. */
   close(): void {
     this.#isClosed = true;
-    this.#retryTimer?.cancel();
+    this.#cancelRetry();
     this.#drop(this.#events.length);
   }
 
-  /** A gap would follow an event that was not sent. */
-  #sendOnce(event: ProxyEvent): void {
-    const isSent = this.#options.send(this.#nextIndex, event);
-    this.#nextIndex += 1;
-    if (!isSent) this.#options.onLost();
-  }
-
   #flush(): void {
-    this.#retryTimer?.cancel();
-    this.#retryTimer = undefined;
+    this.#cancelRetry();
     const { send, clock } = this.#options;
     const endIndex = this.#firstIndex + this.#events.length;
     while (this.#nextIndex < endIndex) {
@@ -152,6 +140,7 @@
   }
 
   #trim(): void {
+    if (!this.#options.isKept) this.#drop(this.#nextIndex - this.#firstIndex);
     while (this.#isTooLarge) {
       if (this.#nextIndex === this.#firstIndex) {
         this.#lose();
@@ -174,8 +163,17 @@
     this.#options.onLost();
   }
 
+  /** A link that is full takes the failure later; without a word the peer would wait on. */
   #sendFailure(): void {
-    if (this.#failure) this.#options.send(this.#nextIndex, this.#failure);
+    const { send, clock } = this.#options;
+    this.#cancelRetry();
+    if (this.#isClosed || !this.#failure || send(this.#nextIndex, this.#failure)) return;
+    this.#retryTimer = clock.setTimer(RETRY_MS, () => this.#sendFailure());
+  }
+
+  #cancelRetry(): void {
+    this.#retryTimer?.cancel();
+    this.#retryTimer = undefined;
   }
 
   #drop(count: number): void {
--- a/test/support/fake_peer_network.ts
+++ b/test/support/fake_peer_network.ts
@@ -45,6 +45,9 @@
 
   readonly #links = new FakeLinks();
 
+  /** Ordered pairs of hosts whose link takes no message. */
+  readonly #full = new Set<string>();
+
   /** Linked networks of each network, in a hub whose links are dialled. */
   readonly #partners = new Map<FakePeerNetwork, Set<FakePeerNetwork>>();
 
@@ -114,6 +117,17 @@
     this.#setLink(a, b, LinkState.Held);
   }
 
+  /** Has a link, which stays up, take no message in one direction, or take them again. */
+  setFull(from: string, to: string, isFull: boolean): void {
+    if (isFull) this.#full.add(`${from}>${to}`);
+    else this.#full.delete(`${from}>${to}`);
+  }
+
+  /** @returns whether a link takes no message in one direction */
+  isFull(from: string, to: string): boolean {
+    return this.#full.has(`${from}>${to}`);
+  }
+
   /** Restores a link; both ends are notified if they had been notified of the cut. */
   heal(a: string, b: string): void {
     this.#setLink(a, b, LinkState.Up);
@@ -215,7 +229,7 @@
 
   override send(incarnation: string, message: PeerMessage): boolean {
     const target = this.#findLinked(incarnation);
-    if (!target) return false;
+    if (!target || this.hub.isFull(this.identity.id, target.identity.id)) return false;
     this.sent.push(message);
     // The message is copied so that entry hosts never share an object.
     const copy = structuredClone(message);
