Count a link as stuck only while it takes nothing

What callers saw: an answer through a peer was broken off 3 s after the link between the two hosts had first been full, although its events arrived all the time, a few at a time. Cause: the time was counted from the first refused event, and began anew only once none was left. Class: what is at hand is given up while it flows.

Change: each event that the link takes begins the time anew. What is kept stays bounded by the size of the ring.

--- a/src/application/paths/_reply_log.ts
+++ b/src/application/paths/_reply_log.ts
@@ -128,8 +128,8 @@
         return;
       }
       this.#nextIndex += 1;
+      this.#stuckSinceMs = undefined;
     }
-    this.#stuckSinceMs = undefined;
   }
 
   #retry(): void {
--- a/src/application/paths/full_links_test.ts
+++ b/src/application/paths/full_links_test.ts
@@ -7,8 +7,9 @@
 import t from 'tap';
 import { buildIdentity } from '../../../test/support/identities.js';
 import { answerInParts, ProxyPair, WHOLE } from '../../../test/support/proxy_pair.js';
-import { settle } from '../../../test/support/virtual_clock.js';
-import { BackendFailure } from '../../ports/mod.js';
+import { settle, VirtualClock } from '../../../test/support/virtual_clock.js';
+import { BackendFailure, ProxyEventKind } from '../../ports/mod.js';
+import { ReplyLog } from './_reply_log.js';
 
 /** Time after which the host that asked has heard what could not be sent, in milliseconds. */
 const RETRY_MS = 60;
@@ -92,3 +93,37 @@
   );
   t.ok(true);
 });
+
+t.test('a link that takes some of the events at a time ends no answer', async (t) => {
+  // Guards against runs that are cancelled although their events arrive, if late.
+  const clock = new VirtualClock();
+  let room = 0;
+  let isLost = false;
+  const sent: number[] = [];
+  const log = new ReplyLog({
+    clock,
+    isKept: true,
+    keptBytes: { total: 0 },
+    send: (index) => {
+      if (room === 0) return false;
+      room -= 1;
+      sent.push(index);
+      return true;
+    },
+    onLost: () => {
+      isLost = true;
+    },
+  });
+  for (let event = 0; event < 200; event += 1) {
+    log.append({ kind: ProxyEventKind.Body, bytes: Buffer.from(`${event}`) });
+    if (event % 2 === 0) room = 1;
+    await clock.advance(50);
+  }
+  t.notOk(isLost, `${sent.length} events have been sent`);
+  room = Infinity;
+  await clock.advance(50);
+  t.same(
+    sent,
+    Array.from({ length: 200 }, (_, index) => index),
+  );
+});
