Play servers of which one in three is slow, and fleets that turn slow at one moment

FakeReply tells when its answer is whole, and CutFleet lets a subclass draw the time of a run; no other test changes.

--- a/test/support/cut_fleet.ts
+++ b/test/support/cut_fleet.ts
@@ -157,6 +157,11 @@
     }
   }
 
+  /** Draws the duration of a request at a server, in milliseconds. */
+  protected drawRunMs(_serverId: string): number {
+    return (this.#options.runMs ?? DEFAULT_RUN_MS) * (0.5 + this.random.nextFraction());
+  }
+
   /** @returns whether there is an idle connection, which is in use from now on */
   #takeIdle(link: string): boolean {
     const { idleMs = Infinity } = this.#options;
@@ -189,7 +194,7 @@
       senderId: hostId,
     });
     this.#open.add(exchange);
-    const durationMs = (this.#options.runMs ?? DEFAULT_RUN_MS) * (0.5 + this.random.nextFraction());
+    const durationMs = this.drawRunMs(serverId);
     const { events = 0 } = this.#options;
     for (let id = 1; id <= events; id += 1) {
       this.clock.setTimer((durationMs * id) / (events + 1), () => this.#sendEvent(exchange, id));
--- a/test/support/direct_ends.ts
+++ b/test/support/direct_ends.ts
@@ -156,6 +156,9 @@
   /** Whether the caller has disconnected. */
   isDisconnected = false;
 
+  /** Called when the whole answer is written. */
+  onEnd: () => void = () => undefined;
+
   #handler: (() => void) | undefined;
 
   override get hasStarted(): boolean {
@@ -177,6 +180,7 @@
 
   override end(): void {
     this.hasEnded = true;
+    this.onEnd();
   }
 
   override sendAnswer(head: DirectHead, body: Buffer): void {
