Wait for the word of a peer whose link is open again

Callers whose request goes through a peer got an error, or half of a stream, although the peer was linked again, had the run and was about to go on.

Cause: after a link that was closed other than for its silence a host waits 0.08 s. That bounds the new link and the peer's word together, so a way of 40 ms, or a busy peer, was enough to give the requests up after the link had opened.

Change: the limit starts anew, with 3 s, when the link to the same process opens. A process that has crashed opens none, so its requests still end after 0.08 s.

Left: the new link itself has 0.08 s, while a lost address is dialled again after 50 to 100 ms, and later where the former link was young.

--- a/src/application/paths/_proxy_resumption.ts
+++ b/src/application/paths/_proxy_resumption.ts
@@ -33,7 +33,7 @@
 interface SuspendedPeer {
   readonly identity: EntryHostIdentity;
   readonly sinceMs: number;
-  readonly lossTimer: Timer;
+  lossTimer: Timer;
   askTimer: Timer | undefined;
   /** First question over the present link; undefined while there is none. */
   firstResumeId: number | undefined;
@@ -110,7 +110,7 @@
     const suspended: SuspendedPeer = {
       identity,
       sinceMs: clock.nowMs(),
-      lossTimer: clock.setTimer(limitMs, () => this.#giveUp(incarnation)),
+      lossTimer: this.#startLossTimer(incarnation, limitMs),
       askTimer: undefined,
       firstResumeId: undefined,
     };
@@ -124,7 +124,16 @@
       .filter(({ identity }) => identity.id === id && identity.incarnation !== incarnation)
       .forEach(({ identity }) => this.#giveUp(identity.incarnation));
     const suspended = this.#suspended.get(incarnation);
-    if (suspended) this.#ask(suspended);
+    if (!suspended) return;
+    // The process is there, so its word is worth waiting for.
+    suspended.lossTimer.cancel();
+    const lossTimer = this.#startLossTimer(incarnation, MAX_SUSPENSION_MS);
+    Object.assign(suspended, { lossTimer });
+    this.#ask(suspended);
+  }
+
+  #startLossTimer(incarnation: string, limitMs: number): Timer {
+    return this.#options.clock.setTimer(limitMs, () => this.#giveUp(incarnation));
   }
 
   /** The list may be empty: then the peer ends whatever it still sends for this host. */
--- a/src/application/paths/proxy_link_ends_test.ts
+++ b/src/application/paths/proxy_link_ends_test.ts
@@ -41,3 +41,26 @@
   });
   await t.resolves(fc.assert(property, { seed: 16, numRuns: 20 }));
 });
+
+t.test(
+  'a request goes on over a link that opens in time, however far away its peer is',
+  async (t) => {
+    // Guards against requests that are given up while their peer sends what was missed.
+    const awayArbitrary = fc.integer({ min: 1, max: 70 });
+    const wayArbitrary = fc.integer({ min: 1, max: 120 });
+    const property = fc.asyncProperty(awayArbitrary, wayArbitrary, async (awayMs, wayMs) => {
+      const pair = new ProxyPair();
+      const { clock, hub } = pair;
+      answerInParts(pair);
+      const answer = pair.send();
+      await clock.advance(250);
+      hub.delay = { clock, pickMs: () => wayMs };
+      hub.cut('asker', 'peer');
+      await clock.advance(awayMs);
+      pair.restore();
+      await clock.advance(4_000);
+      return answer?.end === 'complete' && answer.parts.join() === WHOLE.join();
+    });
+    await t.resolves(fc.assert(property, { seed: 16, numRuns: 40 }));
+  },
+);
