Let a loan of a slot last as long as calls of former configurations

What servers saw: with a limit on refusals, a slot was used by two hosts after a configuration had shortened the time of a route, and requests that hosts had taken for sure were refused. Cause: the owner computed the end of a loan by the routes in force, while a call that had arrived before keeps the time that it had then. Found by the review of the lent slots.

Change: the end is computed from the longest time that any route has had at this host, which the routing view holds already for streams; the second computation, by service, is gone. A loan whose return is lost stands for the longest time of all services now. Left, read and not run: a borrower that has a newer configuration with more time before its owner has it.

--- a/src/application/direct/slot_lender.ts
+++ b/src/application/direct/slot_lender.ts
@@ -137,7 +137,7 @@
       .forEach((serverId) => {
         const first = servers.peers.findFirstWaiting(serviceId);
         if (!first || first.urgency >= getFirstUrgency(serviceId)) return;
-        this.#lend(first.source, serviceId, serverId);
+        this.#lend(first.source, serverId);
       });
   }
 
@@ -150,7 +150,7 @@
       this.#sendReturn(from, serverId, { loanId: lent.loanId, wasDeclined: false });
       return;
     }
-    const untilMs = clock.nowMs() + this.#computeLongestLoanMs(serviceId);
+    const untilMs = clock.nowMs() + this.#computeLongestLoanMs();
     const loanId = this.#takeLoanId();
     this.#sources.set(loanId, { from, loanId: lent.loanId, serverId, untilMs });
     this.#schedule();
@@ -213,11 +213,11 @@
     return Array.from({ length: Math.max(0, count) }, () => id);
   }
 
-  #lend(to: string, serviceId: string, serverId: string): void {
+  #lend(to: string, serverId: string): void {
     const { clock, servers } = this.#options;
     const loanId = this.#takeLoanId();
     if (!this.#send(to, { serverId, hops: 1 }, { loanId, ageMs: 0 })) return;
-    const untilMs = clock.nowMs() + this.#computeLongestLoanMs(serviceId);
+    const untilMs = clock.nowMs() + this.#computeLongestLoanMs();
     servers.loads.find(serverId)?.pace.slots.loans.lend(loanId, untilMs);
   }
 
@@ -282,9 +282,11 @@
     return sentAt ? ageMs + computeElapsedMs(sentAt, now) : Infinity;
   }
 
-  /** Computes the time after which no request under a new loan can be running any more. */
-  #computeLongestLoanMs(serviceId: string): number {
-    const longestCallMs = this.#options.routing.table?.computeLongestCallMs(serviceId) ?? 0;
-    return START_WINDOW_MS + longestCallMs + LINGER_MS;
+  /**
+   * Computes the time after which no request under a new loan can be running any more. A call that
+   * arrived by a former configuration may have more time than calls have now.
+   */
+  #computeLongestLoanMs(): number {
+    return START_WINDOW_MS + this.#options.routing.longestTimeoutMs + LINGER_MS;
   }
 }
--- a/src/domain/routing/route_table.ts
+++ b/src/domain/routing/route_table.ts
@@ -64,14 +64,6 @@
     return [...new Set(routes.flatMap(({ regions = [] }) => regions))];
   }
 
-  /** @param serviceId - a service. @returns longest time of a call to it, in milliseconds */
-  computeLongestCallMs(serviceId: string): number {
-    const routes = this.document.routes.filter(({ services }) =>
-      services.some((service) => service.serviceId === serviceId),
-    );
-    return Math.max(0, ...routes.map(({ timeoutMs }) => timeoutMs));
-  }
-
   /** @param key - the caller's key. @returns the account; undefined for an unknown key */
   findAccount(key: string): ClientAccount | undefined {
     return this.#accounts.get(key);
