End runs at a peer whose host has given their requests up

What callers and servers saw: a request went through a peer, and the link between both hosts was closed, by a reset or a crash of the host that asked. That host gave the request up after 0.08 s and could send it elsewhere, while the peer's run went on for 3 s, also where both were linked again after 81 ms: two runs of one stream, and servers at work for callers who had gone. Cause: the peer waited for 3 s however the link had ended, and a host asked only peers that it had not given up yet which of its runs they still had. Found by the review of the requests that outlive their link.

Change: a peer keeps runs for 0.4 s after a close, for 3 s from the next link on or after a silence, and a host tells a peer that it had given up, with the next link within 3 s, what it still wants. It holds since the word of the host that asked decides wherever both are linked, and without a link the peer's wait is below half a second.

--- a/src/application/paths/_incoming_exchanges.ts
+++ b/src/application/paths/_incoming_exchanges.ts
@@ -8,6 +8,7 @@
 import { UrgencyGate } from '../../domain/paths/mod.js';
 import { BackendFailure, PeerFault, PeerMessageType } from '../../ports/mod.js';
 import type {
+  LinkEvent,
   ProxiedRequest,
   ProxyEvent,
   ProxyRequestMessage,
@@ -20,7 +21,7 @@
 import type { ProxyServerOptions } from './proxy_server.js';
 import { ReplyLog } from './_reply_log.js';
 import type { KeptBytes } from './_reply_log.js';
-import { MAX_SUSPENSION_MS } from './_resume_times.js';
+import { MAX_CLOSED_RUN_MS, MAX_SUSPENSION_MS } from './_resume_times.js';
 
 /** Maximum number of requests that are sent for peers at a time. */
 const MAX_RUNNING = 96;
@@ -63,9 +64,9 @@
       this.#askers.get(incarnation)?.findRunning(exchangeId)?.cancel();
     });
     peers.handle(PeerMessageType.ProxyResume, (from, message) => this.#resume(from, message));
-    peers.onLinkChange(({ peer, up }) => {
-      if (up) this.#handleLinkUp(peer);
-      else this.#handleLinkDown(peer);
+    peers.onLinkChange((event) => {
+      if (event.up) this.#handleLinkUp(event.peer);
+      else this.#handleLinkDown(event);
     });
   }
 
@@ -194,6 +195,9 @@
   /** A new process of the peer's host has taken the place of the former one. */
   #handleLinkUp(peer: EntryHostIdentity): void {
     this.#getAsker(peer);
+    // The process is there, and tells which of its requests it goes on with.
+    if (this.#cancelLossTimers(peer.incarnation))
+      this.#startLossTimer(peer.incarnation, MAX_SUSPENSION_MS);
     const linked = this.#listLinked();
     this.#askers.forEach(({ hostId }, incarnation) => {
       if (hostId === peer.id && !linked.has(incarnation)) this.#cancelAll(incarnation);
@@ -201,27 +205,29 @@
   }
 
   /** A peer that knows how to goes on with its requests over the next link. */
-  #handleLinkDown({ incarnation, resumesExchanges }: EntryHostIdentity): void {
-    if (resumesExchanges === true) this.#startLossTimer(incarnation);
+  #handleLinkDown({ peer: { incarnation, resumesExchanges }, wasSilent }: LinkEvent): void {
+    const keptMs = wasSilent ? MAX_SUSPENSION_MS : MAX_CLOSED_RUN_MS;
+    if (resumesExchanges === true) this.#startLossTimer(incarnation, keptMs);
     else this.#cancelAll(incarnation);
   }
 
   /** Requests that arrive over a later link are no concern of the timer. */
-  #startLossTimer(incarnation: string): void {
+  #startLossTimer(incarnation: string, keptMs: number): void {
     const exchanges = this.#askers.get(incarnation)?.listRunning() ?? [];
     if (exchanges.length === 0) return;
     const timers = this.#lossTimers.get(incarnation) ?? new Set();
     this.#lossTimers.set(incarnation, timers);
-    const timer = this.#options.clock.setTimer(MAX_SUSPENSION_MS, () => {
+    const timer = this.#options.clock.setTimer(keptMs, () => {
       timers.delete(timer);
       exchanges.forEach((exchange) => exchange.cancel());
     });
     timers.add(timer);
   }
 
-  #cancelLossTimers(incarnation: string): void {
+  /** @returns whether any was set */
+  #cancelLossTimers(incarnation: string): boolean {
     this.#lossTimers.get(incarnation)?.forEach((timer) => timer.cancel());
-    this.#lossTimers.delete(incarnation);
+    return this.#lossTimers.delete(incarnation);
   }
 
   #cancelAll(incarnation: string): void {
--- a/src/application/paths/_proxy_resumption.ts
+++ b/src/application/paths/_proxy_resumption.ts
@@ -6,13 +6,7 @@
 import type { EntryHostIdentity } from '../../domain/membership/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type { Clock, LinkEvent, PeerNetwork, ResumedExchange, Timer } from '../../ports/mod.js';
-import { MAX_SUSPENSION_MS } from './_resume_times.js';
-
-/**
- * Time for a new link after the former one was closed by the other end, in milliseconds. It is short
- * since the requests of a peer that has crashed wait for it.
- */
-const MAX_CLOSED_MS = 80;
+import { MAX_CLOSED_MS, MAX_SUSPENSION_MS } from './_resume_times.js';
 
 /** Interval at which a peer is asked to go on until it confirms that, in milliseconds. */
 const ASK_INTERVAL_MS = 400;
@@ -46,6 +40,9 @@
   /** By incarnation. */
   readonly #suspended = new Map<string, SuspendedPeer>();
 
+  /** Until when peer processes that were given up may have runs of this host, in monotonic ms. */
+  readonly #abandonedUntilMs = new Map<string, number>();
+
   #lastResumeId = 0;
 
   /** @param options - dependencies */
@@ -119,11 +116,12 @@
   }
 
   /** A new process of the peer's host has taken the place of the former one. */
-  #handleLinkUp({ id, incarnation }: EntryHostIdentity): void {
+  #handleLinkUp(peer: EntryHostIdentity): void {
+    const { id, incarnation } = peer;
     [...this.#suspended.values()]
       .filter(({ identity }) => identity.id === id && identity.incarnation !== incarnation)
       .forEach(({ identity }) => this.#giveUp(identity.incarnation));
-    const suspended = this.#suspended.get(incarnation);
+    const suspended = this.#suspended.get(incarnation) ?? this.#suspendAbandoned(peer);
     if (!suspended) return;
     // The process is there, so its word is worth waiting for.
     suspended.lossTimer.cancel();
@@ -132,6 +130,14 @@
     this.#ask(suspended);
   }
 
+  /** A peer that was given up may still run what nobody wants any more. */
+  #suspendAbandoned(peer: EntryHostIdentity): SuspendedPeer | undefined {
+    const untilMs = this.#abandonedUntilMs.get(peer.incarnation) ?? Number.NEGATIVE_INFINITY;
+    this.#abandonedUntilMs.delete(peer.incarnation);
+    const mayRun = this.#options.clock.nowMs() < untilMs;
+    return mayRun ? this.#suspend(peer, MAX_SUSPENSION_MS) : undefined;
+  }
+
   #startLossTimer(incarnation: string, limitMs: number): Timer {
     return this.#options.clock.setTimer(limitMs, () => this.#giveUp(incarnation));
   }
@@ -161,9 +167,18 @@
 
   #giveUp(peer: string): void {
     this.#remove(peer);
+    this.#recordAbandoned(peer);
     this.#options.onLost(peer);
   }
 
+  #recordAbandoned(peer: string): void {
+    const nowMs = this.#options.clock.nowMs();
+    this.#abandonedUntilMs.forEach((untilMs, incarnation) => {
+      if (untilMs <= nowMs) this.#abandonedUntilMs.delete(incarnation);
+    });
+    this.#abandonedUntilMs.set(peer, nowMs + MAX_SUSPENSION_MS);
+  }
+
   #remove(peer: string): void {
     const suspended = this.#suspended.get(peer);
     suspended?.lossTimer.cancel();
