Use nearly all of a named limit while killed hosts are remembered

Cause: a killed host can't be told from one that is cut off, and is known for 20 s. The hosts that are left shared out p / n of the rate, down to .64 of it; and a killed sender's share stood idle for 3.9 s, as duties passed on 3 s after the 0.9 s that make a host silent.

Change: a side of x = p / n hosts shares out x^2 / (x^2 + (1 - x)^2). Two complementary sides still add up to 1; below one half the function is convex and starts at 0, so that more sides add up to less. The existing property test of the sum over up to 20 sides passes unchanged. Duties pass on 1 s after a host counts as silent.

A minority that is cut off gets less of the limit than in proportion: three of eight hosts .26 instead of .38.

--- a/src/domain/overlay/roster.ts
+++ b/src/domain/overlay/roster.ts
@@ -16,10 +16,10 @@
 export const PEER_TIMEOUT_MS = 900;
 
 /**
- * Silence after which the duties of a host pass to others, in milliseconds: longer than most
- * pauses of a process, so that few of them are passed on twice.
+ * Time from then on after which the duties of a silent host pass to others, in milliseconds. Most
+ * pauses of a process are over by then, so that few duties are passed on twice.
  */
-const ABSENT_AFTER_MS = 3_000;
+const ABSENT_AFTER_MS = 1_000;
 
 /** Silence after which a host is forgotten, in milliseconds; a restart takes a few seconds. */
 const FORGET_AFTER_MS = 20_000;
--- a/src/domain/places/pace_share.ts
+++ b/src/domain/places/pace_share.ts
@@ -89,12 +89,29 @@
   { presentCount, knownCount }: PaceFleet,
 ): PaceShare {
   const total = Math.max(MIN_NAMED_RATE, requestsPerSecond) * NAMED_FRACTION;
-  const rate = total * Math.min(1, presentCount / knownCount);
+  const rate = total * computeSideFraction(presentCount / knownCount);
   const maxSenders = Math.min(MAX_SENDERS, presentCount, Math.floor(rate));
   const senderCount = Math.max(1, maxSenders);
   return { senderCount, intervalMs: (MS_PER_SECOND * senderCount) / rate };
 }
 
+/**
+ * Computes the fraction of a named limit that the hosts on one side of a partition share out. The
+ * fractions of all sides add up to at most 1: those of two complementary parts add up to exactly 1,
+ * and smaller parts get less than in proportion. A large majority thus gets nearly everything, so
+ * that hosts that were killed, which can't be told from hosts that are cut off, take little of it
+ * with them.
+ *
+ * @param presentFraction - present hosts as a fraction of the known ones
+ * @returns fraction of the limit
+ */
+function computeSideFraction(presentFraction: number): number {
+  if (presentFraction >= 1) return 1;
+  const presentWeight = presentFraction ** 2;
+  const absentWeight = (1 - presentFraction) ** 2;
+  return presentWeight / (presentWeight + absentWeight);
+}
+
 /**
  * Computes what all senders of a server together may send.
  *
