Notice the end of a named limit where no call reaches its senders

Cause: only answers tell that a limit has ended, only senders get answers, and a sender passes its turns on to waiting calls alone. Where none waits and the senders have no calls, nobody may ask.

Change: reports tell to how many hosts calls came within 2 s, by service with a limited server (callingHosts, optional on the wire, empty in reports of earlier versions). A sender whose turn was not used for 2 s passes it to such a host, drawn by their number, by the message for turns that exists; a host without calls that gets a turn, as a relay does, passes it on, five times at most. Hosts of earlier versions take such a turn as any other.

Why it holds: it is the sender's own turn, which it gives up by passing it on, so that the bound for passed turns covers it (named_pace_test, unchanged).

--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -50,6 +50,7 @@
     inFlight: { 'engine-1': 3 },
     waitingCalls: { engines: 4 },
     firstWaiting: { engines: 1 },
+    callingHosts: { engines: 2 },
     avoidedBy: { 'engine-3': 1 },
     spentUnits: { 'franchise-a': 1200 },
     leavingServers: ['engine-3'],
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -59,6 +59,8 @@
   inFlight: countsSchema,
   waitingCalls: countsSchema,
   firstWaiting: numbersSchema,
+  // Reports of earlier versions lack this field.
+  callingHosts: countsSchema.default({}),
   avoidedBy: countsSchema,
   spentUnits: numbersSchema,
   endedServers: names,
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -11,6 +11,7 @@
   | 'inFlight'
   | 'waitingCalls'
   | 'firstWaiting'
+  | 'callingHosts'
   | 'avoidedBy'
   | 'endedServers'
   | 'leavingServers'
@@ -19,7 +20,7 @@
   | 'hostCount'
 >;
 
-const SUMMED_FIELDS = ['avoidedBy', 'inFlight', 'waitingCalls'] as const;
+const SUMMED_FIELDS = ['avoidedBy', 'callingHosts', 'inFlight', 'waitingCalls'] as const;
 
 /** Report fields that are summed over peers. */
 export type SummedField = (typeof SUMMED_FIELDS)[number];
@@ -46,6 +47,7 @@
 
   readonly #totals: Readonly<Record<SummedField, Map<string, number>>> = {
     avoidedBy: new Map(),
+    callingHosts: new Map(),
     inFlight: new Map(),
     waitingCalls: new Map(),
   };
@@ -144,6 +146,25 @@
     return first;
   }
 
+  /**
+   * Draws a peer that has calls, or that reports hosts which do.
+   *
+   * @param serviceId - service of the calls
+   * @param fraction - a random number in [0, 1)
+   * @param excluded - incarnation of a peer to leave out
+   * @returns the peer, drawn by its number of such hosts; undefined if there is none
+   */
+  drawCalled(serviceId: string, fraction: number, excluded?: string): string | undefined {
+    const counts = [...this.#stats]
+      .filter(([source]) => source !== excluded)
+      .map(([source, { callingHosts }]) => ({ source, count: callingHosts[serviceId] ?? 0 }));
+    let left = fraction * counts.reduce((sum, { count }) => sum + count, 0);
+    return counts.find(({ count }) => {
+      left -= count;
+      return left < 0;
+    })?.source;
+  }
+
   /**
    * Counts calls that may go before one of this entry host. Peers tell the urgency of their first
    * call only, so either all calls of a peer count or none.
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -27,6 +27,7 @@
 import { DirectCall } from './direct_call.js';
 import type { DirectServices } from './direct_services.js';
 import { LazyMap } from './_lazy_map.js';
+import { RecentCalls } from './_recent_calls.js';
 import { createRetryShares } from './_retry_shares.js';
 import type { RetrySharesOptions } from './_retry_shares.js';
 import type { ServerRegistry } from './server_registry.js';
@@ -78,6 +79,8 @@
 
   readonly #freedSlotForwarder: FreedSlotForwarder;
 
+  readonly #recentCalls: RecentCalls;
+
   readonly #waitingNotices: WaitingNotices;
 
   readonly #calls = new Set<DirectCall>();
@@ -98,10 +101,12 @@
     this.#options = options;
     this.#checks = new CallChecks(options);
     this.#takeUps = new TakeUps(options);
+    this.#recentCalls = new RecentCalls(options.clock);
     this.#services = { ...options, ...createRetryShares(options) };
     const queues = {
       getFirstUrgency: (id: string) => this.#queues.get(id)?.firstUrgency ?? Infinity,
       dispatchWaiting: (id: string) => this.#queues.get(id)?.dispatchWaiting(),
+      isCalled: (id: string) => this.#recentCalls.has(id),
     };
     const lender = new SlotLender({ ...options, ...queues });
     this.#freedSlotForwarder = new FreedSlotForwarder({ ...options, ...queues, lender });
@@ -136,6 +141,11 @@
     return Object.fromEntries(queues.map(([id, { firstUrgency }]) => [id, firstUrgency]));
   }
 
+  /** @returns 1 for each service that was called lately and has a server that names a limit */
+  countCalling(): Record<string, number> {
+    return this.#recentCalls.count(this.#options.servers.listLimitedServices());
+  }
+
   #listNonEmptyQueues(): readonly (readonly [string, ServiceQueue])[] {
     return this.#queues.listEntries().filter(([, { size }]) => size > 0);
   }
@@ -216,6 +226,7 @@
     const { table, route, account, contentId, details } = checked;
     const { serviceId } = start;
     if (serviceId === undefined) throw new SchedulerError(ErrorKind.NoBackendServer);
+    this.#recentCalls.record(serviceId);
     if (account) {
       const retryAfterMs = this.#options.spending.take(account, request);
       if (retryAfterMs > 0) throw new SchedulerError(ErrorKind.TokensLimited, { retryAfterMs });
--- a/src/application/direct/freed_slot_forwarder.ts
+++ b/src/application/direct/freed_slot_forwarder.ts
@@ -12,9 +12,12 @@
   FreedSlotMessage,
   Metrics,
   PeerNetwork,
+  RandomSource,
   Timer,
 } from '../../ports/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
+import { IdleTurns } from './_idle_turns.js';
+import type { OfferedTurn } from './_idle_turns.js';
 import type { ServerRegistry } from './server_registry.js';
 import type { SlotLender } from './slot_lender.js';
 
@@ -51,6 +54,7 @@
 export interface FreedSlotForwarderOptions {
   readonly peers: PeerNetwork;
   readonly clock: Clock;
+  readonly random: RandomSource;
   readonly servers: ServerRegistry;
   readonly metrics: Metrics;
   readonly reportTimes: ReportTimes;
@@ -59,6 +63,8 @@
    * @returns urgency of the first call that waits at this entry host; Infinity when none waits
    */
   readonly getFirstUrgency: (serviceId: string) => number;
+  /** @param serviceId - ID of the service. @returns whether calls have come here lately */
+  readonly isCalled: (serviceId: string) => boolean;
   /** @param serviceId - ID of the service whose free slots are given to calls waiting here */
   readonly dispatchWaiting: (serviceId: string) => void;
   /** Lends slots of servers that bear few refusals. */
@@ -86,11 +92,14 @@
 export class FreedSlotForwarder {
   readonly #options: FreedSlotForwarderOptions;
 
+  readonly #idleTurns: IdleTurns;
+
   #turnTimer: Timer | undefined;
 
   /** @param options - dependencies */
   constructor(options: FreedSlotForwarderOptions) {
     this.#options = options;
+    this.#idleTurns = new IdleTurns(options);
     options.peers.handle(PeerMessageType.FreedSlot, ({ incarnation }, message) =>
       this.#handle(incarnation, message),
     );
@@ -144,12 +153,21 @@
     const maxHops = this.#isPaced(serverId) ? MAX_TURN_HOPS : MAX_HOPS;
     const mostUrgent = hops < maxHops ? servers.peers.findFirstWaiting(serviceId, from) : undefined;
     const mustForward = mostUrgent !== undefined && mostUrgent.urgency < getFirstUrgency(serviceId);
-    if (mustForward && this.#mayForward(serverId)) {
-      this.#send(mostUrgent.source, serviceId, { serverId, hops: hops + 1 });
+    const receiver = mustForward
+      ? mostUrgent.source
+      : this.#pickIdleReceiver({ serverId, serviceId, hops, from });
+    if (receiver !== undefined && this.#mayForward(serverId)) {
+      this.#send(receiver, serviceId, { serverId, hops: hops + 1 });
     } else if (from !== undefined) servers.loads.find(serverId)?.share.recordFreed(clock.nowMs());
     dispatchWaiting(serviceId);
   }
 
+  /** Picks a host that has calls for a turn at a limited server which no waiting call needs. */
+  #pickIdleReceiver(turn: OfferedTurn): string | undefined {
+    if (turn.hops >= MAX_TURN_HOPS || !this.#isPaced(turn.serverId)) return undefined;
+    return this.#idleTurns.pickReceiver(turn);
+  }
+
   #isPaced(serverId: string): boolean {
     const { clock, servers } = this.#options;
     return servers.loads.find(serverId)?.pace.isPaced(clock.nowMs()) === true;
--- a/src/application/direct/freed_slot_forwarder_test.ts
+++ b/src/application/direct/freed_slot_forwarder_test.ts
@@ -1,6 +1,6 @@
 import t from 'tap';
 import { FakePeerHub, FakePeerNetwork } from '../../../test/support/fake_peer_network.js';
-import { FakeMetrics } from '../../../test/support/fakes.js';
+import { FakeMetrics, SeededRandom } from '../../../test/support/fakes.js';
 import { buildServer } from '../../../test/support/direct_host.js';
 import {
   NORMAL_READ_CONTEXT,
@@ -25,6 +25,8 @@
 
   urgency = Infinity;
 
+  isCalled = false;
+
   dispatchCount = 0;
 
   /** Sequence number of the newest report that was heard from any peer. */
@@ -52,6 +54,7 @@
     this.servers.listCandidates('engines');
     this.slots = new FreedSlotForwarder({
       clock,
+      random: new SeededRandom(),
       metrics: new FakeMetrics(),
       peers,
       servers: this.servers,
@@ -60,6 +63,7 @@
         findSentAt: (sequence) => this.reportSentAt.get(sequence),
       },
       getFirstUrgency: () => this.urgency,
+      isCalled: () => this.isCalled,
       dispatchWaiting: () => {
         this.dispatchCount += 1;
       },
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -17,6 +17,7 @@
   | 'inFlight'
   | 'waitingCalls'
   | 'firstWaiting'
+  | 'callingHosts'
   | 'avoidedBy'
   | 'spentUnits'
   | 'endedServers'
@@ -31,6 +32,7 @@
   inFlight: {},
   waitingCalls: {},
   firstWaiting: {},
+  callingHosts: {},
   avoidedBy: {},
   spentUnits: {},
   endedServers: [],
@@ -80,6 +82,7 @@
     inFlight: servers.loads.countInFlight(incarnations),
     waitingCalls: servers.peers.sum('waitingCalls', gateway.countWaiting(), incarnations),
     firstWaiting: servers.peers.mergeFirstWaiting(incarnations, gateway.listFirstWaiting()),
+    callingHosts: servers.peers.sum('callingHosts', gateway.countCalling(), incarnations),
     avoidedBy: servers.loads.countAvoiding(incarnations),
     spentUnits: spending.listSpentUnits(scope, receiver),
     endedServers: servers.listEndedIds(),
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -123,6 +123,12 @@
     return ids;
   }
 
+  /** @returns services of which a backend server names a rate limit */
+  listLimitedServices(): readonly string[] {
+    const ids = this.notices.rateLimits.listLimitedIds();
+    return [...new Set(ids.flatMap((id) => this.findEntry(id)?.serviceId ?? []))];
+  }
+
   /** @param serviceId - a service. @returns whether only closed zones keep requests from it */
   hasOnlyClosedZones(serviceId: string): boolean {
     if (this.listCandidates(serviceId).length > 0) return false;
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -44,6 +44,8 @@
   readonly waitingCalls: Readonly<Record<string, number>>;
   /** Urgency of the first waiting call, by service; 0 is the most urgent. */
   readonly firstWaiting: Readonly<Record<string, number>>;
+  /** Number of entry hosts to which calls came lately, by service with a server that names a limit. */
+  readonly callingHosts: Readonly<Record<string, number>>;
   /** Number of entry hosts that avoid a backend server after own failures, by backend server. */
   readonly avoidedBy: Readonly<Record<string, number>>;
   /** Backend servers whose end was detected through requests. */
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -14,6 +14,7 @@
   inFlight: {},
   waitingCalls: {},
   firstWaiting: {},
+  callingHosts: {},
   avoidedBy: {},
   endedServers: [],
   leavingServers: [],
