Count calls at silent servers for the retry budget, not only answered ones

What callers saw: while servers are slow or silent, a host granted no retry but its slack: it said attempts=0 after 8 s and 80 calls, and reads stayed at frozen servers for want of a budget.

Cause: a call counted as a first attempt with the first sign of its server alone.

Evidence: 'calls at servers that are slow give retry budget before they are answered' counted 1 of 80 calls before (the one that the test answers).

Change: a call counts once, at the first of these: a sign of its server (as before); a silence beyond its limit; its end by this host (its time is over, its caller has gone). The last two only if the request may have been written. The names of the functions say attempt where they said arrival.

Why it stays within the bound: the budget is a fraction of what clients sent, whether it arrived or not. A call counts once, at the process that sent it, and within its own time, which is also how late a slow answer counted before: d of the formula doesn't grow.

--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -87,9 +87,10 @@
       stream: stream.relay,
       tokensPerEvent,
       request: this.#buildRequest(server),
-      onArrival: () => retries.recordArrival(),
+      onArrival: () => retries.recordAttempt(),
       onBegin: () => stream.recordBegin({ serviceId, version }),
       onStall: () => {
+        this.#countIfSent(attempt);
         if (attempt === this.#newest) this.#options.onStall(attempt, permit);
       },
       onTakeOver: () => this.#keepOnly(attempt),
@@ -157,9 +158,15 @@
     this.#remove(attempt);
     // An unsent request can't arrive any more: its connection is closed before it opens.
     if (!attempt.mayHaveBeenSent) this.#options.budget.recordNotRun();
+    this.#countIfSent(attempt);
     attempt.cancel(ServerOutcome.Cancelled);
   }
 
+  /** A server that is slow shows nothing either, but it can't have what was never written. */
+  #countIfSent(attempt: DirectAttempt): void {
+    if (attempt.mayHaveBeenSent) this.#options.retries.recordAttempt();
+  }
+
   /** The overlap begins when the second server may have the request. */
   #scheduleOverlapEnd(): void {
     const newest = this.#newest;
--- a/src/application/direct/_call_retries.ts
+++ b/src/application/direct/_call_retries.ts
@@ -6,7 +6,7 @@
 import type { CallRecorder } from './_call_recorder.js';
 import type { RetryServices } from './direct_services.js';
 
-/** Counts the call's first arrival, and takes, uses and gives back its retries. */
+/** Counts the call once as a first attempt, and takes, uses and gives back its retries. */
 export class CallRetries {
   readonly #services: RetryServices;
 
@@ -14,8 +14,8 @@
 
   readonly #recorder: CallRecorder;
 
-  /** Whether a backend server has received the request, as far as its answers show. */
-  #hasArrived = false;
+  /** Whether the call counts as a first attempt. */
+  #isCounted = false;
 
   /** Whether a retry is granted that is still to be sent. */
   #isPending = false;
@@ -31,11 +31,11 @@
     this.#recorder = recorder;
   }
 
-  /** Records a sign that a backend server has received the request. */
-  recordArrival(): void {
-    if (this.#hasArrived) return;
-    this.#hasArrived = true;
-    this.#services.recordFirstArrival(this.#serviceId);
+  /** Records a sign that a backend server has the request, or that it may just be slow. */
+  recordAttempt(): void {
+    if (this.#isCounted) return;
+    this.#isCounted = true;
+    this.#services.recordFirstAttempt(this.#serviceId);
   }
 
   /** @returns whether the budget grants the call one more attempt, or has granted one before */
--- a/src/application/direct/_retry_shares.ts
+++ b/src/application/direct/_retry_shares.ts
@@ -27,7 +27,7 @@
   const { clock, retryBounds, startedAtMs, countEntryHosts } = options;
   const shares = new LazyMap(() => new RetryBudgetShare(retryBounds, startedAtMs));
   return {
-    recordFirstArrival: (id) => shares.getOrCreate(id).recordAttempt(clock.nowMs()),
+    recordFirstAttempt: (id) => shares.getOrCreate(id).recordAttempt(clock.nowMs()),
     takeRetry: (id) => shares.getOrCreate(id).takeRetry(clock.nowMs(), countEntryHosts()),
     recordRetrySent: (id) => shares.getOrCreate(id).recordRetrySent(clock.nowMs()),
     releaseRetry: (id) => shares.getOrCreate(id).releaseRetry(),
--- a/src/application/direct/direct_services.ts
+++ b/src/application/direct/direct_services.ts
@@ -17,8 +17,8 @@
 
 /** Retry budgets of the services. */
 export interface RetryServices {
-  /** @param serviceId - ID of the service that has received a call for the first time */
-  readonly recordFirstArrival: (serviceId: string) => void;
+  /** @param serviceId - ID of the service that has, or may have, received a call for the first time */
+  readonly recordFirstAttempt: (serviceId: string) => void;
   /** @param serviceId - ID of the service. @returns whether the retry budget grants a retry */
   readonly takeRetry: (serviceId: string) => RetryDecision;
   /** @param serviceId - ID of the service to which a granted retry is sent */
--- a/src/domain/direct/retry_budget_share.ts
+++ b/src/domain/direct/retry_budget_share.ts
@@ -83,7 +83,7 @@
     this.#startedAtMs = startedAtMs;
   }
 
-  /** @param nowMs - monotonic time at which a first attempt is known to have arrived */
+  /** @param nowMs - monotonic time at which a first attempt is known, or taken, to have arrived */
   recordAttempt(nowMs: number): void {
     this.#getCurrentSlice(nowMs).attempts += 1;
   }
