Let a stream whose silent server was given up wait for its retry

What callers saw: a stream of which they had events was broken off with seconds of its time left, while its first server was sound and only silent for a moment.

Cause: a silent attempt of a stream is given up 0.2 s after another server may have the request. Where that one declines later than that, a third one is asked; if the retry budget grants no further retry at that moment, the call ended at once. So what was at hand had been given up for something that never spoke.

The tests of calls that end, of servers that ended and of calls without any event passed before and guard what must stay.

Change: a stream with events in its caller's hands whose silent attempt was given up for one that never spoke asks the budget again each 0.5 s until its time is over. A server that ended by itself still breaks the stream off at once, so that the caller may take it up at another host.

Why it holds: the budget is kept, as nothing is sent without its grant; the wait ends with the call (timeout, caller, stop), which releases the retry.

Tried and taken back: keeping a silent stream where another server could not make the usual answer of its route in time.

--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -54,6 +54,8 @@
 
   #overlapTimer: Timer | undefined;
 
+  #owesAnswer = false;
+
   /** @param options - the call, and what each of its attempts depends on */
   constructor(options: AttemptsInFlightOptions) {
     this.#options = options;
@@ -64,6 +66,11 @@
     return this.#attempts.length === 0;
   }
 
+  /** Whether a silent attempt was given up for one that hasn't spoken so far. */
+  get owesAnswer(): boolean {
+    return this.#owesAnswer;
+  }
+
   /** @param next - a server to which the request is sent, beside those that have it already */
   start({ server, load, permit }: PermittedServer): void {
     const { options, call, stream, budget, retries, recorder } = this.#options;
@@ -93,7 +100,10 @@
         this.#countIfSent(attempt);
         if (attempt === this.#newest) this.#options.onStall(attempt, permit);
       },
-      onTakeOver: () => this.#keepOnly(attempt),
+      onTakeOver: () => {
+        this.#owesAnswer = false;
+        this.#keepOnly(attempt);
+      },
       onEnd: (result) => {
         this.#remove(attempt);
         this.#options.onEnd(server.id, result, permit);
@@ -173,11 +183,16 @@
     const wasSent = newest?.mayHaveBeenSent === true;
     this.#setOverlapTimer(wasSent ? MAX_STREAM_OVERLAP_MS : OVERLAP_CHECK_MS, () => {
       const isStillNewest = newest === this.#newest;
-      if (newest && wasSent && isStillNewest) this.#keepOnly(newest);
+      if (newest && wasSent && isStillNewest) this.#giveUpFor(newest);
       else this.#scheduleOverlapEnd();
     });
   }
 
+  #giveUpFor(newest: DirectAttempt): void {
+    this.#owesAnswer = true;
+    this.#keepOnly(newest);
+  }
+
   #setOverlapTimer(delayMs: number, handle: () => void): void {
     const { clock } = this.#options.options.services;
     this.#overlapTimer?.cancel();
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -263,7 +263,11 @@
     const isAllowed = mayHaveRun ? this.#attempts.mayRunAgain() : this.#attempts.maySendAgain();
     const isUncountedRetry = failure === BackendFailure.NotSent;
     const canResume = !this.#options.reply.hasStarted || this.#stream.canContinue;
-    if (isAllowed && canResume && (isUncountedRetry || this.#retries.take())) this.#resubmit();
+    const mayFollow = isAllowed && canResume;
+    if (mayFollow && (isUncountedRetry || this.#retries.take())) this.#resubmit();
+    // The silent server would have gone on: it was this host that left the caller without it.
+    else if (mayFollow && this.#options.reply.hasStarted && this.#inFlight.owesAnswer)
+      this.#retries.wait(() => this.#resubmit());
     else if (mayHaveRun) this.fail(new SchedulerError(ErrorKind.BackendServerLost), cause);
     else this.shed(0, cause);
   }
