Tell the age of the configuration in each refusal for it

Cause: on this path the refusal says that the configuration was not confirmed for four fifths of the revocation time (4 s of 5), or that a route or key is unknown in one older than the apply time; links to servers play no part.

Test: "each refusal for the age of the configuration tells that age" failed before (undefined for 6000).

--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -11,8 +11,7 @@
 import type { DirectRequest, LogFields } from '../../ports/mod.js';
 import type { RequestDetails } from '../crashes/mod.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
-import { deriveAttemptCause } from './_end_cause.js';
-import type { EndCause } from './_end_cause.js';
+import { deriveAttemptCause, EndCause } from './_end_cause.js';
 import type { DirectServices } from './direct_services.js';
 
 /** Maximum number of parts of a prompt that one log line names. */
@@ -135,11 +134,13 @@
    * @param fields - values that the decision used
    */
   recordEnd(event: string, fields: LogFields): void {
-    const { metrics } = this.#options.services;
+    const { metrics, routing } = this.#options.services;
     const totalMs = this.#computeElapsedMs();
     const { cause } = fields;
     const attemptCause = cause === undefined ? undefined : this.#attemptCause;
-    this.#write(event, { totalMs, ...fields, attemptCause });
+    const configurationAgeMs =
+      cause === EndCause.NotAllowed ? Math.round(routing.computeAgeMs()) : undefined;
+    this.#write(event, { totalMs, ...fields, attemptCause, configurationAgeMs });
     if (event === BROKEN_OFF_EVENT)
       metrics.count('answers_broken_off_total', { cause: String(cause) });
     metrics.count('calls_ended_total', { event, kind: String(fields.kind ?? 'none') });
--- a/src/application/direct/direct_gateway_test.ts
+++ b/src/application/direct/direct_gateway_test.ts
@@ -76,6 +76,23 @@
   t.equal(host.backend.sent.length, 2);
 });
 
+t.test('each refusal for the age of the configuration tells that age', async (t) => {
+  // Guards against refusals of calls that waited or failed over, which look like lost servers.
+  const host = await startDirectHost(t, { route: { timeoutMs: 60_000 } }, ['s-1']);
+  host.call();
+  host.call();
+  host.call({ deadlineMs: 60_000 });
+  host.clock.jump(MAX_KEY_AGE_MS + 2_000);
+  host.getSent(0).sendResponse();
+  host.call();
+  const refusals = host.log.list('call_refused').map(({ kind, configurationAgeMs }) => ({
+    kind,
+    configurationAgeMs,
+  }));
+  const refusal = { kind: ErrorKind.EntryHostCutOff, configurationAgeMs: MAX_KEY_AGE_MS + 2_000 };
+  t.strictSame(refusals, [refusal, refusal]);
+});
+
 t.test('a call over the rate limit is refused; one that never ran is not counted', async (t) => {
   const limit = { unit: LimitUnit.Tokens, ratePerSecond: 100, burst: 1_000, unitsOfUnsized: 50 };
   const host = await startDirectHost(t, { limit });
