End the call whose dispatch fails, and no other

What callers saw: an exception at the dispatch of a waiting call left that call without an answer until its deadline, and ended the turn of its queue: those behind it waited. A new call of which the dispatch failed was refused as may_have_run although nothing was sent, and kept, so that it was refused a second time at its deadline. Cause: nobody between the queue and the call knew of exceptions; an attempt was counted before it was sent.

Change: the queue guards each step for one call (admission, grant, refusal); a fault removes that call and is handed to it. What is in flight at a server goes on and may still bring the answer, also where the dispatch beside a silent attempt fails. An attempt is counted where it is sent; a permit that was not used is given back.

It holds since each call leaves the queue by one of three ways, and all of them end in the guard.

--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -72,13 +72,27 @@
   }
 
   /** @param next - a server to which the request is sent, beside those that have it already */
-  start({ server, load, permit }: PermittedServer): void {
+  start(next: PermittedServer): void {
+    const { budget } = this.#options;
+    const { count } = budget;
+    this.#guard(() => this.#start(next));
+    if (budget.count === count) next.permit.returnUnused();
+  }
+
+  /** What is in flight goes on beside a fault of this host. */
+  #guard(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.#options.call.handleFault(error);
+    }
+  }
+
+  #start({ server, load, permit }: PermittedServer): void {
     const { options, call, stream, budget, retries, recorder } = this.#options;
     const { services, serviceId, route, reply, tokensPerEvent } = options;
-    budget.recordSent();
-    retries.recordSent();
     recorder.recordDispatch(server, load, {
-      attempt: budget.count,
+      attempt: budget.count + 1,
       beside: this.#newest?.incarnationId,
       isReturning: call.isLate,
       promptTokens: call.work.promptTokens,
@@ -98,7 +112,8 @@
       onBegin: () => stream.recordBegin({ serviceId, version }),
       onStall: () => {
         this.#countIfSent(attempt);
-        if (attempt === this.#newest) this.#options.onStall(attempt, permit);
+        if (attempt !== this.#newest) return;
+        this.#guard(() => this.#options.onStall(attempt, permit));
       },
       onTakeOver: () => {
         this.#owesAnswer = false;
@@ -109,6 +124,8 @@
         this.#options.onEnd(server.id, result, permit);
       },
     });
+    budget.recordSent();
+    retries.recordSent();
     this.#attempts = [...this.#attempts, attempt];
     attempt.start();
     if (route.isStream && this.#attempts.length > 1) this.#scheduleOverlapEnd();
--- a/src/application/direct/_call_recorder.ts
+++ b/src/application/direct/_call_recorder.ts
@@ -5,7 +5,7 @@
  */
 import type { BackendServerEntry, ServerLoad } from '../../domain/backend_servers/mod.js';
 import type { RetryDecision } from '../../domain/direct/mod.js';
-import { LogLevel } from '../../domain/errors/mod.js';
+import { formatReason, LogLevel } from '../../domain/errors/mod.js';
 import type { SchedulerError } from '../../domain/errors/mod.js';
 import type { ClientAccount, Route } from '../../domain/routing/mod.js';
 import type { DirectRequest, LogFields } from '../../ports/mod.js';
@@ -127,6 +127,12 @@
     this.#options.services.metrics.count('silent_attempts_given_up_total');
   }
 
+  /** @param error - what was thrown while the call was dispatched or refused */
+  recordFault(error: unknown): void {
+    this.#write('call_dispatch_failed', { reason: formatReason(error) }, LogLevel.Error);
+    this.#options.services.metrics.count('call_dispatch_faults_total');
+  }
+
   /**
    * Records the end of the call.
    *
@@ -151,9 +157,9 @@
     return Math.round(this.#options.services.clock.nowMs() - this.#options.arrivedAtMs);
   }
 
-  #write(event: string, fields: LogFields): void {
+  #write(event: string, fields: LogFields, level = LogLevel.Info): void {
     const { services, request, contentId, account, route } = this.#options;
-    services.log.write(LogLevel.Info, event, {
+    services.log.write(level, event, {
       requestId: request.requestId,
       contentId,
       account: account?.id,
--- a/src/application/direct/_end_cause.ts
+++ b/src/application/direct/_end_cause.ts
@@ -32,6 +32,8 @@
   Deadline = 'deadline',
   /** This process stops. */
   HostStops = 'host_stops',
+  /** This host could not dispatch the call, because of a fault of its own. */
+  HostFault = 'host_fault',
   /** The caller doesn't read its answer. */
   CallerTooSlow = 'caller_too_slow',
 }
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -134,8 +134,14 @@
 
   /** Sends the call, queues it, or refuses it. */
   start(): void {
-    if (this.isHopeless) this.shed(0);
-    else this.#options.queue.submit(this);
+    this.#options.queue.submit(this);
+  }
+
+  /** What is in flight may still bring the answer; without it nobody else would end the call. */
+  handleFault(error: unknown): void {
+    this.#recorder.recordFault(error);
+    const fault = new SchedulerError(ErrorKind.DispatchFailed, { cause: error });
+    if (this.#inFlight.isEmpty) this.fail(fault, EndCause.HostFault);
   }
 
   grant(candidate: Candidate): void {
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -69,12 +69,19 @@
 
   /** @param call - the call to dispatch, queue or refuse */
   submit(call: QueuedCall): void {
+    this.#guard(call, () => this.#admit(call));
+  }
+
+  #admit(call: QueuedCall): void {
+    if (call.isHopeless) {
+      call.shed(0);
+      return;
+    }
     if (this.#countAhead(call) === 0 && this.#tryDispatch(call)) return;
     const estimatedWaitMs = this.#estimateWaitMs(call);
     const nowMs = this.#options.clock.nowMs();
     if (!this.#isWaitWorthwhile(call)) {
-      // No slot is likely to become free for as long as the call could wait, however short the
-      // local queue is.
+      // However short the local queue is, no slot is likely to become free in time.
       call.shed(Math.max(estimatedWaitMs, call.latestStartAtMs - nowMs));
       return;
     }
@@ -129,23 +136,37 @@
     let freeSlots = this.#countFreeSlots();
     if (freeSlots === 0) return;
     for (const call of [...this.#queue.list()]) {
-      const candidate = this.#pickCandidate(call, this.#queue.size);
-      // A grant may end other calls, so each call is looked up again when its turn comes.
-      if (candidate && this.#queue.remove(call)) {
-        this.#waitSuccess.record(computeUrgency(call), true, this.#options.clock.nowMs());
-        call.grant(candidate);
-        freeSlots -= 1;
-      }
+      if (this.#guard(call, () => this.#dispatch(call))) freeSlots -= 1;
       if (freeSlots <= 0) return;
     }
   }
 
+  #dispatch(call: QueuedCall): boolean {
+    const candidate = this.#pickCandidate(call, this.#queue.size);
+    // A grant may end other calls, so each call is looked up again when its turn comes.
+    if (!candidate || !this.#queue.remove(call)) return false;
+    this.#waitSuccess.record(computeUrgency(call), true, this.#options.clock.nowMs());
+    call.grant(candidate);
+    return true;
+  }
+
+  /** A fault ends the call that it concerns, not the turn of those behind it. */
+  #guard(call: QueuedCall, step: () => unknown): boolean {
+    try {
+      return step() === true;
+    } catch (error) {
+      this.#queue.remove(call);
+      call.handleFault(error);
+      return false;
+    }
+  }
+
   /** Sheds calls that can no longer be started in time. */
   shedExpired(): void {
     const nowMs = this.#options.clock.nowMs();
     this.#queue.removeExpired(nowMs).forEach((call) => {
       this.#waitSuccess.record(computeUrgency(call), false, nowMs);
-      call.shed(this.#estimateWaitMs(call));
+      this.#guard(call, () => call.shed(this.#estimateWaitMs(call)));
     });
   }
 
@@ -154,16 +175,18 @@
     const blockedMs = this.#options.estimateBlockedMs();
     if (blockedMs === 0) return;
     const startsAtMs = this.#options.clock.nowMs() + blockedMs;
-    [...this.#queue.list()]
-      .filter((call) => startsAtMs > call.latestStartAtMs && this.#queue.remove(call))
-      .forEach((call) => call.shed(blockedMs));
+    this.#shedWhere((call) => startsAtMs > call.latestStartAtMs, blockedMs);
   }
 
   /** Sheds calls whose stream no backend server may continue any more. */
   #shedHopeless(): void {
+    this.#shedWhere((call) => call.origin !== undefined && call.isHopeless === true, 0);
+  }
+
+  #shedWhere(mustShed: (call: QueuedCall) => boolean, waitMs: number): void {
     [...this.#queue.list()]
-      .filter((call) => call.origin && call.isHopeless && this.#queue.remove(call))
-      .forEach((call) => call.shed(0));
+      .filter((call) => mustShed(call) && this.#queue.remove(call))
+      .forEach((call) => this.#guard(call, () => call.shed(waitMs)));
   }
 
   #isWaitWorthwhile(call: QueuedCall): boolean {
@@ -212,7 +235,8 @@
   }
 
   #dropOldFreedTimes(): void {
-    dropOlderThan(this.#freedAtMs, this.#options.clock.nowMs() - FREED_WINDOW_MS);
+    const oldestMs = this.#options.clock.nowMs() - FREED_WINDOW_MS;
+    while ((this.#freedAtMs[0] ?? Infinity) < oldestMs) this.#freedAtMs.shift();
   }
 
   #countFreeSlots(): number {
@@ -274,7 +298,3 @@
     });
   }
 }
-
-function dropOlderThan(timesMs: number[], oldestMs: number): void {
-  while ((timesMs[0] ?? Infinity) < oldestMs) timesMs.shift();
-}
--- a/src/application/direct/service_queue_options.ts
+++ b/src/application/direct/service_queue_options.ts
@@ -32,6 +32,8 @@
    * @param estimatedWaitMs - estimated wait for a slot, in milliseconds
    */
   shed(estimatedWaitMs: number): void;
+  /** @param error - what was thrown while the call was dispatched or refused */
+  handleFault(error: unknown): void;
 }
 
 /** Dependencies of a queue of waiting calls. */
--- a/src/domain/errors/error_kind.ts
+++ b/src/domain/errors/error_kind.ts
@@ -48,6 +48,7 @@
   StreamVersionGone = 'stream_version_gone',
   StreamUnknown = 'stream_unknown',
   BackendServerRefused = 'backend_server_refused',
+  DispatchFailed = 'dispatch_failed',
   RequestHeld = 'request_held',
   Cancelled = 'cancelled',
   // The request ID has expired; the request's outcome may be unknown.
--- a/src/domain/errors/error_table.ts
+++ b/src/domain/errors/error_table.ts
@@ -78,6 +78,7 @@
   [ErrorKind.StreamVersionGone]: define(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Info),
   [ErrorKind.StreamUnknown]: define(503, SERVER, RunOutcome.NotRun, 50, LogLevel.Info),
   [ErrorKind.BackendServerRefused]: define(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
+  [ErrorKind.DispatchFailed]: define(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Error),
   [ErrorKind.RequestHeld]: define(503, SERVER, RunOutcome.NotRun, 600_000, LogLevel.Warn),
   [ErrorKind.Cancelled]: define(499, INVALID, RunOutcome.NotRun, 0, LogLevel.Info),
   [ErrorKind.RequestIdExpired]: define(410, INVALID, RunOutcome.MayHaveRun, 0, LogLevel.Info),
