Read an answer on at its owner once their link is back

What callers saw, on the own interface: an answer that had begun broke off as soon as the link to its owner was down for a moment, or was replaced for a suspicion, unless an engine could resume the stream; services' answers were never read on, although the owner keeps both the run and its answer. Cause: what had begun was given up with the link; only the backend server was asked for the rest. Class: what is at hand is given up before it is known that something better follows.

Change: where the server can't resume the stream, the owner is asked for the rest, from the offset at which the answer stopped, at once and then each 0.1 s for 3 s, as long as it is only out of reach; an owner whose process is gone ends the answer at once. Reading starts no work. Nobody asks once the caller has gone.

A trial that kept the answer in ForwardClient while bytes arrived was taken back: the link is replaced at the same moment.

--- a/src/application/entry_host/caller_gateway.ts
+++ b/src/application/entry_host/caller_gateway.ts
@@ -8,7 +8,7 @@
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { RequestId } from '../../domain/requests/mod.js';
 import { ForwardOperation } from '../../ports/mod.js';
-import type { BackendServerClient } from '../../ports/mod.js';
+import type { BackendServerClient, Clock } from '../../ports/mod.js';
 import type { ForwardClient, ForwardFields } from '../forwarding/mod.js';
 import type { OwnedCall, OwnerService } from '../owner/mod.js';
 import { RequestGateway } from '../views/mod.js';
@@ -23,11 +23,13 @@
 } from '../views/mod.js';
 import { readJsonBody } from './_json_answer.js';
 import { relayWithFailover, resumeForCaller } from './_stream_failover.js';
+import type { RelayedAnswer, RelayStart } from './_stream_failover.js';
 import type { RequestIdIssuer } from './request_id_issuer.js';
 import type { OwnedCalls } from './owned_calls.js';
 
 /** Options of {@link CallerGateway}. */
 export interface CallerGatewayOptions {
+  readonly clock: Clock;
   readonly configuration: ConfigurationView;
   readonly membership: MembershipView;
   readonly issuer: RequestIdIssuer;
@@ -108,14 +110,9 @@
     const id = issuer.parseId(requestId, account.accountId);
     try {
       if (calls.isOwned(id)) return await calls.read(id, options);
-      const { accountId } = account;
-      const { offset } = options;
-      const answer = await this.#forward(
-        id,
-        { operation: ForwardOperation.Read, accountId, offset },
-        options.callerGone,
-      );
-      return relayWithFailover(this.#options, id, answer, options);
+      const { offset, callerGone } = options;
+      const answer = await this.#readAtOwner(id, account, { offset, callerGone });
+      return this.#relay(id, account, answer, { offset, callerGone });
     } catch (error) {
       return resumeForCaller(this.#options, id, error, options);
     }
@@ -166,7 +163,27 @@
       },
       call.callerGone,
     );
-    return relayWithFailover(this.#options, id, answer, { offset: 0, callerGone: call.callerGone });
+    return this.#relay(id, call.account, answer, { offset: 0, callerGone: call.callerGone });
+  }
+
+  #relay(
+    id: RequestId,
+    account: AccountContract,
+    answer: RelayedAnswer,
+    start: Omit<RelayStart, 'readAgain'>,
+  ): CallerAnswer {
+    return relayWithFailover(this.#options, id, answer, {
+      ...start,
+      readAgain: (offset) => this.#readAtOwner(id, account, { ...start, offset }),
+    });
+  }
+
+  #readAtOwner(
+    id: RequestId,
+    { accountId }: AccountContract,
+    { offset, callerGone }: Omit<RelayStart, 'readAgain'>,
+  ): Promise<RelayedAnswer> {
+    return this.#forward(id, { operation: ForwardOperation.Read, accountId, offset }, callerGone);
   }
 
   async #findIdByKey(accountId: string, key: string): Promise<RequestId> {
--- a/src/application/entry_host/stream_failover_test.ts
+++ b/src/application/entry_host/stream_failover_test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import { FakeConfiguration } from '../../../test/support/fake_views.js';
+import { VirtualClock } from '../../../test/support/virtual_clock.js';
 import { ServiceKind } from '../../domain/contracts/types.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { RequestId } from '../../domain/requests/mod.js';
@@ -40,6 +41,7 @@
   const backend = { resume: async () => rest as unknown as BackendAnswer };
   const answer = relayWithFailover(
     {
+      clock: new VirtualClock(),
       configuration: new FakeConfiguration(service, 1),
       backend: backend as unknown as BackendServerClient,
     },
@@ -56,7 +58,11 @@
       },
       body: readUntilLost(),
     },
-    { offset: 0, callerGone: new AbortController().signal },
+    {
+      offset: 0,
+      callerGone: new AbortController().signal,
+      readAgain: () => Promise.reject(new SchedulerError(ErrorKind.OwnerGone)),
+    },
   );
   const parts: string[] = [];
   for await (const bytes of answer.body) parts.push(Buffer.from(bytes).toString());
