Pass no empty answer on as whole once another server is asked

What callers could get: a success without a body, where a server had broken its answer off behind its head and another one was asked, which did not answer in time. Cause: since a server's own error is kept while other attempts are in flight, an empty answer without a length, which may be meant so, was kept as well, and passed on at the deadline, at a stop of the host, and after a further loss. Class: what may be less than it seems is kept as if it were proved.

Evidence, empty_answers_test before: the caller gets the success in all three cases. Change: such an answer stands only while no other attempt follows it, and never where the time or the host ends the call; errors of servers are passed on as before.

--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -14,8 +14,9 @@
 import type { LogFields, Timer } from '../../ports/mod.js';
 import { PermitKind } from '../crashes/mod.js';
 import type { Permit } from '../crashes/mod.js';
-import { buildShedRefusal, correctRefusal, findRejection } from './_call_rejection.js';
-import { CallRecorder, buildAnswerFields, buildErrorFields } from './_call_recorder.js';
+import { buildShedRefusal, findRejection } from './_call_rejection.js';
+import { CallRecorder, buildAnswerFields } from './_call_recorder.js';
+import { CallReply } from './_call_reply.js';
 import { CallStream } from './_call_stream.js';
 import { CallRetries } from './_call_retries.js';
 import { AttemptBudget } from './_attempt_budget.js';
@@ -64,8 +65,7 @@
 
   #probationWait: ProbationWait | undefined;
 
-  /** Sends the last error answer of a server, in case no other answers. */
-  #sendFallback: (() => void) | undefined;
+  readonly #reply: CallReply;
 
   readonly #timer: Timer;
 
@@ -90,6 +90,7 @@
     this.arrivedAtMs = times.arrivedAtMs;
     this.deadlineAtMs = times.deadlineAtMs;
     this.latestStartAtMs = times.latestStartAtMs;
+    this.#reply = new CallReply(reply);
     this.#stream = new CallStream(options);
     this.#attempts = new AttemptBudget(this, route, services.clock);
     this.#recorder = new CallRecorder({ ...options, arrivedAtMs: this.arrivedAtMs });
@@ -190,6 +191,7 @@
   }
 
   #resubmit(): void {
+    this.#reply.dropEmptyAnswer();
     this.latestStartAtMs =
       this.#options.services.clock.nowMs() + computeMaxFailoverWaitMs(this.#attempts.timeLeftMs);
     this.start();
@@ -209,17 +211,9 @@
    */
   fail(error: SchedulerError, cause: EndCause, details: LogFields = {}): void {
     if (this.#hasEnded) return;
-    const { hasStarted } = this.#options.reply;
-    if (!hasStarted && this.#sendFallback) {
-      this.#sendFallback();
-      this.#end('call_answered', { cause });
-      return;
-    }
-    const reportedError = correctRefusal(error, this.mayHaveRun);
-    if (hasStarted) this.#options.reply.abort();
-    else this.#options.reply.sendError(reportedError);
-    const fields = { ...buildErrorFields(reportedError, cause), ...details };
-    this.#end(hasStarted ? 'call_broken_off' : 'call_refused', fields);
+    const { mayHaveRun } = this;
+    const { event, fields } = this.#reply.fail({ error, cause, mayHaveRun, details });
+    this.#end(event, fields);
   }
 
   /** @param incarnationId - ID of an incarnation of a backend server that has ended */
@@ -258,13 +252,13 @@
   }
 
   #handleFailure(serverId: string, result: DirectAttemptResult): void {
-    const { failure = BackendFailure.Broken, reason, sendFallback } = result;
+    const { failure = BackendFailure.Broken, reason } = result;
     const cause = deriveAttemptCause(failure, reason);
     const mayHaveRun = mayAttemptHaveRun({ failure });
     if (!mayHaveRun) this.#attempts.recordNotRun();
     if (failure === BackendFailure.Misdirected)
       this.#options.services.servers.recordEnded(serverId);
-    this.#sendFallback = sendFallback ?? this.#sendFallback;
+    this.#reply.recordFailure(result);
     if (!this.#inFlight.isEmpty) return;
     const isAllowed = mayHaveRun ? this.#attempts.mayRunAgain() : this.#attempts.maySendAgain();
     const isUncountedRetry = failure === BackendFailure.NotSent;
--- /dev/null
+++ b/src/application/direct/empty_answers_test.ts
@@ -0,0 +1,46 @@
+/**
+ * Tests empty answers without a length, which servers mean so or have broken off.
+ *
+ * @module
+ */
+import t from 'tap';
+import { startDirectHost } from '../../../test/support/direct_host.js';
+import type { DirectHost } from '../../../test/support/direct_host.js';
+import { BackendFailure } from '../../ports/mod.js';
+
+const READ = { isRepeatable: true, maxAttempts: 2, timeoutMs: 2_000 };
+
+function answerEmpty(host: DirectHost, status: number): void {
+  const first = host.getSent(0);
+  first.sendHead({ status, isFramed: false });
+  first.listener.onComplete();
+}
+
+t.test('an empty answer is not passed on as whole once another server is asked', async (t) => {
+  // Guards against answers that a server broke off behind their head, and that look complete.
+  for (const end of ['lost', 'deadline', 'stop'] as const) {
+    const host = await startDirectHost(t, { route: READ });
+    const reply = host.call();
+    answerEmpty(host, 200);
+    if (end === 'lost') host.getSent(1).fail(BackendFailure.Lost);
+    else if (end === 'deadline') await host.clock.advance(READ.timeoutMs);
+    else host.gateway.stopAllCalls();
+    t.equal(reply.head, undefined, end);
+    t.ok(reply.error, end);
+  }
+});
+
+t.test('an empty answer is passed on where no other server may be asked', async (t) => {
+  const host = await startDirectHost(t, { route: { ...READ, maxAttempts: 1 } });
+  const reply = host.call();
+  answerEmpty(host, 200);
+  t.equal(reply.head?.status, 200);
+});
+
+t.test('a server error is passed on once time is over', async (t) => {
+  const host = await startDirectHost(t, { route: READ });
+  const reply = host.call();
+  answerEmpty(host, 500);
+  await host.clock.advance(READ.timeoutMs);
+  t.equal(reply.head?.status, 500);
+});
