Share the order of flows between fair queues

The direct path is to order client accounts as the owners' path does. The comparison of two flows, the insertion by due time and the smallest weight move out of FairTier into flow_order.ts. The order of FairTier is unchanged; fair_queue_test, group_scheduler_test and mixed_lengths_test pass.

--- a/src/domain/scheduling/_fair_tier.ts
+++ b/src/domain/scheduling/_fair_tier.ts
@@ -4,21 +4,30 @@
  *
  * @module
  */
+import { compareFlows, findDueIndex, MIN_WEIGHT } from './flow_order.js';
+import type { FlowHead } from './flow_order.js';
 import type { SlotDemand, WaitingDemand } from './slot_demand.js';
 
 /** Waiting demands of one account in one tier. */
-interface Flow {
-  readonly accountId: string;
+class Flow implements FlowHead {
   weight: number;
+
   /** Virtual start time of the account's next demand. */
-  startTag: number;
+  startTag = 0;
+
   /** Sorted by deadline, earliest first. */
-  readonly items: WaitingDemand[];
-  workMs: number;
-}
+  readonly items: WaitingDemand[] = [];
 
-/** Smallest weight, so that a faulty contract cannot produce infinite start tags. */
-const MIN_WEIGHT = 0.001;
+  workMs = 0;
+
+  constructor(weight: number) {
+    this.weight = weight;
+  }
+
+  get dueAtMs(): number {
+    return this.items[0]?.demand.deadlineAtMs ?? 0;
+  }
+}
 
 /** Start-time fair queuing by predicted work. */
 export class FairTier {
@@ -135,7 +144,7 @@
     const { accountId, weight } = demand;
     const known = this.#flows.get(accountId);
     if (known) return known;
-    const flow: Flow = { accountId, weight, startTag: 0, items: [], workMs: 0 };
+    const flow = new Flow(weight);
     this.#flows.set(accountId, flow);
     return flow;
   }
@@ -152,22 +161,8 @@
   }
 }
 
-function compareFlows(a: Flow, b: Flow): number {
-  if (a.startTag !== b.startTag) return a.startTag - b.startTag;
-  return (a.items[0]?.demand.deadlineAtMs ?? 0) - (b.items[0]?.demand.deadlineAtMs ?? 0);
-}
-
-/** Finds where a new demand goes in a list sorted by deadline, behind equal deadlines. */
-function findInsertIndex(items: readonly WaitingDemand[], demand: SlotDemand): number {
-  let low = 0;
-  let high = items.length;
-  while (low < high) {
-    const middle = Math.floor((low + high) / 2);
-    const other = items[middle]?.demand.deadlineAtMs ?? 0;
-    if (other <= demand.deadlineAtMs) low = middle + 1;
-    else high = middle;
-  }
-  return low;
+function findInsertIndex(items: readonly WaitingDemand[], { deadlineAtMs }: SlotDemand): number {
+  return findDueIndex(items, deadlineAtMs, ({ demand }) => demand.deadlineAtMs);
 }
 
 function computeEarlierWorkMs(flow: Flow, demand: SlotDemand): number {
