Keep the slot time of client accounts as decayed sums

A fair share of the slots needs to know what each account has used lately. AccountUsage charges a slot when it is given, with its predicted time, and settles it with the actual time when it is given back, so that running requests count. Sums of peers are added. An account that was idle begins to wait at three quarters of the usage of the account served last, so it can't take all slots for long.

--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -5,6 +5,13 @@
  *
  * @module
  */
+export {
+  AccountUsage,
+  ANONYMOUS_ACCOUNT,
+  MAX_ACCOUNTS,
+  USAGE_HALF_LIFE_MS,
+} from './account_usage.js';
+export type { SlotTimes, WeightedAccount } from './account_usage.js';
 export { estimatePacedWaitMs } from './paced_wait.js';
 export { OutputEstimator } from './output_estimator.js';
 export { RetryBudgetShare } from './retry_budget_share.js';
