Order waiting calls by the slot time of their client accounts

Within one urgency, WaitQueue gave the next slot to the call that came first, so one account with many calls took the slots of all others. With a source of usage, the account with the least slot time per weight now goes first, and within an account the call with the least time left, then the one that came first. Each listed call counts as served before the next one of its account, so several slots that come free at once are shared as well. Without a source the order is as before. A call whose lateness has changed while it waited is found when it is removed.

wait_queue_test and fair_shares_test pass.

--- a/src/domain/direct/account_usage.ts
+++ b/src/domain/direct/account_usage.ts
@@ -158,16 +158,29 @@
   }
 
   /**
-   * Records that an account begins to wait. Having been idle puts it ahead of the others only by a
-   * bounded part of what they have used.
+   * Computes the position that an account would have if it began to wait. Having been idle puts it
+   * ahead of the others only by a bounded part of what they have used.
    *
    * @param account - the account
    * @param firstTag - lowest tag of the accounts that wait already; Infinity if there is none
    * @param nowMs - monotonic time in milliseconds
+   * @returns slot time per unit of weight, in milliseconds
    */
-  recordWaiting(account: WeightedAccount, firstTag: number, nowMs: number): void {
+  computeFirstTag(account: WeightedAccount, firstTag: number, nowMs: number): number {
     const lowestTag = Math.min(firstTag, this.#decayServedTag(nowMs) * RETURN_FRACTION);
-    const missing = lowestTag - this.computeTag(account, nowMs);
+    return Math.max(lowestTag, this.computeTag(account, nowMs));
+  }
+
+  /**
+   * Records that an account begins to wait.
+   *
+   * @param account - the account
+   * @param firstTag - lowest tag of the accounts that wait already; Infinity if there is none
+   * @param nowMs - monotonic time in milliseconds
+   */
+  recordWaiting(account: WeightedAccount, firstTag: number, nowMs: number): void {
+    const tag = this.computeTag(account, nowMs);
+    const missing = this.computeFirstTag(account, firstTag, nowMs) - tag;
     if (missing <= 0) return;
     const liftMs = missing * Math.max(MIN_WEIGHT, account.weight);
     this.#add(account.accountId, { usageMs: 0, liftMs }, nowMs);
--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -32,3 +32,4 @@
 export { WaitSuccessTracker } from './wait_success_tracker.js';
 export { computeUrgency, WaitQueue } from './wait_queue.js';
 export type { WaitingCall } from './wait_queue.js';
+export type { FairOrder } from './_account_flows.js';
--- a/src/domain/direct/wait_queue.ts
+++ b/src/domain/direct/wait_queue.ts
@@ -4,22 +4,35 @@
  * @module
  */
 
+import { AccountFlows } from './_account_flows.js';
+import type { FairOrder, FlowCall } from './_account_flows.js';
+
+/**
+ * Time for which a computed order is used again, in milliseconds, unless a call or the usage of this
+ * host changes. One decision about a call needs the order several times.
+ */
+const MAX_ORDER_AGE_MS = 2;
+
 /** Properties of a waiting call that determine its position in the queue. */
-export interface WaitingCall {
+export interface WaitingCall extends FlowCall {
   /** Priority rank; 0 is the most urgent. */
   readonly rank: number;
   /**
    * Whether the call's target can't be met any more, as with a caller that was refused before.
    */
   readonly isLate: boolean;
-  /** Arrival time on the monotonic clock, in milliseconds. */
-  readonly arrivedAtMs: number;
-  /** Latest useful start on a backend server, in milliseconds of the monotonic clock. */
-  readonly latestStartAtMs: number;
+}
+
+/** An order that was computed. */
+interface ComputedOrder<T> {
+  readonly calls: readonly T[];
+  readonly atMs: number;
+  readonly revision: number;
 }
 
 /**
- * Orders calls by rank, then those on time before late ones, then by arrival.
+ * Orders calls by rank, then those on time before late ones, then by the slot time that their client
+ * accounts have used. Without usage, they are ordered by arrival instead.
  *
  * Late calls come last within their rank. If they came first, an overload would never end: slots
  * would go to returning callers, new ones would be refused in their favor and would be late
@@ -27,37 +40,64 @@
  * percent of answers were on time that way, and it stayed so for ten seconds after the burst.
  */
 export class WaitQueue<T extends WaitingCall> {
-  readonly #calls: T[] = [];
+  readonly #fairOrder: FairOrder | undefined;
+
+  /** Waiting calls by urgency. */
+  readonly #levels = new Map<number, AccountFlows<T>>();
+
+  /** Urgency of each waiting call when it was added. */
+  readonly #urgencies = new Map<T, number>();
+
+  #order: ComputedOrder<T> | undefined;
+
+  /** @param fairOrder - usage by which client accounts are ordered; without it, arrival counts */
+  constructor(fairOrder?: FairOrder) {
+    this.#fairOrder = fairOrder;
+  }
 
   /** Number of waiting calls. */
   get size(): number {
-    return this.#calls.length;
+    return this.#urgencies.size;
   }
 
   /** @param call - a call to insert at its position */
   add(call: T): void {
-    let position = this.#calls.length;
-    while (position > 0 && compareCalls(call, this.#calls[position - 1] as T) < 0) position -= 1;
-    this.#calls.splice(position, 0, call);
+    const urgency = computeUrgency(call);
+    const level = this.#levels.get(urgency) ?? new AccountFlows<T>(this.#fairOrder);
+    this.#levels.set(urgency, level);
+    level.add(call);
+    this.#urgencies.set(call, urgency);
+    this.#order = undefined;
   }
 
   /** @param call - a call that no longer waits. @returns whether it was in the queue */
   remove(call: T): boolean {
-    const index = this.#calls.indexOf(call);
-    if (index < 0) return false;
-    this.#calls.splice(index, 1);
+    const urgency = this.#urgencies.get(call);
+    const level = urgency === undefined ? undefined : this.#levels.get(urgency);
+    if (urgency === undefined || !level) return false;
+    level.remove(call);
+    if (level.isEmpty) this.#levels.delete(urgency);
+    this.#urgencies.delete(call);
+    this.#order = undefined;
     return true;
   }
 
   /** Urgency of the first call; Infinity if the queue is empty. */
   get firstUrgency(): number {
-    const [first] = this.#calls;
-    return first ? computeUrgency(first) : Infinity;
+    return Math.min(Infinity, ...this.#levels.keys());
   }
 
   /** @returns the calls in queue order */
   list(): readonly T[] {
-    return this.#calls;
+    const atMs = this.#fairOrder?.nowMs() ?? 0;
+    const revision = this.#fairOrder?.usage.revision ?? 0;
+    const known = this.#order;
+    if (known && known.revision === revision && atMs - known.atMs <= MAX_ORDER_AGE_MS)
+      return known.calls;
+    const urgencies = [...this.#levels.keys()].sort((a, b) => a - b);
+    const calls = urgencies.flatMap((urgency) => this.#levels.get(urgency)?.list() ?? []);
+    this.#order = { calls, atMs, revision };
+    return calls;
   }
 
   /**
@@ -65,8 +105,11 @@
    * @returns the number of calls that would be ahead of it
    */
   countAhead(call: T): number {
-    let ahead = this.#calls.length;
-    while (ahead > 0 && compareCalls(call, this.#calls[ahead - 1] as T) < 0) ahead -= 1;
+    const ownUrgency = computeUrgency(call);
+    let ahead = this.#levels.get(ownUrgency)?.countAhead(call) ?? 0;
+    this.#urgencies.forEach((urgency) => {
+      if (urgency < ownUrgency) ahead += 1;
+    });
     return ahead;
   }
 
@@ -74,10 +117,12 @@
    * Removes the calls whose latest useful start has passed.
    *
    * @param nowMs - monotonic time in milliseconds
-   * @returns the removed calls
+   * @returns the removed calls, in queue order
    */
   removeExpired(nowMs: number): T[] {
-    const expired = this.#calls.filter(({ latestStartAtMs }) => latestStartAtMs <= nowMs);
+    const isExpired = ({ latestStartAtMs }: T): boolean => latestStartAtMs <= nowMs;
+    if (![...this.#urgencies.keys()].some(isExpired)) return [];
+    const expired = this.list().filter(isExpired);
     expired.forEach((call) => this.remove(call));
     return expired;
   }
@@ -92,9 +137,3 @@
 export function computeUrgency({ rank, isLate }: Pick<WaitingCall, 'isLate' | 'rank'>): number {
   return 2 * rank + (isLate ? 1 : 0);
 }
-
-function compareCalls(a: WaitingCall, b: WaitingCall): number {
-  const difference = computeUrgency(a) - computeUrgency(b);
-  if (difference !== 0) return difference;
-  return a.arrivedAtMs - b.arrivedAtMs;
-}
