Report the slot time of client accounts between entry hosts

An account's fair share is one of the whole fleet, so a host needs to know what the account uses elsewhere. Reports gain accountUsage: decayed sums of slot milliseconds by service and account, of the 24 busiest accounts. They are summed like the other fields. A relay chooses the busiest accounts once for all reports of a round and adds up only those. Reports of the former version lack the field and count as empty.

Usage is kept per service, as slots of one service are no use to calls of another one.

--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -76,6 +76,7 @@
     rosterRevision: 4,
     heardRosterRevision: 3,
     heardScope: ReportScope.Group,
+    accountUsage: { 'engines\nfranchise-a': 1_250 },
   },
   [PeerMessageType.FreedSlot]: {
     type: PeerMessageType.FreedSlot,
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -75,6 +75,8 @@
   rosterRevision: count,
   heardRosterRevision: count,
   heardScope: z.enum(ReportScope).optional(),
+  // Reports of earlier versions lack this field.
+  accountUsage: countsSchema.default({}),
 }) as z.ZodType<PeerMessageOf<PeerMessageType.HostReport>>;
 
 /** Schema of a slot or turn that is passed on. */
--- /dev/null
+++ b/src/application/direct/_account_usage.ts
@@ -0,0 +1,165 @@
+/**
+ * Slot time that client accounts use at all entry hosts, by service.
+ *
+ * @module
+ */
+import { AccountUsage } from '../../domain/direct/mod.js';
+import type { FairOrder, WeightedAccount } from '../../domain/direct/mod.js';
+import type { Clock } from '../../ports/mod.js';
+import { LazyMap } from './_lazy_map.js';
+import type { PeerStatsTable } from './_peer_stats.js';
+
+/**
+ * Maximum number of accounts in a report: the busiest ones. An account that is left out counts with
+ * this host's part of its usage only, which puts it ahead of those that use more.
+ */
+export const MAX_REPORTED_ACCOUNTS = 24;
+
+/**
+ * Time for which a choice of the busiest accounts is used again, in milliseconds, so that a relay
+ * makes it once for the reports of one round.
+ */
+const MAX_CHOICE_AGE_MS = 100;
+
+/** Separates service and account in the ID of a sum; IDs from the configuration don't contain it. */
+const SEPARATOR = '\n';
+
+/** A slot that is charged to an account until it is given back. */
+export interface SlotCharge {
+  /** Replaces the predicted time by the actual one. */
+  readonly settle: () => void;
+}
+
+/** Slot time of one account at one service. */
+export interface AccountSum {
+  readonly serviceId: string;
+  readonly accountId: string;
+  /** At all entry hosts, as a decayed sum in milliseconds. */
+  readonly usageMs: number;
+}
+
+/** Dependencies of {@link AccountUsages}. */
+export interface AccountUsagesOptions {
+  readonly clock: Clock;
+  readonly peers: PeerStatsTable;
+}
+
+/**
+ * Holds the usage of each service. Slots of one service are no use to calls of another one: if usage
+ * were summed over services, an account with long answers at model engines would always come last at
+ * a plain service as well.
+ *
+ * Sums of peers are those of their last reports, without the decay since then. It is the same factor
+ * for all accounts, about 0.97 for the 150 ms between two reports.
+ */
+export class AccountUsages {
+  readonly #options: AccountUsagesOptions;
+
+  readonly #byService: LazyMap<AccountUsage>;
+
+  #busiestIds: readonly string[] = [];
+
+  #chosenAtMs = Number.NEGATIVE_INFINITY;
+
+  /** @param options - dependencies */
+  constructor(options: AccountUsagesOptions) {
+    this.#options = options;
+    const { peers } = options;
+    this.#byService = new LazyMap(
+      (serviceId) =>
+        new AccountUsage((accountId) =>
+          peers.getTotal('accountUsage', formatSumId(serviceId, accountId)),
+        ),
+    );
+  }
+
+  /** @param serviceId - ID of a service. @returns the order of the accounts that wait for it */
+  getOrder(serviceId: string): FairOrder {
+    const { clock } = this.#options;
+    return { usage: this.#byService.getOrCreate(serviceId), nowMs: () => clock.nowMs() };
+  }
+
+  /**
+   * Charges a slot when it is given.
+   *
+   * @param serviceId - ID of the service
+   * @param account - account that is given the slot
+   * @param predictedMs - time for which it is expected to hold the slot, in milliseconds
+   * @returns the charge, to be settled once when the slot is given back
+   */
+  charge(serviceId: string, account: WeightedAccount, predictedMs: number): SlotCharge {
+    const { clock } = this.#options;
+    const usage = this.#byService.getOrCreate(serviceId);
+    const startedAtMs = clock.nowMs();
+    usage.charge(account, predictedMs, startedAtMs);
+    return {
+      settle: () => {
+        const nowMs = clock.nowMs();
+        const heldMs = nowMs - startedAtMs;
+        usage.settle(account.accountId, { predictedMs, heldMs }, nowMs);
+      },
+    };
+  }
+
+  /**
+   * Lists the sums to report.
+   *
+   * @param sources - incarnations of the peer processes to include in addition to this one
+   * @returns slot milliseconds of the busiest accounts, by sum ID
+   */
+  listReported(sources: readonly string[]): Record<string, number> {
+    const own = this.#listOwn();
+    if (sources.length === 0)
+      return Object.fromEntries(pickBusiest(Object.entries(own), MAX_REPORTED_ACCOUNTS));
+    return this.#options.peers.sumOf('accountUsage', this.#chooseBusiest(own), { own, sources });
+  }
+
+  /**
+   * @param maxCount - maximum number of sums
+   * @returns the highest sums of all services, highest first
+   */
+  listBusiest(maxCount: number): readonly AccountSum[] {
+    return pickBusiest(this.#sumAll(this.#listOwn()), maxCount).map(([id, usageMs]) => ({
+      ...parseSumId(id),
+      usageMs,
+    }));
+  }
+
+  #listOwn(): Record<string, number> {
+    const nowMs = this.#options.clock.nowMs();
+    const sums = this.#byService
+      .listEntries()
+      .flatMap(([serviceId, usage]) =>
+        [...usage.listOwn(nowMs)].map(([id, ms]) => [formatSumId(serviceId, id), ms] as const),
+      );
+    return Object.fromEntries(sums);
+  }
+
+  #chooseBusiest(own: Readonly<Record<string, number>>): readonly string[] {
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs - this.#chosenAtMs >= MAX_CHOICE_AGE_MS) {
+      this.#chosenAtMs = nowMs;
+      this.#busiestIds = pickBusiest(this.#sumAll(own), MAX_REPORTED_ACCOUNTS).map(([id]) => id);
+    }
+    return this.#busiestIds;
+  }
+
+  #sumAll(own: Readonly<Record<string, number>>): [string, number][] {
+    const totals = new Map(this.#options.peers.listTotals('accountUsage'));
+    Object.entries(own).forEach(([id, ms]) => totals.set(id, (totals.get(id) ?? 0) + ms));
+    return [...totals];
+  }
+}
+
+function formatSumId(serviceId: string, accountId: string): string {
+  return `${serviceId}${SEPARATOR}${accountId}`;
+}
+
+function parseSumId(id: string): Pick<AccountSum, 'accountId' | 'serviceId'> {
+  const [serviceId = '', accountId = ''] = id.split(SEPARATOR);
+  return { serviceId, accountId };
+}
+
+function pickBusiest(sums: readonly [string, number][], maxCount: number): [string, number][] {
+  return [...sums].sort(([, a], [, b]) => b - a).slice(0, maxCount);
+}
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -18,15 +18,30 @@
   | 'rateLimits'
   | 'refusalLimits'
   | 'hostCount'
+  | 'accountUsage'
 >;
 
-const SUMMED_FIELDS = ['avoidedBy', 'callingHosts', 'inFlight', 'waitingCalls'] as const;
+const SUMMED_FIELDS = [
+  'avoidedBy',
+  'callingHosts',
+  'inFlight',
+  'waitingCalls',
+  'accountUsage',
+] as const;
 
 /** Report fields that are summed over peers. */
 export type SummedField = (typeof SUMMED_FIELDS)[number];
 
 type Counts = Readonly<Record<string, number>>;
 
+/** What {@link PeerStatsTable.sumOf} adds up. */
+export interface SumParts {
+  /** Counts of this entry host. */
+  readonly own: Counts;
+  /** Incarnations of the peer processes to include. */
+  readonly sources: readonly string[];
+}
+
 /** The peer whose waiting call goes first. */
 export interface FirstWaiting {
   /** Incarnation of the peer's process. */
@@ -50,6 +65,7 @@
     callingHosts: new Map(),
     inFlight: new Map(),
     waitingCalls: new Map(),
+    accountUsage: new Map(),
   };
 
   /**
@@ -94,6 +110,36 @@
     return Object.fromEntries(sums);
   }
 
+  /**
+   * Adds up a field for some IDs only.
+   *
+   * @param field - which field
+   * @param ids - the IDs
+   * @param parts - what is added up
+   * @returns the sums by ID, without those that are 0
+   */
+  sumOf(
+    field: SummedField,
+    ids: readonly string[],
+    { own, sources }: SumParts,
+  ): Record<string, number> {
+    const included = new Set(sources);
+    const isMajority = sources.length * 2 > this.#stats.size;
+    const counts = [...this.#stats]
+      .filter(([source]) => included.has(source) !== isMajority)
+      .map(([, stats]) => stats[field]);
+    const sums = ids.map((id): [string, number] => {
+      const counted = counts.reduce((sum, { [id]: count = 0 }) => sum + count, 0);
+      return [id, (own[id] ?? 0) + (isMajority ? this.getTotal(field, id) - counted : counted)];
+    });
+    return Object.fromEntries(sums.filter(([, sum]) => sum > 0));
+  }
+
+  /** @param field - which field. @returns its sums over all peers by ID */
+  listTotals(field: SummedField): ReadonlyMap<string, number> {
+    return this.#totals[field];
+  }
+
   /**
    * Adds the totals of all peers and subtracts the peers that are not in `sources`, which takes
    * fewer steps when `sources` holds most of them.
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -6,7 +6,6 @@
 import { OutputEstimator, ReturningCallerDetector } from '../../domain/direct/mod.js';
 import { ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
 import { computeRank, pickService } from '../../domain/routing/mod.js';
-import type { ClientAccount } from '../../domain/routing/mod.js';
 import type { StreamOrigin } from '../../domain/streams/mod.js';
 import type {
   Clock,
@@ -18,6 +17,7 @@
   PeerNetwork,
   RandomSource,
 } from '../../ports/mod.js';
+import { AccountUsages } from './_account_usage.js';
 import { isTakeUp, TakeUps } from './_take_ups.js';
 import { buildRetryElsewhereError, CallChecks } from './_call_checks.js';
 import type { CallChecksOptions, CheckedCall } from './_call_checks.js';
@@ -70,6 +70,9 @@
 export class DirectGateway {
   readonly #options: DirectGatewayOptions;
 
+  /** Slot time that client accounts use. */
+  readonly accountUsage: AccountUsages;
+
   readonly #services: DirectServices;
 
   readonly #checks: CallChecks;
@@ -102,7 +105,9 @@
     this.#checks = new CallChecks(options);
     this.#takeUps = new TakeUps(options);
     this.#recentCalls = new RecentCalls(options.clock);
-    this.#services = { ...options, ...createRetryShares(options) };
+    this.accountUsage = new AccountUsages({ ...options, peers: options.servers.peers });
+    const { accountUsage } = this;
+    this.#services = { ...options, ...createRetryShares(options), accountUsage };
     const queues = {
       getFirstUrgency: (id: string) => this.#queues.get(id)?.firstUrgency ?? Infinity,
       dispatchWaiting: (id: string) => this.#queues.get(id)?.dispatchWaiting(),
@@ -110,8 +115,7 @@
     };
     const lender = new SlotLender({ ...options, ...queues });
     this.#freedSlotForwarder = new FreedSlotForwarder({ ...options, ...queues, lender });
-    const onNotice = (id: string): void => lender.offer(id);
-    this.#waitingNotices = new WaitingNotices({ ...options, onNotice });
+    this.#waitingNotices = new WaitingNotices({ ...options, onNotice: (id) => lender.offer(id) });
     options.servers.onRestart((endedId) => {
       [...this.#calls].forEach((call) => call.handleServerEnded(endedId));
     });
@@ -249,7 +253,10 @@
       tokensPerEvent: table.findService(serviceId)?.tokensPerEvent ?? 1,
       services: this.#services,
       findDispatchRefusal: () => this.#checks.findDispatchRefusal(checked, request),
-      onEnd: () => this.#handleCallEnd(call, account, request),
+      onEnd: () => {
+        this.#calls.delete(call);
+        if (account && !call.mayHaveRun) this.#options.spending.release(account, request);
+      },
     });
     this.#calls.add(call);
     call.start();
@@ -271,15 +278,6 @@
     return queue;
   }
 
-  #handleCallEnd(
-    call: DirectCall,
-    account: ClientAccount | undefined,
-    request: DirectRequest,
-  ): void {
-    this.#calls.delete(call);
-    if (account && !call.mayHaveRun) this.#options.spending.release(account, request);
-  }
-
   #logRefusal(request: DirectRequest, refusal: SchedulerError): void {
     const { log, metrics, routing } = this.#options;
     const level = refusal.kind === ErrorKind.Internal ? LogLevel.Error : LogLevel.Info;
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -25,6 +25,7 @@
   | 'rateLimits'
   | 'refusalLimits'
   | 'configurationVersion'
+  | 'accountUsage'
 >;
 
 /** Stats without any counts. */
@@ -40,6 +41,7 @@
   rateLimits: {},
   refusalLimits: {},
   configurationVersion: 0,
+  accountUsage: {},
 };
 
 /** Which entry hosts' stats a report contains in addition to those of this entry host. */
@@ -90,5 +92,6 @@
     rateLimits: servers.notices.rateLimits.listReported(),
     refusalLimits: servers.notices.refusalLimits.listReported(),
     configurationVersion: routing.newestKnownVersion,
+    accountUsage: gateway.accountUsage.listReported(incarnations),
   };
 }
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -73,6 +73,11 @@
   readonly heardRosterRevision: number;
   /** Scope of the report that contained that revision; undefined if there was none. */
   readonly heardScope: ReportScope | undefined;
+  /**
+   * Decayed sums of slot milliseconds that the busiest client accounts have used, by service and
+   * account.
+   */
+  readonly accountUsage: Readonly<Record<string, number>>;
 }
 
 /** Right to send one request to a limited backend server, which the sender passes on. */
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -21,6 +21,7 @@
   rateLimits: {},
   refusalLimits: {},
   hostCount: 1,
+  accountUsage: {},
 };
 
 /** Context of a feed read under normal conditions. */
