Give slots to client accounts by fair shares

Calls carry the account and its weight, the queue of each service orders them by the account's slot time over all hosts, and each attempt charges its predicted time when it starts and is settled when it ends or is cancelled. ClientAccount gains an optional weight, 1 by default; the store's configuration names none.

--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -8,6 +8,7 @@
 import { computeUrgency } from '../../domain/direct/mod.js';
 import type { BackendRequest, Timer } from '../../ports/mod.js';
 import type { Permit } from '../crashes/mod.js';
+import type { SlotCharge } from './_account_usage.js';
 import type { AttemptBudget } from './_attempt_budget.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
 import { buildBackendRequest } from './_backend_request.js';
@@ -52,6 +53,9 @@
   /** Oldest first. */
   #attempts: readonly DirectAttempt[] = [];
 
+  /** Slots of the attempts in flight. */
+  readonly #charges = new Map<DirectAttempt, SlotCharge>();
+
   #overlapTimer: Timer | undefined;
 
   #owesAnswer = false;
@@ -127,6 +131,8 @@
     budget.recordSent();
     retries.recordSent();
     this.#attempts = [...this.#attempts, attempt];
+    const holdMs = load.predictHoldMs(call.work, call.expectedTokens);
+    this.#charges.set(attempt, services.accountUsage.charge(serviceId, call, holdMs));
     attempt.start();
     if (route.isStream && this.#attempts.length > 1) this.#scheduleOverlapEnd();
   }
@@ -178,6 +184,8 @@
 
   #remove(attempt: DirectAttempt): void {
     this.#attempts = this.#attempts.filter((one) => one !== attempt);
+    this.#charges.get(attempt)?.settle();
+    this.#charges.delete(attempt);
     if (this.#attempts.length < 2) this.#overlapTimer?.cancel();
   }
 
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
-import { computeMaxFailoverWaitMs } from '../../domain/direct/mod.js';
+import { ANONYMOUS_ACCOUNT, computeMaxFailoverWaitMs } from '../../domain/direct/mod.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { intersectRegions } from '../../domain/places/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
@@ -40,6 +40,10 @@
 
   readonly rank: number;
 
+  readonly accountId: string;
+
+  readonly weight: number;
+
   readonly isLate: boolean;
 
   readonly arrivedAtMs: number;
@@ -84,6 +88,8 @@
     this.work = request.work;
     this.expectedTokens = options.outputEstimator.predict(this.work);
     this.rank = options.rank;
+    this.accountId = options.account?.id ?? ANONYMOUS_ACCOUNT;
+    this.weight = options.account?.weight ?? 1;
     this.regions = intersectRegions(route.regions, options.account?.regions);
     this.isLate = options.isReturning;
     const times = computeCallTimes(options);
@@ -95,23 +101,16 @@
     this.#attempts = new AttemptBudget(this, route, services.clock);
     this.#recorder = new CallRecorder({ ...options, arrivedAtMs: this.arrivedAtMs });
     this.#retries = new CallRetries(services, options.serviceId, this.#recorder);
+    const shared = { call: this, retries: this.#retries, recorder: this.#recorder };
     this.#inFlight = new AttemptsInFlight({
+      ...shared,
       options,
-      call: this,
       stream: this.#stream,
       budget: this.#attempts,
-      retries: this.#retries,
-      recorder: this.#recorder,
       onStall: (attempt, permit) => this.#handleStall(attempt, permit),
       onEnd: (serverId, result, permit) => this.#handleAttemptResult(serverId, result, permit),
     });
-    this.#silence = new SilencePolicy({
-      ...options,
-      call: this,
-      attempts: this.#attempts,
-      retries: this.#retries,
-      recorder: this.#recorder,
-    });
+    this.#silence = new SilencePolicy({ ...options, ...shared, attempts: this.#attempts });
     this.#crashEvidence = new CrashEvidence(services, options);
     this.#timer = services.clock.setTimer(times.timeLeftMs, () => this.#handleTimeout());
     reply.onDisconnect(() => this.#handleDisconnect());
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -267,6 +267,7 @@
     const queue: ServiceQueue = new ServiceQueue({
       clock,
       random,
+      fairOrder: this.accountUsage.getOrder(serviceId),
       listCandidates: () => servers.listCandidates(serviceId),
       estimateBlockedMs: () => servers.estimateBlockedMs(serviceId),
       onWaiting: () => this.#waitingNotices.notifyPeers(serviceId, queue),
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -15,10 +15,7 @@
 import type { Timer } from '../../ports/mod.js';
 import type { QueuedCall, ServiceQueueOptions } from './service_queue_options.js';
 
-/**
- * Interval between checks of the queue, in milliseconds; short compared with latency targets of
- * 100 ms and more.
- */
+/** Interval between checks of the queue, in milliseconds: short compared with latency targets. */
 const CHECK_INTERVAL_MS = 15;
 
 /** Time window over which freed slots are counted, in milliseconds. */
@@ -41,7 +38,7 @@
 export class ServiceQueue {
   readonly #options: ServiceQueueOptions;
 
-  readonly #queue = new WaitQueue<QueuedCall>();
+  readonly #queue: WaitQueue<QueuedCall>;
 
   readonly #waitSuccess = new WaitSuccessTracker();
 
@@ -55,6 +52,7 @@
   /** @param options - dependencies */
   constructor(options: ServiceQueueOptions) {
     this.#options = options;
+    this.#queue = new WaitQueue(options.fairOrder);
   }
 
   /** Number of waiting calls. */
--- a/src/application/direct/service_queue_options.ts
+++ b/src/application/direct/service_queue_options.ts
@@ -4,13 +4,17 @@
  * @module
  */
 import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
-import type { WaitingCall } from '../../domain/direct/mod.js';
+import type { FairOrder, WaitingCall } from '../../domain/direct/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
 import type { StreamOrigin } from '../../domain/streams/mod.js';
 import type { Clock, RandomSource } from '../../ports/mod.js';
 
 /** A call as the queue sees it. */
 export interface QueuedCall extends WaitingCall {
+  /** Client account; that of all anonymous calls if the route needs no key. */
+  readonly accountId: string;
+  /** Weight of the account's share of the slots, relative to other accounts. */
+  readonly weight: number;
   readonly work: RequestWork;
   /** Expected number of output tokens. */
   readonly expectedTokens: number;
@@ -40,6 +44,8 @@
 export interface ServiceQueueOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
+  /** Order of the client accounts whose calls wait; without it, calls are ordered by arrival. */
+  readonly fairOrder?: FairOrder;
   /** @returns backend servers that may be given work */
   readonly listCandidates: () => readonly Candidate[];
   /**
--- a/src/domain/routing/types.ts
+++ b/src/domain/routing/types.ts
@@ -92,6 +92,8 @@
   readonly limit: AccountLimit | undefined;
   /** Regions in which its requests may be handled; undefined: all. */
   readonly regions?: AllowedRegions;
+  /** Weight of its share of the slots, relative to other accounts. Default: 1. */
+  readonly weight?: number | undefined;
 }
 
 /** Limits on each connection of a caller. */
