Pass free slots to hosts where an account below its share waits

A host fills the slots that its own requests give back, so a host with calls of a busy account kept serving it while calls of others waited elsewhere. The first urgency that hosts tell each other is now lower by a half if the first call is of an account that has used less than three quarters of the average slot time per weight, so freed slots go to that call as they go to calls of a lower rank. Ranks stay first.

--- a/src/application/direct/_account_usage.ts
+++ b/src/application/direct/_account_usage.ts
@@ -21,6 +21,12 @@
  */
 const MAX_CHOICE_AGE_MS = 100;
 
+/**
+ * An account with less than this fraction of the average usage per weight is below its share. The
+ * distance to 1 keeps accounts with about the same usage from changing places all the time.
+ */
+const BELOW_SHARE_FRACTION = 0.75;
+
 /** Separates service and account in the ID of a sum; IDs from the configuration don't contain it. */
 const SEPARATOR = '\n';
 
@@ -61,6 +67,11 @@
 
   #chosenAtMs = Number.NEGATIVE_INFINITY;
 
+  /** Average usage of the active accounts, by service. */
+  #averages: ReadonlyMap<string, number> = new Map();
+
+  #averagedAtMs = Number.NEGATIVE_INFINITY;
+
   /** @param options - dependencies */
   constructor(options: AccountUsagesOptions) {
     this.#options = options;
@@ -76,7 +87,11 @@
   /** @param serviceId - ID of a service. @returns the order of the accounts that wait for it */
   getOrder(serviceId: string): FairOrder {
     const { clock } = this.#options;
-    return { usage: this.#byService.getOrCreate(serviceId), nowMs: () => clock.nowMs() };
+    return {
+      usage: this.#byService.getOrCreate(serviceId),
+      nowMs: () => clock.nowMs(),
+      isBelowShare: (account) => this.isBelowShare(serviceId, account),
+    };
   }
 
   /**
@@ -125,6 +140,21 @@
     }));
   }
 
+  /**
+   * @param serviceId - ID of a service
+   * @param account - an account
+   * @returns whether it has less slot time per weight than the accounts have on average
+   */
+  isBelowShare(serviceId: string, { accountId, weight }: WeightedAccount): boolean {
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs - this.#averagedAtMs >= MAX_CHOICE_AGE_MS) {
+      this.#averagedAtMs = nowMs;
+      this.#averages = averageByService(this.#sumAll(this.#listOwn()));
+    }
+    const usage = this.#byService.getOrCreate(serviceId).getTotalMs(accountId, nowMs);
+    return usage < BELOW_SHARE_FRACTION * weight * (this.#averages.get(serviceId) ?? 0);
+  }
+
   #listOwn(): Record<string, number> {
     const nowMs = this.#options.clock.nowMs();
     const sums = this.#byService
@@ -160,6 +190,16 @@
   return { serviceId, accountId };
 }
 
+function averageByService(sums: readonly [string, number][]): ReadonlyMap<string, number> {
+  const totals = new Map<string, { count: number; usageMs: number }>();
+  sums.forEach(([id, usageMs]) => {
+    const { serviceId } = parseSumId(id);
+    const total = totals.get(serviceId) ?? { count: 0, usageMs: 0 };
+    totals.set(serviceId, { count: total.count + 1, usageMs: total.usageMs + usageMs });
+  });
+  return new Map([...totals].map(([id, { count, usageMs }]) => [id, usageMs / count]));
+}
+
 function pickBusiest(sums: readonly [string, number][], maxCount: number): [string, number][] {
   return [...sums].sort(([, a], [, b]) => b - a).slice(0, maxCount);
 }
--- a/src/application/direct/account_usage_test.ts
+++ b/src/application/direct/account_usage_test.ts
@@ -55,6 +55,18 @@
   t.ok(tag > 95 && tag < 100, `${tag}`);
 });
 
+t.test('isBelowShare() compares an account with the average of its service', async (t) => {
+  const host = new UsageHost();
+  host.usages.charge('engines', A, 600);
+  t.notOk(host.usages.isBelowShare('engines', A), 'a lone account');
+  host.report('peer-1', { 'engines\nb': 1_600 });
+  await host.clock.advance(100);
+  t.ok(host.usages.isBelowShare('engines', A));
+  t.notOk(host.usages.isBelowShare('engines', { accountId: 'b', weight: 1 }));
+  t.ok(host.usages.isBelowShare('engines', { accountId: 'b', weight: 4 }), 'by its weight');
+  t.notOk(host.usages.isBelowShare('plain', A), 'a service without usage');
+});
+
 t.test('listReported() adds up some peers and this host', async (t) => {
   const host = new UsageHost();
   host.usages.charge('engines', A, 500);
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -274,7 +274,8 @@
       forwardFreedSlot: (serverId) => this.#freedSlotForwarder.forward(serverId),
       countWaitingAtPeers: () => servers.countWaitingAtPeers(serviceId),
       countPeerCallsAhead: (urgency) => servers.peers.countCallsAhead(serviceId, urgency),
-      getPeerUrgency: () => servers.peers.findFirstWaiting(serviceId)?.urgency ?? Infinity,
+      getPeerUrgency: () =>
+        Math.ceil(servers.peers.findFirstWaiting(serviceId)?.urgency ?? Infinity),
     });
     return queue;
   }
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -60,9 +60,9 @@
     return this.#queue.size;
   }
 
-  /** Urgency of the first waiting call; Infinity when none waits. */
+  /** Urgency of the first waiting call, less if its account is below its share; Infinity: none. */
   get firstUrgency(): number {
-    return this.#queue.firstUrgency;
+    return this.#queue.firstPriority;
   }
 
   /** @param call - the call to dispatch, queue or refuse */
--- a/src/domain/direct/_account_flows.ts
+++ b/src/domain/direct/_account_flows.ts
@@ -25,6 +25,8 @@
   readonly usage: AccountUsage;
   /** @returns monotonic time in milliseconds */
   readonly nowMs: () => number;
+  /** @param account - an account. @returns whether it has less than its fair share of the slots */
+  readonly isBelowShare?: (account: WeightedAccount) => boolean;
 }
 
 /** Waiting calls of one account. */
@@ -104,6 +106,11 @@
     return ownAhead + placedOthers.filter((other) => comparePlaced(other, placed) <= 0).length;
   }
 
+  /** @param call - a call. @returns whether its account has less than its share of the slots */
+  isBelowShare(call: T): boolean {
+    return this.#order?.isBelowShare?.(this.#describeAccount(call)) === true;
+  }
+
   #openFlow(call: T): Flow<T> {
     const account = this.#describeAccount(call);
     const known = this.#flows.get(account.accountId);
--- a/src/domain/direct/wait_queue.ts
+++ b/src/domain/direct/wait_queue.ts
@@ -13,6 +13,12 @@
  */
 const MAX_ORDER_AGE_MS = 2;
 
+/**
+ * By how much an account with less than its fair share goes first among hosts, as a part of the
+ * difference between two urgencies.
+ */
+const BELOW_SHARE_LEAD = 0.5;
+
 /** Properties of a waiting call that determine its position in the queue. */
 export interface WaitingCall extends FlowCall {
   /** Priority rank; 0 is the most urgent. */
@@ -87,6 +93,17 @@
     return Math.min(Infinity, ...this.#levels.keys());
   }
 
+  /**
+   * Urgency of the first call, less a half if its account has less than its fair share of the slots;
+   * Infinity if the queue is empty. By it, entry hosts decide which of them is given a free slot.
+   */
+  get firstPriority(): number {
+    const { firstUrgency } = this;
+    const [first] = this.list();
+    const isBelowShare = first && this.#levels.get(firstUrgency)?.isBelowShare(first);
+    return isBelowShare ? firstUrgency - BELOW_SHARE_LEAD : firstUrgency;
+  }
+
   /** @returns the calls in queue order */
   list(): readonly T[] {
     const atMs = this.#fairOrder?.nowMs() ?? 0;
--- a/src/domain/direct/wait_queue_test.ts
+++ b/src/domain/direct/wait_queue_test.ts
@@ -57,6 +57,22 @@
   t.equal(queue.countAhead(buildCall('a 2', { accountId: 'a', arrivedAtMs: 6 })), 2);
 });
 
+t.test(
+  'firstPriority names a first call of an account below its share, within its rank',
+  async (t) => {
+    const usage = new AccountUsage((accountId) => (accountId === 'hot' ? 500 : 0));
+    const isBelowShare = ({ accountId }: { accountId: string }): boolean => accountId === 'a';
+    const queue = new WaitQueue<TestCall>({ usage, nowMs: () => 0, isBelowShare });
+    t.equal(queue.firstPriority, Infinity);
+    queue.add(buildCall('hot', { accountId: 'hot', rank: 1 }));
+    t.equal(queue.firstPriority, 2);
+    queue.add(buildCall('a', { accountId: 'a', rank: 1 }));
+    t.equal(queue.firstPriority, 1.5, 'behind any call of the urgency above');
+    queue.add(buildCall('urgent', { accountId: 'hot', isLate: true }));
+    t.equal(queue.firstPriority, 1);
+  },
+);
+
 t.test('the wait queue takes turns between accounts with equal usage', async (t) => {
   const queue = buildFairQueue();
   [1, 2, 3].forEach((at) =>
