Log and measure the shares of client accounts

One line tells that an account below its share has been first in line for half a second, and one that this is over; at most one a second about new accounts. Gauges show slot time and share of the busiest 20 accounts.

share_log_test, share_gauges_test and account_usage_test pass.

--- a/src/application/direct/_account_usage.ts
+++ b/src/application/direct/_account_usage.ts
@@ -5,9 +5,12 @@
  */
 import { AccountUsage } from '../../domain/direct/mod.js';
 import type { FairOrder, WeightedAccount } from '../../domain/direct/mod.js';
-import type { Clock } from '../../ports/mod.js';
+import type { Clock, EventLog, Metrics } from '../../ports/mod.js';
 import { LazyMap } from './_lazy_map.js';
 import type { PeerStatsTable } from './_peer_stats.js';
+import { MAX_GAUGED_ACCOUNTS, ShareGauges } from './_share_gauges.js';
+import type { AccountGauge } from './_share_gauges.js';
+import { ShareLog } from './_share_log.js';
 
 /**
  * Maximum number of accounts in a report: the busiest ones. An account that is left out counts with
@@ -16,8 +19,8 @@
 export const MAX_REPORTED_ACCOUNTS = 24;
 
 /**
- * Time for which a choice of the busiest accounts is used again, in milliseconds, so that a relay
- * makes it once for the reports of one round.
+ * Time for which totals and a choice of the busiest accounts are used again, in milliseconds, so that
+ * a relay computes them once for the reports of one round.
  */
 const MAX_CHOICE_AGE_MS = 100;
 
@@ -36,17 +39,17 @@
   readonly settle: () => void;
 }
 
-/** Slot time of one account at one service. */
-export interface AccountSum {
-  readonly serviceId: string;
-  readonly accountId: string;
-  /** At all entry hosts, as a decayed sum in milliseconds. */
+/** Total of all active accounts of one service. */
+interface ServiceTotal {
+  readonly accountCount: number;
   readonly usageMs: number;
 }
 
 /** Dependencies of {@link AccountUsages}. */
 export interface AccountUsagesOptions {
   readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
   readonly peers: PeerStatsTable;
 }
 
@@ -63,18 +66,24 @@
 
   readonly #byService: LazyMap<AccountUsage>;
 
+  readonly #shareLog: ShareLog;
+
+  readonly #gauges: ShareGauges;
+
   #busiestIds: readonly string[] = [];
 
   #chosenAtMs = Number.NEGATIVE_INFINITY;
 
-  /** Average usage of the active accounts, by service. */
-  #averages: ReadonlyMap<string, number> = new Map();
+  /** By service ID. */
+  #totals: ReadonlyMap<string, ServiceTotal> = new Map();
 
-  #averagedAtMs = Number.NEGATIVE_INFINITY;
+  #totalledAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param options - dependencies */
   constructor(options: AccountUsagesOptions) {
     this.#options = options;
+    this.#shareLog = new ShareLog(options);
+    this.#gauges = new ShareGauges(options.metrics);
     const { peers } = options;
     this.#byService = new LazyMap(
       (serviceId) =>
@@ -123,36 +132,48 @@
    * @returns slot milliseconds of the busiest accounts, by sum ID
    */
   listReported(sources: readonly string[]): Record<string, number> {
+    this.#shareLog.review();
     const own = this.#listOwn();
     if (sources.length === 0)
       return Object.fromEntries(pickBusiest(Object.entries(own), MAX_REPORTED_ACCOUNTS));
     return this.#options.peers.sumOf('accountUsage', this.#chooseBusiest(own), { own, sources });
   }
 
+  /** Sets the gauges of the busiest accounts. */
+  updateGauges(): void {
+    this.#gauges.update(this.listBusiest(MAX_GAUGED_ACCOUNTS));
+  }
+
   /**
-   * @param maxCount - maximum number of sums
-   * @returns the highest sums of all services, highest first
+   * @param maxCount - maximum number of accounts
+   * @returns the accounts with the highest sums of all services, highest first
    */
-  listBusiest(maxCount: number): readonly AccountSum[] {
-    return pickBusiest(this.#sumAll(this.#listOwn()), maxCount).map(([id, usageMs]) => ({
-      ...parseSumId(id),
-      usageMs,
-    }));
+  listBusiest(maxCount: number): readonly AccountGauge[] {
+    const sums = this.#sumAll(this.#listOwn());
+    const totals = sumByService(sums);
+    return pickBusiest(sums, maxCount).map(([id, usageMs]) => {
+      const ids = parseSumId(id);
+      return { ...ids, usageMs, share: usageMs / (totals.get(ids.serviceId)?.usageMs ?? usageMs) };
+    });
   }
 
   /**
    * @param serviceId - ID of a service
-   * @param account - an account
+   * @param account - an account whose call is the first that waits
    * @returns whether it has less slot time per weight than the accounts have on average
    */
   isBelowShare(serviceId: string, { accountId, weight }: WeightedAccount): boolean {
     const nowMs = this.#options.clock.nowMs();
-    if (nowMs - this.#averagedAtMs >= MAX_CHOICE_AGE_MS) {
-      this.#averagedAtMs = nowMs;
-      this.#averages = averageByService(this.#sumAll(this.#listOwn()));
+    if (nowMs - this.#totalledAtMs >= MAX_CHOICE_AGE_MS) {
+      this.#totalledAtMs = nowMs;
+      this.#totals = sumByService(this.#sumAll(this.#listOwn()));
     }
-    const usage = this.#byService.getOrCreate(serviceId).getTotalMs(accountId, nowMs);
-    return usage < BELOW_SHARE_FRACTION * weight * (this.#averages.get(serviceId) ?? 0);
+    const usageMs = this.#byService.getOrCreate(serviceId).getTotalMs(accountId, nowMs);
+    const total = this.#totals.get(serviceId) ?? { accountCount: 1, usageMs: 0 };
+    const averageMs = (weight * total.usageMs) / total.accountCount;
+    const isBelow = usageMs < BELOW_SHARE_FRACTION * averageMs;
+    if (isBelow) this.#shareLog.recordBelow({ serviceId, accountId, usageMs, averageMs });
+    return isBelow;
   }
 
   #listOwn(): Record<string, number> {
@@ -185,19 +206,19 @@
   return `${serviceId}${SEPARATOR}${accountId}`;
 }
 
-function parseSumId(id: string): Pick<AccountSum, 'accountId' | 'serviceId'> {
+function parseSumId(id: string): Pick<AccountGauge, 'accountId' | 'serviceId'> {
   const [serviceId = '', accountId = ''] = id.split(SEPARATOR);
   return { serviceId, accountId };
 }
 
-function averageByService(sums: readonly [string, number][]): ReadonlyMap<string, number> {
-  const totals = new Map<string, { count: number; usageMs: number }>();
-  sums.forEach(([id, usageMs]) => {
+function sumByService(sums: readonly [string, number][]): ReadonlyMap<string, ServiceTotal> {
+  const totals = new Map<string, ServiceTotal>();
+  sums.forEach(([id, ms]) => {
     const { serviceId } = parseSumId(id);
-    const total = totals.get(serviceId) ?? { count: 0, usageMs: 0 };
-    totals.set(serviceId, { count: total.count + 1, usageMs: total.usageMs + usageMs });
+    const { accountCount = 0, usageMs = 0 } = totals.get(serviceId) ?? {};
+    totals.set(serviceId, { accountCount: accountCount + 1, usageMs: usageMs + ms });
   });
-  return new Map([...totals].map(([id, { count, usageMs }]) => [id, usageMs / count]));
+  return totals;
 }
 
 function pickBusiest(sums: readonly [string, number][], maxCount: number): [string, number][] {
--- a/src/application/direct/account_usage_test.ts
+++ b/src/application/direct/account_usage_test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
 import { CutFleet } from '../../../test/support/cut_fleet.js';
+import { FakeLog, FakeMetrics } from '../../../test/support/fakes.js';
 import { NO_STATS } from '../../../test/support/server_registries.js';
 import { VirtualClock } from '../../../test/support/virtual_clock.js';
 import { AccountUsages, MAX_REPORTED_ACCOUNTS } from './_account_usage.js';
@@ -11,6 +12,10 @@
 class UsageHost {
   readonly clock = new VirtualClock();
 
+  readonly log = new FakeLog();
+
+  readonly metrics = new FakeMetrics();
+
   readonly peers = new PeerStatsTable();
 
   readonly usages = new AccountUsages(this);
