--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -42,7 +42,10 @@
   readonly spentUnits: Readonly<Record<string, number>>;
   /** Number of calls that wait for a slot, by service. */
   readonly waitingCalls: Readonly<Record<string, number>>;
-  /** Urgency of the first waiting call, by service; 0 is the most urgent. */
+  /**
+   * Urgency of the first waiting call, by service; 0 is the most urgent. Less by a half if the call's
+   * account has less than its fair share of the slots.
+   */
   readonly firstWaiting: Readonly<Record<string, number>>;
   /** Number of entry hosts to which calls came lately, by service with a server that names a limit. */
   readonly callingHosts: Readonly<Record<string, number>>;
@@ -129,6 +132,6 @@
   readonly serviceId: string;
   /** Number of calls that wait for a slot of the service. */
   readonly calls: number;
-  /** Urgency of the first waiting call; 0 is the most urgent. */
+  /** Urgency of the first waiting call, as in a report. */
   readonly firstUrgency: number;
 }
