--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -16,10 +16,7 @@
 import { SlotPicker } from './_slot_picker.js';
 import type { QueuedCall, ServiceQueueOptions } from './service_queue_options.js';
 
-/**
- * Interval between checks of the queue, in milliseconds; short compared with latency targets of
- * 100 ms and more.
- */
+/** Interval between checks of the queue, in milliseconds: short compared with latency targets. */
 const CHECK_INTERVAL_MS = 15;
 
 /** Time window over which freed slots are counted, in milliseconds. */
@@ -36,7 +33,7 @@
 export class ServiceQueue {
   readonly #options: ServiceQueueOptions;
 
-  readonly #queue = new WaitQueue<QueuedCall>();
+  readonly #queue: WaitQueue<QueuedCall>;
 
   readonly #picker: SlotPicker;
 
@@ -51,6 +48,7 @@
   constructor(options: ServiceQueueOptions) {
     this.#options = options;
     this.#picker = new SlotPicker(options);
+    this.#queue = new WaitQueue(options.fairOrder);
   }
 
   /** Number of waiting calls. */
@@ -58,9 +56,9 @@
     return this.#queue.size;
   }
 
-  /** Urgency of the first waiting call; Infinity when none waits. */
+  /** Urgency of the first waiting call, less if its account is below its share; Infinity: none. */
   get firstUrgency(): number {
-    return this.#queue.firstUrgency;
+    return this.#queue.firstPriority;
   }
 
   /** @param call - the call to dispatch, queue or refuse */
--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -5,6 +5,13 @@
  *
  * @module
  */
+export {
+  AccountUsage,
+  ANONYMOUS_ACCOUNT,
+  MAX_ACCOUNTS,
+  USAGE_HALF_LIFE_MS,
+} from './account_usage.js';
+export type { SlotTimes, WeightedAccount } from './account_usage.js';
 export { estimatePacedWaitMs } from './paced_wait.js';
 export { OutputEstimator } from './output_estimator.js';
 export { RetryBudgetShare } from './retry_budget_share.js';
@@ -25,3 +32,4 @@
 export { WaitSuccessTracker } from './wait_success_tracker.js';
 export { computeUrgency, WaitQueue } from './wait_queue.js';
 export type { WaitingCall } from './wait_queue.js';
+export type { FairOrder } from './_account_flows.js';
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -42,7 +42,10 @@
   readonly spentUnits: Readonly<Record<string, number>>;
   /** Number of calls that wait for a slot, by service. */
   readonly waitingCalls: Readonly<Record<string, number>>;
-  /** Urgency of the first waiting call, by service; 0 is the most urgent. */
+  /**
+   * Urgency of the first waiting call, by service; 0 is the most urgent. Less by a half if the call's
+   * account has less than its fair share of the slots.
+   */
   readonly firstWaiting: Readonly<Record<string, number>>;
   /** Number of entry hosts to which calls came lately, by service with a server that names a limit. */
   readonly callingHosts: Readonly<Record<string, number>>;
@@ -73,6 +76,11 @@
   readonly heardRosterRevision: number;
   /** Scope of the report that contained that revision; undefined if there was none. */
   readonly heardScope: ReportScope | undefined;
+  /**
+   * Decayed sums of slot milliseconds that the busiest client accounts have used, by service and
+   * account.
+   */
+  readonly accountUsage: Readonly<Record<string, number>>;
 }
 
 /** Right to send one request to a limited backend server, which the sender passes on. */
@@ -124,6 +132,6 @@
   readonly serviceId: string;
   /** Number of calls that wait for a slot of the service. */
   readonly calls: number;
-  /** Urgency of the first waiting call; 0 is the most urgent. */
+  /** Urgency of the first waiting call, as in a report. */
   readonly firstUrgency: number;
 }
