Close connections to servers whose bytes never become an answer

A backend server could hold a call, a connection and processor time until the call's deadline by sending empty lines, spaces before a header value, informational answers or leading zeros of a chunk size without end: Node's parser bounds heads, trailers, chunk extensions and junk, but none of these. The body of an answer that declines a request was read for good, with nobody waiting for it.

A guard on each connection in use counts the bytes beside the body (128 KiB, plus 16 for each byte of a body), and limits the time from the first byte of a head to its last one, and that of an unused body, to 1 s each. Beyond that the connection is closed, and the call goes on as after any broken answer.

--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -11,6 +11,7 @@
 import type { BackendExchange, BackendListener, BackendRequest } from '../../ports/mod.js';
 import { BackendAgent } from './_backend_agent.js';
 import type { IncarnationOptions } from './_backend_agent.js';
+import { FramingGuard } from './_framing_guard.js';
 import { pickRawHeaders } from './_raw_headers.js';
 import type { AnswerInfo, DirectDialect } from './direct_dialect.js';
 
@@ -56,6 +57,8 @@
 
   #connectTimer: NodeJS.Timeout | undefined;
 
+  #framing: FramingGuard | undefined;
+
   /** @param options - the request, and the listener for its answer */
   constructor(options: BackendCallOptions) {
     this.#options = options;
@@ -73,6 +76,7 @@
     };
     this.#request = openRequest(target);
     this.#request.on('socket', (socket) => this.#watchSocket(socket));
+    this.#request.on('information', () => this.#framing?.recordInformation());
     this.#request.on('response', (response) => this.#handleResponse(response));
     this.#request.on('error', (error) => this.#handleError(error));
     this.#request.on('close', () => this.#handleClose());
@@ -98,6 +102,7 @@
   }
 
   #watchSocket(socket: Socket): void {
+    this.#framing = new FramingGuard(socket, (reason) => this.#handleExcess(reason));
     if (!socket.connecting) {
       this.#isConnected = true;
       return;
@@ -114,6 +119,7 @@
 
   #handleResponse(response: IncomingMessage): void {
     this.#response = response;
+    this.#framing?.recordHead();
     if (this.#isSettled) return;
     response.on('error', () => undefined);
     const { dialect, listener } = this.#options;
@@ -133,6 +139,7 @@
       load: info.load,
     });
     response.on('data', (bytes: Buffer) => {
+      this.#framing?.recordBody(bytes.length);
       if (!this.#isSettled) listener.onBody(bytes);
     });
     const { socket } = this.#request;
@@ -174,11 +181,12 @@
     }
   }
 
-  /** Drains the body so that the connection can be reused: a full server declines often. */
+  /** Drains a short body so that the connection can be reused: a full server declines often. */
   #handleDecline(status: number): void {
     const response = this.#response as IncomingMessage;
     this.#recordIdleTimeout(response);
     response.resume();
+    this.#framing?.startDiscarding();
     this.#isSettled = true;
     this.#options.listener.onFailure(BackendFailure.Declined, `declined with status ${status}`);
   }
@@ -234,8 +242,15 @@
       : BackendFailure.Broken;
   }
 
+  /** Closes a connection whose bytes are no answer, or no end of one. */
+  #handleExcess(reason: string): void {
+    this.#fail(BackendFailure.Broken, reason);
+    this.#stop();
+  }
+
   #handleClose(): void {
     clearTimeout(this.#connectTimer);
+    this.#framing?.stop();
     if (this.#response?.complete === true) return;
     this.#handleError(Object.assign(new Error('connection closed'), { code: 'ECONNRESET' }));
   }
@@ -249,6 +264,7 @@
 
   #stop(): void {
     clearTimeout(this.#connectTimer);
+    this.#framing?.stop();
     this.#request.destroy();
   }
 }
--- /dev/null
+++ b/src/adapters/direct_http/_framing_guard.ts
@@ -0,0 +1,105 @@
+/**
+ * Bounds the bytes and the time that a connection spends on anything but the body of an answer.
+ *
+ * @module
+ */
+import type { Socket } from 'node:net';
+
+/**
+ * Bytes that an answer may take beside its body: several heads of the largest size that Node
+ * parses, and at least the first read of a socket, whose body is reported later than its bytes.
+ */
+const MAX_OVERHEAD_BYTES = 131_072;
+
+/** Bytes that each byte of a body may take in addition; a chunk of one byte takes six. */
+const MAX_OVERHEAD_FACTOR = 16;
+
+/**
+ * Longest time from the first byte of a head to its last one, in milliseconds. A lost packet is
+ * sent again within less.
+ */
+const HEAD_TIMEOUT_MS = 1_000;
+
+/** Longest time in which an unused body is read so that its connection can be reused. */
+const DISCARD_TIMEOUT_MS = 1_000;
+
+/**
+ * Watches a connection from a request to the end of its answer. The parser limits a head and a
+ * trailer, but neither empty lines, spaces, informational answers nor leading zeros of a chunk
+ * size, and no time at all.
+ */
+export class FramingGuard {
+  readonly #socket: Socket;
+
+  readonly #onExceeded: (reason: string) => void;
+
+  readonly #dataListener = (bytes: Buffer): void => this.#recordBytes(bytes.length);
+
+  /** Bytes received, less those that the body allows for. */
+  #overheadBytes = 0;
+
+  #isHeadComplete = false;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param socket - the connection, whose bytes Node parses before this guard counts them
+   * @param onExceeded - called with the reason when the connection must be closed
+   */
+  constructor(socket: Socket, onExceeded: (reason: string) => void) {
+    this.#socket = socket;
+    this.#onExceeded = onExceeded;
+    socket.on('data', this.#dataListener);
+  }
+
+  /** Records a complete informational answer; the final one may take its time. */
+  recordInformation(): void {
+    this.#stopTimer();
+  }
+
+  /** Records the complete head of the final answer. */
+  recordHead(): void {
+    this.#isHeadComplete = true;
+    this.#stopTimer();
+  }
+
+  /** @param byteCount - bytes of the body that have arrived */
+  recordBody(byteCount: number): void {
+    this.#overheadBytes -= byteCount * MAX_OVERHEAD_FACTOR;
+  }
+
+  /** Limits the time of a body that nobody uses. */
+  startDiscarding(): void {
+    this.#startTimer(DISCARD_TIMEOUT_MS, 'unused body is not complete in time');
+  }
+
+  /** Stops watching; the connection may be reused. */
+  stop(): void {
+    this.#socket.off('data', this.#dataListener);
+    this.#stopTimer();
+  }
+
+  #recordBytes(byteCount: number): void {
+    this.#overheadBytes += byteCount;
+    if (this.#overheadBytes > MAX_OVERHEAD_BYTES)
+      this.#onExceeded(`more than ${MAX_OVERHEAD_BYTES} bytes beside the body of the answer`);
+    else if (!this.#isHeadComplete && !this.#timer)
+      this.#startTimer(HEAD_TIMEOUT_MS, `head not complete within ${HEAD_TIMEOUT_MS} ms`);
+  }
+
+  #startTimer(timeoutMs: number, reason: string): void {
+    this.#stopTimer();
+    const timer = setTimeout(() => {
+      // A process that was short of time reads what has arrived before the timer decides.
+      setImmediate(() => {
+        if (this.#timer === timer) this.#onExceeded(reason);
+      });
+    }, timeoutMs);
+    this.#timer = timer;
+  }
+
+  #stopTimer(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+  }
+}
