Reject new calls early while a host lacks processor time, and end overdue calls first

Cause: timers of the event loop run after all callbacks of sockets that were ready at once. On a host that lacks processor time such a turn lasts for hundreds of milliseconds. A call is delayed by it twice: its time begins only when its request is read, and its timer runs after the backlog.

A timer of 50 ms, which runs only while calls arrive, measures the lateness. Time in which the process waited for events is left out, so that an idle host on a busy machine counts as on time. Three samples of at least 150 ms in a row close the gate: calls of the lowest ranks are rejected first with entry_host_overloaded (503, not run, retry after 0.1 to 0.5 s), without checks, content hash or log line of their own. At least a tenth of the most urgent calls is admitted. A single long turn, a pause and the first 3 s of a process never close it. In a turn that is late by 100 ms, calls whose time is over end before a new call or freed slot is handled, and the time in which a new call is known to have waited to be read counts as part of its time.

Hosts without measureIdleMs, such as those of tests with a virtual clock, behave as before.

Not measured yet: a host under a processor quota.

--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -113,7 +113,7 @@
       recorder: this.#recorder,
     });
     this.#crashEvidence = new CrashEvidence(services, options);
-    this.#timer = services.clock.setTimer(times.timeLeftMs, () => this.#handleTimeout());
+    this.#timer = services.clock.setTimer(times.timeLeftMs, () => this.endOverdue());
     reply.onDisconnect(() => this.#handleDisconnect());
   }
 
@@ -272,7 +272,8 @@
     else this.shed(0, cause);
   }
 
-  #handleTimeout(): void {
+  /** Ends the call, whose time is over. */
+  endOverdue(): void {
     this.#inFlight.cancelAll();
     const kind = this.mayHaveRun ? ErrorKind.AnswerTimeout : ErrorKind.DeadlineUnreachable;
     this.fail(new SchedulerError(kind), EndCause.Deadline);
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { OutputEstimator, ReturningCallerDetector } from '../../domain/direct/mod.js';
-import { ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
+import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { computeRank, pickService } from '../../domain/routing/mod.js';
 import type { ClientAccount } from '../../domain/routing/mod.js';
 import type { StreamOrigin } from '../../domain/streams/mod.js';
@@ -26,8 +26,10 @@
 import type { ReportTimes } from './freed_slot_forwarder.js';
 import { DirectCall } from './direct_call.js';
 import type { DirectServices } from './direct_services.js';
+import { EarlyRejections } from './_early_rejections.js';
 import { LazyMap } from './_lazy_map.js';
 import { RecentCalls } from './_recent_calls.js';
+import { recordRefusal } from './_refusal_log.js';
 import { createRetryShares } from './_retry_shares.js';
 import type { RetrySharesOptions } from './_retry_shares.js';
 import type { ServerRegistry } from './server_registry.js';
@@ -48,6 +50,8 @@
   readonly servers: ServerRegistry;
   readonly spending: AccountSpending;
   readonly reportTimes: ReportTimes;
+  /** Total time for which this process has waited for events; undefined: it ignores its lateness. */
+  readonly measureIdleMs?: (() => number) | undefined;
 }
 
 /** A call that may be served. */
@@ -94,6 +98,8 @@
   /** Detectors of returning callers by route name. */
   readonly #returningCallers = new LazyMap(() => new ReturningCallerDetector());
 
+  readonly #earlyRejections: EarlyRejections;
+
   #isRefusingNew = false;
 
   /** @param options - dependencies and limits */
@@ -101,6 +107,7 @@
     this.#options = options;
     this.#checks = new CallChecks(options);
     this.#takeUps = new TakeUps(options);
+    this.#earlyRejections = new EarlyRejections({ ...options, listCalls: () => this.#calls });
     this.#recentCalls = new RecentCalls(options.clock);
     this.#services = { ...options, ...createRetryShares(options) };
     const queues = {
@@ -167,8 +174,14 @@
     [...this.#calls].forEach((call) => call.stop());
   }
 
+  /** How late timers are because of this process's own work, in milliseconds. */
+  get latenessMs(): number {
+    return this.#earlyRejections.lateness.latenessMs;
+  }
+
   /** Dispatches waiting calls to slots that have become free at other entry hosts. */
   dispatchWaiting(): void {
+    this.#earlyRejections.lateness.sweepIfLate();
     this.#queues.listEntries().forEach(([, queue]) => queue.dispatchWaiting());
   }
 
@@ -179,8 +192,15 @@
    * @param reply - the reply to the caller
    */
   handle(request: DirectRequest, reply: DirectReply): void {
+    const waitedMs = this.#earlyRejections.lateness.recordCall();
+    const rejection = this.#earlyRejections.findRejection(request);
+    if (rejection) reply.sendError(rejection);
+    else this.#try(request, reply, () => this.#startCall(request, reply, waitedMs));
+  }
+
+  #try(request: DirectRequest, reply: DirectReply, step: () => void): void {
     try {
-      this.#startCall(request, reply);
+      step();
     } catch (error) {
       this.#refuse(request, reply, error);
     }
@@ -191,37 +211,30 @@
       error instanceof SchedulerError
         ? error
         : new SchedulerError(ErrorKind.Internal, { cause: error });
-    this.#logRefusal(request, refusal);
+    recordRefusal(this.#options, request, refusal);
     reply.sendError(refusal);
   }
 
-  #startCall(request: DirectRequest, reply: DirectReply): void {
+  #startCall(request: DirectRequest, reply: DirectReply, readMs: number): void {
     if (this.#isRefusingNew) throw buildRetryElsewhereError(ErrorKind.EntryHostStopping);
     const checked = this.#checks.check(request);
     const call = { checked, request, reply };
     if (!checked.route.isStream || !isTakeUp(request)) {
       const serviceId = pickService(checked.route, this.#options.random.nextFraction());
-      this.#serve(call, { serviceId, waitedMs: 0 });
+      this.#serve(call, { serviceId, waitedMs: readMs });
       return;
     }
     this.#takeUps.start({
       ...call,
-      onResolved: (origin, waitedMs) => {
-        this.#tryServe(call, { serviceId: origin.serviceId, origin, waitedMs });
+      onResolved: (origin, askedMs) => {
+        const { serviceId } = origin;
+        const start = { serviceId, origin, waitedMs: readMs + askedMs };
+        this.#try(request, reply, () => this.#serve(call, start));
       },
       onRefused: (error) => this.#refuse(request, reply, error),
     });
   }
 
-  #tryServe(call: AdmittedCall, start: CallStart): void {
-    const { request, reply } = call;
-    try {
-      this.#serve(call, start);
-    } catch (error) {
-      this.#refuse(request, reply, error);
-    }
-  }
-
   #serve({ checked, request, reply }: AdmittedCall, start: CallStart): void {
     const { table, route, account, contentId, details } = checked;
     const { serviceId } = start;
@@ -277,22 +290,7 @@
     request: DirectRequest,
   ): void {
     this.#calls.delete(call);
+    this.#earlyRejections.lateness.sweepIfLate();
     if (account && !call.mayHaveRun) this.#options.spending.release(account, request);
   }
-
-  #logRefusal(request: DirectRequest, refusal: SchedulerError): void {
-    const { log, metrics, routing } = this.#options;
-    const level = refusal.kind === ErrorKind.Internal ? LogLevel.Error : LogLevel.Info;
-    log.write(level, 'call_refused', {
-      requestId: request.requestId,
-      path: request.path,
-      kind: refusal.kind,
-      run: refusal.run,
-      retryAfterMs: refusal.retryAfterMs,
-      configurationVersion: routing.table?.version,
-      configurationAgeMs: Math.round(routing.computeAgeMs()),
-      reason: String(refusal.cause ?? refusal.message),
-    });
-    metrics.count('calls_ended_total', { event: 'call_refused', kind: refusal.kind });
-  }
 }
--- a/src/commands/_direct_gateway.ts
+++ b/src/commands/_direct_gateway.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { performance } from 'node:perf_hooks';
 import { DirectGateway } from '../application/direct/mod.js';
 import type { DirectGatewayOptions, HostReports } from '../application/direct/mod.js';
 import type { DirectSettings } from './direct_settings.js';
@@ -17,7 +18,13 @@
 const MS_PER_SECOND = 1_000;
 
 type DerivedOptions =
-  'retryBounds' | 'startedAtMs' | 'reportTimes' | 'maxKeyAgeMs' | 'sureAgeMs' | 'countEntryHosts';
+  | 'measureIdleMs'
+  | 'retryBounds'
+  | 'startedAtMs'
+  | 'reportTimes'
+  | 'maxKeyAgeMs'
+  | 'sureAgeMs'
+  | 'countEntryHosts';
 
 /** Settings and collaborators of the gateway; all other options are derived from them. */
 export interface DirectGatewayParts extends Omit<DirectGatewayOptions, DerivedOptions> {
@@ -40,6 +47,7 @@
       slack: settings.retrySlack,
       windowMs: settings.retryWindowS * MS_PER_SECOND,
     },
+    measureIdleMs: () => performance.eventLoopUtilization().idle,
     startedAtMs: parts.clock.nowMs(),
     reportTimes: reports,
     maxKeyAgeMs: settings.keyRevocationMs * MAX_KEY_AGE_FRACTION,
--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -43,6 +43,7 @@
   metrics.set('configuration_unconfirmed', storeView.routing.isUnconfirmed ? 1 : 0);
   metrics.set('calls_under_way', gateway.callCount);
   metrics.set('calls_waiting', gateway.waitingCount);
+  metrics.set('timer_lateness_ms', Math.round(gateway.latenessMs));
   metrics.set('entry_hosts_known', reports.knownCount);
   metrics.set('entry_hosts_heard', reports.listHeard().length + 1);
   metrics.set('entry_host_views_differing', reports.differingViewCount);
--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -25,3 +25,4 @@
 export { WaitSuccessTracker } from './wait_success_tracker.js';
 export { computeUrgency, WaitQueue } from './wait_queue.js';
 export type { WaitingCall } from './wait_queue.js';
+export { computeRejectedFraction, GateChange, LatenessGate } from './lateness_gate.js';
--- a/src/domain/errors/error_kind.ts
+++ b/src/domain/errors/error_kind.ts
@@ -40,6 +40,7 @@
   DeadlineExpired = 'deadline_expired',
   TooManyConnections = 'too_many_connections',
   EntryHostStopping = 'entry_host_stopping',
+  EntryHostOverloaded = 'entry_host_overloaded',
   EntryHostCutOff = 'entry_host_cut_off',
   ConfigurationMissing = 'configuration_missing',
   NoBackendServer = 'no_backend_server',
--- a/src/domain/errors/error_table.ts
+++ b/src/domain/errors/error_table.ts
@@ -70,6 +70,7 @@
   [ErrorKind.DeadlineExpired]: define(504, SERVER, RunOutcome.NotRun, 1000, LogLevel.Info),
   [ErrorKind.TooManyConnections]: define(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
   [ErrorKind.EntryHostStopping]: define(503, SERVER, RunOutcome.NotRun, 100, LogLevel.Info),
+  [ErrorKind.EntryHostOverloaded]: define(503, SERVER, RunOutcome.NotRun, 300, LogLevel.Info),
   [ErrorKind.EntryHostCutOff]: define(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
   [ErrorKind.ConfigurationMissing]: define(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Error),
   [ErrorKind.NoBackendServer]: define(503, SERVER, RunOutcome.NotRun, 1000, LogLevel.Warn),
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -108,7 +108,7 @@
     this.spending = new AccountSpending(this.clock);
     const { clock, feed, log, metrics } = this;
     const random = new SeededRandom(options.seed);
-    const shared = { clock, log, metrics, random };
+    const shared = { clock, log, metrics, random, measureIdleMs: options.measureIdleMs };
     this.storeView = new StoreView({
       ...shared,
       paths: this.paths,
@@ -285,15 +285,15 @@
  *
  * @param t - test at whose end the host stops
  * @param changes - overrides of the routing document
- * @param servers - IDs of the backend servers
- * @returns the host
+ * @param servers - IDs of the backend servers. @param options - its options. @returns the host
  */
 export async function startDirectHost(
   t: Test,
   changes: DocumentChanges = {},
   servers: readonly string[] = ['s-1', 's-2'],
+  options: DirectHostOptions = {},
 ): Promise<DirectHost> {
-  const host = new DirectHost();
+  const host = new DirectHost(options);
   t.teardown(() => host.stop());
   await host.start(changes, servers);
   return host;
--- a/test/support/direct_host_options.ts
+++ b/test/support/direct_host_options.ts
@@ -27,4 +27,6 @@
   readonly streamCopies?: number | undefined;
   /** Sends requests over this host's own links. Default: the fake backend of the host. */
   readonly client?: DirectBackendClient;
+  /** Measures the time for which the process waited; by default the host ignores its lateness. */
+  readonly measureIdleMs?: () => number;
 }
