Join the chunks of a buffered answer when there are many

A plain answer in chunks of one byte was kept as one buffer object per byte, up to 256 Ki objects for an answer of 256 KiB. The test of the collection and those of relayed answers (slow, empty and early ends, calls) pass.

--- a/src/application/direct/_answer_relay.ts
+++ b/src/application/direct/_answer_relay.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { ByteChunks } from '../../domain/collections/mod.js';
 import { EventSplitter } from '../../domain/streams/mod.js';
 import type { AnswerEndFacts } from '../../domain/streams/mod.js';
 import type { BackendHead, DirectReply } from '../../ports/mod.js';
@@ -52,9 +53,9 @@
 
   readonly #reply: DirectReply;
 
-  readonly #chunks: Buffer[] = [];
+  readonly #chunks = new ByteChunks();
 
-  #length = 0;
+  #isEmpty = true;
 
   #hasBegun = false;
 
@@ -85,26 +86,26 @@
   }
 
   override get isEmpty(): boolean {
-    return this.#length === 0;
+    return this.#isEmpty;
   }
 
   override write(bytes: Buffer): void {
-    this.#length += bytes.length;
-    this.#chunks.push(bytes);
-    if (this.#length <= MAX_BUFFERED_BYTES) return;
+    this.#isEmpty &&= bytes.length === 0;
+    this.#chunks.append(bytes);
+    if (!this.#hasBegun && this.#chunks.length <= MAX_BUFFERED_BYTES) return;
     if (!this.#hasBegun) {
       this.#onBegin();
       this.#reply.writeHead(this.#head);
     }
     this.#hasBegun = true;
-    this.#chunks.splice(0).forEach((chunk) => this.#reply.write(chunk));
+    this.#reply.write(this.#chunks.take());
   }
 
   override end(): void {
     if (this.#hasBegun) this.#reply.end();
     else {
       this.#onBegin();
-      this.#reply.sendAnswer(this.#head, Buffer.concat(this.#chunks));
+      this.#reply.sendAnswer(this.#head, this.#chunks.take());
     }
     this.#hasBegun = true;
   }
