--- a/src/adapters/direct_http/direct_listener_test.ts
+++ b/src/adapters/direct_http/direct_listener_test.ts
@@ -206,3 +206,50 @@
     t.equal(await write(`${head(2)}ab`), 'HTTP/1.1 200', 'the connection stays');
   },
 );
+
+t.test('a head beyond the limit of the configuration is refused', async (t) => {
+  // Guards against a limit that is published and not enforced.
+  const limits = { ...LIMITS, maxHeaderBytes: 2_000 };
+  const { socket } = await openConnection(t, sendAnswer, () => limits);
+  socket.write(`GET /a HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\nA: ${'a'.repeat(3_000)}\r\n\r\n`);
+  const [bytes] = (await once(socket, 'data')) as [Buffer];
+  t.equal(bytes.toString('latin1', 0, 12), 'HTTP/1.1 431');
+  await once(socket, 'close');
+});
+
+t.test('a caller that does not complete its head is told so in time', async (t) => {
+  // Guards against callers that hold connections by sending heads byte by byte.
+  const limits = { ...LIMITS, headerTimeoutMs: 20 };
+  const { socket } = await openConnection(t, sendAnswer, () => limits);
+  socket.write('GET /a HTTP/1.1\r\nHost: a\r\nA: ');
+  const [bytes] = (await once(socket, 'data')) as [Buffer];
+  t.equal(bytes.toString('latin1', 0, 12), 'HTTP/1.1 408');
+  await once(socket, 'close');
+});
+
+t.test('a body that goes on far beyond its limit closes its connection', async (t) => {
+  // Guards against processor time for a caller that sends without end.
+  const endlessBytes = 48_000_000;
+  const { socket } = await openConnection(t, sendAnswer);
+  const head = 'POST /a HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\n';
+  const part = `10000\r\n${'a'.repeat(65_536)}\r\n`;
+  let answer = '';
+  let sentBytes = 0;
+  socket.on('data', (bytes: Buffer) => {
+    answer += bytes.toString('latin1');
+  });
+  const write = (): void => {
+    while (!socket.destroyed && sentBytes < endlessBytes) {
+      sentBytes += part.length;
+      if (!socket.write(part)) return;
+    }
+  };
+  socket.on('drain', write);
+  socket.write(`${head}Transfer-Encoding: chunked\r\n\r\n`);
+  write();
+  await new Promise((resolve) => {
+    socket.on('close', resolve);
+  });
+  t.ok(sentBytes < endlessBytes / 2, `${sentBytes} bytes sent`);
+  t.equal(answer.slice(0, 12), 'HTTP/1.1 413');
+});
