--- a/src/adapters/metrics/_series_table.ts
+++ b/src/adapters/metrics/_series_table.ts
@@ -13,8 +13,16 @@
   value: T;
 }
 
+/** Derives a key that is the same in any order of the labels; the lengths keep values apart. */
 function deriveSeriesKey(labels: MetricLabels): string {
-  return JSON.stringify(Object.entries(labels).sort(([a], [b]) => (a < b ? -1 : 1)));
+  const names = Object.keys(labels);
+  if (names.length > 1) names.sort();
+  let key = '';
+  names.forEach((name) => {
+    const value = labels[name] ?? '';
+    key += `${name}=${value.length}:${value},`;
+  });
+  return key;
 }
 
 /**
