Keep the formatted names of log fields

Each field of each line ran its name through two replacements and a lower-case conversion. The lines are the same.

--- a/src/adapters/logging/log_line.ts
+++ b/src/adapters/logging/log_line.ts
@@ -36,6 +36,12 @@
   'answer',
 ]);
 
+/** Most field names whose formatted form is kept; the code has about two hundred. */
+const MAX_KEPT_NAMES = 1_000;
+
+/** Formatted names of fields; empty for those that are not logged. */
+const formattedNames = new Map<string, string>();
+
 /** One event before it is formatted. */
 export interface LogRecord {
   /** Time of the event in ISO 8601, UTC. */
@@ -72,6 +78,15 @@
   return name !== '' && !SECRET_FIELD_NAMES.has(name.replace(/[^A-Za-z0-9]/g, '').toLowerCase());
 }
 
+/** Returns the formatted name of a field; empty if it is not logged. */
+function getFieldName(name: string): string {
+  const kept = formattedNames.get(name);
+  if (kept !== undefined) return kept;
+  const formattedName = mayLogField(name) ? formatFieldName(name) : '';
+  if (formattedNames.size < MAX_KEPT_NAMES) formattedNames.set(name, formattedName);
+  return formattedName;
+}
+
 /**
  * Formats one record. Omits fields whose value is undefined and fields whose name indicates
  * a secret or the content of a request or response.
@@ -81,10 +96,11 @@
  */
 export function formatLogLine(record: LogRecord): string {
   const { time, level, event, fields } = record;
-  const pairs = [`time=${time}`, `level=${level}`, `event=${formatLogValue(event)}`];
-  Object.entries(fields).forEach(([name, value]) => {
-    if (value === undefined || !mayLogField(name)) return;
-    pairs.push(`${formatFieldName(name)}=${formatLogValue(value)}`);
+  let line = `time=${time} level=${level} event=${formatLogValue(event)}`;
+  Object.keys(fields).forEach((name) => {
+    const value = fields[name];
+    const fieldName = value === undefined ? '' : getFieldName(name);
+    if (value !== undefined && fieldName !== '') line += ` ${fieldName}=${formatLogValue(value)}`;
   });
-  return pairs.join(' ');
+  return line;
 }
