Split events with fewer scans of their text

A chunk that ends with an event, as most do, is taken whole after a look at its last bytes, and the scans for carriage returns are left out where there are none.

--- a/src/domain/streams/event_splitter.ts
+++ b/src/domain/streams/event_splitter.ts
@@ -13,7 +13,8 @@
 /** Empty lines and comments, which belong to no event. */
 const NO_EVENT_LINES = /^(?:\r|\n|:[^\r\n]*[\r\n])*$/;
 
-const ID_LINE = /(?:^|[\r\n])id: ?([^\r\n]*)/;
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 
 /** Events that a chunk has completed. */
 export interface CompleteEvents {
@@ -71,12 +72,18 @@
     if (end === 0) return NO_EVENTS;
     const complete = bytes.subarray(0, end);
     const text = complete.toString('latin1');
-    return { bytes: complete, count: countEventEnds(text), lastId: findLastId(text) };
+    const hasReturns = text.includes('\r');
+    return {
+      bytes: complete,
+      count: countEventEnds(text, hasReturns),
+      lastId: findLastId(text, hasReturns),
+    };
   }
 }
 
 /** Returns the index after the last complete event; 0 if there is none. */
 function findLastEventEnd(bytes: Buffer): number {
+  if (hasEventEnd(bytes)) return bytes.length;
   return Math.max(
     0,
     ...EVENT_TERMINATORS.map((end) => {
@@ -86,24 +93,42 @@
   );
 }
 
+/** Whether the bytes end with an event, as they mostly do. */
+function hasEventEnd(bytes: Buffer): boolean {
+  const last = bytes.at(-1);
+  const previous = bytes.at(-2);
+  if (last === LINE_FEED)
+    return previous === LINE_FEED || (previous === CARRIAGE_RETURN && bytes.at(-3) === LINE_FEED);
+  return last === CARRIAGE_RETURN && previous === CARRIAGE_RETURN;
+}
+
 /** Counts the empty lines that end events. */
-function countEventEnds(text: string): number {
+function countEventEnds(text: string, hasReturns: boolean): number {
   let count = 0;
   for (let index = text.indexOf('\n'); index >= 0; index = text.indexOf('\n', index + 1)) {
     const next = text[index + 1] === '\r' ? index + 2 : index + 1;
     if (text[next] === '\n') count += 1;
   }
+  if (!hasReturns) return count;
   for (let index = text.indexOf('\r\r'); index >= 0; index = text.indexOf('\r\r', index + 2)) {
     count += 1;
   }
   return count;
 }
 
-function findLastId(text: string): string | undefined {
+function findLastId(text: string, hasReturns: boolean): string | undefined {
   const start = Math.max(
     text.lastIndexOf('\nid:'),
-    text.lastIndexOf('\rid:'),
+    hasReturns ? text.lastIndexOf('\rid:') : -1,
     text.startsWith('id:') ? 0 : -1,
   );
-  return start < 0 ? undefined : ID_LINE.exec(text.slice(start))?.[1]?.trim();
+  if (start < 0) return undefined;
+  const valueStart = text.indexOf(':', start) + 1;
+  const line = text.slice(valueStart, findLineEnd(text, valueStart, '\n'));
+  return line.slice(0, hasReturns ? findLineEnd(line, 0, '\r') : undefined).trim();
+}
+
+function findLineEnd(text: string, from: number, end: string): number {
+  const index = text.indexOf(end, from);
+  return index < 0 ? text.length : index;
 }
