--- a/src/domain/collections/byte_chunks.ts
+++ b/src/domain/collections/byte_chunks.ts
@@ -25,12 +25,20 @@
     this.#chunks.push(chunk);
   }
 
+  /** @returns all bytes, which stay here */
+  join(): Buffer {
+    const [first, ...others] = this.#chunks;
+    if (!first) return Buffer.alloc(0);
+    const joined = others.length === 0 ? first : Buffer.concat([first, ...others]);
+    this.#chunks = [joined];
+    return joined;
+  }
+
   /** @returns all bytes, which are no longer kept */
   take(): Buffer {
-    const [first, ...others] = this.#chunks;
+    const joined = this.join();
     this.#chunks = [];
     this.#length = 0;
-    if (!first) return Buffer.alloc(0);
-    return others.length === 0 ? first : Buffer.concat([first, ...others]);
+    return joined;
   }
 }
--- a/src/domain/streams/event_splitter.ts
+++ b/src/domain/streams/event_splitter.ts
@@ -4,9 +4,14 @@
  * @module
  */
 
+import { ByteChunks } from '../collections/mod.js';
+
 /** End of a line and the empty line after it, which ends an event. */
 const EVENT_TERMINATORS: readonly string[] = ['\n\n', '\n\r\n', '\r\r'];
 
+/** Bytes of a terminator that may stand before a chunk. */
+const MAX_SEAM_BYTES = 2;
+
 /** Maximum bytes of one event; engines send no longer ones. */
 const MAX_EVENT_BYTES = 1_048_576;
 
@@ -36,7 +41,11 @@
 export class EventSplitter {
   readonly #maxEventBytes: number;
 
-  #rest: Buffer = Buffer.alloc(0);
+  /** Bytes of the incomplete event, without any terminator. */
+  readonly #rest = new ByteChunks();
+
+  /** The last bytes of the incomplete event. */
+  #seam: Buffer = Buffer.alloc(0);
 
   /** @param maxEventBytes - maximum bytes of one event */
   constructor(maxEventBytes = MAX_EVENT_BYTES) {
@@ -45,12 +54,12 @@
 
   /** Bytes received so far of the event that is incomplete. */
   get pendingBytes(): Buffer {
-    return this.#rest;
+    return this.#rest.join();
   }
 
   /** Whether the bytes so far end inside an event. */
   get isInsideEvent(): boolean {
-    return !NO_EVENT_LINES.test(this.#rest.toString('latin1'));
+    return !NO_EVENT_LINES.test(this.pendingBytes.toString('latin1'));
   }
 
   /**
@@ -61,15 +70,21 @@
    * @throws RangeError if an incomplete event exceeds the maximum size
    */
   split(chunk: Buffer): CompleteEvents {
-    const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
-    const end = findLastEventEnd(bytes);
-    if (bytes.length - end > this.#maxEventBytes) {
+    const seamBytes = this.#seam.length;
+    const searched = seamBytes === 0 ? chunk : Buffer.concat([this.#seam, chunk]);
+    const foundEnd = findLastEventEnd(searched);
+    this.#rest.append(chunk);
+    this.#seam = searched.subarray(Math.max(foundEnd, searched.length - MAX_SEAM_BYTES));
+    const restLength = foundEnd === 0 ? this.#rest.length : searched.length - foundEnd;
+    if (restLength > this.#maxEventBytes) {
       throw new RangeError(
         `Cannot split events: an event has more than ${this.#maxEventBytes} bytes`,
       );
     }
-    this.#rest = bytes.subarray(end);
-    if (end === 0) return NO_EVENTS;
+    if (foundEnd === 0) return NO_EVENTS;
+    const bytes = this.#rest.take();
+    const end = bytes.length - restLength;
+    if (restLength > 0) this.#rest.append(bytes.subarray(end));
     const complete = bytes.subarray(0, end);
     const text = complete.toString('latin1');
     const hasReturns = text.includes('\r');
--- a/src/domain/streams/event_splitter_test.ts
+++ b/src/domain/streams/event_splitter_test.ts
@@ -106,3 +106,16 @@
     );
   },
 );
+
+t.test('EventSplitter takes an event in chunks of one byte', async (t) => {
+  // Guards against processor time that grows with the square of an event's bytes.
+  const splitter = new EventSplitter();
+  const byte = Buffer.from('a');
+  for (let index = 0; index < 1_000_000; index += 1) splitter.split(byte);
+  t.equal(splitter.pendingBytes.length, 1_000_000);
+  splitter.split(Buffer.from('\n'));
+  const { count, bytes } = splitter.split(Buffer.from('\n'));
+  t.equal(count, 1);
+  t.equal(bytes.length, 1_000_002);
+  t.equal(splitter.pendingBytes.length, 0);
+});
