--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -33,3 +33,4 @@
 export { computeUrgency, WaitQueue } from './wait_queue.js';
 export type { WaitingCall } from './wait_queue.js';
 export type { FairOrder } from './_account_flows.js';
+export { computeRejectedFraction, GateChange, LatenessGate } from './lateness_gate.js';
--- a/src/domain/streams/event_splitter.ts
+++ b/src/domain/streams/event_splitter.ts
@@ -4,16 +4,22 @@
  * @module
  */
 
+import { ByteChunks } from '../collections/mod.js';
+
 /** End of a line and the empty line after it, which ends an event. */
 const EVENT_TERMINATORS: readonly string[] = ['\n\n', '\n\r\n', '\r\r'];
 
+/** Bytes of a terminator that may stand before a chunk. */
+const MAX_SEAM_BYTES = 2;
+
 /** Maximum bytes of one event; engines send no longer ones. */
 const MAX_EVENT_BYTES = 1_048_576;
 
 /** Empty lines and comments, which belong to no event. */
 const NO_EVENT_LINES = /^(?:\r|\n|:[^\r\n]*[\r\n])*$/;
 
-const ID_LINE = /(?:^|[\r\n])id: ?([^\r\n]*)/;
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 
 /** Events that a chunk has completed. */
 export interface CompleteEvents {
@@ -35,7 +41,11 @@
 export class EventSplitter {
   readonly #maxEventBytes: number;
 
-  #rest: Buffer = Buffer.alloc(0);
+  /** Bytes of the incomplete event, without any terminator. */
+  readonly #rest = new ByteChunks();
+
+  /** The last bytes of the incomplete event. */
+  #seam: Buffer = Buffer.alloc(0);
 
   /** @param maxEventBytes - maximum bytes of one event */
   constructor(maxEventBytes = MAX_EVENT_BYTES) {
@@ -44,12 +54,12 @@
 
   /** Bytes received so far of the event that is incomplete. */
   get pendingBytes(): Buffer {
-    return this.#rest;
+    return this.#rest.join();
   }
 
   /** Whether the bytes so far end inside an event. */
   get isInsideEvent(): boolean {
-    return !NO_EVENT_LINES.test(this.#rest.toString('latin1'));
+    return !NO_EVENT_LINES.test(this.pendingBytes.toString('latin1'));
   }
 
   /**
@@ -60,23 +70,35 @@
    * @throws RangeError if an incomplete event exceeds the maximum size
    */
   split(chunk: Buffer): CompleteEvents {
-    const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
-    const end = findLastEventEnd(bytes);
-    if (bytes.length - end > this.#maxEventBytes) {
+    const seamBytes = this.#seam.length;
+    const searched = seamBytes === 0 ? chunk : Buffer.concat([this.#seam, chunk]);
+    const foundEnd = findLastEventEnd(searched);
+    this.#rest.append(chunk);
+    this.#seam = searched.subarray(Math.max(foundEnd, searched.length - MAX_SEAM_BYTES));
+    const restLength = foundEnd === 0 ? this.#rest.length : searched.length - foundEnd;
+    if (restLength > this.#maxEventBytes) {
       throw new RangeError(
         `Cannot split events: an event has more than ${this.#maxEventBytes} bytes`,
       );
     }
-    this.#rest = bytes.subarray(end);
-    if (end === 0) return NO_EVENTS;
+    if (foundEnd === 0) return NO_EVENTS;
+    const bytes = this.#rest.take();
+    const end = bytes.length - restLength;
+    if (restLength > 0) this.#rest.append(bytes.subarray(end));
     const complete = bytes.subarray(0, end);
     const text = complete.toString('latin1');
-    return { bytes: complete, count: countEventEnds(text), lastId: findLastId(text) };
+    const hasReturns = text.includes('\r');
+    return {
+      bytes: complete,
+      count: countEventEnds(text, hasReturns),
+      lastId: findLastId(text, hasReturns),
+    };
   }
 }
 
 /** Returns the index after the last complete event; 0 if there is none. */
 function findLastEventEnd(bytes: Buffer): number {
+  if (hasEventEnd(bytes)) return bytes.length;
   return Math.max(
     0,
     ...EVENT_TERMINATORS.map((end) => {
@@ -86,24 +108,42 @@
   );
 }
 
+/** Whether the bytes end with an event, as they mostly do. */
+function hasEventEnd(bytes: Buffer): boolean {
+  const last = bytes.at(-1);
+  const previous = bytes.at(-2);
+  if (last === LINE_FEED)
+    return previous === LINE_FEED || (previous === CARRIAGE_RETURN && bytes.at(-3) === LINE_FEED);
+  return last === CARRIAGE_RETURN && previous === CARRIAGE_RETURN;
+}
+
 /** Counts the empty lines that end events. */
-function countEventEnds(text: string): number {
+function countEventEnds(text: string, hasReturns: boolean): number {
   let count = 0;
   for (let index = text.indexOf('\n'); index >= 0; index = text.indexOf('\n', index + 1)) {
     const next = text[index + 1] === '\r' ? index + 2 : index + 1;
     if (text[next] === '\n') count += 1;
   }
+  if (!hasReturns) return count;
   for (let index = text.indexOf('\r\r'); index >= 0; index = text.indexOf('\r\r', index + 2)) {
     count += 1;
   }
   return count;
 }
 
-function findLastId(text: string): string | undefined {
+function findLastId(text: string, hasReturns: boolean): string | undefined {
   const start = Math.max(
     text.lastIndexOf('\nid:'),
-    text.lastIndexOf('\rid:'),
+    hasReturns ? text.lastIndexOf('\rid:') : -1,
     text.startsWith('id:') ? 0 : -1,
   );
-  return start < 0 ? undefined : ID_LINE.exec(text.slice(start))?.[1]?.trim();
+  if (start < 0) return undefined;
+  const valueStart = text.indexOf(':', start) + 1;
+  const line = text.slice(valueStart, findLineEnd(text, valueStart, '\n'));
+  return line.slice(0, hasReturns ? findLineEnd(line, 0, '\r') : undefined).trim();
+}
+
+function findLineEnd(text: string, from: number, end: string): number {
+  const index = text.indexOf(end, from);
+  return index < 0 ? text.length : index;
 }
