--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -6,7 +6,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { ByteChunks } from '../../domain/collections/mod.js';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { CallerLimits } from '../../domain/routing/mod.js';
 import type { DirectReply, DirectRequest } from '../../ports/mod.js';
@@ -15,21 +14,9 @@
 import { pickRawHeaders } from './_raw_headers.js';
 import type { DirectDialect } from './direct_dialect.js';
 
-/** Largest header block that a configuration can allow, in bytes. */
+/** Largest header block that Node parses, in bytes; the limits for callers are lower. */
 const MAX_HEADER_BYTES = 65_536;
 
-/** Interval at which connections with an incomplete head are looked for, in milliseconds. */
-const HEAD_CHECK_INTERVAL_MS = 1_000;
-
-/** Bytes beyond the longest body that are still read, so that the connection can be reused. */
-const MAX_EXCESS_BYTES = 65_536;
-
-/**
- * Time for which the connection of a longer body stays open, in milliseconds. A reset, which
- * follows a close with unread bytes, would overtake the refusal.
- */
-const LINGER_MS = 250;
-
 /** Most connections that wait to be accepted; a full queue delays a caller by seconds. */
 const LISTEN_BACKLOG = 1_024;
 
@@ -58,7 +45,7 @@
 export class DirectListener {
   readonly #options: DirectListenerOptions;
 
-  readonly #server: Server & { maxHeaderSize?: number };
+  readonly #server: Server;
 
   readonly #idleConnections: IdleConnections;
 
@@ -71,14 +58,10 @@
   constructor(options: DirectListenerOptions) {
     this.#options = options;
     this.#excludedHeaders = new Set([...TERMINATED_HEADERS, ...options.dialect.reservedHeaders]);
-    this.#server = createServer({
-      requestTimeout: 0,
-      connectionsCheckingInterval: HEAD_CHECK_INTERVAL_MS,
-    });
+    this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 });
     this.#server.on('request', (message, response) => this.#handleRequest(message, response));
     this.#idleConnections = new IdleConnections(options.getLimits);
-    // Node creates the parser of a connection, with its limit, in its own handler.
-    this.#server.prependListener('connection', () => this.#applyLimits());
+    this.#server.on('connection', () => this.#applyLimits());
     this.#server.on('timeout', (socket) => this.#idleConnections.handleTimeout(socket));
   }
 
@@ -121,7 +104,6 @@
     const limits = this.#options.getLimits();
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
-    this.#server.maxHeaderSize = Math.min(limits.maxHeaderBytes, MAX_HEADER_BYTES);
   }
 
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
@@ -169,21 +151,18 @@
     onComplete: (body: Buffer) => void,
   ): void {
     const { maxBodyBytes } = this.#options.getLimits();
-    const chunks = new ByteChunks();
+    const chunks: Buffer[] = [];
     let length = 0;
     message.on('data', (chunk: Buffer) => {
       length += chunk.length;
-      if (length <= maxBodyBytes) chunks.append(chunk);
+      if (length <= maxBodyBytes) chunks.push(chunk);
       else if (length - chunk.length <= maxBodyBytes) {
-        chunks.take();
         reply.sendError(new SchedulerError(ErrorKind.BodyTooLarge));
-      } else if (length > maxBodyBytes + MAX_EXCESS_BYTES && !message.isPaused()) {
-        message.pause();
-        setTimeout(() => message.socket.destroy(), LINGER_MS).unref();
       }
     });
     message.on('end', () => {
-      if (length <= maxBodyBytes && !reply.isDisconnected) onComplete(chunks.take());
+      if (length > maxBodyBytes || reply.isDisconnected) return;
+      onComplete(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks));
     });
   }
 }
