Close the lateness gate when every turn is a second long, give final heads their time

Found on reading the diff: after a pause the gate took each further turn of a second or more for another pause; the head timer of a connection began with an informational answer instead of ending with it; the log of an account that is back told old figures.

--- a/src/adapters/direct_http/_framing_guard.ts
+++ b/src/adapters/direct_http/_framing_guard.ts
@@ -40,6 +40,9 @@
 
   #isHeadComplete = false;
 
+  /** Whether the bytes that are counted next end with an informational answer. */
+  #isAfterInformation = false;
+
   #timer: NodeJS.Timeout | undefined;
 
   /**
@@ -54,6 +57,7 @@
 
   /** Records a complete informational answer; the final one may take its time. */
   recordInformation(): void {
+    this.#isAfterInformation = true;
     this.#stopTimer();
   }
 
@@ -83,8 +87,9 @@
     this.#overheadBytes += byteCount;
     if (this.#overheadBytes > MAX_OVERHEAD_BYTES)
       this.#onExceeded(`more than ${MAX_OVERHEAD_BYTES} bytes beside the body of the answer`);
-    else if (!this.#isHeadComplete && !this.#timer)
+    else if (!this.#isHeadComplete && !this.#timer && !this.#isAfterInformation)
       this.#startTimer(HEAD_TIMEOUT_MS, `head not complete within ${HEAD_TIMEOUT_MS} ms`);
+    this.#isAfterInformation = false;
   }
 
   #startTimer(timeoutMs: number, reason: string): void {
--- a/src/application/direct/_account_usage.ts
+++ b/src/application/direct/_account_usage.ts
@@ -158,6 +158,9 @@
   }
 
   /**
+   * Records an account that is below its share for the log. Other accounts count with weight 1, as
+   * reports don't tell weights.
+   *
    * @param serviceId - ID of a service
    * @param account - an account whose call is the first that waits
    * @returns whether it has less slot time per weight than the accounts have on average
--- a/src/application/direct/_share_log.ts
+++ b/src/application/direct/_share_log.ts
@@ -33,7 +33,7 @@
 
 /** A tracked account. */
 interface TrackedAccount {
-  readonly account: ShortAccount;
+  account: ShortAccount;
   readonly sinceMs: number;
   lastMs: number;
   isLogged: boolean;
@@ -64,6 +64,7 @@
       return;
     }
     found.lastMs = nowMs;
+    found.account = account;
     const isDue = nowMs - found.sinceMs >= MIN_BELOW_MS;
     if (found.isLogged || !isDue || nowMs - this.#loggedAtMs < LOG_INTERVAL_MS) return;
     found.isLogged = true;
--- a/src/domain/direct/lateness_gate.ts
+++ b/src/domain/direct/lateness_gate.ts
@@ -49,6 +49,9 @@
 
   #recordedAtMs: number;
 
+  /** Last sample, also of a pause. */
+  #lastLateMs = 0;
+
   #severity = 0;
 
   /** @param nowMs - monotonic time at the start, in milliseconds */
@@ -75,7 +78,8 @@
    * @returns the change that it causes; undefined if none
    */
   record(lateMs: number, nowMs: number): GateChange | undefined {
-    const isPause = lateMs >= PAUSE_MS && this.latenessMs < LATE_MS;
+    const isPause = lateMs >= PAUSE_MS && this.#lastLateMs < LATE_MS;
+    this.#lastLateMs = lateMs;
     this.#samples = isPause ? [] : [...this.#samples, lateMs].slice(-SAMPLE_COUNT);
     const elapsedMs = isPause ? 0 : nowMs - this.#recordedAtMs;
     this.#recordedAtMs = nowMs;
--- a/src/domain/direct/lateness_gate_test.ts
+++ b/src/domain/direct/lateness_gate_test.ts
@@ -40,6 +40,7 @@
 t.test('LatenessGate closes when every turn takes longer than a pause', async (t) => {
   // Guards against starvation that is taken for a row of pauses.
   t.same(recordAll(new LatenessGate(0), [0, 200, 1_500, 1_500]), [GateChange.Closed]);
+  t.same(recordAll(new LatenessGate(0), [0, ...Array(4).fill(1_500)]), [GateChange.Closed]);
 });
 
 t.test('LatenessGate opens gradually, and only when the process is on time', async (t) => {
