Report waiting calls and started calls by urgency

Reports gain waitingByUrgency and startedByUrgency, per service and by urgency as text; relays sum them as they do the other figures. Hosts of the former version send neither: both default to none. The figures of the queues move from DirectGateway to summarizeQueues().

--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -57,6 +57,8 @@
     endedServers: ['engine-2'],
     configurationVersion: 12,
     refusalLimits: { engines: { declinesPerSecond: 4, ageMs: 120 } },
+    waitingByUrgency: { engines: { '0': 3, '3': 1 } },
+    startedByUrgency: { engines: { '0': 12.25 } },
     rateLimits: { 'engine-4': { version: 3, requestsPerSecond: 1.4, ageMs: 250 } },
     roster: [
       {
--- a/src/adapters/peers_ws/_record_checks.ts
+++ b/src/adapters/peers_ws/_record_checks.ts
@@ -12,6 +12,9 @@
 /** Maximum length of a name in a message, in characters. */
 export const MAX_NAME_LENGTH = 512;
 
+/** Maximum number of urgencies for which a report holds figures of one service. */
+const MAX_URGENCIES = 64;
+
 /** Schema of a record of non-negative integers. */
 export const countsSchema = z.custom<Readonly<Record<string, number>>>((value) =>
   isRecordOf(value, isCount),
@@ -22,6 +25,19 @@
   isRecordOf(value, Number.isFinite),
 );
 
+/** Schema of non-negative figures by service and by urgency. */
+export const figuresByUrgencySchema = z.custom<
+  Readonly<Record<string, Readonly<Record<string, number>>>>
+>((value) => isRecordOf(value, isRecordOfFigures));
+
+function isRecordOfFigures(value: unknown): boolean {
+  return isRecordOf(value, isFigure) && Object.keys(value as object).length <= MAX_URGENCIES;
+}
+
+function isFigure(value: unknown): boolean {
+  return Number.isFinite(value) && (value as number) >= 0;
+}
+
 function isCount(value: unknown): boolean {
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -7,7 +7,12 @@
 import { ReportScope } from '../../domain/overlay/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type { PeerMessageOf } from '../../ports/mod.js';
-import { countsSchema, MAX_NAME_LENGTH, numbersSchema } from './_record_checks.js';
+import {
+  countsSchema,
+  figuresByUrgencySchema,
+  MAX_NAME_LENGTH,
+  numbersSchema,
+} from './_record_checks.js';
 
 const MAX_LIST_LENGTH = 65_536;
 
@@ -75,6 +80,9 @@
   rosterRevision: count,
   heardRosterRevision: count,
   heardScope: z.enum(ReportScope).optional(),
+  // Reports of earlier versions lack the next two fields.
+  waitingByUrgency: figuresByUrgencySchema.default({}),
+  startedByUrgency: figuresByUrgencySchema.default({}),
 }) as z.ZodType<PeerMessageOf<PeerMessageType.HostReport>>;
 
 /** Schema of a slot or turn that is passed on. */
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { HostReportMessage, WaitingNoticeMessage } from '../../ports/mod.js';
+import { UrgencySums } from './_urgency_sums.js';
 
 /** Part of a peer's report that describes backend servers and the calls that wait for them. */
 export type PeerStats = Pick<
@@ -18,6 +19,8 @@
   | 'rateLimits'
   | 'refusalLimits'
   | 'hostCount'
+  | 'waitingByUrgency'
+  | 'startedByUrgency'
 >;
 
 const SUMMED_FIELDS = ['avoidedBy', 'callingHosts', 'inFlight', 'waitingCalls'] as const;
@@ -52,6 +55,17 @@
     waitingCalls: new Map(),
   };
 
+  /** Calls that wait at peers, by urgency. */
+  readonly waiting = new UrgencySums();
+
+  /** Calls per second that peers start, by urgency. */
+  readonly started = new UrgencySums();
+
+  /** Whether any peer reports. */
+  get hasReports(): boolean {
+    return this.#stats.size > 0;
+  }
+
   /**
    * Replaces the stats of a peer process.
    *
@@ -62,6 +76,8 @@
     const previous = this.#stats.get(source);
     if (stats) this.#stats.set(source, stats);
     else this.#stats.delete(source);
+    this.waiting.set(source, stats?.waitingByUrgency);
+    this.started.set(source, stats?.startedByUrgency);
     SUMMED_FIELDS.forEach((field) => {
       const totals = this.#totals[field];
       if (previous) addCounts(totals, previous[field], -1);
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -27,6 +27,8 @@
 import { DirectCall } from './direct_call.js';
 import type { DirectServices } from './direct_services.js';
 import { LazyMap } from './_lazy_map.js';
+import { summarizeQueues } from './_queue_figures.js';
+import type { QueueFigures } from './_queue_figures.js';
 import { RecentCalls } from './_recent_calls.js';
 import { createRetryShares } from './_retry_shares.js';
 import type { RetrySharesOptions } from './_retry_shares.js';
@@ -130,15 +132,9 @@
     return this.#queues.listEntries().reduce((sum, [, { size }]) => sum + size, 0);
   }
 
-  /** @returns number of calls that wait for a slot, by service ID */
-  countWaiting(): Record<string, number> {
-    return Object.fromEntries(this.#listNonEmptyQueues().map(([id, { size }]) => [id, size]));
-  }
-
-  /** @returns urgency of the first waiting call, by service ID */
-  listFirstWaiting(): Record<string, number> {
-    const queues = this.#listNonEmptyQueues();
-    return Object.fromEntries(queues.map(([id, { firstUrgency }]) => [id, firstUrgency]));
+  /** @returns figures of the queues, for reports */
+  summarizeQueues(): QueueFigures {
+    return summarizeQueues(this.#queues.listEntries());
   }
 
   /** @returns 1 for each service that was called lately and has a server that names a limit */
@@ -146,10 +142,6 @@
     return this.#recentCalls.count(this.#options.servers.listLimitedServices());
   }
 
-  #listNonEmptyQueues(): readonly (readonly [string, ServiceQueue])[] {
-    return this.#queues.listEntries().filter(([, { size }]) => size > 0);
-  }
-
   /** Whether callers may be sent to this entry host. */
   get isServing(): boolean {
     const { routing, maxKeyAgeMs } = this.#options;
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -25,6 +25,8 @@
   | 'rateLimits'
   | 'refusalLimits'
   | 'configurationVersion'
+  | 'waitingByUrgency'
+  | 'startedByUrgency'
 >;
 
 /** Stats without any counts. */
@@ -40,6 +42,8 @@
   rateLimits: {},
   refusalLimits: {},
   configurationVersion: 0,
+  waitingByUrgency: {},
+  startedByUrgency: {},
 };
 
 /** Which entry hosts' stats a report contains in addition to those of this entry host. */
@@ -78,11 +82,13 @@
   { servers, routing, gateway, spending }: StatsProviders,
   { scope, incarnations, receiver }: StatsSources,
 ): ReportStats {
+  const { peers } = servers;
+  const queues = gateway.summarizeQueues();
   return {
     inFlight: servers.loads.countInFlight(incarnations),
-    waitingCalls: servers.peers.sum('waitingCalls', gateway.countWaiting(), incarnations),
-    firstWaiting: servers.peers.mergeFirstWaiting(incarnations, gateway.listFirstWaiting()),
-    callingHosts: servers.peers.sum('callingHosts', gateway.countCalling(), incarnations),
+    waitingCalls: peers.sum('waitingCalls', queues.waitingCalls, incarnations),
+    firstWaiting: peers.mergeFirstWaiting(incarnations, queues.firstWaiting),
+    callingHosts: peers.sum('callingHosts', gateway.countCalling(), incarnations),
     avoidedBy: servers.loads.countAvoiding(incarnations),
     spentUnits: spending.listSpentUnits(scope, receiver),
     endedServers: servers.listEndedIds(),
@@ -90,5 +96,7 @@
     rateLimits: servers.notices.rateLimits.listReported(),
     refusalLimits: servers.notices.refusalLimits.listReported(),
     configurationVersion: routing.newestKnownVersion,
+    waitingByUrgency: peers.waiting.sum(queues.waitingByUrgency, incarnations),
+    startedByUrgency: peers.started.sum(queues.startedByUrgency, incarnations),
   };
 }
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -7,6 +7,7 @@
 import {
   computeUrgency,
   estimatePacedWaitMs,
+  StartRates,
   WaitQueue,
   WaitSuccessTracker,
 } from '../../domain/direct/mod.js';
@@ -40,6 +41,8 @@
 
   readonly #picker: SlotPicker;
 
+  readonly #startRates = new StartRates();
+
   readonly #waitSuccess = new WaitSuccessTracker();
 
   /** When slots became free within the window, oldest first. */
@@ -63,6 +66,21 @@
     return this.#queue.firstUrgency;
   }
 
+  /** @returns number of waiting calls, by urgency */
+  countByUrgency(): ReadonlyMap<number, number> {
+    const counts = new Map<number, number>();
+    this.#queue.list().forEach((call) => {
+      const urgency = computeUrgency(call);
+      counts.set(urgency, (counts.get(urgency) ?? 0) + 1);
+    });
+    return counts;
+  }
+
+  /** @returns calls that this host starts per second, as a decayed mean, by urgency */
+  listStartRates(): ReadonlyMap<number, number> {
+    return this.#startRates.list(this.#options.clock.nowMs());
+  }
+
   /** @param call - the call to dispatch, queue or refuse */
   submit(call: QueuedCall): void {
     this.#guard(call, () => this.#admit(call));
@@ -144,10 +162,15 @@
     // A grant may end other calls, so each call is looked up again when its turn comes.
     if (!candidate || !this.#queue.remove(call)) return false;
     this.#waitSuccess.record(computeUrgency(call), true, this.#options.clock.nowMs());
-    call.grant(candidate);
+    this.#grant(call, candidate);
     return true;
   }
 
+  #grant(call: QueuedCall, candidate: Candidate): void {
+    this.#startRates.record(computeUrgency(call), this.#options.clock.nowMs());
+    call.grant(candidate);
+  }
+
   /** A fault ends the call that it concerns, not the turn of those behind it. */
   #guard(call: QueuedCall, step: () => unknown): boolean {
     try {
@@ -249,7 +272,7 @@
   #tryDispatch(call: QueuedCall): boolean {
     // No waiting call goes before this one, so none of them competes for the free slot.
     const candidate = this.#picker.pick(call, { ownWaitingCalls: 0 });
-    if (candidate) call.grant(candidate);
+    if (candidate) this.#grant(call, candidate);
     return candidate !== undefined;
   }
 
--- a/src/commands/_direct_status.ts
+++ b/src/commands/_direct_status.ts
@@ -29,7 +29,7 @@
     store: [buildStoreRow(sources)],
     entryHosts: listEntryHosts(sources),
     backendServers: listBackendServers(sources),
-    queues: { waiting: gateway.countWaiting() },
+    queues: { waiting: gateway.summarizeQueues().waitingCalls },
     refusals: {},
   };
 }
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -73,6 +73,10 @@
   readonly heardRosterRevision: number;
   /** Scope of the report that contained that revision; undefined if there was none. */
   readonly heardScope: ReportScope | undefined;
+  /** Number of calls that wait for a slot, by service and by urgency as text. */
+  readonly waitingByUrgency: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  /** Calls started per second, as a decayed mean, by service and by urgency as text. */
+  readonly startedByUrgency: Readonly<Record<string, Readonly<Record<string, number>>>>;
 }
 
 /** Right to send one request to a limited backend server, which the sender passes on. */
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -20,6 +20,8 @@
   leavingServers: [],
   rateLimits: {},
   refusalLimits: {},
+  waitingByUrgency: {},
+  startedByUrgency: {},
   hostCount: 1,
 };
 
