--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -3,16 +3,18 @@
  *
  * @module
  */
-import { pickServer } from '../../domain/backend_servers/mod.js';
 import type { Candidate } from '../../domain/backend_servers/mod.js';
 import {
   computeUrgency,
   estimatePacedWaitMs,
+  StartRates,
   WaitQueue,
   WaitSuccessTracker,
 } from '../../domain/direct/mod.js';
-import { countUsedSlots } from '../../domain/places/mod.js';
 import type { Timer } from '../../ports/mod.js';
+import { summarizeCapacity } from './_service_capacity.js';
+import type { QueueTurn, ServiceCapacity } from './_service_capacity.js';
+import { SlotPicker } from './_slot_picker.js';
 import type { QueuedCall, ServiceQueueOptions } from './service_queue_options.js';
 
 /**
@@ -31,30 +33,27 @@
  */
 const MIN_FREED_SLOTS = 20;
 
-/** Weight of each sample in the moving average of the time for which a slot is held. */
-const HOLD_TIME_ALPHA = 0.1;
-
-/** Initial value of that average, in milliseconds: about the duration of a short answer. */
-const INITIAL_HOLD_MS = 200;
-
 /** The queue of one service's calls at this entry host. */
 export class ServiceQueue {
   readonly #options: ServiceQueueOptions;
 
   readonly #queue = new WaitQueue<QueuedCall>();
 
+  readonly #picker: SlotPicker;
+
+  readonly #startRates = new StartRates();
+
   readonly #waitSuccess = new WaitSuccessTracker();
 
   /** When slots became free within the window, oldest first. */
   readonly #freedAtMs: number[] = [];
 
-  #averageHoldMs = INITIAL_HOLD_MS;
-
   #timer: Timer | undefined;
 
   /** @param options - dependencies */
   constructor(options: ServiceQueueOptions) {
     this.#options = options;
+    this.#picker = new SlotPicker(options);
   }
 
   /** Number of waiting calls. */
@@ -67,6 +66,21 @@
     return this.#queue.firstUrgency;
   }
 
+  /** @returns number of waiting calls, by urgency */
+  countByUrgency(): ReadonlyMap<number, number> {
+    const counts = new Map<number, number>();
+    this.#queue.list().forEach((call) => {
+      const urgency = computeUrgency(call);
+      counts.set(urgency, (counts.get(urgency) ?? 0) + 1);
+    });
+    return counts;
+  }
+
+  /** @returns calls that this host starts per second, as a decayed mean, by urgency */
+  listStartRates(): ReadonlyMap<number, number> {
+    return this.#startRates.list(this.#options.clock.nowMs());
+  }
+
   /** @param call - the call to dispatch, queue or refuse */
   submit(call: QueuedCall): void {
     this.#guard(call, () => this.#admit(call));
@@ -78,7 +92,7 @@
       return;
     }
     if (this.#countAhead(call) === 0 && this.#tryDispatch(call)) return;
-    const estimatedWaitMs = this.#estimateWaitMs(call);
+    const estimatedWaitMs = this.#estimateWaitMs(call, this.#summarizeCapacity());
     const nowMs = this.#options.clock.nowMs();
     if (!this.#isWaitWorthwhile(call)) {
       // However short the local queue is, no slot is likely to become free in time.
@@ -106,7 +120,7 @@
     if (this.#countAhead(call) > 0) return undefined;
     const nowMs = this.#options.clock.nowMs();
     const excluded = new Set([...call.excluded, ...quietIds]);
-    const candidate = this.#pickCandidate(call, this.#queue.size, excluded);
+    const candidate = this.#picker.pick(call, { ownWaitingCalls: this.#queue.size, excluded });
     if (!candidate || candidate.load.mustAvoid(nowMs)) return undefined;
     const isInTime = candidate.load.predictFirstByteMs(call.work) <= call.deadlineAtMs - nowMs;
     return isInTime ? candidate : undefined;
@@ -124,7 +138,7 @@
    * @param heldMs - time for which the request held the slot, in milliseconds
    */
   handleSlotFreed(serverId: string, heldMs: number): void {
-    this.#averageHoldMs += HOLD_TIME_ALPHA * (heldMs - this.#averageHoldMs);
+    this.#picker.recordHold(heldMs);
     this.#freedAtMs.push(this.#options.clock.nowMs());
     this.#dropOldFreedTimes();
     this.#options.forwardFreedSlot(serverId);
@@ -133,23 +147,30 @@
   /** Dispatches waiting calls to free slots, in order of the queue. */
   dispatchWaiting(): void {
     if (this.#queue.size === 0) return;
-    let freeSlots = this.#countFreeSlots();
-    if (freeSlots === 0) return;
-    for (const call of [...this.#queue.list()]) {
-      if (this.#guard(call, () => this.#dispatch(call))) freeSlots -= 1;
-      if (freeSlots <= 0) return;
-    }
+    let turn = this.#picker.startTurn();
+    [...this.#queue.list()].every((call) => {
+      if (turn.open.length === 0) return false;
+      const isGranted = this.#guard(call, () => this.#dispatch(call, turn));
+      // A grant takes a slot, and may change which servers are usable.
+      if (isGranted) turn = this.#picker.continueTurn(turn);
+      return true;
+    });
   }
 
-  #dispatch(call: QueuedCall): boolean {
-    const candidate = this.#pickCandidate(call, this.#queue.size);
+  #dispatch(call: QueuedCall, turn: QueueTurn): boolean {
+    const candidate = this.#picker.pick(call, { ownWaitingCalls: this.#queue.size, turn });
     // A grant may end other calls, so each call is looked up again when its turn comes.
     if (!candidate || !this.#queue.remove(call)) return false;
     this.#waitSuccess.record(computeUrgency(call), true, this.#options.clock.nowMs());
-    call.grant(candidate);
+    this.#grant(call, candidate);
     return true;
   }
 
+  #grant(call: QueuedCall, candidate: Candidate): void {
+    this.#startRates.record(computeUrgency(call), this.#options.clock.nowMs());
+    call.grant(candidate);
+  }
+
   /** A fault ends the call that it concerns, not the turn of those behind it. */
   #guard(call: QueuedCall, step: () => unknown): boolean {
     try {
@@ -164,9 +185,12 @@
   /** Sheds calls that can no longer be started in time. */
   shedExpired(): void {
     const nowMs = this.#options.clock.nowMs();
-    this.#queue.removeExpired(nowMs).forEach((call) => {
+    const expired = this.#queue.removeExpired(nowMs);
+    if (expired.length === 0) return;
+    const capacity = this.#summarizeCapacity();
+    expired.forEach((call) => {
       this.#waitSuccess.record(computeUrgency(call), false, nowMs);
-      this.#guard(call, () => call.shed(this.#estimateWaitMs(call)));
+      this.#guard(call, () => call.shed(this.#estimateWaitMs(call, capacity)));
     });
   }
 
@@ -203,35 +227,41 @@
    * which one alone is bound, don't wait for the same servers.
    */
   #countAhead(call: QueuedCall): number {
-    const ahead = this.#queue.list().slice(0, this.#queue.countAhead(call));
-    return ahead.filter(({ origin }) => origin?.version === call.origin?.version).length;
+    const calls = this.#queue.list();
+    const version = call.origin?.version;
+    let ahead = 0;
+    for (let index = this.#queue.countAhead(call) - 1; index >= 0; index -= 1) {
+      if (calls[index]?.origin?.version === version) ahead += 1;
+    }
+    return ahead;
+  }
+
+  #summarizeCapacity(): ServiceCapacity {
+    const { clock, listCandidates } = this.#options;
+    return summarizeCapacity(listCandidates(), clock.nowMs());
   }
 
   /** Estimates the wait of a call that is not in the queue yet, in milliseconds. */
-  #estimateWaitMs(call: QueuedCall): number {
+  #estimateWaitMs(call: QueuedCall, capacity: ServiceCapacity): number {
     this.#dropOldFreedTimes();
+    const ownCallsAhead = this.#countAhead(call);
     const msPerFreedSlot = FREED_WINDOW_MS / Math.max(MIN_FREED_SLOTS, this.#freedAtMs.length);
-    const slotsNeeded = Math.max(0, this.#countAhead(call) + 1 - this.#countFreeElsewhere());
+    const slotsNeeded = Math.max(0, ownCallsAhead + 1 - capacity.lendableSlots);
     const waitMs = slotsNeeded * msPerFreedSlot;
     const blockedMs = this.#options.estimateBlockedMs();
-    return Math.max(waitMs, blockedMs, this.#estimatePacedWaitMs(call));
+    return Math.max(waitMs, blockedMs, this.#estimatePacedWaitMs(call, ownCallsAhead, capacity));
   }
 
   /** Estimates the wait for a turn; 0 if any backend server needs none. */
-  #estimatePacedWaitMs(call: QueuedCall): number {
-    const { clock, listCandidates, countPeerCallsAhead } = this.#options;
-    const nowMs = clock.nowMs();
-    const requestsPerSecond = listCandidates().reduce(
-      (sum, { load }) => sum + load.pace.computeTotalPerSecond(nowMs),
-      0,
-    );
+  #estimatePacedWaitMs(
+    call: QueuedCall,
+    ownCallsAhead: number,
+    { requestsPerSecond }: ServiceCapacity,
+  ): number {
     // Without any server, the call waits for one to appear.
-    if (requestsPerSecond === 0) return 0;
-    return estimatePacedWaitMs({
-      ownCallsAhead: this.#countAhead(call),
-      peerCallsAhead: countPeerCallsAhead(computeUrgency(call)),
-      requestsPerSecond,
-    });
+    if (requestsPerSecond === 0 || requestsPerSecond === Infinity) return 0;
+    const peerCallsAhead = this.#options.countPeerCallsAhead(computeUrgency(call));
+    return estimatePacedWaitMs({ ownCallsAhead, peerCallsAhead, requestsPerSecond });
   }
 
   #dropOldFreedTimes(): void {
@@ -239,53 +269,13 @@
     while ((this.#freedAtMs[0] ?? Infinity) < oldestMs) this.#freedAtMs.shift();
   }
 
-  #countFreeSlots(): number {
-    const nowMs = this.#options.clock.nowMs();
-    return this.#options
-      .listCandidates()
-      .reduce((sum, { load }) => sum + load.countOpenSlots(nowMs), 0);
-  }
-
-  /** Counts free slots that other entry hosts own and may lend. */
-  #countFreeElsewhere(): number {
-    const paced = this.#options.listCandidates().filter(({ load }) => load.pace.slots.isPaced);
-    const freeSlots = paced.map(({ load }) => countUsedSlots(load.slots) - load.inFlight);
-    return freeSlots.reduce((sum, free) => sum + Math.max(0, free), 0);
-  }
-
   #tryDispatch(call: QueuedCall): boolean {
     // No waiting call goes before this one, so none of them competes for the free slot.
-    const candidate = this.#pickCandidate(call, 0);
-    if (candidate) call.grant(candidate);
+    const candidate = this.#picker.pick(call, { ownWaitingCalls: 0 });
+    if (candidate) this.#grant(call, candidate);
     return candidate !== undefined;
   }
 
-  #pickCandidate(
-    call: QueuedCall,
-    ownWaitingCalls: number,
-    excluded = call.excluded,
-  ): Candidate | undefined {
-    const { work, expectedTokens, deadlineAtMs, regions, origin } = call;
-    const { clock, random, listCandidates, countWaitingAtPeers, getPeerUrgency } = this.#options;
-    const nowMs = clock.nowMs();
-    return pickServer(listCandidates(), {
-      work,
-      expectedTokens,
-      timeLeftMs: deadlineAtMs - nowMs,
-      excluded,
-      regions,
-      origin,
-      nowMs,
-      nextFraction: () => random.nextFraction(),
-      contention: {
-        holdMs: this.#averageHoldMs,
-        ownWaitingCalls,
-        peerWaitingCalls: countWaitingAtPeers(),
-        isPeerMoreUrgent: getPeerUrgency() < computeUrgency(call),
-      },
-    });
-  }
-
   #scheduleCheck(): void {
     if (this.#timer) return;
     this.#timer = this.#options.clock.setTimer(CHECK_INTERVAL_MS, () => {
