Learn the speed of backend servers from first samples, running streams and consistent times

A host sees one engine every 3 to 12 s and learnt with a weight of 0.15 from an assumed speed, so the order of engines stayed near random. Decoding speeds counted the first event, whose tokens are decoded before the first byte. The raw time to first byte was learnt, then multiplied by the load again, so predictions under load were too long.

The first samples now count as a plain mean on the direct path, decoding is learnt from the events after the first ones and while the stream runs, and the first byte is learnt against the prompts and the load at the time when the request was sent. The owners' path keeps its weights.

--- a/src/application/direct/_attempt_load.ts
+++ b/src/application/direct/_attempt_load.ts
@@ -3,9 +3,37 @@
  *
  * @module
  */
-import type { RequestWork, ServerLoad, ServerOutcome } from '../../domain/backend_servers/mod.js';
+import type {
+  RequestWork,
+  SendConditions,
+  ServerLoad,
+  ServerOutcome,
+} from '../../domain/backend_servers/mod.js';
 import type { Clock } from '../../ports/mod.js';
 
+/**
+ * Shortest part of a stream from which the decoding speed is learnt while it runs, in
+ * milliseconds. Shorter parts would mostly measure how bytes are grouped on their way.
+ */
+const DECODE_PART_MS = 250;
+
+/** Events of a stream as received up to some moment. */
+interface StreamProgress {
+  readonly eventCount: number;
+  readonly atMs: number;
+}
+
+/** Dependencies of an {@link AttemptLoad}. */
+export interface AttemptLoadOptions {
+  /** Load of the server. */
+  readonly load: ServerLoad;
+  /** The request; its time starts now. */
+  readonly work: RequestWork;
+  readonly clock: Clock;
+  /** Output tokens per event of a stream. */
+  readonly tokensPerEvent: number;
+}
+
 /** Records the start, the signs and the end of one attempt, and measures its times. */
 export class AttemptLoad {
   readonly #load: ServerLoad;
@@ -19,23 +47,33 @@
   /** Predicted time to the first byte, in milliseconds. */
   readonly predictedFirstByteMs: number;
 
+  /** What the prediction rests on. */
+  readonly #conditions: SendConditions;
+
+  /** Where the part of the stream begins from which nothing was learnt yet. */
+  #partStart: StreamProgress | undefined;
+
+  #newest: StreamProgress | undefined;
+
+  readonly #tokensPerEvent: number;
+
+  #isFirstByteLearnt = false;
+
   #firstByteMs = 0;
 
   #signCount = 0;
 
   #isSilenceRecorded = false;
 
-  /**
-   * @param load - load of the server
-   * @param work - the request; its time starts now
-   * @param clock - provides monotonic time
-   */
-  constructor(load: ServerLoad, work: RequestWork, clock: Clock) {
+  /** @param options - dependencies */
+  constructor({ load, work, clock, tokensPerEvent }: AttemptLoadOptions) {
+    this.#tokensPerEvent = tokensPerEvent;
     this.#load = load;
     this.#work = work;
     this.#clock = clock;
     this.#startedAtMs = clock.nowMs();
     this.predictedFirstByteMs = load.predictFirstByteMs(work);
+    this.#conditions = load.getConditions(work);
   }
 
   /** When the attempt started, on the monotonic clock in milliseconds. */
@@ -91,7 +129,7 @@
     if (this.#isSilenceRecorded) return;
     this.#isSilenceRecorded = true;
     const waitedMs = this.#firstByteMs === 0 ? this.totalMs : 0;
-    this.#load.recordSilence(this.#work, waitedMs, this.#clock.nowMs());
+    this.#load.recordSilence(this.#work, waitedMs, this.#clock.nowMs(), this.#conditions);
   }
 
   /** @param outcome - how the attempt ended */
@@ -100,13 +138,38 @@
     this.#load.recordEnd(outcome, this.#clock.nowMs());
   }
 
-  /** @param outputTokens - tokens of a whole answer, from which the speed of the server is learnt */
-  learnSpeed(outputTokens: number): void {
-    this.#load.speed.observe({
-      prefillTokens: this.#work.promptTokens,
-      outputTokens,
-      firstByteMs: this.#firstByteMs,
-      totalMs: this.totalMs,
-    });
+  /**
+   * Learns from the events of a stream while it runs. The decoding speed is that of the events after
+   * the first ones, whose tokens the time to first byte includes.
+   *
+   * @param eventCount - events of this server so far
+   * @param atMs - when the last of them arrived, on the monotonic clock in milliseconds
+   */
+  recordEvents(eventCount: number, atMs: number): void {
+    if (eventCount === 0) return;
+    this.#learnFirstByte(this.#firstByteMs);
+    this.#newest = { eventCount, atMs };
+    this.#partStart ??= this.#newest;
+    if (atMs - this.#partStart.atMs >= DECODE_PART_MS) this.#learnPart();
+  }
+
+  /** Learns from a whole answer. */
+  learnSpeed(): void {
+    this.#learnFirstByte(this.#load.speed.isPlain ? this.totalMs : this.#firstByteMs);
+    this.#learnPart();
+  }
+
+  #learnFirstByte(firstByteMs: number): void {
+    if (this.#isFirstByteLearnt || firstByteMs <= 0) return;
+    this.#isFirstByteLearnt = true;
+    this.#load.learnFirstByte(this.#conditions, firstByteMs);
+  }
+
+  #learnPart(): void {
+    if (!this.#partStart || !this.#newest) return;
+    const eventCount = this.#newest.eventCount - this.#partStart.eventCount;
+    const partMs = this.#newest.atMs - this.#partStart.atMs;
+    this.#partStart = this.#newest;
+    this.#load.speed.observeDecode(eventCount * this.#tokensPerEvent, partMs);
   }
 }
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -65,7 +65,7 @@
     this.#stream = options.stream;
     this.#initialEventCount = options.stream?.eventCount ?? 0;
     const { clock } = options.services;
-    this.load = new AttemptLoad(options.load, options.request.request.work, clock);
+    this.load = new AttemptLoad({ ...options, clock, work: options.request.request.work });
     this.#stallDetector = new StallDetector({
       ...options,
       clock,
@@ -161,6 +161,7 @@
     this.#recordFirstByte();
     try {
       this.#relay?.write(bytes);
+      if (this.#stream) this.load.recordEvents(this.#ownEventCount, this.#stream.lastEventsAtMs);
     } catch (error) {
       this.#abandon(formatReason(error));
     }
@@ -262,8 +263,7 @@
   ): void {
     if (this.#hasEnded) return;
     this.#finish(outcome);
-    const outputTokens = this.#countOutputTokens();
-    if (failure === undefined && this.#status < 300) this.load.learnSpeed(outputTokens);
+    if (failure === undefined && this.#status < 300) this.load.learnSpeed();
     this.#options.onEnd({
       failure,
       isComplete: failure === undefined || outcome === ServerOutcome.ServerError,
@@ -274,16 +274,15 @@
       firstByteMs: this.load.firstByteMs,
       predictedFirstByteMs: this.load.predictedFirstByteMs,
       totalMs: this.load.totalMs,
-      outputTokens,
+      outputTokens: this.#ownEventCount * this.#options.tokensPerEvent,
       stream: this.#stream,
       sendFallback,
     });
   }
 
-  /** Counts only what this attempt generated, without the output of earlier backend servers. */
-  #countOutputTokens(): number {
-    const eventCount = (this.#stream?.eventCount ?? 0) - this.#initialEventCount;
-    return eventCount * this.#options.tokensPerEvent;
+  /** Events that this attempt brought, without those of earlier backend servers. */
+  get #ownEventCount(): number {
+    return (this.#stream?.eventCount ?? 0) - this.#initialEventCount;
   }
 
   #finish(outcome: ServerOutcome): void {
--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -7,7 +7,8 @@
 import type { AllowedRegions } from '../places/mod.js';
 import { mayContinueStream } from '../streams/mod.js';
 import type { SoftwareVersion, StreamOrigin } from '../streams/mod.js';
-import type { RequestWork, ServerLoad } from './server_load.js';
+import type { RequestWork } from './request_work.js';
+import type { ServerLoad } from './server_load.js';
 import { REPORT_DELAY_MS } from './slot_share.js';
 
 /** A backend server that may receive the request. */
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -6,12 +6,14 @@
 import { ServerPace } from '../places/mod.js';
 import { ServerSpeed } from '../scheduling/server_speed.js';
 import type { NominalSpeed } from '../scheduling/server_speed.js';
+import { ServerOutcome } from './request_work.js';
+import type { RequestWork, SendConditions } from './request_work.js';
 import { ServerSigns } from './server_signs.js';
 import { SlotShare } from './slot_share.js';
 
 /**
  * Assumed speeds before the first measurement, in tokens per second: the order of magnitude of
- * one stream on current engines. Measurements replace them within about ten requests.
+ * one stream on current engines. The first measurement replaces them.
  */
 const INITIAL_SPEED: NominalSpeed = {
   prefillTokensPerSecond: 100_000,
@@ -52,30 +54,6 @@
 /** Weight of the error rate in the factor that lengthens predictions, as an addition to 1. */
 const ERROR_RATE_PENALTY = 4;
 
-/** Work that a request causes on a backend server. */
-export interface RequestWork {
-  /** Number of prompt tokens; 0 for a plain service. */
-  readonly promptTokens: number;
-  /** Maximum number of output tokens; 0 for a plain service. */
-  readonly outputTokens: number;
-  /** Number of output tokens that the caller expects; undefined if not given. */
-  readonly hintedTokens?: number | undefined;
-}
-
-/** Outcome of a request on a backend server. */
-export enum ServerOutcome {
-  /** A complete answer arrived, with any status below 500. */
-  Answered = 'answered',
-  /** The server answered with an error of its own. */
-  ServerError = 'erred',
-  /** The server declared that it did not run the request. */
-  Declined = 'declined',
-  /** The connection failed or broke. */
-  Failed = 'failed',
-  /** The caller disconnected, or the deadline passed while the server worked normally. */
-  Cancelled = 'cancelled',
-}
-
 /** Load, speed and failures of one incarnation of a backend server. */
 export class ServerLoad {
   readonly slots: number;
@@ -118,7 +96,7 @@
    */
   constructor(slots: number, isEngine: boolean) {
     this.slots = Math.max(1, slots);
-    this.speed = new ServerSpeed(INITIAL_SPEED, !isEngine);
+    this.speed = new ServerSpeed(INITIAL_SPEED, !isEngine, 0);
   }
 
   /** Number of this entry host's requests on the server. */
@@ -183,9 +161,11 @@
    * @param work - the request
    * @param waitedMs - how long its first byte was awaited, in milliseconds; 0 if that has arrived
    * @param nowMs - monotonic time in milliseconds
+   * @param sent - circumstances when it was sent; the present ones by default
    */
-  recordSilence(work: RequestWork, waitedMs: number, nowMs: number): void {
-    if (waitedMs > 0) this.speed.observeAtLeast(work.promptTokens, waitedMs);
+  recordSilence(work: RequestWork, waitedMs: number, nowMs: number, sent?: SendConditions): void {
+    const { prefillTokens, loadFactor } = sent ?? this.getConditions(work);
+    if (waitedMs > 0) this.speed.observeAtLeast(prefillTokens, waitedMs / loadFactor);
     this.#pause(nowMs);
   }
 
@@ -273,6 +253,24 @@
     return outcome === ServerOutcome.Failed;
   }
 
+  /** @param work - one more request. @returns what its time to first byte depends on */
+  getConditions(work: RequestWork): SendConditions {
+    return {
+      prefillTokens: work.promptTokens + this.#pendingPromptTokens,
+      loadFactor: 1 + this.inFlight / this.slots,
+    };
+  }
+
+  /**
+   * Learns from the first byte of an answer.
+   *
+   * @param sent - circumstances when the request was sent, which the prediction rested on
+   * @param firstByteMs - time to first byte, in milliseconds
+   */
+  learnFirstByte({ prefillTokens, loadFactor }: SendConditions, firstByteMs: number): void {
+    this.speed.observeFirstByte(prefillTokens, firstByteMs / loadFactor);
+  }
+
   /**
    * Predicts the time to the first byte of one more request.
    *
@@ -280,8 +278,8 @@
    * @returns milliseconds, lengthened in proportion to the server's error rate
    */
   predictFirstByteMs(work: RequestWork): number {
-    const prefillMs = this.speed.predictFirstByteMs(work.promptTokens + this.#pendingPromptTokens);
-    const loadFactor = 1 + this.inFlight / this.slots;
+    const { prefillTokens, loadFactor } = this.getConditions(work);
+    const prefillMs = this.speed.predictFirstByteMs(prefillTokens);
     return prefillMs * loadFactor * (1 + ERROR_RATE_PENALTY * this.#errorRate);
   }
 
--- a/src/domain/scheduling/server_speed.ts
+++ b/src/domain/scheduling/server_speed.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-/** Weight of each sample in the averages. */
+/** Lowest weight of a sample in the averages. */
 const SPEED_ALPHA = 0.15;
 
 /** Fewest output tokens in a sample; below that, fixed costs outweigh the decoding speed. */
@@ -47,6 +47,14 @@
   readonly totalMs: number;
 }
 
+/** Times by which a server's speed is predicted. */
+export interface SpeedEstimate {
+  /** Fixed part of the time to first byte; for a plain service, of a whole call, in milliseconds. */
+  readonly fixedMs: number;
+  readonly prefillMsPerToken: number;
+  readonly decodeMsPerToken: number;
+}
+
 /**
  * Tracks speed by moving averages. Time to first byte is modeled as a fixed
  * part, mostly queueing inside the backend server, plus a part for each prompt
@@ -62,15 +70,25 @@
 
   #plainCallMs = INITIAL_PLAIN_MS;
 
+  #firstByteCount = 0;
+
+  #decodeCount = 0;
+
+  readonly #nominalWeight: number;
+
   /**
    * @param nominal - the engine kind's nominal speed
    * @param isPlain - whether it serves a plain service, whose calls have no
    *   tokens
+   * @param nominalWeight - number of samples that the nominal speed counts for. With 0, the first
+   *   sample replaces it, and the first samples count as a plain mean.
    */
   constructor(
     readonly nominal: NominalSpeed,
     readonly isPlain: boolean,
+    nominalWeight = Infinity,
   ) {
+    this.#nominalWeight = nominalWeight;
     this.#prefillMsPerToken = 1000 / nominal.prefillTokensPerSecond;
     this.#decodeTokensPerSecond = nominal.decodeTokensPerSecond;
   }
@@ -85,6 +103,20 @@
     return this.#decodeTokensPerSecond;
   }
 
+  /** Whether any sample of a time to first byte or of decoding was learnt. */
+  get hasSamples(): boolean {
+    return this.#firstByteCount + this.#decodeCount > 0;
+  }
+
+  /** What the predictions rest on. */
+  get estimate(): SpeedEstimate {
+    return {
+      fixedMs: this.isPlain ? this.#plainCallMs : this.#fixedMs,
+      prefillMsPerToken: this.#prefillMsPerToken,
+      decodeMsPerToken: 1000 / this.#decodeTokensPerSecond,
+    };
+  }
+
   /**
    * Predicts the time to first byte.
    *
@@ -140,18 +172,46 @@
   /** @param sample - measurements of one answered request */
   observe(sample: SpeedSample): void {
     if (this.isPlain) {
-      this.#plainCallMs += SPEED_ALPHA * (Math.max(0, sample.totalMs) - this.#plainCallMs);
+      this.observeFirstByte(0, Math.max(0, sample.totalMs));
       return;
     }
-    const { firstByteMs, outputTokens } = sample;
-    if (firstByteMs > 0) this.#observeFirstByte(sample);
-    const decodeMs = sample.totalMs - firstByteMs;
-    if (outputTokens >= MIN_DECODE_TOKENS && decodeMs > 0)
-      this.#decodeTokensPerSecond = averageSpeed(
-        this.#decodeTokensPerSecond,
-        outputTokens / decodeMs,
-        this.nominal.decodeTokensPerSecond,
-      );
+    const { firstByteMs, outputTokens, prefillTokens } = sample;
+    if (firstByteMs > 0) this.observeFirstByte(prefillTokens, firstByteMs);
+    this.observeDecode(outputTokens, sample.totalMs - firstByteMs);
+  }
+
+  /**
+   * Learns from the time to first byte of one request.
+   *
+   * @param prefillTokens - prompt tokens that were computed until then; 0 for a plain service
+   * @param firstByteMs - the time, of the whole call for a plain service, in milliseconds
+   */
+  observeFirstByte(prefillTokens: number, firstByteMs: number): void {
+    this.#firstByteCount += 1;
+    const alpha = this.#computeAlpha(this.#firstByteCount);
+    if (this.isPlain) this.#plainCallMs += alpha * (firstByteMs - this.#plainCallMs);
+    else this.#updateFirstByte(prefillTokens, firstByteMs, alpha);
+  }
+
+  /**
+   * Learns from a part of a stream.
+   *
+   * @param outputTokens - tokens that the part holds
+   * @param decodeMs - time that the server took for them, in milliseconds
+   */
+  observeDecode(outputTokens: number, decodeMs: number): void {
+    if (this.isPlain || outputTokens < MIN_DECODE_TOKENS || decodeMs <= 0) return;
+    this.#decodeCount += 1;
+    this.#decodeTokensPerSecond = averageSpeed(
+      this.#decodeTokensPerSecond,
+      clampDecodeSpeed((outputTokens / decodeMs) * 1000, this.nominal),
+      this.#computeAlpha(this.#decodeCount),
+    );
+  }
+
+  /** The first samples count as a plain mean, in which the nominal speed has its own weight. */
+  #computeAlpha(sampleCount: number): number {
+    return Math.max(SPEED_ALPHA, 1 / (this.#nominalWeight + sampleCount));
   }
 
   /**
@@ -163,21 +223,17 @@
    */
   observeAtLeast(prefillTokens: number, waitedMs: number): void {
     if (waitedMs <= this.predictFirstByteMs(prefillTokens)) return;
-    if (this.isPlain) this.#plainCallMs += SPEED_ALPHA * (waitedMs - this.#plainCallMs);
-    else this.#observeFirstByte({ prefillTokens, firstByteMs: waitedMs });
+    this.observeFirstByte(prefillTokens, waitedMs);
   }
 
   /**
    * Updates both parts by normalized least mean squares, with the prompt length
    * in units of {@link EVEN_SPLIT_TOKENS}.
    */
-  #observeFirstByte({
-    firstByteMs,
-    prefillTokens,
-  }: Pick<SpeedSample, 'firstByteMs' | 'prefillTokens'>): void {
+  #updateFirstByte(prefillTokens: number, firstByteMs: number, alpha: number): void {
     const length = prefillTokens / EVEN_SPLIT_TOKENS;
     const error = firstByteMs - this.predictFirstByteMs(prefillTokens);
-    const step = (SPEED_ALPHA * error) / (1 + length * length);
+    const step = (alpha * error) / (1 + length * length);
     const nominalPerTokenMs = 1000 / this.nominal.prefillTokensPerSecond;
     const perTokenMs = this.#prefillMsPerToken + (step * length) / EVEN_SPLIT_TOKENS;
     this.#fixedMs = Math.max(0, this.#fixedMs + step);
@@ -188,14 +244,18 @@
   }
 }
 
+function clampDecodeSpeed(tokensPerSecond: number, nominal: NominalSpeed): number {
+  const { decodeTokensPerSecond } = nominal;
+  return Math.min(
+    decodeTokensPerSecond * MAX_SPEED_FACTOR,
+    Math.max(decodeTokensPerSecond * MIN_SPEED_FACTOR, tokensPerSecond),
+  );
+}
+
 /**
  * Averages the time per token rather than the speed, so that a few very fast
  * samples cannot hide many slow ones.
  */
-function averageSpeed(current: number, tokensPerMs: number, nominal: number): number {
-  const sample = Math.min(
-    nominal * MAX_SPEED_FACTOR,
-    Math.max(nominal * MIN_SPEED_FACTOR, tokensPerMs * 1000),
-  );
-  return 1 / ((1 - SPEED_ALPHA) / current + SPEED_ALPHA / sample);
+function averageSpeed(current: number, sample: number, alpha: number): number {
+  return 1 / ((1 - alpha) / current + alpha / sample);
 }
