Estimate server speeds from evidence that can be added up over hosts

A host that sees an engine every 12 s can't know its speed, while the fleet sees it seven times a second. SharedSpeed combines the sums of this host and of its peers with a slower memory, which holds when the evidence has decayed.

A linear fit was taken instead of one log ratio to an assumed model: where the model's fixed part is wrong, a ratio mixes up a slow server with one that had short prompts.

--- a/src/application/direct/_attempt_load.ts
+++ b/src/application/direct/_attempt_load.ts
@@ -162,7 +162,7 @@
   #learnFirstByte(firstByteMs: number): void {
     if (this.#isFirstByteLearnt || firstByteMs <= 0) return;
     this.#isFirstByteLearnt = true;
-    this.#load.learnFirstByte(this.#conditions, firstByteMs);
+    this.#load.learnFirstByte(this.#conditions, firstByteMs, this.#clock.nowMs());
   }
 
   #learnPart(): void {
@@ -170,6 +170,6 @@
     const eventCount = this.#newest.eventCount - this.#partStart.eventCount;
     const partMs = this.#newest.atMs - this.#partStart.atMs;
     this.#partStart = this.#newest;
-    this.#load.speed.observeDecode(eventCount * this.#tokensPerEvent, partMs);
+    this.#load.speed.observeDecode(eventCount * this.#tokensPerEvent, partMs, this.#clock.nowMs());
   }
 }
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -4,22 +4,12 @@
  * @module
  */
 import { ServerPace } from '../places/mod.js';
-import { ServerSpeed } from '../scheduling/server_speed.js';
-import type { NominalSpeed } from '../scheduling/server_speed.js';
 import { ServerOutcome } from './request_work.js';
 import type { RequestWork, SendConditions } from './request_work.js';
+import { SharedSpeed } from './shared_speed.js';
 import { ServerSigns } from './server_signs.js';
 import { SlotShare } from './slot_share.js';
 
-/**
- * Assumed speeds before the first measurement, in tokens per second: the order of magnitude of
- * one stream on current engines. The first measurement replaces them.
- */
-const INITIAL_SPEED: NominalSpeed = {
-  prefillTokensPerSecond: 100_000,
-  decodeTokensPerSecond: 250,
-};
-
 /**
  * Pause of a backend server for each consecutive failure, in milliseconds. A server that recovers
  * is used again within a second. No other values were compared.
@@ -58,7 +48,7 @@
 export class ServerLoad {
   readonly slots: number;
 
-  readonly speed: ServerSpeed;
+  readonly speed: SharedSpeed;
 
   /** This entry host's share of the free slots. */
   readonly share = new SlotShare();
@@ -96,7 +86,7 @@
    */
   constructor(slots: number, isEngine: boolean) {
     this.slots = Math.max(1, slots);
-    this.speed = new ServerSpeed(INITIAL_SPEED, !isEngine, 0);
+    this.speed = new SharedSpeed(!isEngine);
   }
 
   /** Number of this entry host's requests on the server. */
@@ -266,9 +256,10 @@
    *
    * @param sent - circumstances when the request was sent, which the prediction rested on
    * @param firstByteMs - time to first byte, in milliseconds
+   * @param nowMs - monotonic time in milliseconds
    */
-  learnFirstByte({ prefillTokens, loadFactor }: SendConditions, firstByteMs: number): void {
-    this.speed.observeFirstByte(prefillTokens, firstByteMs / loadFactor);
+  learnFirstByte(sent: SendConditions, firstByteMs: number, nowMs: number): void {
+    this.speed.observeFirstByte(sent.prefillTokens, firstByteMs / sent.loadFactor, nowMs);
   }
 
   /**
--- a/src/domain/scheduling/server_speed.ts
+++ b/src/domain/scheduling/server_speed.ts
@@ -209,6 +209,39 @@
     );
   }
 
+  /**
+   * Moves the averages toward an estimate.
+   *
+   * @param target - the estimate
+   * @param fraction - how far, from 0 (not at all) to 1
+   */
+  adjust(target: SpeedEstimate, fraction: number): void {
+    const current = this.estimate;
+    const mix = (from: number, to: number): number => from + fraction * (to - from);
+    if (this.isPlain) this.#plainCallMs = mix(current.fixedMs, target.fixedMs);
+    else this.#fixedMs = mix(current.fixedMs, target.fixedMs);
+    this.#prefillMsPerToken = this.#clampPerTokenMs(
+      mix(current.prefillMsPerToken, target.prefillMsPerToken),
+    );
+    const decodeMsPerToken = mix(current.decodeMsPerToken, target.decodeMsPerToken);
+    this.#decodeTokensPerSecond = clampDecodeSpeed(1000 / decodeMsPerToken, this.nominal);
+  }
+
+  /** Gives further samples the steady weight, since the averages hold more than the own ones. */
+  keepSteadyWeight(): void {
+    const steadyCount = 1 / SPEED_ALPHA;
+    this.#firstByteCount = Math.max(this.#firstByteCount, steadyCount);
+    this.#decodeCount = Math.max(this.#decodeCount, steadyCount);
+  }
+
+  #clampPerTokenMs(perTokenMs: number): number {
+    const nominalPerTokenMs = 1000 / this.nominal.prefillTokensPerSecond;
+    return Math.min(
+      nominalPerTokenMs / MIN_SPEED_FACTOR,
+      Math.max(nominalPerTokenMs / MAX_SPEED_FACTOR, perTokenMs),
+    );
+  }
+
   /** The first samples count as a plain mean, in which the nominal speed has its own weight. */
   #computeAlpha(sampleCount: number): number {
     return Math.max(SPEED_ALPHA, 1 / (this.#nominalWeight + sampleCount));
@@ -234,12 +267,9 @@
     const length = prefillTokens / EVEN_SPLIT_TOKENS;
     const error = firstByteMs - this.predictFirstByteMs(prefillTokens);
     const step = (alpha * error) / (1 + length * length);
-    const nominalPerTokenMs = 1000 / this.nominal.prefillTokensPerSecond;
-    const perTokenMs = this.#prefillMsPerToken + (step * length) / EVEN_SPLIT_TOKENS;
     this.#fixedMs = Math.max(0, this.#fixedMs + step);
-    this.#prefillMsPerToken = Math.min(
-      nominalPerTokenMs / MIN_SPEED_FACTOR,
-      Math.max(nominalPerTokenMs / MAX_SPEED_FACTOR, perTokenMs),
+    this.#prefillMsPerToken = this.#clampPerTokenMs(
+      this.#prefillMsPerToken + (step * length) / EVEN_SPLIT_TOKENS,
     );
   }
 }
