--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -80,9 +80,10 @@
   rosterRevision: count,
   heardRosterRevision: count,
   heardScope: z.enum(ReportScope).optional(),
-  // Reports of earlier versions lack the next two fields.
+  // Reports of earlier versions lack the next three fields.
   waitingByUrgency: figuresByUrgencySchema.default({}),
   startedByUrgency: figuresByUrgencySchema.default({}),
+  accountUsage: countsSchema.default({}),
 }) as z.ZodType<PeerMessageOf<PeerMessageType.HostReport>>;
 
 /** Schema of a slot or turn that is passed on. */
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -27,6 +27,7 @@
   | 'configurationVersion'
   | 'waitingByUrgency'
   | 'startedByUrgency'
+  | 'accountUsage'
 >;
 
 /** Stats without any counts. */
@@ -44,6 +45,7 @@
   configurationVersion: 0,
   waitingByUrgency: {},
   startedByUrgency: {},
+  accountUsage: {},
 };
 
 /** Which entry hosts' stats a report contains in addition to those of this entry host. */
@@ -98,5 +100,6 @@
     configurationVersion: routing.newestKnownVersion,
     waitingByUrgency: peers.waiting.sum(queues.waitingByUrgency, incarnations),
     startedByUrgency: peers.started.sum(queues.startedByUrgency, incarnations),
+    accountUsage: gateway.accountUsage.listReported(incarnations),
   };
 }
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -17,10 +17,7 @@
 import { SlotPicker } from './_slot_picker.js';
 import type { QueuedCall, ServiceQueueOptions } from './service_queue_options.js';
 
-/**
- * Interval between checks of the queue, in milliseconds; short compared with latency targets of
- * 100 ms and more.
- */
+/** Interval between checks of the queue, in milliseconds: short compared with latency targets. */
 const CHECK_INTERVAL_MS = 15;
 
 /** Time window over which freed slots are counted, in milliseconds. */
@@ -37,7 +34,7 @@
 export class ServiceQueue {
   readonly #options: ServiceQueueOptions;
 
-  readonly #queue = new WaitQueue<QueuedCall>();
+  readonly #queue: WaitQueue<QueuedCall>;
 
   readonly #picker: SlotPicker;
 
@@ -54,6 +51,7 @@
   constructor(options: ServiceQueueOptions) {
     this.#options = options;
     this.#picker = new SlotPicker(options);
+    this.#queue = new WaitQueue(options.fairOrder);
   }
 
   /** Number of waiting calls. */
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -77,6 +77,11 @@
   readonly waitingByUrgency: Readonly<Record<string, Readonly<Record<string, number>>>>;
   /** Calls started per second, as a decayed mean, by service and by urgency as text. */
   readonly startedByUrgency: Readonly<Record<string, Readonly<Record<string, number>>>>;
+  /**
+   * Decayed sums of slot milliseconds that the busiest client accounts have used, by service and
+   * account.
+   */
+  readonly accountUsage: Readonly<Record<string, number>>;
 }
 
 /** Right to send one request to a limited backend server, which the sender passes on. */
--- a/test/support/server_registries.ts
+++ b/test/support/server_registries.ts
@@ -23,6 +23,7 @@
   waitingByUrgency: {},
   startedByUrgency: {},
   hostCount: 1,
+  accountUsage: {},
 };
 
 /** Context of a feed read under normal conditions. */
