--- a/test/support/queue_fixture.ts
+++ b/test/support/queue_fixture.ts
@@ -24,6 +24,10 @@
 
 /** A call that records what becomes of it. */
 export class FakeQueuedCall implements QueuedCall {
+  readonly accountId: string = 'a';
+
+  readonly weight = 1;
+
   readonly rank: number = 1;
 
   readonly isLate: boolean = false;
