Share evidence of server speeds between hosts by their reports

Reports gain the field `speeds`: eight integers for each server, in one report of four, at most 24 servers; servers whose estimate has changed by more than 15% also in the reports between. The first report to a peer holds all servers with evidence. What a report leaves out decays at its receiver as it does at its sender, so nothing has to be repeated and a relay's sum stays exact. Receivers bound the weight by the hosts that a report covers and its difference from what the others say. Reports of former versions lack the field; servers that a host doesn't know are ignored and not passed on. A server of which nothing is known starts from its service's median.

--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -56,6 +56,7 @@
     leavingServers: ['engine-3'],
     endedServers: ['engine-2'],
     configurationVersion: 12,
+    speeds: [3_735_928_559, 50, 3_000, 250, 250, 250, 2_000, 2_000],
     refusalLimits: { engines: { declinesPerSecond: 4, ageMs: 120 } },
     rateLimits: { 'engine-4': { version: 3, requestsPerSecond: 1.4, ageMs: 250 } },
     roster: [
--- a/src/adapters/peers_ws/_record_checks.ts
+++ b/src/adapters/peers_ws/_record_checks.ts
@@ -22,6 +22,14 @@
   isRecordOf(value, Number.isFinite),
 );
 
+/** Longest list of integers. */
+const MAX_INTEGERS = 16_384;
+
+/** Schema of a list of non-negative integers. */
+export const integersSchema = z.custom<readonly number[]>(
+  (value) => Array.isArray(value) && value.length <= MAX_INTEGERS && value.every(isCount),
+);
+
 function isCount(value: unknown): boolean {
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -7,7 +7,7 @@
 import { ReportScope } from '../../domain/overlay/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
 import type { PeerMessageOf } from '../../ports/mod.js';
-import { countsSchema, MAX_NAME_LENGTH, numbersSchema } from './_record_checks.js';
+import { countsSchema, integersSchema, MAX_NAME_LENGTH, numbersSchema } from './_record_checks.js';
 
 const MAX_LIST_LENGTH = 65_536;
 
@@ -69,6 +69,7 @@
   rateLimits: z.record(name, rateLimitSchema).default({}),
   refusalLimits: z.record(name, z.object({ declinesPerSecond: amount, ageMs: amount })).default({}),
   configurationVersion: count.default(0),
+  speeds: integersSchema.optional(),
   view: count.optional(),
   knownHosts: count.optional(),
   roster: z.array(rosterEntrySchema).max(MAX_LIST_LENGTH),
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -17,6 +17,7 @@
   | 'leavingServers'
   | 'rateLimits'
   | 'refusalLimits'
+  | 'speeds'
   | 'hostCount'
 >;
 
--- a/src/application/direct/_server_loads.ts
+++ b/src/application/direct/_server_loads.ts
@@ -7,12 +7,14 @@
 import type { ServerPaths } from '../../domain/paths/mod.js';
 import type { Clock } from '../../ports/mod.js';
 import type { PeerStatsTable } from './_peer_stats.js';
+import { ServerSpeeds } from './_server_speeds.js';
 
 /** Properties of a backend server on which its load depends. */
 export interface ServerTraits {
   readonly slots: number;
   /** Whether the server is a model engine. */
   readonly isEngine: boolean;
+  readonly serviceId: string;
 }
 
 /** Dependencies of {@link ServerLoads}. */
@@ -30,9 +32,13 @@
 
   readonly #loads = new Map<string, ServerLoad>();
 
+  /** Speeds as this host and its peers know them. */
+  readonly speeds: ServerSpeeds;
+
   /** @param options - dependencies */
   constructor(options: ServerLoadsOptions) {
     this.#options = options;
+    this.speeds = new ServerSpeeds(options.clock);
   }
 
   /** @param id - a server incarnation. @returns its load, if it was ever a candidate */
@@ -44,15 +50,17 @@
   getOrCreate(id: string): ServerLoad {
     const existing = this.#loads.get(id);
     if (existing) return existing;
-    const { slots, isEngine } = this.#options.findTraits(id);
+    const { slots, isEngine, serviceId } = this.#options.findTraits(id);
     const load = new ServerLoad(slots, isEngine);
     this.#loads.set(id, load);
+    this.speeds.add(id, serviceId, load);
     return load;
   }
 
   /** @param id - an incarnation that has ended */
   delete(id: string): void {
     this.#loads.delete(id);
+    this.speeds.delete(id);
   }
 
   /** @param hostCount - number of entry hosts that serve callers, including this one */
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -24,6 +24,7 @@
   | 'leavingServers'
   | 'rateLimits'
   | 'refusalLimits'
+  | 'speeds'
   | 'configurationVersion'
 >;
 
@@ -89,6 +90,7 @@
     leavingServers: servers.listLeavingIds(),
     rateLimits: servers.notices.rateLimits.listReported(),
     refusalLimits: servers.notices.refusalLimits.listReported(),
+    speeds: servers.loads.speeds.listReported({ incarnations, scope, receiver }),
     configurationVersion: routing.newestKnownVersion,
   };
 }
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -125,8 +125,8 @@
 
   /** @returns services of which a backend server names a rate limit */
   listLimitedServices(): readonly string[] {
-    const ids = this.notices.rateLimits.listLimitedIds();
-    return [...new Set(ids.flatMap((id) => this.findEntry(id)?.serviceId ?? []))];
+    const entries = this.notices.rateLimits.listLimitedIds().map((id) => this.findEntry(id));
+    return [...new Set(entries.flatMap((entry) => entry?.serviceId ?? []))];
   }
 
   /** @param serviceId - a service. @returns whether only closed zones keep requests from it */
@@ -197,6 +197,7 @@
   applyPeerStats(source: string, stats: PeerStats | undefined): void {
     this.peers.set(source, stats);
     this.loads.applyPeerTotals(this.#options.countServing());
+    this.loads.speeds.applyReport(source, stats);
     stats?.endedServers.forEach((id) => this.recordEnded(id));
     stats?.leavingServers.forEach((id) => this.#recordLeaving(id, { source }));
     if (stats) this.notices.applyReported(stats, source, (id) => this.findEntry(id) !== undefined);
@@ -294,6 +295,6 @@
   #findTraits(id: string): ServerTraits {
     const entry = this.#directory.find(id);
     const isEngine = entry !== undefined && this.#options.isEngine(entry.serviceId);
-    return { slots: entry?.slots ?? 1, isEngine };
+    return { slots: entry?.slots ?? 1, isEngine, serviceId: entry?.serviceId ?? '' };
   }
 }
--- a/src/ports/report_messages.ts
+++ b/src/ports/report_messages.ts
@@ -56,6 +56,11 @@
   readonly rateLimits: Readonly<Record<string, ReportedRateLimit>>;
   /** Services whose servers bear few refusals, by service. */
   readonly refusalLimits: Readonly<Record<string, ReportedRefusalLimit>>;
+  /**
+   * Evidence of the speeds of backend servers, eight integers each; undefined in most reports, and
+   * in a version that states none. See `encodeSpeeds`.
+   */
+  readonly speeds?: readonly number[] | undefined;
   /** Newest configuration version that the sender or a host it has heard of had in effect. */
   readonly configurationVersion: number;
   /**
