--- a/src/adapters/peers_ws/_record_checks.ts
+++ b/src/adapters/peers_ws/_record_checks.ts
@@ -37,6 +37,13 @@
 function isFigure(value: unknown): boolean {
   return Number.isFinite(value) && (value as number) >= 0;
 }
+/** Longest list of integers. */
+const MAX_INTEGERS = 16_384;
+
+/** Schema of a list of non-negative integers. */
+export const integersSchema = z.custom<readonly number[]>(
+  (value) => Array.isArray(value) && value.length <= MAX_INTEGERS && value.every(isCount),
+);
 
 function isCount(value: unknown): boolean {
   return Number.isSafeInteger(value) && (value as number) >= 0;
--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -13,6 +13,7 @@
   MAX_NAME_LENGTH,
   numbersSchema,
 } from './_record_checks.js';
+import { countsSchema, integersSchema, MAX_NAME_LENGTH, numbersSchema } from './_record_checks.js';
 
 const MAX_LIST_LENGTH = 65_536;
 
@@ -74,6 +75,7 @@
   rateLimits: z.record(name, rateLimitSchema).default({}),
   refusalLimits: z.record(name, z.object({ declinesPerSecond: amount, ageMs: amount })).default({}),
   configurationVersion: count.default(0),
+  speeds: integersSchema.optional(),
   view: count.optional(),
   knownHosts: count.optional(),
   roster: z.array(rosterEntrySchema).max(MAX_LIST_LENGTH),
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -18,6 +18,7 @@
   | 'leavingServers'
   | 'rateLimits'
   | 'refusalLimits'
+  | 'speeds'
   | 'hostCount'
   | 'waitingByUrgency'
   | 'startedByUrgency'
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -24,6 +24,7 @@
   | 'leavingServers'
   | 'rateLimits'
   | 'refusalLimits'
+  | 'speeds'
   | 'configurationVersion'
   | 'waitingByUrgency'
   | 'startedByUrgency'
@@ -97,6 +98,7 @@
     leavingServers: servers.listLeavingIds(),
     rateLimits: servers.notices.rateLimits.listReported(),
     refusalLimits: servers.notices.refusalLimits.listReported(),
+    speeds: servers.loads.speeds.listReported({ incarnations, scope, receiver }),
     configurationVersion: routing.newestKnownVersion,
     waitingByUrgency: peers.waiting.sum(queues.waitingByUrgency, incarnations),
     startedByUrgency: peers.started.sum(queues.startedByUrgency, incarnations),
