Let fakes of entry hosts carry many timers, several routes and own seeds

Cause: load tests need thousands of timers a second, several kinds of calls, and entry hosts whose random choices differ.

Change: the virtual clock keeps its timers in a heap instead of scanning all of them, its turns between two timers can be set, and its wall clock can be stepped. A routing document may hold several routes. The seed of a host, the reply of a call and the run of a request at a server can be replaced by a subclass. Timers still fire by due time, then by order.

--- a/test/support/cut_fleet.ts
+++ b/test/support/cut_fleet.ts
@@ -194,7 +194,12 @@
       senderId: hostId,
     });
     this.#open.add(exchange);
-    const durationMs = this.drawRunMs(serverId);
+    this.play(exchange);
+  }
+
+  /** Plays the run of a request at its server. */
+  protected play(exchange: FakeExchange): void {
+    const durationMs = this.drawRunMs(exchange.request.serverId);
     const { events = 0 } = this.#options;
     for (let id = 1; id <= events; id += 1) {
       this.clock.setTimer((durationMs * id) / (events + 1), () => this.#sendEvent(exchange, id));
@@ -210,12 +215,17 @@
 
   #answer(exchange: FakeExchange): void {
     if (!this.#isAlive(exchange)) return;
-    this.#open.delete(exchange);
-    this.#idleSinceMs.set(this.#getLink(exchange), this.clock.nowMs());
+    this.finish(exchange);
     if ((this.#options.events ?? 0) > 0) exchange.listener.onComplete();
     else exchange.sendResponse();
   }
 
+  /** Notes that a request is no longer in flight; its connection is idle. */
+  protected finish(exchange: FakeExchange): void {
+    this.#open.delete(exchange);
+    this.#idleSinceMs.set(this.#getLink(exchange), this.clock.nowMs());
+  }
+
   #isAlive(exchange: FakeExchange): boolean {
     const mode = this.#cuts.get(this.#getLink(exchange));
     const isSilent = mode === CutMode.Hang;
--- a/test/support/direct_documents.ts
+++ b/test/support/direct_documents.ts
@@ -32,6 +32,10 @@
   readonly accounts?: readonly string[];
   readonly limit?: AccountLimit;
   readonly route?: Partial<Route>;
+  /** Changes of several routes, each with a name and prefix of its own. Default: one route. */
+  readonly routes?: readonly Partial<Route>[];
+  /** Number of output tokens in one event. Default: 1. */
+  readonly tokensPerEvent?: number;
   readonly warmup?: ServiceWarmup;
 }
 
@@ -63,8 +67,8 @@
   };
   return {
     version,
-    routes: [{ ...ROUTE, ...changes.route }],
-    services: [{ ...ENGINES, warmup: changes.warmup }],
+    routes: (changes.routes ?? [changes.route]).map((route) => ({ ...ROUTE, ...route })),
+    services: [{ ...ENGINES, tokensPerEvent: changes.tokensPerEvent ?? 1, warmup: changes.warmup }],
     accounts: [
       account,
       ...(changes.accounts ?? []).map((id) => ({
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -59,7 +59,7 @@
 
 /** Entry hosts with one service, whose servers a subclass plays. */
 export abstract class DirectFleet {
-  readonly clock = new VirtualClock();
+  readonly clock: VirtualClock = new VirtualClock();
 
   readonly hub = new FakePeerHub(true);
 
@@ -95,6 +95,11 @@
     return {};
   }
 
+  /** Picks the seed of an entry host. Default: the same for all hosts. */
+  protected pickHostSeed(_hostId: string): number | undefined {
+    return undefined;
+  }
+
   /** Plays the server that a request of an entry host is sent to. */
   protected abstract serve(hostId: string, exchange: FakeExchange): void;
 
@@ -117,6 +122,7 @@
       hub: this.hub,
       identity: { ...buildIdentity(id, incarnation), availabilityZone: zone },
       seeds,
+      seed: this.pickHostSeed(id),
       usesPeers: this.#options.usesPeers,
       isFirstStart: this.#options.isFirstStart,
       streamCopies: this.#options.streamCopies,
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -247,9 +247,8 @@
   }
 
   /** Sends one call through the gateway. @returns the recorded reply */
-  call(changes: Partial<DirectRequest> = {}): FakeReply {
+  call(changes: Partial<DirectRequest> = {}, reply = new FakeReply()): FakeReply {
     this.#nextId += 1;
-    const reply = new FakeReply();
     this.gateway.handle(
       {
         requestId: `r-${this.#nextId}`,
--- a/test/support/virtual_clock.ts
+++ b/test/support/virtual_clock.ts
@@ -9,13 +9,17 @@
 interface PendingTimer {
   readonly atMs: number;
   readonly order: number;
-  readonly callback: () => void;
+  /** Undefined after the timer was cancelled. */
+  callback: (() => void) | undefined;
 }
 
+/** Turns of the event loop in which promises and callbacks settle between two timers. */
+const SETTLE_ROUNDS = 20;
+
 /** Lets pending promises and callbacks run, without time passing on a virtual clock. */
-export function settle(): Promise<void> {
+export function settle(roundCount = SETTLE_ROUNDS): Promise<void> {
   return new Promise((resolve) => {
-    let rounds = 20;
+    let rounds = roundCount;
     const next = (): void => {
       rounds -= 1;
       if (rounds === 0) resolve();
@@ -29,25 +33,41 @@
 export class VirtualClock extends Clock {
   #nowMs = 1_000_000;
 
+  /** Start of the wall clock, in milliseconds; a test may step it. */
+  wallStartMs = 1_800_000_000_000;
+
   #lastOrder = 0;
 
-  readonly #timers = new Set<PendingTimer>();
+  /** A binary heap by due time. */
+  readonly #timers: PendingTimer[] = [];
+
+  readonly #settleRounds: number;
+
+  /** @param settleRounds - turns of the event loop between two timers */
+  constructor(settleRounds = SETTLE_ROUNDS) {
+    super();
+    this.#settleRounds = settleRounds;
+  }
 
   override nowMs(): number {
     return this.#nowMs;
   }
 
   override wallMs(): number {
-    return 1_800_000_000_000 + this.#nowMs;
+    return this.wallStartMs + this.#nowMs;
   }
 
   override setTimer(delayMs: number, callback: () => void): Timer {
     this.#lastOrder += 1;
-    const timer = { atMs: this.#nowMs + Math.max(0, delayMs), order: this.#lastOrder, callback };
-    this.#timers.add(timer);
+    const timer: PendingTimer = {
+      atMs: this.#nowMs + Math.max(0, delayMs),
+      order: this.#lastOrder,
+      callback,
+    };
+    this.#push(timer);
     return {
       cancel: () => {
-        this.#timers.delete(timer);
+        timer.callback = undefined;
       },
     };
   }
@@ -59,15 +79,14 @@
    */
   async advance(byMs: number): Promise<void> {
     const endMs = this.#nowMs + byMs;
-    await settle();
-    for (let timer = this.#findNextDue(endMs); timer; timer = this.#findNextDue(endMs)) {
-      this.#timers.delete(timer);
+    await settle(this.#settleRounds);
+    for (let timer = this.#takeNextDue(endMs); timer; timer = this.#takeNextDue(endMs)) {
       this.#nowMs = Math.max(this.#nowMs, timer.atMs);
-      timer.callback();
-      await settle();
+      timer.callback?.();
+      await settle(this.#settleRounds);
     }
     this.#nowMs = endMs;
-    await settle();
+    await settle(this.#settleRounds);
   }
 
   /** Advances the time without firing timers, as a frozen process experiences it. */
@@ -75,13 +94,46 @@
     this.#nowMs += byMs;
   }
 
-  #findNextDue(endMs: number): PendingTimer | undefined {
-    let next: PendingTimer | undefined;
-    this.#timers.forEach((timer) => {
-      if (timer.atMs > endMs) return;
-      if (!next || timer.atMs < next.atMs || (timer.atMs === next.atMs && timer.order < next.order))
-        next = timer;
-    });
-    return next;
+  #push(timer: PendingTimer): void {
+    const heap = this.#timers;
+    let index = heap.length;
+    while (index > 0) {
+      const parent = Math.floor((index - 1) / 2);
+      if (compareTimers(heap[parent] as PendingTimer, timer) <= 0) break;
+      heap[index] = heap[parent] as PendingTimer;
+      index = parent;
+    }
+    heap[index] = timer;
   }
+
+  #takeNextDue(endMs: number): PendingTimer | undefined {
+    let [next] = this.#timers;
+    while (next && (next.atMs <= endMs || !next.callback)) {
+      this.#removeFirst();
+      if (next.callback) return next;
+      [next] = this.#timers;
+    }
+    return undefined;
+  }
+
+  #removeFirst(): void {
+    const heap = this.#timers;
+    const last = heap.pop() as PendingTimer;
+    if (heap.length === 0) return;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= heap.length) break;
+      const other = heap[child + 1];
+      if (other && compareTimers(other, heap[child] as PendingTimer) < 0) child += 1;
+      if (compareTimers(last, heap[child] as PendingTimer) <= 0) break;
+      heap[index] = heap[child] as PendingTimer;
+      index = child;
+    }
+    heap[index] = last;
+  }
+}
+
+function compareTimers(a: PendingTimer, b: PendingTimer): number {
+  return a.atMs - b.atMs || a.order - b.order;
 }
