--- a/src/adapters/peers_ws/_report_schemas.ts
+++ b/src/adapters/peers_ws/_report_schemas.ts
@@ -10,10 +10,10 @@
 import {
   countsSchema,
   figuresByUrgencySchema,
+  integersSchema,
   MAX_NAME_LENGTH,
   numbersSchema,
 } from './_record_checks.js';
-import { countsSchema, integersSchema, MAX_NAME_LENGTH, numbersSchema } from './_record_checks.js';
 
 const MAX_LIST_LENGTH = 65_536;
 
