--- a/src/application/direct/_slot_picker.ts
+++ b/src/application/direct/_slot_picker.ts
@@ -81,6 +81,7 @@
       work,
       expectedTokens,
       timeLeftMs: deadlineAtMs - nowMs,
+      targetLeftMs: (call.targetAtMs ?? Infinity) - nowMs,
       excluded,
       regions,
       origin,
