Decide once, by the outlook, whether a call without a slot waits

computeMaxWaitMs(), WaitSuccessTracker, the estimate of the queue and the return time decided apart, each from this host's queue. Admission now makes one decision from the outlook of the service over all hosts: wait until the latest useful start, wait for the target only, or be rejected now with the predicted time until there is room. Waiting calls are decided on again four times a second, and one whose target passes goes on as a late call. Callers that were told to return count in the forecast. HoldMeter sees holders that are stuck, which a mean over ended calls does not.

Failover waits, probation, streams bound to a version, paced servers, pauses and services without servers keep the limits that they had.

Removed: WaitSuccessTracker with its tests, as its decision is gone; that calls are not held in vain is now tested in admission_outlook_test.

--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -94,7 +94,7 @@
     recorder.recordDispatch(server, load, {
       attempt: budget.count + 1,
       beside: this.#newest?.incarnationId,
-      isReturning: call.isLate,
+      isReturning: call.isReturning,
       promptTokens: call.work.promptTokens,
       expectedTokens: Math.round(call.expectedTokens),
       ...stream.describe(),
--- a/src/application/direct/_call_rejection.ts
+++ b/src/application/direct/_call_rejection.ts
@@ -5,6 +5,7 @@
  */
 import {
   computeDirectRetryAfterMs,
+  computeOutlookRetryAfterMs,
   computePausedRetryAfterMs,
   WAIT_FRACTION,
 } from '../../domain/direct/mod.js';
@@ -18,6 +19,7 @@
 import type { EndCause } from './_end_cause.js';
 import type { DirectCallOptions } from './direct_call_options.js';
 import type { ServerRegistry } from './server_registry.js';
+import type { OutlookFigures } from './service_queue_options.js';
 
 /** What decides which backend servers may take a call. */
 export interface LimitedCall extends ServerLimits {
@@ -30,6 +32,17 @@
   readonly deadlineAtMs: number;
   /** Whether the call's target can't be met any more. */
   readonly isLate: boolean;
+  /** Whether the caller is assumed to come back after an earlier rejection. */
+  readonly isReturning: boolean;
+  readonly rank: number;
+}
+
+/** Wait that a call is spared. */
+export interface SparedWait {
+  /** Estimated wait for a slot, in milliseconds. */
+  readonly estimatedWaitMs: number;
+  /** Values that the outlook used; undefined if something else refused the call. */
+  readonly outlook?: OutlookFigures | undefined;
 }
 
 /**
@@ -68,35 +81,40 @@
  *
  * @param options - the call's route, service and dependencies
  * @param call - state of the call
- * @param estimatedWaitMs - estimated wait for a slot, in milliseconds
+ * @param wait - the wait that it is spared
  * @returns the refusal, with the time after which the caller should come back
  */
 export function buildShedRefusal(
   { services, serviceId, route }: DirectCallOptions,
   call: ShedCall,
-  estimatedWaitMs: number,
+  { estimatedWaitMs, outlook }: SparedWait,
 ): ShedRefusal {
   const { arrivedAtMs, deadlineAtMs, isLate } = call;
   const nowMs = services.clock.nowMs();
   const targetEndsAtMs = isLate ? nowMs : arrivedAtMs + route.targetMs * WAIT_FRACTION;
   const randomFraction = services.random.nextFraction();
+  const computeRetryAfterMs = outlook ? computeOutlookRetryAfterMs : computeDirectRetryAfterMs;
   const pausedMs = services.servers.estimateBlockedMs(serviceId);
   const retryAfterMs =
     pausedMs > 0 && pausedMs < Infinity
       ? computePausedRetryAfterMs(pausedMs, randomFraction)
-      : computeDirectRetryAfterMs({
+      : computeRetryAfterMs({
           estimatedWaitMs,
           timeLeftMs: deadlineAtMs - nowMs,
           targetLeftMs: targetEndsAtMs - nowMs,
           randomFraction,
         });
   const kind = findRejection(services.servers, serviceId, call) ?? ErrorKind.QueueFull;
+  if (call.isReturning && kind === ErrorKind.QueueFull)
+    services.metrics.count('calls_rejected_again_total', { rank: String(call.rank) });
   const declinesPerSecond = services.servers.notices.refusalLimits.find(serviceId);
   return {
     error: new SchedulerError(kind, { retryAfterMs }),
     cause: deriveShedCause(kind),
     fields: {
       clearMs: Number.isFinite(estimatedWaitMs) ? estimatedWaitMs : undefined,
+      ...outlook,
+      isReturning: call.isReturning || undefined,
       boundVersion: call.origin?.version,
       declinesPerSecond,
       pausedMs: pausedMs > 0 ? pausedMs : undefined,
--- a/src/application/direct/_call_times.ts
+++ b/src/application/direct/_call_times.ts
@@ -11,7 +11,9 @@
   readonly arrivedAtMs: number;
   /** When it times out: the earlier of the caller's deadline and the route's timeout. */
   readonly deadlineAtMs: number;
-  /** Until when it may wait for a slot. */
+  /** Until when its first event meets the target. */
+  readonly targetAtMs: number;
+  /** Until when it may wait for a slot, unless the outlook says otherwise. */
   readonly latestStartAtMs: number;
   /** Time left until it times out. */
   readonly timeLeftMs: number;
@@ -32,6 +34,7 @@
   return {
     arrivedAtMs,
     deadlineAtMs: arrivedAtMs + timeoutMs,
+    targetAtMs: arrivedAtMs + targetMs,
     latestStartAtMs: arrivedAtMs + maxWaitMs,
     timeLeftMs: timeoutMs - waitedMs,
   };
--- a/src/application/direct/_service_capacity.ts
+++ b/src/application/direct/_service_capacity.ts
@@ -3,15 +3,30 @@
  *
  * @module
  */
+import { mayServe } from '../../domain/backend_servers/mod.js';
 import type { Candidate } from '../../domain/backend_servers/mod.js';
 import { countUsedSlots } from '../../domain/places/mod.js';
+import type { QueuedCall } from './service_queue_options.js';
 
-/** What the rejection of a call needs to know of the servers. */
+const MS_PER_SECOND = 1_000;
+
+/** What the decision on a call that finds no slot needs to know of the servers. */
 export interface ServiceCapacity {
-  /** Free slots that other entry hosts own and may lend. */
-  readonly lendableSlots: number;
+  /** Slots that become free per second, over all urgencies. */
+  readonly slotsPerSecond: number;
+  /** Slots that are free now, or that other entry hosts own and may lend. */
+  readonly freeSlots: number;
   /** Requests a second that all entry hosts together may send; Infinity if any server has no pace. */
   readonly requestsPerSecond: number;
+  /** Mean of the times for which the call would hold a slot, in milliseconds. */
+  readonly predictedHoldMs: number;
+}
+
+/** The call, and the average time for which requests of its service hold a slot. */
+export interface CapacityOptions {
+  readonly call: QueuedCall | undefined;
+  readonly averageHoldMs: number;
+  readonly nowMs: number;
 }
 
 /** State that all waiting calls share during one turn of the queue. */
@@ -25,22 +40,45 @@
 }
 
 /**
+ * Failing servers count only if no other is left. Servers that the call must not be sent to don't
+ * count.
+ *
  * @param candidates - servers that may be given work
- * @param nowMs - monotonic time in milliseconds
+ * @param options - the call, if it is about one, and the time
  * @returns what they have room for
  */
 export function summarizeCapacity(
   candidates: readonly Candidate[],
-  nowMs: number,
+  options: CapacityOptions,
+): ServiceCapacity {
+  const { call, nowMs } = options;
+  const usable = call ? candidates.filter((candidate) => mayServe(candidate, call)) : candidates;
+  const healthy = usable.filter(({ load }) => !load.mustAvoid(nowMs));
+  return sumCapacity(healthy.length > 0 ? healthy : usable, options);
+}
+
+function sumCapacity(
+  candidates: readonly Candidate[],
+  { call, averageHoldMs, nowMs }: CapacityOptions,
 ): ServiceCapacity {
-  let lendableSlots = 0;
+  let slotsPerSecond = 0;
+  let freeSlots = 0;
   let requestsPerSecond = 0;
+  let holdMs = 0;
   candidates.forEach(({ load }) => {
-    requestsPerSecond += load.pace.computeTotalPerSecond(nowMs);
-    if (load.pace.slots.isPaced)
-      lendableSlots += Math.max(0, countUsedSlots(load.slots) - load.inFlight);
+    const paceLimit = load.pace.computeTotalPerSecond(nowMs);
+    const slots = load.pace.slots.isPaced ? countUsedSlots(load.slots) : load.slots;
+    requestsPerSecond += paceLimit;
+    if (!load.pace.pause.isActive(nowMs)) {
+      slotsPerSecond += Math.min(paceLimit, (slots * MS_PER_SECOND) / averageHoldMs);
+      freeSlots += load.pace.slots.isPaced
+        ? Math.max(0, slots - load.inFlight)
+        : load.countOpenSlots(nowMs);
+    }
+    if (call) holdMs += load.predictHoldMs(call.work, call.expectedTokens);
   });
-  return { lendableSlots, requestsPerSecond };
+  const predictedHoldMs = candidates.length > 0 ? holdMs / candidates.length : 0;
+  return { slotsPerSecond, freeSlots, requestsPerSecond, predictedHoldMs };
 }
 
 /**
--- a/src/application/direct/_slot_picker.ts
+++ b/src/application/direct/_slot_picker.ts
@@ -32,6 +32,8 @@
 
   #averageHoldMs = INITIAL_HOLD_MS;
 
+  #holdCount = 0;
+
   /** @param options - dependencies of the queue */
   constructor(options: ServiceQueueOptions) {
     this.#options = options;
@@ -44,7 +46,10 @@
 
   /** @param heldMs - time for which a request held its slot, in milliseconds */
   recordHold(heldMs: number): void {
-    this.#averageHoldMs += HOLD_TIME_ALPHA * (heldMs - this.#averageHoldMs);
+    this.#holdCount += 1;
+    // The average of few samples is their plain mean.
+    const weight = Math.max(HOLD_TIME_ALPHA, 1 / (this.#holdCount + 1));
+    this.#averageHoldMs += weight * (heldMs - this.#averageHoldMs);
   }
 
   /** @returns the open servers, found once for all calls of a turn: most turns serve few of them */
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -24,37 +24,26 @@
 import type { DirectAttempt } from './_direct_attempt.js';
 import { deriveAttemptCause, EndCause } from './_end_cause.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
-import { computeCallTimes } from './_call_times.js';
 import { SilencePolicy } from './_silence_policy.js';
 import type { PermittedServer } from './_silence_policy.js';
 import { ProbationWait } from './_probation_wait.js';
 import { mayAttemptHaveRun, CrashEvidence } from './_crash_evidence.js';
 import type { DirectCallOptions } from './direct_call_options.js';
-import type { QueuedCall } from './service_queue_options.js';
+import type { OutlookFigures, QueuedCall } from './service_queue_options.js';
+import { TimedCall } from './_timed_call.js';
 
 /** Queues a call, sends it, retries it where its route allows that, and answers it once. */
-export class DirectCall implements QueuedCall {
+export class DirectCall extends TimedCall implements QueuedCall {
   readonly work: RequestWork;
 
   readonly expectedTokens: number;
 
-  readonly rank: number;
-
-  readonly isLate: boolean;
-
-  readonly arrivedAtMs: number;
-
   readonly regions: AllowedRegions;
 
   readonly excluded = new Set<string>();
 
   readonly #options: DirectCallOptions;
 
-  /** When the call times out: the earlier of the caller's deadline and the route's timeout. */
-  readonly deadlineAtMs: number;
-
-  latestStartAtMs: number;
-
   readonly #inFlight: AttemptsInFlight;
 
   readonly #stream: CallStream;
@@ -79,17 +68,12 @@
 
   /** @param options - the call and what it depends on */
   constructor(options: DirectCallOptions) {
+    super(options);
     this.#options = options;
     const { request, route, reply, services } = options;
     this.work = request.work;
     this.expectedTokens = options.outputEstimator.predict(this.work);
-    this.rank = options.rank;
     this.regions = intersectRegions(route.regions, options.account?.regions);
-    this.isLate = options.isReturning;
-    const times = computeCallTimes(options);
-    this.arrivedAtMs = times.arrivedAtMs;
-    this.deadlineAtMs = times.deadlineAtMs;
-    this.latestStartAtMs = times.latestStartAtMs;
     this.#reply = new CallReply(reply);
     this.#stream = new CallStream(options);
     this.#attempts = new AttemptBudget(this, route, services.clock);
@@ -113,7 +97,7 @@
       recorder: this.#recorder,
     });
     this.#crashEvidence = new CrashEvidence(services, options);
-    this.#timer = services.clock.setTimer(times.timeLeftMs, () => this.#handleTimeout());
+    this.#timer = services.clock.setTimer(this.timeLeftMs, () => this.#handleTimeout());
     reply.onDisconnect(() => this.#handleDisconnect());
   }
 
@@ -192,14 +176,16 @@
 
   #resubmit(): void {
     this.#reply.dropEmptyAnswer();
-    this.latestStartAtMs =
-      this.#options.services.clock.nowMs() + computeMaxFailoverWaitMs(this.#attempts.timeLeftMs);
+    const maxWaitMs = computeMaxFailoverWaitMs(this.#attempts.timeLeftMs);
+    this.limitWait(this.#options.services.clock.nowMs() + maxWaitMs);
     this.start();
   }
 
-  shed(estimatedWaitMs: number, attemptCause?: EndCause): void {
-    const { error, cause, fields } = buildShedRefusal(this.#options, this, estimatedWaitMs);
+  shed(estimatedWaitMs: number, outlook?: OutlookFigures, attemptCause?: EndCause): number {
+    const wait = { estimatedWaitMs, outlook };
+    const { error, cause, fields } = buildShedRefusal(this.#options, this, wait);
     this.fail(error, attemptCause ?? cause, fields);
+    return error.retryAfterMs;
   }
 
   /**
@@ -269,7 +255,7 @@
     else if (mayFollow && this.#options.reply.hasStarted && this.#inFlight.owesAnswer)
       this.#retries.wait(() => this.#resubmit());
     else if (mayHaveRun) this.fail(new SchedulerError(ErrorKind.BackendServerLost), cause);
-    else this.shed(0, cause);
+    else this.shed(0, undefined, cause);
   }
 
   #handleTimeout(): void {
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -248,7 +248,7 @@
   }
 
   #createQueue(serviceId: string): ServiceQueue {
-    const { clock, random, servers } = this.#options;
+    const { clock, random, servers, metrics } = this.#options;
     const queue: ServiceQueue = new ServiceQueue({
       clock,
       random,
@@ -258,6 +258,12 @@
       forwardFreedSlot: (serverId) => this.#freedSlotForwarder.forward(serverId),
       countWaitingAtPeers: () => servers.countWaitingAtPeers(serviceId),
       countPeerCallsAhead: (urgency) => servers.peers.countCallsAhead(serviceId, urgency),
+      peers: {
+        hasReports: () => servers.peers.hasReports,
+        countWaiting: () => servers.peers.waiting.get(serviceId),
+        listStarted: () => servers.peers.started.get(serviceId),
+      },
+      onReview: (rate) => metrics.set('outlook_slots_per_second', rate, { service: serviceId }),
       getPeerUrgency: () => servers.peers.findFirstWaiting(serviceId)?.urgency ?? Infinity,
     });
     return queue;
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -4,16 +4,14 @@
  * @module
  */
 import type { Candidate } from '../../domain/backend_servers/mod.js';
-import {
-  computeUrgency,
-  estimatePacedWaitMs,
-  StartRates,
-  WaitQueue,
-  WaitSuccessTracker,
-} from '../../domain/direct/mod.js';
+import { WaitQueue } from '../../domain/direct/mod.js';
 import type { Timer } from '../../ports/mod.js';
-import { summarizeCapacity } from './_service_capacity.js';
-import type { QueueTurn, ServiceCapacity } from './_service_capacity.js';
+import { Admission } from './_admission.js';
+import type { Rejection } from './_admission.js';
+import { QueuePositions } from './_queue_positions.js';
+import type { QueuePosition } from './_queue_positions.js';
+import type { QueueTurn } from './_service_capacity.js';
+import { ServiceOutlook } from './_service_outlook.js';
 import { SlotPicker } from './_slot_picker.js';
 import type { QueuedCall, ServiceQueueOptions } from './service_queue_options.js';
 
@@ -23,15 +21,11 @@
  */
 const CHECK_INTERVAL_MS = 15;
 
-/** Time window over which freed slots are counted, in milliseconds. */
-const FREED_WINDOW_MS = 2_000;
-
 /**
- * Number of freed slots that is assumed when fewer were counted in the window. A lower number
- * would refuse calls that only need a short wait; a call that waits in vain is still refused
- * early enough to be answered in time by another entry host.
+ * Interval between decisions on waiting calls, in milliseconds. A caller that is told a quarter of
+ * a second late still has most of its time.
  */
-const MIN_FREED_SLOTS = 20;
+const REVIEW_INTERVAL_MS = 250;
 
 /** The queue of one service's calls at this entry host. */
 export class ServiceQueue {
@@ -41,12 +35,11 @@
 
   readonly #picker: SlotPicker;
 
-  readonly #startRates = new StartRates();
+  readonly #outlook: ServiceOutlook;
 
-  readonly #waitSuccess = new WaitSuccessTracker();
+  readonly #admission: Admission;
 
-  /** When slots became free within the window, oldest first. */
-  readonly #freedAtMs: number[] = [];
+  #reviewedAtMs = Number.NEGATIVE_INFINITY;
 
   #timer: Timer | undefined;
 
@@ -54,6 +47,8 @@
   constructor(options: ServiceQueueOptions) {
     this.#options = options;
     this.#picker = new SlotPicker(options);
+    this.#outlook = new ServiceOutlook(options, this.#picker);
+    this.#admission = new Admission(options, this.#outlook);
   }
 
   /** Number of waiting calls. */
@@ -68,17 +63,12 @@
 
   /** @returns number of waiting calls, by urgency */
   countByUrgency(): ReadonlyMap<number, number> {
-    const counts = new Map<number, number>();
-    this.#queue.list().forEach((call) => {
-      const urgency = computeUrgency(call);
-      counts.set(urgency, (counts.get(urgency) ?? 0) + 1);
-    });
-    return counts;
+    return new QueuePositions(this.#queue.list()).counts;
   }
 
   /** @returns calls that this host starts per second, as a decayed mean, by urgency */
   listStartRates(): ReadonlyMap<number, number> {
-    return this.#startRates.list(this.#options.clock.nowMs());
+    return this.#outlook.listStartRates();
   }
 
   /** @param call - the call to dispatch, queue or refuse */
@@ -92,15 +82,9 @@
       return;
     }
     if (this.#countAhead(call) === 0 && this.#tryDispatch(call)) return;
-    const estimatedWaitMs = this.#estimateWaitMs(call, this.#summarizeCapacity());
-    const nowMs = this.#options.clock.nowMs();
-    if (!this.#isWaitWorthwhile(call)) {
-      // However short the local queue is, no slot is likely to become free in time.
-      call.shed(Math.max(estimatedWaitMs, call.latestStartAtMs - nowMs));
-      return;
-    }
-    if (nowMs + estimatedWaitMs > call.latestStartAtMs) {
-      call.shed(estimatedWaitMs);
+    const rejection = this.#admission.admit(call, this.#locate(call));
+    if (rejection) {
+      this.#shed(call, rejection);
       return;
     }
     this.#queue.add(call);
@@ -139,8 +123,7 @@
    */
   handleSlotFreed(serverId: string, heldMs: number): void {
     this.#picker.recordHold(heldMs);
-    this.#freedAtMs.push(this.#options.clock.nowMs());
-    this.#dropOldFreedTimes();
+    this.#outlook.recordSlotFreed();
     this.#options.forwardFreedSlot(serverId);
   }
 
@@ -161,13 +144,12 @@
     const candidate = this.#picker.pick(call, { ownWaitingCalls: this.#queue.size, turn });
     // A grant may end other calls, so each call is looked up again when its turn comes.
     if (!candidate || !this.#queue.remove(call)) return false;
-    this.#waitSuccess.record(computeUrgency(call), true, this.#options.clock.nowMs());
     this.#grant(call, candidate);
     return true;
   }
 
   #grant(call: QueuedCall, candidate: Candidate): void {
-    this.#startRates.record(computeUrgency(call), this.#options.clock.nowMs());
+    this.#outlook.recordStart(call);
     call.grant(candidate);
   }
 
@@ -184,13 +166,46 @@
 
   /** Sheds calls that can no longer be started in time. */
   shedExpired(): void {
+    this.#queue.removeExpired(this.#options.clock.nowMs()).forEach((call) => {
+      const rejection = this.#admission.explainExpiry(call, this.#locate(call));
+      this.#guard(call, () => this.#shed(call, rejection));
+    });
+  }
+
+  #shed(call: QueuedCall, { waitMs, outlook }: Rejection): void {
+    const returnsAfterMs = call.shed(waitMs, outlook);
+    if (outlook) this.#outlook.recordRejected(call, returnsAfterMs);
+  }
+
+  /** Moves calls whose target has passed behind those that can still meet theirs. */
+  #moveLate(): void {
+    const nowMs = this.#options.clock.nowMs();
+    const late = this.#queue.list().filter((call) => !call.isLate && call.targetAtMs <= nowMs);
+    late.forEach((call) => {
+      this.#queue.remove(call);
+      call.markLate();
+      this.#queue.add(call);
+    });
+  }
+
+  /** Decides again on the waiting calls, the first of the queue first. */
+  #review(): void {
     const nowMs = this.#options.clock.nowMs();
-    const expired = this.#queue.removeExpired(nowMs);
-    if (expired.length === 0) return;
-    const capacity = this.#summarizeCapacity();
-    expired.forEach((call) => {
-      this.#waitSuccess.record(computeUrgency(call), false, nowMs);
-      this.#guard(call, () => call.shed(this.#estimateWaitMs(call, capacity)));
+    if (nowMs - this.#reviewedAtMs < REVIEW_INTERVAL_MS) return;
+    this.#reviewedAtMs = nowMs;
+    const view = this.#admission.read();
+    this.#options.onReview(view.slotsPerSecond);
+    const calls = this.#queue.list().filter(({ origin }) => origin === undefined);
+    const positions = new QueuePositions(calls);
+    let ahead = 0;
+    calls.forEach((call) => {
+      const rejection = this.#admission.review(call, positions.locate(call, ahead, true), view);
+      if (!rejection) {
+        ahead += 1;
+        return;
+      }
+      positions.remove(call);
+      if (this.#queue.remove(call)) this.#guard(call, () => this.#shed(call, rejection));
     });
   }
 
@@ -213,15 +228,6 @@
       .forEach((call) => this.#guard(call, () => call.shed(waitMs)));
   }
 
-  #isWaitWorthwhile(call: QueuedCall): boolean {
-    const { clock, random } = this.#options;
-    return this.#waitSuccess.isWorthwhile(
-      computeUrgency(call),
-      clock.nowMs(),
-      random.nextFraction(),
-    );
-  }
-
   /**
    * Counts the waiting calls that go before a call. Calls that are bound to different versions, or of
    * which one alone is bound, don't wait for the same servers.
@@ -236,37 +242,10 @@
     return ahead;
   }
 
-  #summarizeCapacity(): ServiceCapacity {
-    const { clock, listCandidates } = this.#options;
-    return summarizeCapacity(listCandidates(), clock.nowMs());
-  }
-
-  /** Estimates the wait of a call that is not in the queue yet, in milliseconds. */
-  #estimateWaitMs(call: QueuedCall, capacity: ServiceCapacity): number {
-    this.#dropOldFreedTimes();
-    const ownCallsAhead = this.#countAhead(call);
-    const msPerFreedSlot = FREED_WINDOW_MS / Math.max(MIN_FREED_SLOTS, this.#freedAtMs.length);
-    const slotsNeeded = Math.max(0, ownCallsAhead + 1 - capacity.lendableSlots);
-    const waitMs = slotsNeeded * msPerFreedSlot;
-    const blockedMs = this.#options.estimateBlockedMs();
-    return Math.max(waitMs, blockedMs, this.#estimatePacedWaitMs(call, ownCallsAhead, capacity));
-  }
-
-  /** Estimates the wait for a turn; 0 if any backend server needs none. */
-  #estimatePacedWaitMs(
-    call: QueuedCall,
-    ownCallsAhead: number,
-    { requestsPerSecond }: ServiceCapacity,
-  ): number {
-    // Without any server, the call waits for one to appear.
-    if (requestsPerSecond === 0 || requestsPerSecond === Infinity) return 0;
-    const peerCallsAhead = this.#options.countPeerCallsAhead(computeUrgency(call));
-    return estimatePacedWaitMs({ ownCallsAhead, peerCallsAhead, requestsPerSecond });
-  }
-
-  #dropOldFreedTimes(): void {
-    const oldestMs = this.#options.clock.nowMs() - FREED_WINDOW_MS;
-    while ((this.#freedAtMs[0] ?? Infinity) < oldestMs) this.#freedAtMs.shift();
+  #locate(call: QueuedCall): QueuePosition {
+    const version = call.origin?.version;
+    const calls = this.#queue.list().filter(({ origin }) => origin?.version === version);
+    return new QueuePositions(calls).locate(call, this.#countAhead(call), false);
   }
 
   #tryDispatch(call: QueuedCall): boolean {
@@ -280,9 +259,12 @@
     if (this.#timer) return;
     this.#timer = this.#options.clock.setTimer(CHECK_INTERVAL_MS, () => {
       this.#timer = undefined;
+      this.#outlook.sampleHolds();
+      this.#moveLate();
       this.shedExpired();
       this.#shedBlocked();
       this.#shedHopeless();
+      this.#review();
       this.dispatchWaiting();
       if (this.#queue.size > 0) this.#scheduleCheck();
     });
--- a/src/application/direct/service_queue_options.ts
+++ b/src/application/direct/service_queue_options.ts
@@ -4,11 +4,33 @@
  * @module
  */
 import type { Candidate, RequestWork } from '../../domain/backend_servers/mod.js';
-import type { WaitingCall } from '../../domain/direct/mod.js';
+import type { UrgencyRates, WaitingCall } from '../../domain/direct/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
 import type { StreamOrigin } from '../../domain/streams/mod.js';
 import type { Clock, RandomSource } from '../../ports/mod.js';
 
+/** Values with which the outlook refused a call, for the log. */
+export interface OutlookFigures {
+  /** Calls that go first at all hosts, less the slots that are free. */
+  readonly callsAhead: number;
+  /** Slots that become free per second. */
+  readonly slotsPerSecond: number;
+  /** Slots per second that more urgent calls take. */
+  readonly takenPerSecond: number;
+  /** Time left until the call times out, in milliseconds. */
+  readonly timeLeftMs: number;
+}
+
+/** Stats of peers, for one service. */
+export interface PeerDemand {
+  /** @returns whether any peer reports */
+  readonly hasReports: () => boolean;
+  /** @returns calls that wait at peers, by urgency */
+  readonly countWaiting: () => UrgencyRates;
+  /** @returns calls per second that peers start, by urgency */
+  readonly listStarted: () => UrgencyRates;
+}
+
 /** A call as the queue sees it. */
 export interface QueuedCall extends WaitingCall {
   readonly work: RequestWork;
@@ -24,14 +46,28 @@
   readonly origin?: StreamOrigin | undefined;
   /** Whether waiting can't help, as no backend server may take the call. */
   readonly isHopeless?: boolean;
+  /** Whether the caller is assumed to come back after an earlier rejection. */
+  readonly isReturning: boolean;
+  /** Whether its wait has a limit of its own, as when it fails over to another server. */
+  readonly isWaitFixed: boolean;
+  /** Until when its first event meets its target, in milliseconds of the monotonic clock. */
+  readonly targetAtMs: number;
+  /** Latest start after which that is likely, in milliseconds of the monotonic clock. */
+  readonly onTimeStartAtMs: number;
+  /** Records that the target has passed. */
+  markLate(): void;
+  /** @param latestStartAtMs - until when the call may wait, on the monotonic clock */
+  adjustWait(latestStartAtMs: number): void;
   /** @param candidate - backend server at which the call has been given a slot */
   grant(candidate: Candidate): void;
   /**
    * Refuses the call because it can't be started in time.
    *
    * @param estimatedWaitMs - estimated wait for a slot, in milliseconds
+   * @param outlook - values that the outlook used, if it was the outlook that refused the call
+   * @returns time after which the caller is told to return, in milliseconds
    */
-  shed(estimatedWaitMs: number): void;
+  shed(estimatedWaitMs: number, outlook?: OutlookFigures): number;
   /** @param error - what was thrown while the call was dispatched or refused */
   handleFault(error: unknown): void;
 }
@@ -60,4 +96,11 @@
   readonly countPeerCallsAhead: (urgency: number) => number;
   /** @returns urgency of the first call that waits at a peer; Infinity when none waits */
   readonly getPeerUrgency: () => number;
+  readonly peers: PeerDemand;
+  /**
+   * Called several times a second while calls wait.
+   *
+   * @param slotsPerSecond - slots that become free per second
+   */
+  readonly onReview: (slotsPerSecond: number) => void;
 }
--- a/src/domain/direct/admission_outlook.ts
+++ b/src/domain/direct/admission_outlook.ts
@@ -102,8 +102,10 @@
   readonly answerLeftMs: number;
   /** Whether its caller was rejected before. */
   readonly isReturning: boolean;
-  /** Whether it was admitted to wait before. */
+  /** Whether it waits already. */
   readonly isWaiting: boolean;
+  /** Whether it was admitted to wait beyond its target. */
+  readonly isWaitingLate: boolean;
 }
 
 /**
@@ -117,7 +119,7 @@
   const { fresh, late, targetLeftMs, answerLeftMs, isReturning, isWaiting } = options;
   if (answerLeftMs <= 0) return 0;
   const firstMargin = isReturning ? RETURNING_MARGIN : LATE_MARGIN;
-  if (isServedWithin(late, answerLeftMs, isWaiting ? WAITING_MARGIN : firstMargin))
+  if (isServedWithin(late, answerLeftMs, options.isWaitingLate ? WAITING_MARGIN : firstMargin))
     return answerLeftMs;
   const targetMs = Math.min(targetLeftMs, answerLeftMs);
   const margin = isWaiting ? WAITING_MARGIN : FRESH_MARGIN;
--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -7,6 +7,7 @@
  */
 export { computeAnswerLeftMs, computeAdmittedWaitMs, predictWaitMs } from './admission_outlook.js';
 export type { AdmissionOptions, SlotForecast } from './admission_outlook.js';
+export { HoldMeter } from './hold_meter.js';
 export { ReturningDemand } from './returning_demand.js';
 export { StartRates, sumMoreUrgent, WaveRates } from './start_rates.js';
 export type { UrgencyRates } from './start_rates.js';
@@ -28,6 +29,5 @@
 } from './max_wait.js';
 export type { WaitOptions } from './max_wait.js';
 export { ReturningCallerDetector } from './returning_caller_detector.js';
-export { WaitSuccessTracker } from './wait_success_tracker.js';
 export { computeUrgency, WaitQueue } from './wait_queue.js';
 export type { WaitingCall } from './wait_queue.js';
