Walk the servers once for each decision on a call

The part of the slots that may serve a call with restricted regions came from a second walk. summarizeCapacity() finds it with the rest.

--- a/src/application/direct/_admission.ts
+++ b/src/application/direct/_admission.ts
@@ -29,7 +29,7 @@
 interface AdmittedCall {
   readonly holdMs: number;
   /** Part of the service's slots that may serve the call. */
-  readonly slotPart: number;
+  readonly servingPart: number;
   /** Whether it may wait beyond its target. */
   readonly isWaitingLate: boolean;
 }
@@ -66,12 +66,8 @@
     const hasFixedWait = call.isWaitFixed || call.origin !== undefined;
     if (hasFixedWait || !this.#isForecastable(view))
       return this.#checkFixedWait(call, position, view);
-    const whole = call.excluded.size > 0 || call.regions ? this.#outlook.read() : view;
-    const admitted = {
-      holdMs: view.capacity.predictedHoldMs,
-      slotPart: view.slotsPerSecond / Math.max(view.slotsPerSecond, whole.slotsPerSecond),
-      isWaitingLate: false,
-    };
+    const { predictedHoldMs, servingPart } = view.capacity;
+    const admitted = { holdMs: predictedHoldMs, servingPart, isWaitingLate: false };
     return this.#decide(call, position, { view, admitted });
   }
 
@@ -95,7 +91,7 @@
     if (!admitted || call.isWaitFixed) return undefined;
     if (this.#emptySinceMs !== undefined) this.#limitEmptyWait(call, this.#emptySinceMs);
     if (!this.#isForecastable(whole)) return undefined;
-    const view = { ...whole, slotsPerSecond: whole.slotsPerSecond * admitted.slotPart };
+    const view = { ...whole, slotsPerSecond: whole.slotsPerSecond * admitted.servingPart };
     return this.#decide(call, position, { view, admitted, isWaiting: true });
   }
 
--- a/src/application/direct/_service_capacity.ts
+++ b/src/application/direct/_service_capacity.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { mayServe } from '../../domain/backend_servers/mod.js';
-import type { Candidate } from '../../domain/backend_servers/mod.js';
+import type { Candidate, ServerLoad } from '../../domain/backend_servers/mod.js';
 import { countUsedSlots } from '../../domain/places/mod.js';
 import type { QueuedCall } from './service_queue_options.js';
 
@@ -18,6 +18,8 @@
   readonly freeSlots: number;
   /** Requests a second that all entry hosts together may send; Infinity if any server has no pace. */
   readonly requestsPerSecond: number;
+  /** Part of the slots that may serve the call. */
+  readonly servingPart: number;
   /** Mean of the times for which the call would hold a slot, in milliseconds. */
   readonly predictedHoldMs: number;
 }
@@ -39,9 +41,17 @@
   readonly peerUrgency: number;
 }
 
+/** Sums over some of the servers. */
+interface CapacitySums {
+  servers: number;
+  slotsPerSecond: number;
+  freeSlots: number;
+  holdMs: number;
+}
+
 /**
- * Failing servers count only if no other is left. Servers that the call must not be sent to don't
- * count.
+ * Walks the servers once. Failing servers count only if no other is left; servers that the call
+ * must not be sent to don't count.
  *
  * @param candidates - servers that may be given work
  * @param options - the call, if it is about one, and the time
@@ -52,33 +62,47 @@
   options: CapacityOptions,
 ): ServiceCapacity {
   const { call, nowMs } = options;
-  const usable = call ? candidates.filter((candidate) => mayServe(candidate, call)) : candidates;
-  const healthy = usable.filter(({ load }) => !load.mustAvoid(nowMs));
-  return sumCapacity(healthy.length > 0 ? healthy : usable, options);
-}
-
-function sumCapacity(
-  candidates: readonly Candidate[],
-  { call, averageHoldMs, nowMs }: CapacityOptions,
-): ServiceCapacity {
-  let slotsPerSecond = 0;
-  let freeSlots = 0;
+  const healthy = { servers: 0, slotsPerSecond: 0, freeSlots: 0, holdMs: 0 };
+  const failing = { ...healthy };
+  const others = { ...healthy };
   let requestsPerSecond = 0;
-  let holdMs = 0;
-  candidates.forEach(({ load }) => {
-    const paceLimit = load.pace.computeTotalPerSecond(nowMs);
-    const slots = load.pace.slots.isPaced ? countUsedSlots(load.slots) : load.slots;
-    requestsPerSecond += paceLimit;
-    if (!load.pace.pause.isActive(nowMs)) {
-      slotsPerSecond += Math.min(paceLimit, (slots * MS_PER_SECOND) / averageHoldMs);
-      freeSlots += load.pace.slots.isPaced
-        ? Math.max(0, slots - load.inFlight)
-        : load.countOpenSlots(nowMs);
+  candidates.forEach((candidate) => {
+    const { load } = candidate;
+    const isFailing = load.mustAvoid(nowMs);
+    if (call && !mayServe(candidate, call)) {
+      if (!isFailing) addServer(others, load, options);
+      return;
     }
-    if (call) holdMs += load.predictHoldMs(call.work, call.expectedTokens);
+    requestsPerSecond += load.pace.computeTotalPerSecond(nowMs);
+    addServer(isFailing ? failing : healthy, load, options);
   });
-  const predictedHoldMs = candidates.length > 0 ? holdMs / candidates.length : 0;
-  return { slotsPerSecond, freeSlots, requestsPerSecond, predictedHoldMs };
+  const sums = healthy.servers > 0 ? healthy : failing;
+  const { slotsPerSecond, freeSlots } = sums;
+  const allPerSecond = slotsPerSecond + others.slotsPerSecond;
+  return {
+    slotsPerSecond,
+    freeSlots,
+    requestsPerSecond,
+    servingPart: allPerSecond > 0 ? slotsPerSecond / allPerSecond : 1,
+    predictedHoldMs: sums.holdMs / Math.max(1, sums.servers),
+  };
+}
+
+function addServer(
+  sums: CapacitySums,
+  load: ServerLoad,
+  { call, averageHoldMs, nowMs }: CapacityOptions,
+): void {
+  const { pace } = load;
+  const isSplit = pace.slots.isPaced;
+  const slots = isSplit ? countUsedSlots(load.slots) : load.slots;
+  const totals = sums;
+  totals.servers += 1;
+  if (call) totals.holdMs += load.predictHoldMs(call.work, call.expectedTokens);
+  if (pace.pause.isActive(nowMs)) return;
+  const slotsPerSecond = (slots * MS_PER_SECOND) / averageHoldMs;
+  totals.slotsPerSecond += Math.min(pace.computeTotalPerSecond(nowMs), slotsPerSecond);
+  totals.freeSlots += isSplit ? Math.max(0, slots - load.inFlight) : load.countOpenSlots(nowMs);
 }
 
 /**
