--- a/test/support/queue_fixture.ts
+++ b/test/support/queue_fixture.ts
@@ -5,6 +5,7 @@
  */
 import { ServiceQueue } from '../../src/application/direct/service_queue.js';
 import type {
+  OutlookFigures,
   QueuedCall,
   ServiceQueueOptions,
 } from '../../src/application/direct/service_queue_options.js';
@@ -30,11 +31,19 @@
 
   readonly rank: number = 1;
 
-  readonly isLate: boolean = false;
+  isLate = false;
+
+  readonly isReturning: boolean = false;
+
+  readonly isWaitFixed: boolean = false;
 
   readonly arrivedAtMs: number;
 
-  readonly latestStartAtMs: number;
+  latestStartAtMs: number;
+
+  readonly targetAtMs: number;
+
+  readonly onTimeStartAtMs: number;
 
   readonly deadlineAtMs: number;
 
@@ -49,12 +58,17 @@
   /** ID of the server that the call was given to. */
   grantedTo: string | undefined;
 
+  /** Values with which the outlook refused the call. */
+  outlook: OutlookFigures | undefined;
+
   /** Estimated wait with which the call was refused, in milliseconds. */
   shedWaitMs: number | undefined;
 
   constructor(nowMs: number, changes: Partial<QueuedCall> = {}) {
     this.arrivedAtMs = nowMs;
-    this.latestStartAtMs = nowMs + 5_000;
+    this.latestStartAtMs = nowMs + 330;
+    this.onTimeStartAtMs = nowMs + 330;
+    this.targetAtMs = nowMs + 600;
     this.deadlineAtMs = nowMs + 10_000;
     Object.assign(this, changes);
   }
@@ -64,8 +78,18 @@
     load.recordStart(this.work);
   }
 
-  shed(estimatedWaitMs: number): void {
+  shed(estimatedWaitMs: number, outlook?: OutlookFigures): number {
     this.shedWaitMs = estimatedWaitMs;
+    this.outlook = outlook;
+    return Math.min(estimatedWaitMs, 1_000);
+  }
+
+  markLate(): void {
+    this.isLate = true;
+  }
+
+  adjustWait(latestStartAtMs: number): void {
+    this.latestStartAtMs = latestStartAtMs;
   }
 
   handleFault(error: unknown): void {
@@ -73,6 +97,12 @@
   }
 }
 
+const NO_PEERS = {
+  hasReports: () => false,
+  countWaiting: () => new Map<number, number>(),
+  listStarted: () => new Map<number, number>(),
+};
+
 /** A queue whose servers and peers a test sets. */
 export class QueueFixture {
   readonly clock = new VirtualClock();
@@ -93,6 +123,8 @@
       countWaitingAtPeers: () => 0,
       countPeerCallsAhead: () => 0,
       getPeerUrgency: () => Infinity,
+      peers: NO_PEERS,
+      onReview: () => undefined,
       ...changes,
     });
   }
