--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -272,7 +272,8 @@
         listStarted: () => servers.peers.started.get(serviceId),
       },
       onReview: (rate) => metrics.set('outlook_slots_per_second', rate, { service: serviceId }),
-      getPeerUrgency: () => servers.peers.findFirstWaiting(serviceId)?.urgency ?? Infinity,
+      getPeerUrgency: () =>
+        Math.ceil(servers.peers.findFirstWaiting(serviceId)?.urgency ?? Infinity),
     });
     return queue;
   }
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -54,9 +54,9 @@
     return this.#queue.size;
   }
 
-  /** Urgency of the first waiting call; Infinity when none waits. */
+  /** Urgency of the first waiting call, less if its account is below its share; Infinity: none. */
   get firstUrgency(): number {
-    return this.#queue.firstUrgency;
+    return this.#queue.firstPriority;
   }
 
   /** @returns number of waiting calls, by urgency */
