--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -96,7 +96,7 @@
     });
     this.#silence = new SilencePolicy({ ...options, ...shared, attempts: this.#attempts });
     this.#crashEvidence = new CrashEvidence(services, options);
-    this.#timer = services.clock.setTimer(this.timeLeftMs, () => this.#handleTimeout());
+    this.#timer = services.clock.setTimer(this.timeLeftMs, () => this.endOverdue());
     reply.onDisconnect(() => this.#handleDisconnect());
   }
 
@@ -257,7 +257,8 @@
     else this.shed(0, undefined, cause);
   }
 
-  #handleTimeout(): void {
+  /** Ends the call, whose time is over. */
+  endOverdue(): void {
     this.#inFlight.cancelAll();
     const kind = this.mayHaveRun ? ErrorKind.AnswerTimeout : ErrorKind.DeadlineUnreachable;
     this.fail(new SchedulerError(kind), EndCause.Deadline);
--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -39,3 +39,4 @@
 export { computeUrgency, WaitQueue } from './wait_queue.js';
 export type { WaitingCall } from './wait_queue.js';
 export type { FairOrder } from './_account_flows.js';
+export { computeRejectedFraction, GateChange, LatenessGate } from './lateness_gate.js';
