--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -39,6 +39,8 @@
   readonly holdMs: number;
   /** Whether a more urgent call waits at a peer. */
   readonly isPeerMoreUrgent?: boolean;
+  /** Requests that peers start before this entry host knows of them. Default: none. */
+  readonly unseenStarts?: number;
 }
 
 /** The request and the circumstances of the selection. */
@@ -66,11 +68,7 @@
   readonly open?: readonly Candidate[] | undefined;
 }
 
-/**
- * Predictions within this factor of the best one count as ties, and a tie is broken at random.
- * Without it, several entry hosts that see the same best server would all send their next
- * requests to it at the same moment.
- */
+/** Predictions within this factor of the best one count as ties. */
 const TIE_FACTOR = 1.15;
 
 /**
@@ -80,7 +78,8 @@
 const IN_TIME_FRACTION = 0.8;
 
 /**
- * Picks a server with a free slot and the shortest predicted time until the answer is complete.
+ * Picks a server with a free slot among those with the shortest predicted time until the answer is
+ * complete.
  * The time to the first byte alone isn't enough: engines with the same one may differ fivefold in
  * generation speed, and while most slots are taken, the time for which a request holds its slot
  * delays all others. In two runs at a load one third above the capacity of six engines, this
@@ -114,18 +113,42 @@
     nowMs,
   );
   if (pool.length === 0) return undefined;
-  let shortestMs = Infinity;
-  let shortestInTimeMs = Infinity;
-  pool.forEach(({ holdMs, isInTime }) => {
-    shortestMs = Math.min(shortestMs, holdMs);
-    if (isInTime) shortestInTimeMs = Math.min(shortestInTimeMs, holdMs);
+  const inTime = pool.filter(({ isInTime }) => isInTime);
+  return drawByRoom(listBest(inTime.length > 0 ? inTime : pool, options), options);
+}
+
+/**
+ * Lists the servers with the shortest hold that together have room for what all entry hosts start
+ * until they see each other's requests. Hosts that all chose the best server alone would fill it
+ * beyond its slots within one report.
+ */
+function listBest(
+  pool: readonly Prediction[],
+  { contention, nowMs }: PickOptions,
+): readonly Prediction[] {
+  const sorted = [...pool].sort((a, b) => a.holdMs - b.holdMs);
+  const maxTieMs = (sorted[0]?.holdMs ?? 0) * TIE_FACTOR;
+  let missingSlots = 1 + (contention.unseenStarts ?? 0);
+  const end = sorted.findIndex(({ candidate, holdMs }) => {
+    if (missingSlots <= 0 && holdMs > maxTieMs) return true;
+    missingSlots -= candidate.load.countOpenSlots(nowMs);
+    return false;
   });
-  const isAnyInTime = shortestInTimeMs < Infinity;
-  const maxHoldMs = (isAnyInTime ? shortestInTimeMs : shortestMs) * TIE_FACTOR;
-  const tied = pool.filter(
-    ({ holdMs, isInTime }) => holdMs <= maxHoldMs && (isInTime || !isAnyInTime),
-  );
-  return tied[Math.floor(nextFraction() * tied.length)]?.candidate;
+  return end < 0 ? sorted : sorted.slice(0, end);
+}
+
+/** Draws a server by its number of free slots, so that hosts that see the same ones spread out. */
+function drawByRoom(
+  pool: readonly Prediction[],
+  { nowMs, nextFraction }: PickOptions,
+): Candidate | undefined {
+  const slotCounts = pool.map(({ candidate }) => candidate.load.countOpenSlots(nowMs));
+  let left = nextFraction() * slotCounts.reduce((sum, count) => sum + count, 0);
+  const index = slotCounts.findIndex((count) => {
+    left -= count;
+    return left < 0;
+  });
+  return pool.at(index)?.candidate;
 }
 
 /** The parts of {@link PickOptions} that restrict a request to some of the servers. */
