--- a/src/application/direct/_slot_picker.ts
+++ b/src/application/direct/_slot_picker.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { pickServer, REPORT_DELAY_MS } from '../../domain/backend_servers/mod.js';
+import { pickServer } from '../../domain/backend_servers/mod.js';
 import type { Candidate } from '../../domain/backend_servers/mod.js';
 import { computeUrgency } from '../../domain/direct/mod.js';
 import { listOpenServers } from './_service_capacity.js';
@@ -16,8 +16,6 @@
 /** Initial value of that average, in milliseconds: about the duration of a short answer. */
 const INITIAL_HOLD_MS = 200;
 
-const MS_PER_SECOND = 1_000;
-
 /** What a choice takes from its circumstances. */
 export interface PickLimits {
   /** Calls that wait here and compete for the same slots. */
@@ -98,19 +96,9 @@
         holdMs: this.#averageHoldMs,
         ownWaitingCalls,
         peerWaitingCalls: countWaitingAtPeers(),
-        unseenStarts: this.#countUnseenStarts(),
         isPeerMoreUrgent: (turn?.peerUrgency ?? getPeerUrgency()) < computeUrgency(call),
       },
       open: turn?.open,
     });
   }
-
-  /** Counts the requests that peers start until their reports tell of them. */
-  #countUnseenStarts(): number {
-    let callsPerSecond = 0;
-    this.#options.peers.listStarted().forEach((rate) => {
-      callsPerSecond += rate;
-    });
-    return (callsPerSecond * REPORT_DELAY_MS) / MS_PER_SECOND;
-  }
 }
--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -39,8 +39,6 @@
   readonly holdMs: number;
   /** Whether a more urgent call waits at a peer. */
   readonly isPeerMoreUrgent?: boolean;
-  /** Requests that peers start before this entry host knows of them. Default: none. */
-  readonly unseenStarts?: number;
 }
 
 /** The request and the circumstances of the selection. */
@@ -68,8 +66,11 @@
   readonly open?: readonly Candidate[] | undefined;
 }
 
-/** Predictions within this factor of the best one count as ties. */
-const TIE_FACTOR = 1.15;
+/**
+ * Predictions within this factor of the best one count as ties: less than by how far engines of
+ * different generations differ, and more than what a few further requests change.
+ */
+const TIE_FACTOR = 1.3;
 
 /**
  * Part of the time left within which a first byte must be predicted to count as in time. A prediction
@@ -114,30 +115,18 @@
   );
   if (pool.length === 0) return undefined;
   const inTime = pool.filter(({ isInTime }) => isInTime);
-  return drawByRoom(listBest(inTime.length > 0 ? inTime : pool, options), options);
+  const preferred = inTime.length > 0 ? inTime : pool;
+  const maxHoldMs = Math.min(...preferred.map(({ holdMs }) => holdMs)) * TIE_FACTOR;
+  return drawByRoom(
+    preferred.filter(({ holdMs }) => holdMs <= maxHoldMs),
+    options,
+  );
 }
 
 /**
- * Lists the servers with the shortest hold that together have room for what all entry hosts start
- * until they see each other's requests. Hosts that all chose the best server alone would fill it
- * beyond its slots within one report.
+ * Draws a server by its number of free slots. Entry hosts see each other's requests one report
+ * later; if all of them chose the server with the most room, they would fill it beyond its slots.
  */
-function listBest(
-  pool: readonly Prediction[],
-  { contention, nowMs }: PickOptions,
-): readonly Prediction[] {
-  const sorted = [...pool].sort((a, b) => a.holdMs - b.holdMs);
-  const maxTieMs = (sorted[0]?.holdMs ?? 0) * TIE_FACTOR;
-  let missingSlots = 1 + (contention.unseenStarts ?? 0);
-  const end = sorted.findIndex(({ candidate, holdMs }) => {
-    if (missingSlots <= 0 && holdMs > maxTieMs) return true;
-    missingSlots -= candidate.load.countOpenSlots(nowMs);
-    return false;
-  });
-  return end < 0 ? sorted : sorted.slice(0, end);
-}
-
-/** Draws a server by its number of free slots, so that hosts that see the same ones spread out. */
 function drawByRoom(
   pool: readonly Prediction[],
   { nowMs, nextFraction }: PickOptions,
