Try servers again that the whole fleet takes for slow

A server without evidence now seems faster with time, with a half-life of 8 s toward the fastest server in use, and the memory counts less meanwhile, so that one slow answer ends the trial. Where no server is in use, the order is kept.

--- a/src/application/direct/_server_speeds.ts
+++ b/src/application/direct/_server_speeds.ts
@@ -18,8 +18,15 @@
 /** Shortest time between two updates of the estimates, in milliseconds. */
 const UPDATE_INTERVAL_MS = 100;
 
-/** Time between two computations of the median speed of a service, in milliseconds. */
-const MEDIAN_INTERVAL_MS = 1_000;
+/** Time between two reviews of the speeds of a service, in milliseconds. */
+const REVIEW_INTERVAL_MS = 1_000;
+
+/** Request by which servers are compared, in tokens. */
+const TYPICAL_PROMPT_TOKENS = 1_000;
+const TYPICAL_OUTPUT_TOKENS = 200;
+
+/** Weight of the evidence of a server that is in use, in samples. */
+const MIN_USED_WEIGHT = 1;
 
 /** Speed of one server incarnation. */
 interface TrackedSpeed {
@@ -50,7 +57,7 @@
 
   #updatedAtMs = Number.NEGATIVE_INFINITY;
 
-  #mediansAtMs = Number.NEGATIVE_INFINITY;
+  #reviewedAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param clock - provides monotonic time */
   constructor(clock: Clock) {
@@ -121,22 +128,46 @@
   #update(nowMs: number): void {
     this.#updatedAtMs = nowMs;
     this.#tracked.forEach(({ key, speed }) => speed.update(this.#table.sum(key, nowMs), nowMs));
-    if (nowMs - this.#mediansAtMs >= MEDIAN_INTERVAL_MS) this.#updateMedians(nowMs);
+    if (nowMs - this.#reviewedAtMs >= REVIEW_INTERVAL_MS) this.#reviewServices(nowMs);
   }
 
-  #updateMedians(nowMs: number): void {
-    this.#mediansAtMs = nowMs;
+  #reviewServices(nowMs: number): void {
+    const elapsedMs = Math.min(nowMs - this.#reviewedAtMs, 2 * REVIEW_INTERVAL_MS);
+    this.#reviewedAtMs = nowMs;
     this.#medians.clear();
-    const tracked = [...this.#tracked.values()];
-    const known = tracked.filter(({ speed }) => speed.isKnown);
-    [...new Set(known.map(({ serviceId }) => serviceId))].forEach((serviceId) => {
-      const ofService = known.filter((other) => other.serviceId === serviceId);
-      const estimates = ofService.map(({ speed }) => speed.estimate);
-      this.#medians.set(serviceId, computeMedianSpeed(estimates));
+    const byService = new Map<string, SharedSpeed[]>();
+    this.#tracked.forEach(({ serviceId, speed }) => {
+      const speeds = byService.get(serviceId);
+      if (speeds) speeds.push(speed);
+      else byService.set(serviceId, [speed]);
     });
-    tracked.forEach(({ serviceId, speed }) => {
-      const median = this.#medians.get(serviceId);
-      if (median) speed.setStart(median);
+    byService.forEach((speeds, serviceId) => this.#reviewService(serviceId, speeds, elapsedMs));
+  }
+
+  #reviewService(serviceId: string, speeds: readonly SharedSpeed[], elapsedMs: number): void {
+    const known = speeds.filter(({ isKnown }) => isKnown);
+    if (known.length === 0) return;
+    const median = computeMedianSpeed(known.map(({ estimate }) => estimate));
+    this.#medians.set(serviceId, median);
+    const best = findFastest(speeds);
+    speeds.forEach((speed) => {
+      speed.setStart(median);
+      if (best) speed.relax(best.estimate, elapsedMs);
     });
   }
 }
+
+/** Finds the fastest server that is in use; where none is, no server has to be tried again. */
+function findFastest(speeds: readonly SharedSpeed[]): SharedSpeed | undefined {
+  let fastest: SharedSpeed | undefined;
+  let shortestMs = Infinity;
+  speeds.forEach((speed) => {
+    const typicalMs =
+      speed.predictFirstByteMs(TYPICAL_PROMPT_TOKENS) +
+      (speed.isPlain ? 0 : TYPICAL_OUTPUT_TOKENS * speed.estimate.decodeMsPerToken);
+    if (speed.evidenceWeight < MIN_USED_WEIGHT || typicalMs >= shortestMs) return;
+    fastest = speed;
+    shortestMs = typicalMs;
+  });
+  return fastest;
+}
--- a/src/domain/backend_servers/shared_speed.ts
+++ b/src/domain/backend_servers/shared_speed.ts
@@ -37,8 +37,12 @@
 const INITIAL_MEMORY_WEIGHT = 0.2;
 const MAX_MEMORY_WEIGHT = 3;
 
-/** Number of samples up to which the memory is the mean of all evidence. */
+/** Number of samples up to which the memory is the mean of all evidence, and which it counts. */
 const EARLY_SAMPLES = 10;
+const MAX_MEMORY_SAMPLES = 20;
+
+/** Time without evidence after which half of what makes a server seem slow is forgotten, in ms. */
+const RELAX_HALF_LIFE_MS = 8_000;
 
 const NO_SUMS: Readonly<SpeedSums> = new SpeedSums();
 
@@ -67,6 +71,8 @@
 
   #sampleCount = 0;
 
+  #isStarted = false;
+
   /** Number of samples that the memory rests on. */
   #memorySamples = 0;
 
@@ -188,13 +194,35 @@
     this.#adjustMemory(elapsedMs, nowMs);
   }
 
-  /** @param start - where a server starts of which nothing is known */
+  /** @param start - where a server starts of which nothing is known; the first one counts */
   setStart(start: SpeedEstimate): void {
-    if (this.isKnown) return;
+    if (this.isKnown || this.#isStarted) return;
+    this.#isStarted = true;
     this.#memory.adjust(start, 1);
     this.#refresh();
   }
 
+  /**
+   * Lets a server without evidence seem faster with time, so that some host tries it again: all hosts
+   * share one estimate, and would avoid a server for good that was slow for a moment.
+   *
+   * @param best - estimate of the fastest server of the service that is in use
+   * @param elapsedMs - time since the last call, in milliseconds
+   */
+  relax(best: SpeedEstimate, elapsedMs: number): void {
+    if (this.#evidenceWeight >= MIN_WEIGHT) return;
+    const remembered = this.#memory.estimate;
+    const target = {
+      fixedMs: Math.min(remembered.fixedMs, best.fixedMs),
+      prefillMsPerToken: Math.min(remembered.prefillMsPerToken, best.prefillMsPerToken),
+      decodeMsPerToken: Math.min(remembered.decodeMsPerToken, best.decodeMsPerToken),
+    };
+    const left = 2 ** (-elapsedMs / RELAX_HALF_LIFE_MS);
+    this.#memory.adjust(target, 1 - left);
+    this.#memorySamples *= left;
+    this.#refresh();
+  }
+
   #adjustMemory(elapsedMs: number, nowMs: number): void {
     const weight = this.#evidenceWeight;
     if (weight < MIN_WEIGHT) return;
@@ -204,7 +232,8 @@
     const fraction = isEarly ? 1 : trust * (1 - 2 ** (-elapsedMs / MEMORY_HALF_LIFE_MS));
     this.#memory.adjust(this.#estimate, fraction);
     this.#memory.keepSteadyWeight();
-    this.#memorySamples += weight * Math.min(1, elapsedMs / EVIDENCE_HALF_LIFE_MS);
+    const samples = weight * Math.min(1, elapsedMs / EVIDENCE_HALF_LIFE_MS);
+    this.#memorySamples = Math.min(MAX_MEMORY_SAMPLES, this.#memorySamples + samples);
   }
 
   #limitSample(value: number, expected: number): number {
@@ -219,7 +248,7 @@
 
   #finishSample(nowMs: number): void {
     this.#sampleCount += 1;
-    this.#memorySamples += 1;
+    this.#memorySamples = Math.min(MAX_MEMORY_SAMPLES, this.#memorySamples + 1);
     this.#evidenceAtMs = nowMs;
     this.#refresh();
   }
--- a/src/domain/backend_servers/shared_speed_test.ts
+++ b/src/domain/backend_servers/shared_speed_test.ts
@@ -65,3 +65,20 @@
   for (let sample = 0; sample < 9; sample += 1) speed.observeFirstByte(0, 40, sample * 10);
   t.ok(Math.abs(speed.predictFirstByteMs(5_000) - 40) < 1);
 });
+
+t.test('SharedSpeed lets a server that is not used seem faster with time', async (t) => {
+  // Guards against a server that was slow for a moment and that no host ever tries again, since all
+  // of them share one estimate.
+  const best = { fixedMs: 10, prefillMsPerToken: 0.01, decodeMsPerToken: 3 };
+  const speed = new SharedSpeed(false);
+  playPeers(speed, new SpeedSums(), { fromMs: 0, forMs: 5_000, slowdown: 5 });
+  speed.relax(best, 60_000);
+  t.ok(speed.estimate.decodeMsPerToken > 14, 'not while there is evidence');
+  speed.update(new SpeedSums(), 60_000);
+  speed.relax(best, 8_000);
+  t.ok(Math.abs(speed.estimate.decodeMsPerToken - 9) < 0.7, 'half of the difference');
+  for (let elapsedMs = 0; elapsedMs < 60_000; elapsedMs += 1_000) speed.relax(best, 1_000);
+  t.ok(speed.estimate.decodeMsPerToken < 3.2);
+  for (let part = 0; part < 3; part += 1) speed.observeDecode(50, 750, 130_000);
+  t.ok(speed.estimate.decodeMsPerToken > 7, 'a trial that is slow ends it');
+});
