Use what backend servers report of their load

Replica-Load was parsed but not used. Its fourth figure, the time that work takes in percent of the usual time, scales predictions: relative to the average of the server's reports, within 0.5 and 2.5, with a half-life of 300 ms. Running and waiting requests raise the number in flight until the peers' counts are newer (200 ms); they never lower it, since requests on their way are not in the server's count. Figures that are no percentage are ignored and counted (backend_server_notices_total, kind load_invalid). Figures are not shared between hosts.

--- a/src/application/direct/_attempt_load.ts
+++ b/src/application/direct/_attempt_load.ts
@@ -9,7 +9,7 @@
   ServerLoad,
   ServerOutcome,
 } from '../../domain/backend_servers/mod.js';
-import type { Clock } from '../../ports/mod.js';
+import type { Clock, ReportedLoad } from '../../ports/mod.js';
 
 /**
  * Shortest part of a stream from which the decoding speed is learnt while it runs, in
@@ -72,8 +72,8 @@
     this.#work = work;
     this.#clock = clock;
     this.#startedAtMs = clock.nowMs();
-    this.predictedFirstByteMs = load.predictFirstByteMs(work);
-    this.#conditions = load.getConditions(work);
+    this.predictedFirstByteMs = load.predictFirstByteMs(work, this.#startedAtMs);
+    this.#conditions = load.getConditions(work, this.#startedAtMs);
   }
 
   /** When the attempt started, on the monotonic clock in milliseconds. */
@@ -110,9 +110,10 @@
     this.#load.signs.recordHeard(this.#clock.nowMs());
   }
 
-  /** Records the head of the answer. */
-  recordHead(): void {
+  /** @param reported - load that the head of the answer reports; undefined if none */
+  recordHead(reported: ReportedLoad | undefined): void {
     this.recordSign();
+    if (reported) this.#load.recordReport(reported, this.#clock.nowMs());
     this.#load.pace.pause.recordAnswered(this.#clock.nowMs());
   }
 
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -140,7 +140,8 @@
 
   onHead(head: BackendHead): void {
     this.#options.onArrival();
-    this.load.recordHead();
+    this.load.recordHead(head.load);
+    if (head.load?.isFaulty) this.#options.services.servers.notices.countFaultyLoad();
     this.#status = head.status;
     this.#isFramed = head.isFramed;
     const { reply, route } = this.#options;
--- a/src/application/direct/_server_loads.ts
+++ b/src/application/direct/_server_loads.ts
@@ -65,9 +65,10 @@
 
   /** @param hostCount - number of entry hosts that serve callers, including this one */
   applyPeerTotals(hostCount: number): void {
-    const { peers } = this.#options;
+    const { clock, peers } = this.#options;
+    const nowMs = clock.nowMs();
     this.#loads.forEach((load, id) => {
-      load.setPeersInFlight(peers.getTotal('inFlight', id));
+      load.setPeersInFlight(peers.getTotal('inFlight', id), nowMs);
       load.setAvoidingHostCount(peers.getTotal('avoidedBy', id), hostCount);
     });
   }
--- a/src/application/direct/_server_notices.ts
+++ b/src/application/direct/_server_notices.ts
@@ -89,6 +89,11 @@
     this.pauses.updatePace(entry.id, load);
   }
 
+  /** Counts an answer whose server reports its load in a form that can't be used in full. */
+  countFaultyLoad(): void {
+    this.#options.metrics.count('backend_server_notices_total', { kind: 'load_invalid' });
+  }
+
   /** @param id - ID of an incarnation that has ended */
   forget(id: string): void {
     this.rateLimits.forget(id);
--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -163,11 +163,11 @@
  */
 function filterByDeadline(
   healthy: readonly Candidate[],
-  { work, expectedTokens, timeLeftMs, targetLeftMs = Infinity }: PickOptions,
+  { work, expectedTokens, nowMs, timeLeftMs, targetLeftMs = Infinity }: PickOptions,
 ): readonly Prediction[] {
   return healthy
     .map((candidate) => {
-      const firstByteMs = candidate.load.predictFirstByteMs(work);
+      const firstByteMs = candidate.load.predictFirstByteMs(work, nowMs);
       const holdMs = candidate.load.predictHoldMs(work, expectedTokens, firstByteMs);
       return { candidate, holdMs, isInTime: firstByteMs <= targetLeftMs * IN_TIME_FRACTION };
     })
--- a/src/domain/backend_servers/request_work.ts
+++ b/src/domain/backend_servers/request_work.ts
@@ -35,3 +35,18 @@
   /** Factor by which the requests in flight lengthen the time; 1 on an idle server. */
   readonly loadFactor: number;
 }
+
+/**
+ * Tells whether an outcome counts as a failure. Errors of a model engine do: an engine that
+ * fails every request always has free slots and would receive most requests. In one measured
+ * run, three such engines of 42 took 4,500 of 23,600 requests in six seconds. Errors of plain
+ * services are mostly caused by the callers.
+ *
+ * @param outcome - outcome of a request
+ * @param isPlain - whether the server serves a plain service
+ * @returns whether it counts as a failure of the server
+ */
+export function isFailure(outcome: ServerOutcome, isPlain: boolean): boolean {
+  if (outcome === ServerOutcome.ServerError) return !isPlain;
+  return outcome === ServerOutcome.Failed;
+}
--- a/src/domain/backend_servers/server_load.ts
+++ b/src/domain/backend_servers/server_load.ts
@@ -4,11 +4,13 @@
  * @module
  */
 import { ServerPace } from '../places/mod.js';
-import { ServerOutcome } from './request_work.js';
+import { isFailure, ServerOutcome } from './request_work.js';
 import type { RequestWork, SendConditions } from './request_work.js';
 import { SharedSpeed } from './shared_speed.js';
 import { ServerSigns } from './server_signs.js';
 import { SlotShare } from './slot_share.js';
+import { WorkReport } from './work_report.js';
+import type { ServerWorkReport } from './work_report.js';
 
 /**
  * Pause of a backend server for each consecutive failure, in milliseconds. A server that recovers
@@ -56,6 +58,9 @@
   /** Pace at which this entry host may send to the server. */
   readonly pace = new ServerPace();
 
+  /** What the server reports of its own load. */
+  readonly #report = new WorkReport();
+
   /** Signs that the server gives to this entry host. */
   readonly signs = new ServerSigns();
 
@@ -75,7 +80,6 @@
 
   #lastFailedAtMs = Number.NEGATIVE_INFINITY;
 
-  /** Whether the server itself reported its last failure. */
   #wasFailureAnswered = false;
 
   #isAvoidedByPeers = false;
@@ -115,9 +119,18 @@
     return this.#consecutiveFailures;
   }
 
-  /** @param inFlight - total number of requests that peers report on the server */
-  setPeersInFlight(inFlight: number): void {
-    this.#peersInFlight = inFlight;
+  /**
+   * @param inFlight - total number of requests that peers report on the server
+   * @param nowMs - monotonic time in ms; by default, the report of the server does not count
+   */
+  setPeersInFlight(inFlight: number, nowMs = Infinity): void {
+    this.#peersInFlight = this.#report.correctPeersInFlight(inFlight, nowMs);
+  }
+
+  /** @param report - what the server says of its load. @param nowMs - monotonic time in ms */
+  recordReport(report: ServerWorkReport, nowMs: number): void {
+    this.#report.record(report, this.#ownInFlight, nowMs);
+    this.setPeersInFlight(this.#peersInFlight, nowMs);
   }
 
   /** @param change - change in the slots that peers hold, since their last reports */
@@ -172,7 +185,7 @@
     if (outcome === ServerOutcome.Cancelled) return;
     const isError = outcome === ServerOutcome.ServerError || outcome === ServerOutcome.Declined;
     this.#errorRate += ERROR_RATE_ALPHA * ((isError ? 1 : 0) - this.#errorRate);
-    if (!this.#isFailure(outcome)) {
+    if (!isFailure(outcome, this.speed.isPlain)) {
       this.#consecutiveFailures = 0;
       this.#lastAnsweredAtMs = nowMs;
       return;
@@ -233,21 +246,14 @@
   }
 
   /**
-   * Tells whether an outcome counts as a failure. Errors of a model engine do: an engine that
-   * fails every request always has free slots and would receive most requests. In one measured
-   * run, three such engines of 42 took 4,500 of 23,600 requests in six seconds. Errors of plain
-   * services are mostly caused by the callers.
+   * @param work - one more request
+   * @param nowMs - monotonic time in ms; by default, the report of the server does not count
+   * @returns what its time to first byte depends on
    */
-  #isFailure(outcome: ServerOutcome): boolean {
-    if (outcome === ServerOutcome.ServerError) return !this.speed.isPlain;
-    return outcome === ServerOutcome.Failed;
-  }
-
-  /** @param work - one more request. @returns what its time to first byte depends on */
-  getConditions(work: RequestWork): SendConditions {
+  getConditions(work: RequestWork, nowMs = Infinity): SendConditions {
     return {
       prefillTokens: work.promptTokens + this.#pendingPromptTokens,
-      loadFactor: 1 + this.inFlight / this.slots,
+      loadFactor: (1 + this.inFlight / this.slots) * this.#report.computeFactor(nowMs),
     };
   }
 
@@ -266,10 +272,11 @@
    * Predicts the time to the first byte of one more request.
    *
    * @param work - the request
+   * @param nowMs - monotonic time in ms; by default, the report of the server does not count
    * @returns milliseconds, lengthened in proportion to the server's error rate
    */
-  predictFirstByteMs(work: RequestWork): number {
-    const { prefillTokens, loadFactor } = this.getConditions(work);
+  predictFirstByteMs(work: RequestWork, nowMs = Infinity): number {
+    const { prefillTokens, loadFactor } = this.getConditions(work, nowMs);
     const prefillMs = this.speed.predictFirstByteMs(prefillTokens);
     return prefillMs * loadFactor * (1 + ERROR_RATE_PENALTY * this.#errorRate);
   }
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -112,6 +112,10 @@
   readonly waiting: number;
   /** Number of requests that the server can run at once. */
   readonly slots: number;
+  /** Time that work takes at this moment in percent of the usual time; undefined: not reported. */
+  readonly workPercent?: number | undefined;
+  /** Whether a further figure is no percentage, or there are more figures than named. */
+  readonly isFaulty?: boolean | undefined;
 }
 
 /** What an answer says about the rate at which its backend server takes requests. */
