Check reports and leaving servers in failures under load

Cause: with members that never change their relay, and with entry hosts that go on sending to servers that leave, the tests of a lost relay and of a release passed as before.

Change: the relay is lost at 0.9 of the capacity instead of 0.7, and each host must know of the requests in flight within a factor of 0.7 two seconds later. No request goes to a server 0.1 s after it is marked as leaving. After each play, no host counts a request as in flight.

--- a/src/application/direct/failure_load_test.ts
+++ b/src/application/direct/failure_load_test.ts
@@ -7,7 +7,13 @@
 import type { Test } from 'tap';
 import { drainLoad, startLoad, WAVE_FLEET } from '../../../test/support/load_cases.js';
 import type { LoadChanges } from '../../../test/support/load_cases.js';
-import { checkAccounts, checkNoneLost, checkRanks } from '../../../test/support/load_checks.js';
+import {
+  checkAccounts,
+  checkIdle,
+  checkKnown,
+  checkNoneLost,
+  checkRanks,
+} from '../../../test/support/load_checks.js';
 import type { LoadFleet } from '../../../test/support/load_fleet.js';
 import { WAVE_MS, WAVE_SWING } from '../../../test/support/load_profile.js';
 import { listOutcomes, measureServed } from '../../../test/support/load_results.js';
@@ -20,6 +26,9 @@
 /** Number of entry hosts from which on some of them are relays. */
 const RELAY_HOSTS = 15;
 
+/** Time within which members have another relay, in milliseconds. */
+const RELAY_CHANGE_MS = 2_000;
+
 const PEAK_MS = WAVE_MS / 4;
 
 const STEADY_MS = 3_000;
@@ -28,6 +37,9 @@
 const RELEASE_MS = 20_000;
 const LEAVE_MS = 5_000;
 
+/** Time within which entry hosts have read that a server leaves, in milliseconds. */
+const NOTICE_MS = 100;
+
 /** Smallest share of calls served after a failure that leaves the capacity, compared with before. */
 const MIN_KEPT_SHARE = 0.9;
 
@@ -42,6 +54,7 @@
   await drainLoad(fleet);
   checkNoneLost(t, fleet);
   checkRanks(t, fleet);
+  await checkIdle(t, fleet);
 }
 
 function checkKept(t: Test, fleet: LoadFleet, fromMs: number): void {
@@ -70,7 +83,7 @@
 
 t.test('a relay is lost under load', async (t) => {
   // Guards against members that decide alone for longer than their reports are missing.
-  const fleet = await start(t, { durationMs: 7_000, fraction: 0.7 }, RELAY_HOSTS);
+  const fleet = await start(t, { durationMs: 7_000 }, RELAY_HOSTS);
   await fleet.clock.advance(STEADY_MS);
   const relay = fleet.hosts.find(({ reports }) => reports?.isRelay) as DirectHost;
   t.ok(
@@ -78,7 +91,9 @@
     'there are members',
   );
   await fleet.kill(relay);
-  await finish(t, fleet, 4_000);
+  await fleet.clock.advance(RELAY_CHANGE_MS);
+  checkKnown(t, fleet);
+  await finish(t, fleet, 4_000 - RELAY_CHANGE_MS);
   checkKept(t, fleet, STEADY_MS);
 });
 
@@ -102,12 +117,18 @@
 t.test('a release replaces all servers within 20 s under load', async (t) => {
   // Guards against new incarnations that get no calls, or all of them, before they are known.
   const fleet = await start(t, { durationMs: RELEASE_MS, fraction: 0.6 });
+  const leavingSinceMs = new Map<string, number>();
   const stepMs = (RELEASE_MS - LEAVE_MS) / SMALL_FLEET.servers;
   for (const id of fleet.serverIds) {
     await fleet.clock.advance(stepMs);
     fleet.replace(id, `${id}-2`, LEAVE_MS);
+    leavingSinceMs.set(id, fleet.clock.nowMs());
   }
   await finish(t, fleet, LEAVE_MS);
+  const late = fleet.runs.filter(
+    ({ serverId, atMs }) => atMs > (leavingSinceMs.get(serverId) ?? Infinity) + NOTICE_MS,
+  );
+  t.equal(late.length, 0, 'no call is sent to a server that leaves');
   const served = measureServed(fleet.outcomes);
   t.ok(served >= MIN_KEPT_SHARE, `served ${served}`);
 });
--- a/test/support/load_engine.ts
+++ b/test/support/load_engine.ts
@@ -106,6 +106,11 @@
     return Math.max(0, this.#options.slots - this.#running.size - this.#waiting.length);
   }
 
+  /** Number of requests that run or wait here. */
+  get inFlight(): number {
+    return this.#running.size + this.#waiting.length;
+  }
+
   /** Takes a request. @param onEnd - called when the request no longer holds anything here */
   serve(exchange: FakeExchange, work: EngineWork, onEnd: () => void): void {
     const run: EngineRun = {
