--- a/src/application/direct/_service_outlook.ts
+++ b/src/application/direct/_service_outlook.ts
@@ -20,6 +20,12 @@
 /** Weight of each sample in the average share of this host. */
 const SHARE_ALPHA = 0.02;
 
+/**
+ * Largest factor by which the calls that were started lately correct the rate of slots: after a loss
+ * of servers, they still show the rate before it.
+ */
+const MAX_CORRECTION = 1.3;
+
 /** Largest number of hosts' rejections that those of this host stand for. */
 const MAX_RETURN_SCALE = 100;
 
@@ -88,9 +94,15 @@
     this.#wave.sample(this.#listStartedNow(), nowMs);
   }
 
-  /** Records that a call gave its slot back. */
-  recordSlotFreed(): void {
-    this.#holds.recordEnd(this.#options.clock.nowMs());
+  /**
+   * Records that a call gave its slot back. Calls at servers that are lost all end at once, which
+   * says nothing of the others.
+   *
+   * @param serverId - incarnation ID of the backend server
+   */
+  recordSlotFreed(serverId: string): void {
+    const { clock, listCandidates } = this.#options;
+    if (listCandidates().some(({ id }) => id === serverId)) this.#holds.recordEnd(clock.nowMs());
   }
 
   /** Measures the slots that this host's calls hold. Called often while calls wait. */
@@ -182,8 +194,9 @@
     const isCutOff = !this.#options.peers.hasReports() && this.#share !== undefined;
     if (isCutOff) return slotsPerSecond * (this.#share ?? 1);
     if (slotsPerSecond === 0) return 0;
-    // What was started lately shows that there is that much, whatever the average hold of this host.
-    return Math.max(slotsPerSecond, Math.min(sumAll(startedNow), sumAll(startedUsually)));
+    // What was started lately shows that there is more than the average hold of this host says.
+    const startedPerSecond = Math.min(sumAll(startedNow), sumAll(startedUsually));
+    return Math.max(slotsPerSecond, Math.min(startedPerSecond, slotsPerSecond * MAX_CORRECTION));
   }
 
   /** Callers return to any host: this host's rejections stand for those of all. */
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -123,7 +123,7 @@
    */
   handleSlotFreed(serverId: string, heldMs: number): void {
     this.#picker.recordHold(heldMs);
-    this.#outlook.recordSlotFreed();
+    this.#outlook.recordSlotFreed(serverId);
     this.#options.forwardFreedSlot(serverId);
   }
 
--- a/src/domain/direct/admission_outlook.ts
+++ b/src/domain/direct/admission_outlook.ts
@@ -25,7 +25,7 @@
 const RETURNING_MARGIN = 1;
 
 /** The same factor for calls that wait already: they are rejected when the outlook is clearly bad. */
-const WAITING_MARGIN = 0.67;
+const WAITING_MARGIN = 0.8;
 
 /**
  * Part of its predicted hold, and time in milliseconds, that a call needs in addition to the hold:
--- a/test/support/queue_fixture.ts
+++ b/test/support/queue_fixture.ts
@@ -125,6 +125,11 @@
     });
   }
 
+  /** @returns the time in some milliseconds, on the monotonic clock */
+  endMs(afterMs: number): number {
+    return this.clock.nowMs() + afterMs;
+  }
+
   /** Submits a call. @returns the call */
   submit(changes: Partial<QueuedCall> = {}): FakeQueuedCall {
     const call = new FakeQueuedCall(this.clock.nowMs(), changes);
