--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import type { HostReportMessage, WaitingNoticeMessage } from '../../ports/mod.js';
+import { addCount, addCounts } from './_count_sums.js';
+import type { Counts } from './_count_sums.js';
 import { UrgencySums } from './_urgency_sums.js';
 
 /** Part of a peer's report that describes backend servers and the calls that wait for them. */
@@ -36,8 +38,6 @@
 /** Report fields that are summed over peers. */
 export type SummedField = (typeof SUMMED_FIELDS)[number];
 
-type Counts = Readonly<Record<string, number>>;
-
 /** What {@link PeerStatsTable.sumOf} adds up. */
 export interface SumParts {
   /** Counts of this entry host. */
@@ -293,13 +293,3 @@
     if (current) this.set(source, { ...current, ...buildChanges(current) });
   }
 }
-
-function addCount(totals: Map<string, number>, id: string, count: number): void {
-  const sum = (totals.get(id) ?? 0) + count;
-  if (sum === 0) totals.delete(id);
-  else totals.set(id, sum);
-}
-
-function addCounts(totals: Map<string, number>, counts: Counts, sign: 1 | -1): void {
-  Object.entries(counts).forEach(([id, count]) => addCount(totals, id, count * sign));
-}
--- a/src/domain/backend_servers/pick_server.ts
+++ b/src/domain/backend_servers/pick_server.ts
@@ -100,7 +100,7 @@
   candidates: readonly Candidate[],
   options: PickOptions,
 ): Candidate | undefined {
-  const { contention, nowMs, nextFraction, open = candidates } = options;
+  const { contention, nowMs, open = candidates } = options;
   const free = open.filter(
     (candidate) => candidate.load.countOpenSlots(nowMs) > 0 && mayServe(candidate, options),
   );
