--- a/src/application/direct/_server_loads.ts
+++ b/src/application/direct/_server_loads.ts
@@ -5,7 +5,7 @@
  */
 import { ServerLoad } from '../../domain/backend_servers/mod.js';
 import type { ServerPaths } from '../../domain/paths/mod.js';
-import type { Clock } from '../../ports/mod.js';
+import type { Clock, EventLog } from '../../ports/mod.js';
 import type { PeerStatsTable } from './_peer_stats.js';
 import { ServerSpeeds } from './_server_speeds.js';
 
@@ -20,6 +20,7 @@
 /** Dependencies of {@link ServerLoads}. */
 export interface ServerLoadsOptions {
   readonly clock: Clock;
+  readonly log: EventLog;
   readonly peers: PeerStatsTable;
   readonly paths: ServerPaths;
   /** @param id - a server incarnation. @returns its properties, with defaults if it is unknown */
@@ -38,7 +39,7 @@
   /** @param options - dependencies */
   constructor(options: ServerLoadsOptions) {
     this.#options = options;
-    this.speeds = new ServerSpeeds(options.clock);
+    this.speeds = new ServerSpeeds(options.clock, options.log);
   }
 
   /** @param id - a server incarnation. @returns its load, if it was ever a candidate */
--- a/src/application/direct/_server_speeds.ts
+++ b/src/application/direct/_server_speeds.ts
@@ -11,7 +11,8 @@
   SpeedTable,
 } from '../../domain/backend_servers/mod.js';
 import type { ServerLoad, SharedSpeed, SpeedEstimate } from '../../domain/backend_servers/mod.js';
-import type { Clock } from '../../ports/mod.js';
+import type { Clock, EventLog } from '../../ports/mod.js';
+import { LogLevel } from '../../domain/errors/mod.js';
 import { SpeedReports } from './_speed_reports.js';
 import type { SpeedSources } from './_speed_reports.js';
 
@@ -28,6 +29,12 @@
 /** Weight of the evidence of a server that is in use, in samples. */
 const MIN_USED_WEIGHT = 1;
 
+/** Factor by which an estimate differs from the logged one before it is logged again. */
+const LOGGED_FACTOR = 2;
+
+/** Largest number of servers whose speed is logged in one review. */
+const MAX_LOGGED = 20;
+
 /** Speed of one server incarnation. */
 interface TrackedSpeed {
   readonly key: number;
@@ -45,12 +52,17 @@
 export class ServerSpeeds {
   readonly #clock: Clock;
 
+  readonly #log: EventLog;
+
   readonly #table = new SpeedTable();
 
   readonly #tracked = new Map<string, TrackedSpeed>();
 
   readonly #speedsByKey = new Map<number, SharedSpeed>();
 
+  /** Time of a typical request when it was last logged, by server, in milliseconds. */
+  readonly #loggedMs = new Map<string, number>();
+
   readonly #medians = new Map<string, SpeedEstimate>();
 
   readonly #reports: SpeedReports;
@@ -59,9 +71,10 @@
 
   #reviewedAtMs = Number.NEGATIVE_INFINITY;
 
-  /** @param clock - provides monotonic time */
-  constructor(clock: Clock) {
+  /** @param clock - provides monotonic time. @param log - where changes of speeds are logged */
+  constructor(clock: Clock, log: EventLog) {
     this.#clock = clock;
+    this.#log = log;
     this.#reports = new SpeedReports(this.#table);
   }
 
@@ -87,6 +100,7 @@
     const tracked = this.#tracked.get(id);
     if (!tracked) return;
     this.#tracked.delete(id);
+    this.#loggedMs.delete(id);
     this.#speedsByKey.delete(tracked.key);
     this.#reports.forgetServer(tracked.key);
   }
@@ -142,6 +156,32 @@
       else byService.set(serviceId, [speed]);
     });
     byService.forEach((speeds, serviceId) => this.#reviewService(serviceId, speeds, elapsedMs));
+    this.#logChanges(nowMs);
+  }
+
+  /** Logs servers whose typical request takes twice or half as long as when they were last logged. */
+  #logChanges(nowMs: number): void {
+    let left = MAX_LOGGED;
+    this.#tracked.forEach(({ key, speed }, backendServer) => {
+      const loggedMs = this.#loggedMs.get(backendServer) ?? 0;
+      if (!speed.isKnown) return;
+      const typicalMs = predictTypicalMs(speed);
+      const ratio = typicalMs / Math.max(loggedMs, 1);
+      const hasChanged = ratio >= LOGGED_FACTOR || ratio <= 1 / LOGGED_FACTOR;
+      if (loggedMs > 0 && (!hasChanged || left === 0)) return;
+      this.#loggedMs.set(backendServer, typicalMs);
+      if (loggedMs === 0) return;
+      left -= 1;
+      this.#log.write(LogLevel.Info, 'backend_server_speed_changed', {
+        backendServer,
+        typicalMs: Math.round(typicalMs),
+        formerMs: Math.round(loggedMs),
+        evidence: Math.round(speed.evidenceWeight * 10) / 10,
+        evidenceAgeMs: Math.round(nowMs - speed.evidenceAtMs),
+        ownSamples: speed.sampleCount,
+        reportingPeers: this.#table.countSources(key),
+      });
+    });
   }
 
   #reviewService(serviceId: string, speeds: readonly SharedSpeed[], elapsedMs: number): void {
@@ -157,14 +197,19 @@
   }
 }
 
+function predictTypicalMs(speed: SharedSpeed): number {
+  const firstByteMs = speed.predictFirstByteMs(TYPICAL_PROMPT_TOKENS);
+  return speed.isPlain
+    ? firstByteMs
+    : firstByteMs + TYPICAL_OUTPUT_TOKENS * speed.estimate.decodeMsPerToken;
+}
+
 /** Finds the fastest server that is in use; where none is, no server has to be tried again. */
 function findFastest(speeds: readonly SharedSpeed[]): SharedSpeed | undefined {
   let fastest: SharedSpeed | undefined;
   let shortestMs = Infinity;
   speeds.forEach((speed) => {
-    const typicalMs =
-      speed.predictFirstByteMs(TYPICAL_PROMPT_TOKENS) +
-      (speed.isPlain ? 0 : TYPICAL_OUTPUT_TOKENS * speed.estimate.decodeMsPerToken);
+    const typicalMs = predictTypicalMs(speed);
     if (speed.evidenceWeight < MIN_USED_WEIGHT || typicalMs >= shortestMs) return;
     fastest = speed;
     shortestMs = typicalMs;
--- a/src/application/direct/server_registry.ts
+++ b/src/application/direct/server_registry.ts
@@ -73,9 +73,8 @@
     this.notices = new ServerNotices({ ...options, listServers: this.#listActive.bind(this) });
     this.notices.onChange(() => this.#notifyChange());
     this.loads = new ServerLoads({
-      clock: options.clock,
+      ...options,
       peers: this.peers,
-      paths: options.paths,
       findTraits: (id) => this.#findTraits(id),
     });
     this.#candidateLists = new CandidateCache(options.clock, (id) => this.#buildCandidates(id));
