--- a/src/application/direct/_admission.ts
+++ b/src/application/direct/_admission.ts
@@ -197,11 +197,10 @@
   { ahead, equalAhead, equalCount }: QueuePosition,
 ): CallsAhead {
   const peerPart = (equalAhead + 1) / (equalCount + 1);
-  return { urgency: computeUrgency(call), own: ahead, peerPart, isReturning: call.isReturning };
+  return { urgency: computeUrgency(call), own: ahead, peerPart };
 }
 
 /** A call that becomes late while it waits goes behind those on time. */
-function buildLateAhead(call: QueuedCall, { lateAhead }: QueuePosition): CallsAhead {
-  const urgency = computeUrgency({ rank: call.rank, isLate: true });
-  return { urgency, own: lateAhead, peerPart: 1, isReturning: call.isReturning };
+function buildLateAhead({ rank }: QueuedCall, { lateAhead }: QueuePosition): CallsAhead {
+  return { urgency: computeUrgency({ rank, isLate: true }), own: lateAhead, peerPart: 1 };
 }
--- a/src/application/direct/_service_outlook.ts
+++ b/src/application/direct/_service_outlook.ts
@@ -26,13 +26,6 @@
  */
 const MAX_CORRECTION = 1.3;
 
-/**
- * Largest part of the slots per second that more urgent calls are expected to take after a burst,
- * for callers that were rejected before. They have no further attempt, so those with many seconds
- * left wait for the end of the burst even if it has lasted for long.
- */
-const MAX_PART_AFTER_BURST = 0.85;
-
 /** Largest number of hosts' rejections that those of this host stand for. */
 const MAX_RETURN_SCALE = 100;
 
@@ -61,8 +54,6 @@
   readonly peerPart: number;
   /** Whether callers of equal urgency that will return count, as they do for one that returns too. */
   readonly countsEqualReturns?: boolean;
-  /** Whether the caller was rejected before. */
-  readonly isReturning: boolean;
 }
 
 /** Tracks the demand for the slots of one service. */
@@ -165,9 +156,7 @@
    */
   buildForecast(view: OutlookView, ahead: CallsAhead): SlotForecast {
     const { capacity, startedNow, startedUsually, waitingAtPeers, unknownAtPeers, nowMs } = view;
-    const { urgency, own, peerPart, countsEqualReturns = false, isReturning } = ahead;
-    const takenUsually = sumMoreUrgent(startedUsually, urgency);
-    const maxTaken = MAX_PART_AFTER_BURST * view.slotsPerSecond;
+    const { urgency, own, peerPart, countsEqualReturns = false } = ahead;
     const equalAtPeers = (waitingAtPeers.get(urgency) ?? 0) * peerPart;
     const atPeers = sumMoreUrgent(waitingAtPeers, urgency) + equalAtPeers + unknownAtPeers;
     const returnUrgency = countsEqualReturns ? urgency : urgency - 1;
@@ -176,7 +165,7 @@
       callsAhead: own + atPeers - capacity.freeSlots,
       slotsPerSecond: view.slotsPerSecond,
       takenNow: sumMoreUrgent(startedNow, urgency),
-      takenUsually: isReturning ? Math.min(takenUsually, maxTaken) : takenUsually,
+      takenUsually: sumMoreUrgent(startedUsually, urgency),
       countReturns: (withinMs) =>
         this.#returning.count(returnUrgency, nowMs, nowMs + withinMs) * returnScale,
     };
