Keep slot time of accounts only where shares are fair, and use the field's names

Found on reading the diff. Without hasFairShares each attempt was still charged to its account, and gauges of accounts were set; the table of usage is now created with the setting alone.

The average hold stood twice (HoldTimeAverage); a pass over the queue was called a turn, as are the right to send at a paced server and a turn of the event loop; ServiceQueue.firstUrgency was not the firstUrgency of its WaitQueue.

--- a/src/application/direct/_account_usage.ts
+++ b/src/application/direct/_account_usage_table.ts
@@ -45,14 +45,12 @@
   readonly usageMs: number;
 }
 
-/** Dependencies of {@link AccountUsages}. */
-export interface AccountUsagesOptions {
+/** Dependencies of {@link AccountUsageTable}. */
+export interface AccountUsageTableOptions {
   readonly clock: Clock;
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly peers: PeerStatsTable;
-  /** Whether slots are divided by fair shares; otherwise nothing is reported. */
-  readonly hasFairShares?: boolean | undefined;
 }
 
 /**
@@ -63,8 +61,8 @@
  * Sums of peers are those of their last reports, without the decay since then. It is the same factor
  * for all accounts, about 0.97 for the 150 ms between two reports.
  */
-export class AccountUsages {
-  readonly #options: AccountUsagesOptions;
+export class AccountUsageTable {
+  readonly #options: AccountUsageTableOptions;
 
   readonly #byService: LazyMap<AccountUsage>;
 
@@ -82,7 +80,7 @@
   #totalledAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param options - dependencies */
-  constructor(options: AccountUsagesOptions) {
+  constructor(options: AccountUsageTableOptions) {
     this.#options = options;
     this.#shareLog = new ShareLog(options);
     this.#gauges = new ShareGauges(options.metrics);
@@ -134,12 +132,11 @@
    * @returns slot milliseconds of the busiest accounts, by sum ID
    */
   listReported(sources: readonly string[]): Record<string, number> {
-    if (!this.#options.hasFairShares) return {};
     this.#shareLog.review();
     const own = this.#listOwn();
     if (sources.length === 0)
       return Object.fromEntries(pickBusiest(Object.entries(own), MAX_REPORTED_ACCOUNTS));
-    return this.#options.peers.sumOf('accountUsage', this.#chooseBusiest(own), { own, sources });
+    return this.#options.peers.sumFor('accountUsage', this.#chooseBusiest(own), { own, sources });
   }
 
   /** Sets the gauges of the busiest accounts. */
--- a/src/application/direct/_attempts_in_flight.ts
+++ b/src/application/direct/_attempts_in_flight.ts
@@ -4,11 +4,11 @@
  * @module
  */
 import { ServerOutcome } from '../../domain/backend_servers/mod.js';
-import type { BackendServerEntry } from '../../domain/backend_servers/mod.js';
+import type { BackendServerEntry, ServerLoad } from '../../domain/backend_servers/mod.js';
 import { computeUrgency } from '../../domain/direct/mod.js';
 import type { BackendRequest, Timer } from '../../ports/mod.js';
 import type { Permit } from '../crashes/mod.js';
-import type { SlotCharge } from './_account_usage.js';
+import type { SlotCharge } from './_account_usage_table.js';
 import type { AttemptBudget } from './_attempt_budget.js';
 import type { DirectAttemptResult } from './_attempt_result.js';
 import { buildBackendRequest } from './_backend_request.js';
@@ -131,8 +131,7 @@
     budget.recordSent();
     retries.recordSent();
     this.#attempts = [...this.#attempts, attempt];
-    const holdMs = load.predictHoldMs(call.work, call.expectedTokens);
-    this.#charges.set(attempt, services.accountUsage.charge(serviceId, call, holdMs));
+    this.#charge(attempt, load);
     attempt.start();
     if (route.isStream && this.#attempts.length > 1) this.#scheduleOverlapEnd();
   }
@@ -182,6 +181,14 @@
       });
   }
 
+  #charge(attempt: DirectAttempt, load: ServerLoad): void {
+    const { options, call } = this.#options;
+    const { services, serviceId } = options;
+    if (!services.accountUsage) return;
+    const holdMs = load.predictHoldMs(call.work, call.expectedTokens);
+    this.#charges.set(attempt, services.accountUsage.charge(serviceId, call, holdMs));
+  }
+
   #remove(attempt: DirectAttempt): void {
     this.#attempts = this.#attempts.filter((one) => one !== attempt);
     this.#charges.get(attempt)?.settle();
--- a/src/application/direct/_peer_stats.ts
+++ b/src/application/direct/_peer_stats.ts
@@ -34,7 +34,7 @@
 
 type Counts = Readonly<Record<string, number>>;
 
-/** What {@link PeerStatsTable.sumOf} adds up. */
+/** What {@link PeerStatsTable.sumFor} adds up. */
 export interface SumParts {
   /** Counts of this entry host. */
   readonly own: Counts;
@@ -118,7 +118,7 @@
    * @param parts - what is added up
    * @returns the sums by ID, without those that are 0
    */
-  sumOf(
+  sumFor(
     field: SummedField,
     ids: readonly string[],
     { own, sources }: SumParts,
--- a/src/application/direct/_service_capacity.ts
+++ b/src/application/direct/_service_capacity.ts
@@ -14,8 +14,8 @@
   readonly requestsPerSecond: number;
 }
 
-/** State that all waiting calls share during one turn of the queue. */
-export interface QueueTurn {
+/** State that all waiting calls share during one pass over the queue. */
+export interface DispatchPass {
   /** All servers that may be given work. */
   readonly candidates: readonly Candidate[];
   /** Those of them that have an open slot. */
--- a/src/application/direct/_slot_picker.ts
+++ b/src/application/direct/_slot_picker.ts
@@ -5,32 +5,26 @@
  */
 import { pickServer } from '../../domain/backend_servers/mod.js';
 import type { Candidate } from '../../domain/backend_servers/mod.js';
-import { computeUrgency } from '../../domain/direct/mod.js';
+import { computeUrgency, HoldTimeAverage } from '../../domain/direct/mod.js';
 import { listOpenServers } from './_service_capacity.js';
-import type { QueueTurn } from './_service_capacity.js';
+import type { DispatchPass } from './_service_capacity.js';
 import type { QueuedCall, ServiceQueueOptions } from './service_queue_options.js';
 
-/** Weight of each sample in the moving average of the time for which a slot is held. */
-const HOLD_TIME_ALPHA = 0.1;
-
-/** Initial value of that average, in milliseconds: about the duration of a short answer. */
-const INITIAL_HOLD_MS = 200;
-
 /** What a choice takes from its circumstances. */
 export interface PickLimits {
   /** Calls that wait here and compete for the same slots. */
   readonly ownWaitingCalls: number;
   /** Servers that the call must not be sent to. Default: those that it was sent to already. */
   readonly excluded?: ReadonlySet<string>;
-  /** Turn of the queue in which the choice is made, if any. */
-  readonly turn?: QueueTurn;
+  /** Pass over the queue in which the choice is made, if any. */
+  readonly pass?: DispatchPass;
 }
 
 /** Picks backend servers for the calls of one service. */
 export class SlotPicker {
   readonly #options: ServiceQueueOptions;
 
-  #averageHoldMs = INITIAL_HOLD_MS;
+  readonly #holdTime = new HoldTimeAverage();
 
   /** @param options - dependencies of the queue */
   constructor(options: ServiceQueueOptions) {
@@ -39,16 +33,16 @@
 
   /** Average time for which a request holds a slot, in milliseconds. */
   get averageHoldMs(): number {
-    return this.#averageHoldMs;
+    return this.#holdTime.averageMs;
   }
 
   /** @param heldMs - time for which a request held its slot, in milliseconds */
   recordHold(heldMs: number): void {
-    this.#averageHoldMs += HOLD_TIME_ALPHA * (heldMs - this.#averageHoldMs);
+    this.#holdTime.record(heldMs);
   }
 
-  /** @returns the open servers, found once for all calls of a turn: most turns serve few of them */
-  startTurn(): QueueTurn {
+  /** @returns the open servers, found once for all calls of a pass: most passes serve few of them */
+  startPass(): DispatchPass {
     const { clock, listCandidates, getPeerUrgency } = this.#options;
     const candidates = listCandidates();
     const open = listOpenServers(candidates, clock.nowMs());
@@ -56,13 +50,13 @@
   }
 
   /**
-   * @param turn - a turn in which a slot was taken, or the usable servers may have changed
-   * @returns the turn with the servers that are open now
+   * @param pass - a pass in which a slot was taken, or the usable servers may have changed
+   * @returns the pass with the servers that are open now
    */
-  continueTurn(turn: QueueTurn): QueueTurn {
+  refreshPass(pass: DispatchPass): DispatchPass {
     const { clock, listCandidates } = this.#options;
-    if (listCandidates() !== turn.candidates) return this.startTurn();
-    return { ...turn, open: listOpenServers(turn.open, clock.nowMs()) };
+    if (listCandidates() !== pass.candidates) return this.startPass();
+    return { ...pass, open: listOpenServers(pass.open, clock.nowMs()) };
   }
 
   /**
@@ -72,12 +66,12 @@
    */
   pick(
     call: QueuedCall,
-    { ownWaitingCalls, excluded = call.excluded, turn }: PickLimits,
+    { ownWaitingCalls, excluded = call.excluded, pass }: PickLimits,
   ): Candidate | undefined {
     const { work, expectedTokens, deadlineAtMs, regions, origin } = call;
     const { clock, random, listCandidates, countWaitingAtPeers, getPeerUrgency } = this.#options;
     const nowMs = clock.nowMs();
-    return pickServer(turn?.candidates ?? listCandidates(), {
+    return pickServer(pass?.candidates ?? listCandidates(), {
       work,
       expectedTokens,
       timeLeftMs: deadlineAtMs - nowMs,
@@ -87,12 +81,12 @@
       nowMs,
       nextFraction: () => random.nextFraction(),
       contention: {
-        holdMs: this.#averageHoldMs,
+        holdMs: this.#holdTime.averageMs,
         ownWaitingCalls,
         peerWaitingCalls: countWaitingAtPeers(),
-        isPeerMoreUrgent: (turn?.peerUrgency ?? getPeerUrgency()) < computeUrgency(call),
+        isPeerMoreUrgent: (pass?.peerUrgency ?? getPeerUrgency()) < computeUrgency(call),
       },
-      open: turn?.open,
+      open: pass?.open,
     });
   }
 }
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -17,7 +17,7 @@
   PeerNetwork,
   RandomSource,
 } from '../../ports/mod.js';
-import { AccountUsages } from './_account_usage.js';
+import { AccountUsageTable } from './_account_usage_table.js';
 import { isTakeUp, TakeUps } from './_take_ups.js';
 import { buildRetryElsewhereError, CallChecks } from './_call_checks.js';
 import type { CallChecksOptions, CheckedCall } from './_call_checks.js';
@@ -76,8 +76,8 @@
 export class DirectGateway {
   readonly #options: DirectGatewayOptions;
 
-  /** Slot time that client accounts use. */
-  readonly accountUsage: AccountUsages;
+  /** Slot time by account; undefined if slots are not divided by fair shares. */
+  readonly accountUsage: AccountUsageTable | undefined;
 
   readonly #services: DirectServices;
 
@@ -114,11 +114,12 @@
     this.#takeUps = new TakeUps(options);
     this.#earlyRejections = new EarlyRejections({ ...options, listCalls: () => this.#calls });
     this.#recentCalls = new RecentCalls(options.clock);
-    this.accountUsage = new AccountUsages({ ...options, peers: options.servers.peers });
+    if (options.hasFairShares)
+      this.accountUsage = new AccountUsageTable({ ...options, peers: options.servers.peers });
     const { accountUsage } = this;
     this.#services = { ...options, ...createRetryShares(options), accountUsage };
     const queues = {
-      getFirstUrgency: (id: string) => this.#queues.get(id)?.firstUrgency ?? Infinity,
+      getFirstUrgency: (id: string) => this.#queues.get(id)?.firstPriority ?? Infinity,
       dispatchWaiting: (id: string) => this.#queues.get(id)?.dispatchWaiting(),
       isCalled: (id: string) => this.#recentCalls.has(id),
     };
@@ -151,7 +152,7 @@
   /** @returns urgency of the first waiting call, by service ID */
   listFirstWaiting(): Record<string, number> {
     const queues = this.#listNonEmptyQueues();
-    return Object.fromEntries(queues.map(([id, { firstUrgency }]) => [id, firstUrgency]));
+    return Object.fromEntries(queues.map(([id, { firstPriority }]) => [id, firstPriority]));
   }
 
   /** @returns 1 for each service that was called lately and has a server that names a limit */
@@ -221,20 +222,20 @@
     reply.sendError(refusal);
   }
 
-  #startCall(request: DirectRequest, reply: DirectReply, readMs: number): void {
+  #startCall(request: DirectRequest, reply: DirectReply, readDelayMs: number): void {
     if (this.#isRefusingNew) throw buildRetryElsewhereError(ErrorKind.EntryHostStopping);
     const checked = this.#checks.check(request);
     const call = { checked, request, reply };
     if (!checked.route.isStream || !isTakeUp(request)) {
       const serviceId = pickService(checked.route, this.#options.random.nextFraction());
-      this.#serve(call, { serviceId, waitedMs: readMs });
+      this.#serve(call, { serviceId, waitedMs: readDelayMs });
       return;
     }
     this.#takeUps.start({
       ...call,
       onResolved: (origin, askedMs) => {
         const { serviceId } = origin;
-        const start = { serviceId, origin, waitedMs: readMs + askedMs };
+        const start = { serviceId, origin, waitedMs: readDelayMs + askedMs };
         this.#try(request, reply, () => this.#serve(call, start));
       },
       onRefused: (error) => this.#refuse(request, reply, error),
@@ -279,14 +280,14 @@
   }
 
   #createQueue(serviceId: string): ServiceQueue {
-    const { clock, random, servers, hasFairShares } = this.#options;
+    const { clock, random, servers } = this.#options;
     const queue: ServiceQueue = new ServiceQueue({
       clock,
       random,
-      fairOrder: hasFairShares ? this.accountUsage.getOrder(serviceId) : undefined,
+      fairOrder: this.accountUsage?.getOrder(serviceId),
       listCandidates: () => servers.listCandidates(serviceId),
       estimateBlockedMs: () => servers.estimateBlockedMs(serviceId),
-      onWaiting: () => this.#waitingNotices.notifyPeers(serviceId, queue),
+      onWaiting: () => this.#waitingNotices.notifyPeers(serviceId, queue.summary),
       forwardFreedSlot: (serverId) => this.#freedSlotForwarder.forward(serverId),
       countWaitingAtPeers: () => servers.countWaitingAtPeers(serviceId),
       countPeerCallsAhead: (urgency) => servers.peers.countCallsAhead(serviceId, urgency),
--- a/src/application/direct/direct_services.ts
+++ b/src/application/direct/direct_services.ts
@@ -12,7 +12,7 @@
   RandomSource,
 } from '../../ports/mod.js';
 import type { CrashQuarantine } from '../crashes/mod.js';
-import type { AccountUsages } from './_account_usage.js';
+import type { AccountUsageTable } from './_account_usage_table.js';
 import type { RoutingView } from './routing_view.js';
 import type { ServerRegistry } from './server_registry.js';
 
@@ -38,5 +38,5 @@
   readonly routing: RoutingView;
   readonly servers: ServerRegistry;
   readonly crashes: CrashQuarantine;
-  readonly accountUsage: AccountUsages;
+  readonly accountUsage: AccountUsageTable | undefined;
 }
--- a/src/application/direct/report_stats.ts
+++ b/src/application/direct/report_stats.ts
@@ -92,6 +92,6 @@
     rateLimits: servers.notices.rateLimits.listReported(),
     refusalLimits: servers.notices.refusalLimits.listReported(),
     configurationVersion: routing.newestKnownVersion,
-    accountUsage: gateway.accountUsage.listReported(incarnations),
+    accountUsage: gateway.accountUsage?.listReported(incarnations) ?? {},
   };
 }
--- a/src/application/direct/service_queue.ts
+++ b/src/application/direct/service_queue.ts
@@ -12,9 +12,10 @@
 } from '../../domain/direct/mod.js';
 import type { Timer } from '../../ports/mod.js';
 import { summarizeCapacity } from './_service_capacity.js';
-import type { QueueTurn, ServiceCapacity } from './_service_capacity.js';
+import type { DispatchPass, ServiceCapacity } from './_service_capacity.js';
 import { SlotPicker } from './_slot_picker.js';
 import type { QueuedCall, ServiceQueueOptions } from './service_queue_options.js';
+import type { QueueSummary } from './waiting_notices.js';
 
 /** Interval between checks of the queue, in milliseconds: short compared with latency targets. */
 const CHECK_INTERVAL_MS = 15;
@@ -57,10 +58,15 @@
   }
 
   /** Urgency of the first waiting call, less if its account is below its share; Infinity: none. */
-  get firstUrgency(): number {
+  get firstPriority(): number {
     return this.#queue.firstPriority;
   }
 
+  /** What peers are told of the queue. */
+  get summary(): QueueSummary {
+    return { size: this.size, firstUrgency: this.firstPriority };
+  }
+
   /** @param call - the call to dispatch, queue or refuse */
   submit(call: QueuedCall): void {
     this.#guard(call, () => this.#admit(call));
@@ -127,18 +133,18 @@
   /** Dispatches waiting calls to free slots, in order of the queue. */
   dispatchWaiting(): void {
     if (this.#queue.size === 0) return;
-    let turn = this.#picker.startTurn();
+    let pass = this.#picker.startPass();
     [...this.#queue.list()].every((call) => {
-      if (turn.open.length === 0) return false;
-      const isGranted = this.#guard(call, () => this.#dispatch(call, turn));
+      if (pass.open.length === 0) return false;
+      const isGranted = this.#guard(call, () => this.#dispatch(call, pass));
       // A grant takes a slot, and may change which servers are usable.
-      if (isGranted) turn = this.#picker.continueTurn(turn);
+      if (isGranted) pass = this.#picker.refreshPass(pass);
       return true;
     });
   }
 
-  #dispatch(call: QueuedCall, turn: QueueTurn): boolean {
-    const candidate = this.#picker.pick(call, { ownWaitingCalls: this.#queue.size, turn });
+  #dispatch(call: QueuedCall, pass: DispatchPass): boolean {
+    const candidate = this.#picker.pick(call, { ownWaitingCalls: this.#queue.size, pass });
     // A grant may end other calls, so each call is looked up again when its turn comes.
     if (!candidate || !this.#queue.remove(call)) return false;
     this.#waitSuccess.record(computeUrgency(call), true, this.#options.clock.nowMs());
--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -67,7 +67,7 @@
   metrics.set('entry_hosts_cut_off', countCutOff(reports));
   metrics.set('requests_through_peers', hostPaths.proxies.exchangeCount);
   metrics.set('requests_for_peers', hostPaths.server.exchangeCount);
-  gateway.accountUsage.updateGauges();
+  gateway.accountUsage?.updateGauges();
 }
 
 function countCutOff(reports: HostReports): number {
--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -26,7 +26,9 @@
   availabilityZone: z.string().default(''),
   /** Whether the whole system starts for the first time, so that it has served nobody yet. */
   isFirstStart: z.boolean().default(false),
+  /** Whether waiting calls get slots by fair shares of their client accounts. */
   hasFairShares: z.boolean().default(false),
+  /** Whether this entry host rejects new calls early while it lacks processor time. */
   hasEarlyRejections: z.boolean().default(false),
   /** Region of each availability zone. */
   zoneRegions: z.record(z.string(), z.string()).default({}),
--- a/src/domain/direct/account_usage.ts
+++ b/src/domain/direct/account_usage.ts
@@ -1,9 +1,11 @@
 /**
- * Slot time that client accounts have used lately, from which their fair shares are derived.
+ * Slot time that client accounts have used lately, from which their fair shares are derived. The
+ * tag of an account is its slot time per unit of weight; the account with the lowest tag goes first.
  *
  * @module
  */
 import { MIN_WEIGHT } from '../scheduling/flow_order.js';
+import { HoldTimeAverage } from './hold_time_average.js';
 
 /**
  * Half-life of used slot time, in milliseconds. It spans several requests, so that a single long one
@@ -27,13 +29,7 @@
  * the others with one or two seconds left would be refused meanwhile. With this value, an account
  * that could use all slots takes them alone for at most a third of the half-life.
  */
-const RETURN_FRACTION = 0.75;
-
-/** Weight of each sample in the moving average of the time for which a slot is held. */
-const HOLD_TIME_ALPHA = 0.1;
-
-/** Initial value of that average, in milliseconds. */
-const INITIAL_HOLD_MS = 200;
+const MIN_START_FRACTION = 0.75;
 
 /** An account and its weight relative to the others. */
 export interface WeightedAccount {
@@ -52,8 +48,8 @@
 /** Decayed sums of one account, as of `atMs`. */
 interface AccountSums {
   usageMs: number;
-  /** What is added to the usage in the order of the queue, and is no usage. */
-  liftMs: number;
+  /** Added to the usage where accounts are ordered; neither reported nor charged. */
+  offsetMs: number;
   atMs: number;
 }
 
@@ -73,7 +69,7 @@
 
   #revision = 0;
 
-  #averageHoldMs = INITIAL_HOLD_MS;
+  readonly #holdTime = new HoldTimeAverage();
 
   /**
    * @param findPeerMs - returns the slot time that peers report of an account, in milliseconds;
@@ -90,7 +86,7 @@
 
   /** Average time for which a slot is held, in milliseconds. */
   get averageHoldMs(): number {
-    return this.#averageHoldMs;
+    return this.#holdTime.averageMs;
   }
 
   /** Number of accounts with sums of their own. */
@@ -108,7 +104,7 @@
   charge(account: WeightedAccount, predictedMs: number, nowMs: number): void {
     this.#servedTag = Math.max(this.#decayServedTag(nowMs), this.computeTag(account, nowMs));
     this.#servedAtMs = nowMs;
-    this.#add(account.accountId, { usageMs: predictedMs, liftMs: 0 }, nowMs);
+    this.#add(account.accountId, { usageMs: predictedMs, offsetMs: 0 }, nowMs);
   }
 
   /**
@@ -120,9 +116,10 @@
    */
   settle(accountId: string, { predictedMs, heldMs }: SlotTimes, nowMs: number): void {
     const remaining = computeDecay(heldMs);
-    const actualMs = ((1 - remaining) * USAGE_HALF_LIFE_MS) / Math.LN2;
-    this.#add(accountId, { usageMs: actualMs - predictedMs * remaining, liftMs: 0 }, nowMs);
-    this.#averageHoldMs += HOLD_TIME_ALPHA * (heldMs - this.#averageHoldMs);
+    // Slot time decays while the slot is held.
+    const decayedHeldMs = ((1 - remaining) * USAGE_HALF_LIFE_MS) / Math.LN2;
+    this.#add(accountId, { usageMs: decayedHeldMs - predictedMs * remaining, offsetMs: 0 }, nowMs);
+    this.#holdTime.record(heldMs);
   }
 
   /**
@@ -153,7 +150,7 @@
    */
   computeTag({ accountId, weight }: WeightedAccount, nowMs: number): number {
     const sums = this.#sums.get(accountId);
-    const ownMs = sums ? (sums.usageMs + sums.liftMs) * computeDecay(nowMs - sums.atMs) : 0;
+    const ownMs = sums ? (sums.usageMs + sums.offsetMs) * computeDecay(nowMs - sums.atMs) : 0;
     return (ownMs + this.#findPeerMs(accountId)) / Math.max(MIN_WEIGHT, weight);
   }
 
@@ -167,7 +164,7 @@
    * @returns slot time per unit of weight, in milliseconds
    */
   computeFirstTag(account: WeightedAccount, firstTag: number, nowMs: number): number {
-    const lowestTag = Math.min(firstTag, this.#decayServedTag(nowMs) * RETURN_FRACTION);
+    const lowestTag = Math.min(firstTag, this.#decayServedTag(nowMs) * MIN_START_FRACTION);
     return Math.max(lowestTag, this.computeTag(account, nowMs));
   }
 
@@ -182,8 +179,8 @@
     const tag = this.computeTag(account, nowMs);
     const missing = this.computeFirstTag(account, firstTag, nowMs) - tag;
     if (missing <= 0) return;
-    const liftMs = missing * Math.max(MIN_WEIGHT, account.weight);
-    this.#add(account.accountId, { usageMs: 0, liftMs }, nowMs);
+    const offsetMs = missing * Math.max(MIN_WEIGHT, account.weight);
+    this.#add(account.accountId, { usageMs: 0, offsetMs }, nowMs);
   }
 
   /**
@@ -203,18 +200,18 @@
     return this.#servedTag * computeDecay(nowMs - this.#servedAtMs);
   }
 
-  #add(accountId: string, added: Pick<AccountSums, 'liftMs' | 'usageMs'>, nowMs: number): void {
+  #add(accountId: string, added: Pick<AccountSums, 'offsetMs' | 'usageMs'>, nowMs: number): void {
     this.#revision += 1;
     const sums = this.#sums.get(accountId) ?? this.#create(accountId, nowMs);
     const decay = computeDecay(nowMs - sums.atMs);
     sums.usageMs = Math.max(0, sums.usageMs * decay + added.usageMs);
-    sums.liftMs = sums.liftMs * decay + added.liftMs;
+    sums.offsetMs = sums.offsetMs * decay + added.offsetMs;
     sums.atMs = nowMs;
   }
 
   #create(accountId: string, nowMs: number): AccountSums {
     if (this.#sums.size >= MAX_ACCOUNTS) this.#dropIdle(nowMs);
-    const sums = { usageMs: 0, liftMs: 0, atMs: nowMs };
+    const sums = { usageMs: 0, offsetMs: 0, atMs: nowMs };
     this.#sums.set(accountId, sums);
     return sums;
   }
@@ -223,8 +220,8 @@
   #dropIdle(nowMs: number): void {
     let leastId: string | undefined;
     let leastMs = Infinity;
-    this.#sums.forEach(({ usageMs, liftMs, atMs }, accountId) => {
-      const leftMs = (usageMs + liftMs) * computeDecay(nowMs - atMs);
+    this.#sums.forEach(({ usageMs, offsetMs, atMs }, accountId) => {
+      const leftMs = (usageMs + offsetMs) * computeDecay(nowMs - atMs);
       if (leftMs < MIN_USAGE_MS) this.#sums.delete(accountId);
       if (leftMs >= leastMs) return;
       leastId = accountId;
--- a/src/domain/direct/lateness_gate.ts
+++ b/src/domain/direct/lateness_gate.ts
@@ -25,16 +25,19 @@
 /** Time after the start in which code is loaded and compiled, in milliseconds. */
 const START_MS = 3_000;
 
-/** Change of the severity for each late sample. */
+/** Change of the severity for each late sample: the host sheds fully after four of them. */
 const RISE_PER_SAMPLE = 0.25;
 
-/** Change of the severity while the process is on time, per millisecond. */
+/**
+ * Change of the severity while the process is on time, per millisecond: two seconds to the end, so
+ * that returning callers don't make the host late again.
+ */
 const FALL_PER_MS = 0.5 / 1_000;
 
 /** Least fraction of the most urgent calls that is admitted, so that it shows whether more fits. */
 const MIN_ADMITTED_FRACTION = 0.1;
 
-/** A change between admitting all calls and rejecting some. */
+/** A change of the gate: closed, some new calls are rejected; open, all are admitted. */
 export enum GateChange {
   Closed = 'closed',
   Opened = 'opened',
--- a/src/domain/direct/mod.ts
+++ b/src/domain/direct/mod.ts
@@ -12,6 +12,7 @@
   USAGE_HALF_LIFE_MS,
 } from './account_usage.js';
 export type { SlotTimes, WeightedAccount } from './account_usage.js';
+export { HoldTimeAverage } from './hold_time_average.js';
 export { estimatePacedWaitMs } from './paced_wait.js';
 export { OutputEstimator } from './output_estimator.js';
 export { RetryBudgetShare } from './retry_budget_share.js';
