--- a/src/adapters/logging/log_line.ts
+++ b/src/adapters/logging/log_line.ts
@@ -36,7 +36,7 @@
   'answer',
 ]);
 
-/** Most field names whose formatted form is kept; the code has about two hundred. */
+/** Most field names whose formatted form is kept: bounds memory should names ever be generated. */
 const MAX_KEPT_NAMES = 1_000;
 
 /** Formatted names of fields; empty for those that are not logged. */
