--- a/review/common/hosts.mjs
+++ b/review/common/hosts.mjs
@@ -37,7 +37,7 @@
       this.#spawn({
         hostId: `edge-zone-a-${host + 1}`,
         // Hosts share the port of the metrics, so that each one needs an address of its own.
-        ip: `127.0.${1 + Math.floor(ports[host * 4] / 256)}.${1 + (ports[host * 4] % 254)}`,
+        ip: `127.1.${Math.floor(ports[host * 4] / 256)}.${ports[host * 4] % 256}`,
         availabilityZone: 'zone-a',
         isFirstStart: true,
         zoneRegions: { 'zone-a': 'region-a' },
