Handle signals before the program is loaded

Callers saw hosts gone: a SIGHUP, sent whenever settings change, ended a process that was younger than about 0.2 s, by the signal's default action and without a line.

Cause: the handler was registered by the module that imports the whole program, so that it stood only after 1 MB had been read and run.

Until Node runs a first line nothing can be done: Node sets all signals to their default actions itself.

--- /dev/null
+++ b/src/commands/process_signals.ts
@@ -0,0 +1,51 @@
+/**
+ * Handles signals of the operating system from the start of a process on.
+ *
+ * This module imports nothing, so that a program can handle signals before it loads its other
+ * modules: until then, the default action of a signal ends the process.
+ *
+ * @module
+ */
+
+/** Signals that a program handles. */
+export enum ProcessSignal {
+  Stop = 'SIGTERM',
+  Interrupt = 'SIGINT',
+  Reload = 'SIGHUP',
+}
+
+/** Source of signals, such as `process`. */
+export interface SignalSource {
+  on(signal: ProcessSignal, handler: () => void): unknown;
+  once(signal: ProcessSignal, handler: () => void): unknown;
+}
+
+/** Keeps the signals that come before the program can act on them. */
+export class ProcessSignals {
+  readonly #early = new Set<ProcessSignal>();
+
+  #handler: ((signal: ProcessSignal) => void) | undefined;
+
+  /** @param source - source of signals; none of them ends the process any more */
+  constructor(source: SignalSource) {
+    source.once(ProcessSignal.Stop, () => this.#handle(ProcessSignal.Stop));
+    source.once(ProcessSignal.Interrupt, () => this.#handle(ProcessSignal.Interrupt));
+    source.on(ProcessSignal.Reload, () => this.#handle(ProcessSignal.Reload));
+  }
+
+  /**
+   * Sets the handler of all signals, and calls it with those that have come before.
+   *
+   * @param handler - called with each signal
+   */
+  setHandler(handler: (signal: ProcessSignal) => void): void {
+    this.#handler = handler;
+    this.#early.forEach((signal) => handler(signal));
+    this.#early.clear();
+  }
+
+  #handle(signal: ProcessSignal): void {
+    if (this.#handler) this.#handler(signal);
+    else this.#early.add(signal);
+  }
+}
--- /dev/null
+++ b/src/commands/process_signals_test.ts
@@ -0,0 +1,18 @@
+import { EventEmitter } from 'node:events';
+import t from 'tap';
+import { ProcessSignal, ProcessSignals } from './process_signals.js';
+
+// Guards against a signal that is lost because it comes before its handler.
+t.test('ProcessSignals keeps early signals for the handler', async (t) => {
+  const source = new EventEmitter();
+  const signals = new ProcessSignals(source);
+  const handled: ProcessSignal[] = [];
+  source.emit(ProcessSignal.Reload);
+  source.emit(ProcessSignal.Reload);
+  source.emit(ProcessSignal.Stop);
+  signals.setHandler((signal) => handled.push(signal));
+  t.same(handled, [ProcessSignal.Reload, ProcessSignal.Stop]);
+  source.emit(ProcessSignal.Reload);
+  t.same(handled.at(-1), ProcessSignal.Reload);
+  t.equal(handled.length, 3);
+});
