Wait for addresses that are taken or not up yet

Callers saw hosts missing: a host ended at its start if any of its five ports was taken at that moment, for metrics too, which nobody needs to be served.

Cause: each listener passed its first error on, and the program ended with it. What takes a port passes: a former process that is ending, somebody's outgoing connection, an interface that comes up later.

The three copies of the code that starts a server are one now. All addresses are listened at before the host opens its first connection, which could be given the port of one that comes later.

--- a/src/adapters/admin_http/admin_listener.ts
+++ b/src/adapters/admin_http/admin_listener.ts
@@ -40,6 +40,7 @@
     this.#options = options;
     this.#listener = new HttpListener({
       limits: options.limits,
+      log: options.log,
       handle: (http) => this.#handle(http),
       onRefusal: (refusal) => this.#logRefusal(refusal, 'none'),
     });
--- a/src/adapters/callers_http/callers_listener.ts
+++ b/src/adapters/callers_http/callers_listener.ts
@@ -53,6 +53,7 @@
     this.#listener = new HttpListener({
       limits: options.limits,
       tls: options.tls,
+      log: options.log,
       handle: (http) => this.#handle(http),
       correctRefusal: correctRunOutcome,
       onRefusal: (refusal) => recordRefusal(options, refusal),
--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -5,10 +5,10 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { CallerLimits } from '../../domain/routing/mod.js';
-import type { DirectReply, DirectRequest } from '../../ports/mod.js';
+import type { DirectReply, DirectRequest, EventLog } from '../../ports/mod.js';
+import { startListening } from '../http_common/mod.js';
 import { IdleConnections } from './_idle_connections.js';
 import { runAfterInput } from './_input_turns.js';
 import { NodeReply } from './_node_reply.js';
@@ -33,6 +33,8 @@
   readonly mustClose: () => boolean;
   /** Handles a call whose body has been read completely. */
   readonly handle: (request: DirectRequest, reply: DirectReply) => void;
+  /** Receives a line while the address to listen on is not available. */
+  readonly log: EventLog;
   /**
    * Called when an answer is broken off as its caller doesn't read it.
    *
@@ -67,20 +69,15 @@
   }
 
   /**
-   * Starts listening.
+   * Starts listening, once the address is available.
    *
    * @param host - IP address to listen on
    * @param port - port to listen on; 0 selects a free port
    * @returns the port in use
    */
   start(host: string, port: number): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
-        this.#server.off('error', reject);
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    const address = { host, port, backlog: LISTEN_BACKLOG };
+    return startListening(this.#server, address, this.#options.log);
   }
 
   /** Number of answers that have ended, and whose last bytes wait for their callers. */
--- a/src/adapters/direct_http/direct_listener_test.ts
+++ b/src/adapters/direct_http/direct_listener_test.ts
@@ -5,6 +5,7 @@
 import t from 'tap';
 import type { Test } from 'tap';
 import type { DirectReply } from '../../ports/mod.js';
+import { FakeLog } from '../../../test/support/fakes.js';
 import { TestDialect } from './_test_servers.js';
 import { DirectListener } from './direct_listener.js';
 
@@ -40,6 +41,7 @@
     getLimits,
     mustClose: () => false,
     handle: (_request, reply) => handle(reply),
+    log: new FakeLog(),
     onCallerTooSlow: () => undefined,
   });
   const port = await listener.start('127.0.0.1', 0);
--- a/src/adapters/direct_http/left_callers_test.ts
+++ b/src/adapters/direct_http/left_callers_test.ts
@@ -10,6 +10,7 @@
 import t from 'tap';
 import type { Test } from 'tap';
 import type { BackendListener, BackendRequest, DirectReply } from '../../ports/mod.js';
+import { FakeLog } from '../../../test/support/fakes.js';
 import { buildRequest, startRawServer, TestDialect } from './_test_servers.js';
 import type { RawServer } from './_test_servers.js';
 import { DirectListener } from './direct_listener.js';
@@ -99,6 +100,7 @@
       if (waitMs === 0) forward(reply);
       else setTimeout(() => forward(reply), waitMs);
     },
+    log: new FakeLog(),
     onCallerTooSlow: () => undefined,
   });
   const port = await listener.start('127.0.0.1', 0);
--- a/src/adapters/http_common/http_listener.ts
+++ b/src/adapters/http_common/http_listener.ts
@@ -6,9 +6,9 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
-import type { AddressInfo } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import type { EventLog } from '../../ports/mod.js';
 import { BodyBudget } from './_body_budget.js';
 import { ConnectionSet } from './_connection_set.js';
 import { closeWithRefusal, toParserRefusal } from './_raw_answer.js';
@@ -16,6 +16,7 @@
 import { HttpExchange } from './http_exchange.js';
 import { DEFAULT_HTTP_LIMITS } from './http_limits.js';
 import type { HttpLimits } from './http_limits.js';
+import { startListening } from './start_listening.js';
 
 /** Most connections over the limit that still get an error answer; others are dropped. */
 const MAX_OVERFLOW_CONNECTIONS = 128;
@@ -38,6 +39,8 @@
 /** Options of {@link HttpListener}. */
 export interface HttpListenerOptions {
   readonly limits: HttpLimits;
+  /** Receives a line while the address to listen on is not available. */
+  readonly log: EventLog;
   /** Certificate and key for HTTPS; without them the listener serves plain HTTP. */
   readonly tls?: TlsIdentity | undefined;
   /** Handles one request. A thrown error is answered as the error table defines it. */
@@ -74,20 +77,14 @@
   }
 
   /**
-   * Starts listening.
+   * Starts listening, once the address is available.
    *
    * @param host - IP address to listen on
    * @param port - port to listen on; 0 selects a free port
    * @returns the port in use
    */
-  start(host: string, port: number): Promise<{ port: number }> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, () => {
-        this.#server.off('error', reject);
-        resolve({ port: (this.#server.address() as AddressInfo).port });
-      });
-    });
+  async start(host: string, port: number): Promise<{ port: number }> {
+    return { port: await startListening(this.#server, { host, port }, this.#options.log) };
   }
 
   /**
--- a/src/adapters/http_common/mod.ts
+++ b/src/adapters/http_common/mod.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP basics for all listeners: limits on connections, headers, bodies and durations, error
  * answers, a small router and key comparison. Use it as
- * `new HttpListener({ limits, handle: async (exchange) => exchange.sendJson(200, {}) })`.
+ * `new HttpListener({ limits, log, handle: async (exchange) => exchange.sendJson(200, {}) })`.
  *
  * @module
  */
@@ -10,6 +10,8 @@
 export { HttpExchange } from './http_exchange.js';
 export { HttpListener } from './http_listener.js';
 export type { HttpListenerOptions, TlsIdentity } from './http_listener.js';
+export { startListening } from './start_listening.js';
+export type { ListenAddress } from './start_listening.js';
 export { buildErrorHeaders, toSchedulerError } from './error_answer.js';
 export { HOP_BY_HOP_HEADERS, pickEndToEndHeaders } from './end_to_end_headers.js';
 export { isFramed } from './is_framed.js';
--- a/src/adapters/peers_ws/_peer_listener.ts
+++ b/src/adapters/peers_ws/_peer_listener.ts
@@ -5,9 +5,11 @@
  */
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { WebSocketServer } from 'ws';
 import type { WebSocket } from 'ws';
+import type { EventLog } from '../../ports/mod.js';
+import { startListening } from '../http_common/mod.js';
 
 const HEADERS_TIMEOUT_MS = 5_000;
 /** HTTP status for a request that is not a WebSocket upgrade. */
@@ -23,6 +25,8 @@
   readonly maxMessageBytes: number;
   /** Called with each accepted WebSocket and its TCP connection. */
   readonly onSocket: (webSocket: WebSocket, socket: Socket) => void;
+  /** Receives a line while the address is not available. */
+  readonly log: EventLog;
   /** Called with errors of the listener after its start. */
   readonly onError: (error: Error) => void;
 }
@@ -54,15 +58,15 @@
   }
 
   /** @returns resolves to the port once the server listens */
-  start(): Promise<number> {
-    return new Promise((resolve, reject) => {
-      this.#webSocketServer.once('error', reject);
-      this.#server.listen(this.#options.port, this.#options.host, () => {
-        this.#webSocketServer.off('error', reject);
-        this.#webSocketServer.on('error', this.#options.onError);
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+  async start(): Promise<number> {
+    const { host, port, log, onError } = this.#options;
+    // The library emits errors of the server again, and an error without a handler is thrown.
+    const ignoreError = (): void => undefined;
+    this.#webSocketServer.on('error', ignoreError);
+    const usedPort = await startListening(this.#server, { host, port }, log);
+    this.#webSocketServer.off('error', ignoreError);
+    this.#webSocketServer.on('error', onError);
+    return usedPort;
   }
 
   /** @returns resolves once the server is closed; all its WebSockets must be closed before */
--- a/src/adapters/peers_ws/ws_peer_network.ts
+++ b/src/adapters/peers_ws/ws_peer_network.ts
@@ -74,6 +74,7 @@
     this.#listener = new PeerListener({
       host: options.listenHost,
       port: options.listenPort,
+      log: this.#options.log,
       maxMessageBytes: this.#options.maxMessageBytes,
       onSocket: (webSocket, socket) => this.#acceptSocket(webSocket, socket),
       onError: (error) => this.#log(LogLevel.Error, 'peer_listener_failed', error.message),
--- a/src/commands/_direct_listener.ts
+++ b/src/commands/_direct_listener.ts
@@ -47,6 +47,7 @@
 ): DirectListener {
   return new DirectListener({
     ...rest,
+    log,
     getLimits: () => routing.table?.document.callerLimits ?? INITIAL_LIMITS,
     onCallerTooSlow: (requestId, bufferedBytes) => {
       const cause = EndCause.CallerTooSlow;
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -110,11 +110,7 @@
     const { clock, log, metrics } = this;
     const shared = { clock, log, metrics, random: this.#random };
     this.#self = buildDirectIdentity(settings, this.#random);
-    this.#peers = createDirectPeers({
-      ...shared,
-      self: this.#self,
-      settings,
-    });
+    this.#peers = createDirectPeers({ ...shared, self: this.#self, settings });
     this.#storeView = createDirectStoreView({
       ...shared,
       settings,
@@ -216,11 +212,14 @@
     this.log.write(LogLevel.Info, 'settings_reloaded', { seeds });
   }
 
-  /** Starts every component. */
-  async start(): Promise<void> {
-    await this.#peers.start();
+  /** Listens for peers and callers; resolves once both addresses are available. */
+  async listen(): Promise<void> {
     const [host, port] = splitAddress(this.#adapters.settings.callersAddress);
-    await this.#listener.start(host, port);
+    await Promise.all([this.#peers.start(), this.#listener.start(host, port)]);
+  }
+
+  /** Starts every component. */
+  start(): void {
     this.#feedFollower.start();
     this.#reports.start();
     this.#crashes.start();
--- a/src/commands/entry.ts
+++ b/src/commands/entry.ts
@@ -24,7 +24,12 @@
     const settings = parseEntrySettings(this.readFlags(), this.context.env);
     const entryHost = new EntryProcess(settings);
     const stopSignal = waitForSignal();
-    await entryHost.start();
+    const hasStarted = await Promise.race([
+      entryHost.start().then(() => true),
+      stopSignal.then(() => false),
+    ]);
+    // Callers are listened for last: without a complete start, no call has come.
+    if (!hasStarted) process.exit(0);
     await stopSignal;
     const isClean = await entryHost.stop(waitForSignal());
     // Timers and peer links that are slow to close must not delay the exit: all answers and
--- a/test/faults/answer_ends_test.ts
+++ b/test/faults/answer_ends_test.ts
@@ -111,6 +111,7 @@
       getLimits: () => LIMITS,
       mustClose: () => false,
       handle: (request, reply) => this.host.gateway.handle(request, reply),
+      log: new FakeLog(),
       onCallerTooSlow: () => undefined,
     });
     this.port = await listener.start('127.0.0.1', 0);
