--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -3,9 +3,7 @@
  *
  * @module
  */
-import { SystemClock } from '../adapters/clock/mod.js';
 import type { DirectDialect, DirectListener } from '../adapters/direct_http/mod.js';
-import { RateLimitedEventLog, PinoEventLog } from '../adapters/logging/mod.js';
 import { HdrMetrics } from '../adapters/metrics/mod.js';
 import type { WsPeerNetwork } from '../adapters/peers_ws/mod.js';
 import { SystemRandom } from '../adapters/random/mod.js';
@@ -56,6 +54,8 @@
 
 /** Settings and the adapters that connect an entry host to its environment. */
 export interface DirectEntryAdapters {
+  readonly clock: Clock;
+  readonly log: EventLog;
   readonly settings: DirectSettings;
   readonly createFeed: (clock: Clock) => ChangeFeed;
   readonly dialect: DirectDialect;
@@ -64,11 +64,11 @@
 
 /** One running entry host. */
 export class DirectEntry {
-  readonly clock = new SystemClock();
+  readonly clock: Clock;
 
-  readonly log: EventLog = new RateLimitedEventLog({ log: new PinoEventLog(), clock: this.clock });
+  readonly log: EventLog;
 
-  readonly metrics = new HdrMetrics({ clock: this.clock });
+  readonly metrics: HdrMetrics;
 
   readonly #adapters: DirectEntryAdapters;
 
@@ -106,8 +106,11 @@
   /** @param adapters - settings and adapters to the environment */
   constructor(adapters: DirectEntryAdapters) {
     this.#adapters = adapters;
-    const { settings } = adapters;
-    const { clock, log, metrics } = this;
+    const { settings, clock, log } = adapters;
+    const metrics = new HdrMetrics({ clock });
+    this.clock = clock;
+    this.log = log;
+    this.metrics = metrics;
     const shared = { clock, log, metrics, random: this.#random };
     this.#self = buildDirectIdentity(settings, this.#random);
     this.#peers = createDirectPeers({ ...shared, self: this.#self, settings });
--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -6,14 +6,17 @@
 import { readFileSync } from 'node:fs';
 import * as z from 'zod';
 import { formatReason } from '../domain/errors/mod.js';
-import { SettingsError } from './settings_error.js';
+import { SettingsError, UnreadableSettingsError } from './settings_error.js';
 
 /** Environment variable that names the settings file. */
 export const DIRECT_SETTINGS_VARIABLE = 'MONSOONHALL_CONFIG';
 
+const MAX_PORT = 65_535;
+
 const addressSchema = z
   .string()
-  .regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected an IP number and a port');
+  .regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected an IP number and a port')
+  .refine((address) => Number(address.split(':')[1]) <= MAX_PORT, 'the port is out of range');
 const positiveSchema = z.number().positive();
 
 /** Shortest shared secret, in characters: 128 bits in hexadecimal. */
@@ -83,14 +86,15 @@
  *
  * @param text - content of the settings file, in JSON
  * @returns the checked settings
- * @throws SettingsError with every fault, one line each
+ * @throws SettingsError with every fault, one line each; UnreadableSettingsError for text that isn't
+ *   whole JSON, as while the file is being written
  */
 export function parseDirectSettings(text: string): DirectSettings {
   let value: unknown;
   try {
     value = JSON.parse(text);
   } catch (error) {
-    throw new SettingsError([`settings file: ${formatReason(error)}`]);
+    throw new UnreadableSettingsError([`settings file: ${formatReason(error)}`]);
   }
   const result = settingsSchema.safeParse(value);
   if (result.success) return result.data;
@@ -104,7 +108,8 @@
  *
  * @param env - environment variables, of which `MONSOONHALL_CONFIG` names the file
  * @returns the checked settings
- * @throws SettingsError with every fault, one line each
+ * @throws SettingsError with every fault, one line each; UnreadableSettingsError for a file that is
+ *   missing or not whole
  */
 export function readDirectSettings(env: NodeJS.ProcessEnv): DirectSettings {
   const path = env[DIRECT_SETTINGS_VARIABLE];
@@ -113,7 +118,7 @@
   try {
     text = readFileSync(path, 'utf8');
   } catch (error) {
-    throw new SettingsError([`settings file: ${formatReason(error)}`]);
+    throw new UnreadableSettingsError([`settings file: ${formatReason(error)}`]);
   }
   return parseDirectSettings(text);
 }
