Install packages again that don't run on this machine

Operators saw a system that doesn't start: its build failed.

Cause: the build took packages for current by their time alone. Packages that were carried over from a machine with another kind of processor lack the bundler's program for this one; and where NODE_ENV is production, npm leaves the bundler out.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,12 @@
 #!/bin/sh
-# Builds target/monsoonhall.cjs; installs the packages first if they are missing or outdated.
+# Builds target/monsoonhall.cjs; installs the packages first if they are missing, outdated or of another
+# kind of processor.
 set -eu
-[ node_modules/.package-lock.json -nt package-lock.json ] || npm ci --silent --ignore-scripts
+
+is_installed() {
+  [ node_modules/.package-lock.json -nt package-lock.json ] &&
+    node_modules/.bin/esbuild --version >/dev/null 2>&1
+}
+
+is_installed || npm ci --loglevel=error --ignore-scripts --include=dev
 node scripts/bundle_platform.mjs
