Start where a deployment names no bound

Operators would see a system that doesn't start: a host ended with code 2 at each start if its deployment's file lacked one of nine bounds and limits.

That the file names all of them was taken for granted; today's deployments do.

--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -52,23 +52,23 @@
   /** Address of the shared store. */
   storeAddress: addressSchema,
   /** Fraction of a processor core that this process may use. */
-  coreShare: positiveSchema,
+  coreShare: positiveSchema.default(1),
   /** Speed of that core relative to a standard core. */
-  coreSpeed: positiveSchema,
+  coreSpeed: positiveSchema.default(1),
   /** Longest time from the stop signal to the end of the process, in seconds. */
-  stopLimitS: positiveSchema,
+  stopLimitS: positiveSchema.default(5),
   /** Time after which no entry host may accept a revoked key, in milliseconds. */
-  keyRevocationMs: positiveSchema,
+  keyRevocationMs: positiveSchema.default(5_000),
   /** Time after which a published configuration must be in effect, in milliseconds. */
-  configurationApplyMs: positiveSchema,
+  configurationApplyMs: positiveSchema.default(2_000),
   /** Longest time for which callers may keep the addresses they received, in seconds. */
-  maxAddressLifeS: positiveSchema,
+  maxAddressLifeS: positiveSchema.default(2),
   /** Retries that a service may receive per first attempt, summed over all entry hosts. */
-  retryRatio: z.number().nonnegative(),
+  retryRatio: z.number().nonnegative().default(0.1),
   /** Retries that a service may receive in one window in addition to that ratio. */
-  retrySlack: z.number().nonnegative(),
+  retrySlack: z.number().nonnegative().default(0),
   /** Length of the retry window, in seconds. */
-  retryWindowS: positiveSchema,
+  retryWindowS: positiveSchema.default(10),
   /**
    * Factor by which the request rate of all entry hosts together may exceed the rate that a cold
    * backend server can handle.
