Infer no version after a configuration has moved streams

What callers saw: a stream that had begun at servers of a new version was taken up at a host that was out of step, and went on at a server of the former version (ORDER); or it had begun at the former service and went on at the new one, at any host, once the host that began it was lost.

Cause: what may be inferred was asked of the servers of one service, "the one that the route goes to" as the host knew it when the call came. A configuration that moves the route to servers of another version is no change of that service: its history holds one version all the time. A host that had not read the move yet inferred the version of the service that the route had left, and the read of the store that it waits for brought the new configuration but didn't change the service that it looked at. A host that had read the move inferred the version of the service that the route had come to. As each service has one version, streams were told to nobody, so that no record spoke against it.

The change: a version is inferred only if no configuration that the host applied within the life of a stream has sent streams elsewhere (services, prefix, whether they may be resumed, whether they need a key). It is asked at the moment of the inference, after the confirming read. As the same question decides whether peers are told of streams, they are told from the move on, and at once of those from before, so that they go on from records.

--- a/src/application/direct/routing_view.ts
+++ b/src/application/direct/routing_view.ts
@@ -5,7 +5,7 @@
  */
 import { formatReason, LogLevel } from '../../domain/errors/mod.js';
 import { ConfirmedAge } from '../../domain/freshness/mod.js';
-import { RouteTable } from '../../domain/routing/mod.js';
+import { describeStreamRoutes, RouteTable } from '../../domain/routing/mod.js';
 import type { RoutingDocument } from '../../domain/routing/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
 import type { FeedContext, SnapshotContext } from './feed_update.js';
@@ -46,6 +46,12 @@
 
   #longestTimeoutMs = 0;
 
+  /** Where calls for streams go; undefined before the first configuration. */
+  #streamRoutes: string | undefined;
+
+  /** Monotonic time in milliseconds at which another configuration last sent them elsewhere. */
+  #streamsMovedAtMs = Number.NEGATIVE_INFINITY;
+
   /** @param options - dependencies and key */
   constructor(options: RoutingViewOptions) {
     this.#options = options;
@@ -85,6 +91,14 @@
     this.#changeHandlers.push(handler);
   }
 
+  /**
+   * @param fromMs - a time on the monotonic clock, in milliseconds
+   * @returns whether calls for streams may have gone to other services since
+   */
+  hasMovedStreamsSince(fromMs: number): boolean {
+    return this.#streamsMovedAtMs >= fromMs;
+  }
+
   /** @returns time since the configuration was last confirmed to be the newest, in milliseconds */
   computeAgeMs(): number {
     const { clock } = this.#options;
@@ -153,6 +167,7 @@
     this.#recordStored(document);
     if (document.version === this.#table?.version) return;
     this.#table = new RouteTable(document);
+    this.#noteStreamRoutes(document);
     this.#longestTimeoutMs = document.routes.reduce(
       (longest, { timeoutMs }) => Math.max(longest, timeoutMs),
       this.#longestTimeoutMs,
@@ -167,6 +182,13 @@
     this.#changeHandlers.forEach((handler) => handler());
   }
 
+  #noteStreamRoutes({ routes }: RoutingDocument): void {
+    const former = this.#streamRoutes;
+    this.#streamRoutes = describeStreamRoutes(routes);
+    if (former !== undefined && former !== this.#streamRoutes)
+      this.#streamsMovedAtMs = this.#options.clock.nowMs();
+  }
+
   /** Notes whether a copy from which the store came back lacks the version in effect. */
   #checkCopy(documents: readonly (RoutingDocument | undefined)[]): void {
     const { clock, log } = this.#options;
--- a/src/application/direct/stream_services.ts
+++ b/src/application/direct/stream_services.ts
@@ -51,8 +51,12 @@
     isMember: (incarnation: string) => getReports()?.hasMember(incarnation) === true,
   };
   const confirmer = new StoreConfirmer(options);
-  const findOnlyVersion = (serviceId: string): SoftwareVersion | undefined =>
-    servers.versions.findOnly(serviceId, clock.nowMs() - getLifeMs());
+  const findOnlyVersion = (serviceId: string): SoftwareVersion | undefined => {
+    const fromMs = clock.nowMs() - getLifeMs();
+    // A stream that began before its route was moved may have begun at any service.
+    if (routing.hasMovedStreamsSince(fromMs)) return undefined;
+    return servers.versions.findOnly(serviceId, fromMs);
+  };
   const origins = new StreamOrigins({
     ...shared,
     getLifeMs,
