Infer no version across changes that a peer left out

What callers saw: a stream that had begun at a server of a new version, which came and left again, was taken up at a host that had been without the store meanwhile, and went on at a server of the former version (ORDER).

Cause: a host whose position the store has forgotten reads everything, and sends its peers what leads from its former state to the new one. Items that came and went in between are no part of that. The host itself begins its history of versions anew; its peers applied the update as if it held every change, and inferred the only version that they had ever seen. The store may forget at any time.

The change: such an update says so (`isCondensed`). A host that learns changes from it begins its history of versions anew; one that knew its end already doesn't. Hosts of the former version drop the field and behave as before.

Why it holds: a host's history is complete from its last full read, or the last update that left out changes; all other updates hold every change between their ends, and begin at or before the known state.

--- a/src/adapters/peers_ws/_message_schema.ts
+++ b/src/adapters/peers_ws/_message_schema.ts
@@ -124,6 +124,7 @@
     // Senders of the former format know no eras.
     era: revision.default(0),
     isComplete: z.boolean().default(false),
+    isCondensed: z.boolean().optional(),
     fromRevision: revision,
     toRevision: revision,
     changes: z
--- a/src/adapters/peers_ws/_message_schema_test.ts
+++ b/src/adapters/peers_ws/_message_schema_test.ts
@@ -93,6 +93,7 @@
     type: PeerMessageType.FeedUpdate,
     era: 2,
     isComplete: false,
+    isCondensed: true,
     fromRevision: 3,
     toRevision: 4,
     changes: [{ key: 'servers/a', value: Buffer.from('{}'), revision: 4 }],
--- a/src/application/direct/_entry_applier.ts
+++ b/src/application/direct/_entry_applier.ts
@@ -76,9 +76,10 @@
    */
   applyChanges(
     changes: readonly FeedChange[],
-    { wasAway }: FeedContext,
+    { wasAway, isCondensed }: FeedContext,
     onEnded: (id: string) => void,
   ): void {
+    if (isCondensed === true) this.#options.versions.restart(this.#options.clock.nowMs());
     changes
       .filter(({ key }) => key.startsWith(this.#options.prefix))
       .forEach(({ key, value }) => {
--- a/src/application/direct/_feed_state.ts
+++ b/src/application/direct/_feed_state.ts
@@ -32,6 +32,13 @@
     return this.#position;
   }
 
+  /** @param update - an update. @returns whether it leaves out changes after the known state */
+  isCondensed(update: FeedUpdate): boolean {
+    const known = this.#position;
+    if (update.isCondensed !== true || !known) return false;
+    return comparePositions(getEndPosition(update), known) > 0;
+  }
+
   /** @param former - a state that was known. @returns whether the known state is of another era */
   hasLeftEra(former: StorePosition): boolean {
     return this.#position !== undefined && compareEras(this.#position, former) !== 0;
@@ -104,7 +111,8 @@
       ...removedKeys.map((key) => ({ key, value: undefined, revision })),
     ];
     const { revision: toRevision } = pickLater(position, known);
-    return { era, isComplete: false, fromRevision: known.revision, toRevision, changes };
+    const fromRevision = known.revision;
+    return { era, isComplete: false, isCondensed: true, fromRevision, toRevision, changes };
   }
 }
 
--- a/src/application/direct/feed_distributor.ts
+++ b/src/application/direct/feed_distributor.ts
@@ -170,7 +170,7 @@
 
   #sendTo(
     targets: readonly EntryHostIdentity[],
-    { era, isComplete, fromRevision, toRevision, changes }: FeedUpdate,
+    { era, isComplete, isCondensed, fromRevision, toRevision, changes }: FeedUpdate,
     { askedAt, ageMs, wasAway }: FeedContext,
   ): void {
     const { peers, reports } = this.#options;
@@ -178,6 +178,7 @@
       type: PeerMessageType.FeedUpdate,
       era,
       isComplete,
+      isCondensed,
       fromRevision,
       toRevision,
       changes,
--- a/src/application/direct/feed_distributor_test.ts
+++ b/src/application/direct/feed_distributor_test.ts
@@ -123,3 +123,22 @@
   if (sentAt) receiver.storeViewAge.confirm(sentAt, now, 0);
   t.ok(receiver.ageMs >= 10_000);
 });
+
+t.test('hosts know that a peer which read everything left changes out', async (t) => {
+  // Guards against a host that takes its history for complete although items came and went.
+  const { clock, feed, hosts } = await startFollowerFleet(t, 4);
+  hosts.forEach(({ storePath }) => Object.assign(storePath, { isCut: true }));
+  await clock.advance(2_000);
+  feed.put('b', 1);
+  feed.remove('b');
+  feed.put('c', 1);
+  feed.discardHistory();
+  const [reader, ...others] = hosts as [FollowerHost, ...FollowerHost[]];
+  reader.storePath.isCut = false;
+  await clock.advance(3_000);
+  t.notOk(reader.hasMissedChanges);
+  others.forEach(({ keys, hasMissedChanges }, index) => {
+    t.ok(keys.has('c'), String(index));
+    t.ok(hasMissedChanges, String(index));
+  });
+});
--- a/src/application/direct/feed_follower.ts
+++ b/src/application/direct/feed_follower.ts
@@ -211,9 +211,10 @@
     // The update starts at or before the known state, so it contains the missing changes.
     this.#hasGap = false;
     this.#mustReadAll = compareEras({ era: this.#eras.newest }, update) > 0;
+    const isCondensed = this.#state.isCondensed(update);
     const newChanges = this.#state.append(update);
     recordPosition(this.#options.metrics, this.#state.position);
-    this.#options.onChanges(newChanges, context);
+    this.#options.onChanges(newChanges, { ...context, isCondensed });
   }
 
   /** Puts a complete state in place of the known one. @returns the context that applies to it */
--- a/src/application/direct/feed_update.ts
+++ b/src/application/direct/feed_update.ts
@@ -14,6 +14,8 @@
   readonly ageMs: number;
   /** Whether entries may be missing only because the store was unavailable. */
   readonly wasAway: boolean;
+  /** Whether changes before the applied ones are missing that these have undone. */
+  readonly isCondensed?: boolean | undefined;
 }
 
 /** When a snapshot was requested, and under which circumstances. */
@@ -34,6 +36,8 @@
   /** Revision after which the changes start; 0 for a complete update. */
   readonly fromRevision: number;
   readonly toRevision: number;
+  /** Whether changes are left out that later ones have undone, as for an item that came and went. */
+  readonly isCondensed?: boolean | undefined;
   readonly changes: readonly FeedChange[];
 }
 
--- a/src/application/direct/stream_inference_test.ts
+++ b/src/application/direct/stream_inference_test.ts
@@ -1,8 +1,11 @@
 import t from 'tap';
 import type { DirectHost } from '../../../test/support/direct_host.js';
+import { FollowerHarness } from '../../../test/support/follower_harness.js';
 import { startStreamFleet, StreamState } from '../../../test/support/stream_fleet.js';
+import type { StreamCaller } from '../../../test/support/stream_fleet.js';
 import { ErrorKind } from '../../domain/errors/mod.js';
 import { PeerMessageType } from '../../ports/mod.js';
+import type { FeedUpdate } from './mod.js';
 
 /** Time within which a caller must hear that its stream is unknown, in milliseconds. */
 const QUICK_MS = 200;
@@ -83,3 +86,43 @@
   await fleet.clock.advance(QUICK_MS);
   t.match(caller.last.reply.error, { kind: ErrorKind.StreamUnknown });
 });
+
+/** Guards against a server that came and went in changes which a peer's update leaves out. */
+t.test('nothing is inferred across changes that a peer has not sent', async (t) => {
+  const fleet = await startStreamFleet(t, {
+    pickVersion: () => 'v1',
+    hosts: 2,
+    isFirstStart: true,
+  });
+  const [one, other] = fleet.hosts as [DirectHost, DirectHost];
+  const reader = new FollowerHarness(t);
+  other.feed.listTexts().forEach(([key, text]) => reader.feed.put(key, text));
+  const configuration = other.feed.getText('configuration');
+  while (reader.feed.revision < other.feed.revision)
+    reader.feed.put('configuration', configuration);
+  reader.follower.start();
+  await reader.clock.advance(1_000);
+  fleet.hub.partition([one.peers.identity.id], [other.peers.identity.id]);
+  [other, reader].forEach(({ feed }) => Object.assign(feed, { isDown: true }));
+  await reader.clock.advance(1_000);
+  await fleet.clock.advance(1_000);
+
+  fleet.startServer('s-9', 'v2', [one, other, reader]);
+  let caller: StreamCaller;
+  do caller = await fleet.beginStream(one);
+  while (fleet.findServer(caller) !== 's-9');
+  fleet.endServer('s-9', [one, other, reader]);
+  [other, reader].forEach(({ feed }) => feed.discardHistory());
+
+  reader.feed.isDown = false;
+  await reader.clock.advance(1_000);
+  const { clock, follower } = other;
+  const askedAt = { steadyMs: clock.nowMs(), wallMs: clock.wallMs() };
+  const update = reader.updates.at(-1) as FeedUpdate;
+  follower.applyUpdate(update, { askedAt, ageMs: 0, wasAway: true });
+  other.feed.isDown = false;
+  await fleet.clock.advance(1_000);
+  await fleet.takeUp(caller, other);
+  t.equal(caller.state, StreamState.Refused);
+  t.same(new Set(caller.versions), new Set(['v2']));
+});
--- a/src/ports/peer_messages.ts
+++ b/src/ports/peer_messages.ts
@@ -90,6 +90,8 @@
   readonly fromRevision: number;
   /** Revision up to which the changes are complete. */
   readonly toRevision: number;
+  /** Whether changes are left out that later ones have undone; absent: no. */
+  readonly isCondensed?: boolean | undefined;
   readonly changes: readonly FeedChange[];
   /** Time from the request to the store until this message was written, in milliseconds. */
   readonly ageMs: number;
--- a/test/support/follower_fleet.ts
+++ b/test/support/follower_fleet.ts
@@ -66,6 +66,9 @@
   /** Values by key, as text. */
   readonly values = new Map<string, string>();
 
+  /** Whether a peer's update has left out changes that it undoes. */
+  hasMissedChanges = false;
+
   readonly log = new FakeLog();
 
   readonly metrics = new FakeMetrics();
@@ -119,6 +122,7 @@
           if (value) this.values.set(key, Buffer.from(value).toString());
           else this.values.delete(key);
         });
+        this.hasMissedChanges ||= context.isCondensed === true;
         this.#confirm(context);
       },
       onStoreRead: (update, context) => this.distributor.sendUpdate(update, context),
--- a/test/support/stream_fleet.ts
+++ b/test/support/stream_fleet.ts
@@ -42,6 +42,9 @@
   endedAtMs: number;
 }
 
+/** Has a store of its own, as each host of a test does. */
+type StoreReader = Pick<DirectHost, 'feed'>;
+
 /** Options of a {@link StreamFleet}. */
 export interface StreamFleetOptions extends DirectFleetOptions {
   /** Version of each server by its number, from 1; undefined: its entry names none. */
@@ -102,19 +105,27 @@
   }
 
   /** Starts a server; its entry reaches all hosts that read the store. */
-  startServer(id: string, version: string | undefined, hosts = this.hosts): void {
+  startServer(
+    id: string,
+    version: string | undefined,
+    hosts: readonly StoreReader[] = this.hosts,
+  ): void {
     this.servers.set(id, { version, isRunning: true, endedAtMs: 0 });
     this.writeEntry(id, hosts);
   }
 
   /** Writes a server's entry, as each heartbeat does. */
-  writeEntry(id: string, hosts = this.hosts, changes: Partial<BackendServerEntry> = {}): void {
+  writeEntry(
+    id: string,
+    hosts: readonly StoreReader[] = this.hosts,
+    changes: Partial<BackendServerEntry> = {},
+  ): void {
     const entry = buildServer(id, { slots: 11, ...this.describeServer(id), ...changes });
     hosts.forEach(({ feed }) => feed.put(`servers/${id}`, entry));
   }
 
   /** Ends a server: its streams break off, and its entry is removed a little later. */
-  endServer(id: string, hosts = this.hosts): void {
+  endServer(id: string, hosts: readonly StoreReader[] = this.hosts): void {
     const server = this.servers.get(id);
     if (!server) return;
     server.isRunning = false;
