Keep entry hosts running after every uncaught exception

Callers saw: all calls of an entry host cut at once, as its process ended by itself. On the platform, a library that throws undefined or null ended the process with code 7: the handler of uncaught exceptions read the stack of the value and threw. On the owners' path no handler was registered, so any exception in a timer or in a handler of an answer ended the process.

--- a/src/commands/_entry_process.ts
+++ b/src/commands/_entry_process.ts
@@ -9,6 +9,7 @@
 import { createAdminListener } from './_entry_admin.js';
 import { createEntryParts } from './_entry_parts.js';
 import type { EntryParts } from './_entry_parts.js';
+import { registerFaultHandler } from './fault_handler.js';
 import type { EntrySettings } from './settings.js';
 
 /** Least time that listeners get to finish their last answers, in milliseconds. */
@@ -23,6 +24,7 @@
   /** @param settings - checked settings */
   constructor(settings: EntrySettings) {
     this.#parts = createEntryParts(settings);
+    registerFaultHandler(process, this.#parts);
     this.#admin = createAdminListener(this.#parts);
   }
 
