Bound the bodies of all callers together

Callers saw: an entry host that ends by itself, with all its calls, while many callers send long bodies. Its memory goes over the limit of its process.

Cause: the listener bounded each body by the limit of the configuration, 4 MiB until one is read, and not their sum. A body may take any time to arrive, so incomplete ones add up.

Change: BodyReader counts the bodies of all callers until their answers are closed, as a call may be sent once more, and what each part takes beside its bytes. Beyond 32 MiB the body that arrives is refused as not run, with a time to come back; or the one that began first, if it has taken over 5 s, so that slow senders keep nobody out.

It holds since every buffered part is counted before the next is read, and the sum is checked after each.

--- /dev/null
+++ b/src/adapters/direct_http/_body_reader.ts
@@ -0,0 +1,152 @@
+/**
+ * Reads the bodies of callers' requests, within one limit for all of them.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import type { DirectReply } from '../../ports/mod.js';
+
+/** Memory that one part of a body takes beside its bytes, roughly. */
+const PART_OVERHEAD_BYTES = 256;
+
+/** Time within which a body normally arrives, in milliseconds; a slower one gives way to others. */
+const USUAL_BODY_MS = 5_000;
+
+/** A request whose body is read. */
+export interface BodyRequest {
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly reply: DirectReply;
+  readonly maxBodyBytes: number;
+}
+
+/** A body of which parts have been read. */
+class PartialBody {
+  readonly reply: DirectReply;
+
+  readonly beganAtMs = performance.now();
+
+  #parts: Buffer[] = [];
+
+  #length = 0;
+
+  #countedBytes = 0;
+
+  #isRefused = false;
+
+  /** @param reply - reply to the caller that sends the body */
+  constructor(reply: DirectReply) {
+    this.reply = reply;
+  }
+
+  /** Length of the body so far, in bytes. */
+  get length(): number {
+    return this.#length;
+  }
+
+  /** Whether further parts are discarded. */
+  get isOver(): boolean {
+    return this.#isRefused || this.reply.isDisconnected;
+  }
+
+  /** Memory that the body takes, in bytes. */
+  get sizeBytes(): number {
+    return this.#countedBytes;
+  }
+
+  append(part: Buffer): void {
+    this.#parts.push(part);
+    this.#length += part.length;
+    this.#countedBytes += part.length + PART_OVERHEAD_BYTES;
+  }
+
+  /** @returns the whole body, which still counts */
+  join(): Buffer {
+    const parts = this.#parts;
+    this.#parts = [];
+    return parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts);
+  }
+
+  clear(): void {
+    this.#parts = [];
+    this.#countedBytes = 0;
+  }
+
+  refuse(error: SchedulerError): void {
+    this.#isRefused = true;
+    this.reply.sendError(error);
+  }
+}
+
+/**
+ * Reads bodies, and refuses those beyond the limit. Limits for single bodies don't bound their
+ * sum: a few hundred callers would use up the memory of a small host, and its process would end
+ * with all calls. A body counts until its answer is closed, as the call may be sent once more.
+ */
+export class BodyReader {
+  readonly #maxTotalBytes: number;
+
+  #totalBytes = 0;
+
+  /** Bodies that have not arrived completely, in the order in which they began. */
+  readonly #incomplete = new Set<PartialBody>();
+
+  /** @param maxTotalBytes - most bytes of all bodies together */
+  constructor(maxTotalBytes: number) {
+    this.#maxTotalBytes = maxTotalBytes;
+  }
+
+  /**
+   * Reads a body; one beyond a limit is refused, and the rest of it is discarded.
+   *
+   * @param request - the request
+   * @param onComplete - called with the complete body, unless the caller has left
+   */
+  read(request: BodyRequest, onComplete: (body: Buffer) => void): void {
+    const { message, response, reply, maxBodyBytes } = request;
+    const body = new PartialBody(reply);
+    this.#incomplete.add(body);
+    response.on('close', () => this.#release(body));
+    message.on('data', (part: Buffer) => this.#append(body, part, maxBodyBytes));
+    message.on('end', () => {
+      this.#incomplete.delete(body);
+      if (!body.isOver) onComplete(body.join());
+    });
+  }
+
+  #append(body: PartialBody, part: Buffer, maxBodyBytes: number): void {
+    if (body.isOver) return;
+    if (body.length + part.length > maxBodyBytes) {
+      this.#refuse(body, new SchedulerError(ErrorKind.BodyTooLarge));
+      return;
+    }
+    const formerBytes = body.sizeBytes;
+    body.append(part);
+    this.#totalBytes += body.sizeBytes - formerBytes;
+    while (this.#totalBytes > this.#maxTotalBytes && !body.isOver) this.#makeRoom(body);
+  }
+
+  /** Refuses the body that arrives, unless another one has taken longer than usual. */
+  #makeRoom(arriving: PartialBody): void {
+    const [oldest = arriving] = this.#incomplete;
+    const isSlow = performance.now() - oldest.beganAtMs > USUAL_BODY_MS;
+    this.#refuse(
+      isSlow ? oldest : arriving,
+      new SchedulerError(ErrorKind.TooManyConnections, {
+        message: 'Cannot accept the body: the buffered bodies of all callers exceed the limit',
+      }),
+    );
+  }
+
+  #refuse(body: PartialBody, error: SchedulerError): void {
+    this.#release(body);
+    body.refuse(error);
+  }
+
+  #release(body: PartialBody): void {
+    this.#incomplete.delete(body);
+    this.#totalBytes -= body.sizeBytes;
+    body.clear();
+  }
+}
--- /dev/null
+++ b/src/adapters/direct_http/_body_reader_test.ts
@@ -0,0 +1,103 @@
+import { EventEmitter } from 'node:events';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import t from 'tap';
+import type { SchedulerError } from '../../domain/errors/mod.js';
+import type { DirectReply } from '../../ports/mod.js';
+import { BodyReader } from './_body_reader.js';
+
+const MAX_TOTAL_BYTES = 1_000_000;
+
+const PART = Buffer.alloc(100_000);
+
+/** One caller that sends a body in parts. */
+class Sender {
+  readonly errors: SchedulerError[] = [];
+
+  readonly bodies: Buffer[] = [];
+
+  readonly #message = new EventEmitter();
+
+  readonly #response = new EventEmitter();
+
+  constructor(reader: BodyReader, maxBodyBytes = MAX_TOTAL_BYTES) {
+    const reply = {
+      isDisconnected: false,
+      sendError: (error: SchedulerError) => this.errors.push(error),
+    };
+    const request = {
+      message: this.#message as IncomingMessage,
+      response: this.#response as ServerResponse,
+      reply: reply as unknown as DirectReply,
+      maxBodyBytes,
+    };
+    reader.read(request, (body) => this.bodies.push(body));
+  }
+
+  send(part: Buffer, count = 1): void {
+    for (let sent = 0; sent < count; sent += 1) this.#message.emit('data', part);
+  }
+
+  end(): void {
+    this.#message.emit('end');
+  }
+
+  close(): void {
+    this.#response.emit('close');
+  }
+}
+
+// Guards against a host that ends for lack of memory, since many callers send long bodies.
+t.test('BodyReader bounds the bytes of all bodies', async (t) => {
+  const reader = new BodyReader(MAX_TOTAL_BYTES);
+  const senders = Array.from({ length: 12 }, () => new Sender(reader));
+  senders.forEach((sender) => sender.send(PART));
+  senders.forEach((sender) => sender.end());
+  const refused = senders.filter(({ errors }) => errors.length > 0);
+  t.equal(refused.length, 3, 'parts and their overhead count');
+  t.strictSame(
+    refused.flatMap(({ errors }) => errors.map(({ status }) => status)),
+    [503, 503, 503],
+  );
+  t.ok(refused.every(({ bodies }) => bodies.length === 0));
+  const [first] = senders;
+  t.strictSame(first?.bodies, [PART]);
+  first?.close();
+  const next = new Sender(reader);
+  next.send(PART);
+  next.end();
+  t.equal(next.bodies.length, 1, 'a closed answer makes room');
+});
+
+// Guards against a host that ends for lack of memory by bodies in many tiny parts.
+t.test('BodyReader counts what a part takes beside its bytes', async (t) => {
+  const sender = new Sender(new BodyReader(MAX_TOTAL_BYTES));
+  sender.send(Buffer.from('a'), 5_000);
+  t.equal(sender.errors[0]?.status, 503);
+});
+
+// Guards against callers that send slowly and so keep all others out.
+t.test('BodyReader has slow bodies make room', async (t) => {
+  let nowMs = 0;
+  t.intercept(performance, 'now', { value: () => nowMs });
+  const reader = new BodyReader(MAX_TOTAL_BYTES);
+  const [slow, quick] = [new Sender(reader), new Sender(reader)];
+  slow.send(PART, 9);
+  nowMs = 10_000;
+  const late = new Sender(reader);
+  late.send(PART, 2);
+  late.end();
+  t.equal(slow.errors[0]?.status, 503);
+  t.equal(late.bodies[0]?.length, 200_000);
+  t.strictSame(quick.errors, []);
+});
+
+t.test('BodyReader discards what follows on a refused body', async (t) => {
+  const sender = new Sender(new BodyReader(MAX_TOTAL_BYTES), 150_000);
+  sender.send(PART, 3);
+  sender.end();
+  t.strictSame(
+    sender.errors.map(({ status }) => status),
+    [413],
+  );
+  t.strictSame(sender.bodies, []);
+});
--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -9,6 +9,7 @@
 import type { CallerLimits } from '../../domain/routing/mod.js';
 import type { DirectReply, DirectRequest, EventLog } from '../../ports/mod.js';
 import { startListening } from '../http_common/mod.js';
+import { BodyReader } from './_body_reader.js';
 import { IdleConnections } from './_idle_connections.js';
 import { runAfterInput } from './_input_turns.js';
 import { NodeReply } from './_node_reply.js';
@@ -21,6 +22,9 @@
 /** Most connections that wait to be accepted; a full queue delays a caller by seconds. */
 const LISTEN_BACKLOG = 1_024;
 
+/** Most bytes of all callers' bodies that are buffered at once, here 32 MiB. */
+const MAX_TOTAL_BODY_BYTES = 33_554_432;
+
 /** Headers that are not forwarded: the body gets a new length, and the key stays here. */
 const TERMINATED_HEADERS = ['content-length', 'expect', 'authorization'];
 
@@ -52,6 +56,8 @@
 
   readonly #idleConnections: IdleConnections;
 
+  readonly #bodies = new BodyReader(MAX_TOTAL_BODY_BYTES);
+
   readonly #excludedHeaders: ReadonlySet<string>;
 
   /** Answers that have not ended, or whose last bytes wait for their callers. */
@@ -105,7 +111,7 @@
   }
 
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
-    const { dialect, mustClose, onCallerTooSlow } = this.#options;
+    const { dialect, getLimits, mustClose, onCallerTooSlow } = this.#options;
     this.#applyLimits();
     this.#responses.add(response);
     response.on('finish', () => this.#idleConnections.recordQuiet(message.socket));
@@ -120,7 +126,8 @@
       onCallerTooSlow: (bufferedBytes) => onCallerTooSlow(requestId, bufferedBytes),
     });
     message.on('error', () => undefined);
-    this.#readBody(message, reply, (body) => {
+    const { maxBodyBytes } = getLimits();
+    this.#bodies.read({ message, response, reply, maxBodyBytes }, (body) => {
       if (requestId === undefined) {
         reply.sendError(new SchedulerError(ErrorKind.RequestIdRequired));
         return;
@@ -146,25 +153,4 @@
       headers: pickRawHeaders(rawHeaders, headers.connection, this.#excludedHeaders),
     };
   }
-
-  #readBody(
-    message: IncomingMessage,
-    reply: DirectReply,
-    onComplete: (body: Buffer) => void,
-  ): void {
-    const { maxBodyBytes } = this.#options.getLimits();
-    const chunks: Buffer[] = [];
-    let length = 0;
-    message.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length <= maxBodyBytes) chunks.push(chunk);
-      else if (length - chunk.length <= maxBodyBytes) {
-        reply.sendError(new SchedulerError(ErrorKind.BodyTooLarge));
-      }
-    });
-    message.on('end', () => {
-      if (length > maxBodyBytes || reply.isDisconnected) return;
-      onComplete(chunks.length === 1 ? (chunks[0] as Buffer) : Buffer.concat(chunks));
-    });
-  }
 }
--- /dev/null
+++ b/src/adapters/direct_http/direct_listener_bounds_test.ts
@@ -0,0 +1,59 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import t from 'tap';
+import type { Test } from 'tap';
+import type { DirectReply } from '../../ports/mod.js';
+import { FakeLog } from '../../../test/support/fakes.js';
+import { TestDialect } from './_test_servers.js';
+import { DirectListener } from './direct_listener.js';
+
+const LIMITS = {
+  maxHeaderBytes: 10_000,
+  maxBodyBytes: 4_194_304,
+  headerTimeoutMs: 60_000,
+  idleTimeoutMs: 60_000,
+};
+
+/** A listener, and callers that have connected to it. */
+interface Connections {
+  readonly sockets: readonly Socket[];
+  /** Bytes that waited for each caller whose answer was broken off. */
+  readonly brokenOff: readonly number[];
+}
+
+async function openConnections(
+  t: Test,
+  count: number,
+  handle: (reply: DirectReply) => void,
+): Promise<Connections> {
+  const brokenOff: number[] = [];
+  const listener = new DirectListener({
+    dialect: new TestDialect(),
+    getLimits: () => LIMITS,
+    mustClose: () => false,
+    handle: (_request, reply) => handle(reply),
+    log: new FakeLog(),
+    onCallerTooSlow: (_requestId, bufferedBytes) => brokenOff.push(bufferedBytes),
+  });
+  const port = await listener.start('127.0.0.1', 0);
+  const sockets = Array.from({ length: count }, () => connect({ port, host: '127.0.0.1' }));
+  t.teardown(() => {
+    sockets.forEach((socket) => socket.destroy());
+    listener.stop();
+  });
+  sockets.forEach((socket) => socket.on('error', () => undefined));
+  return { sockets, brokenOff };
+}
+
+// Guards against a host that ends for lack of memory, since many callers send long bodies.
+t.test('the bodies of all callers together have a bound', async (t) => {
+  const { sockets } = await openConnections(t, 9, (reply) => reply.abort());
+  const answers = sockets.map(async (socket) => {
+    socket.write('POST /a HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\nContent-Length: 4194304\r\n\r\n');
+    socket.write(Buffer.alloc(4_000_000));
+    const [bytes] = (await once(socket, 'data')) as [Buffer];
+    return bytes.toString('latin1', 0, 12);
+  });
+  t.equal(await Promise.race(answers), 'HTTP/1.1 503');
+});
