Deal slots in whole rounds, however many a server claims

What callers saw: nothing yet here; another operator's hosts ended again and again, or were silent, after one odd registry entry. Here, once a service's servers name a limit of refusals, every entry host divides their slots. One entry that claims 1e8 slots keeps each of them busy for 12 s at each change of servers or hosts, one that claims 9e15 for good: the process lives, serves nobody and answers no signal. The bytes of the entry are well-formed, so nothing refused it.

Cause: splitSlots() dealt one slot a host and round, in slots / hosts rounds. With totals beyond 2^53 the even parts could also add up to less than the slots, and the loop would have no host left.

Evidence: 3 hosts, on the code before: 1e6 slots 128 ms, 1e8 slots 11,818 ms, 9e15 not done after 20 s.

Change: rounds in which the same hosts take part are dealt at once, so that the work depends on hosts and servers only. The loop ends if no host is open.

Why it holds: each round either deals all that is left or fills a host up to its even part.

--- a/src/domain/places/slot_split.ts
+++ b/src/domain/places/slot_split.ts
@@ -40,20 +40,39 @@
   const evenPart = Math.ceil(totalSlots / hostIds.length);
   const dealt = new Map<string, number>();
   const own = new Map<string, number>();
+  const countDealt = (hostId: string): number => dealt.get(hostId) ?? 0;
   const sorted = [...servers].sort((a, b) => (a.id < b.id ? -1 : 1));
   sorted.forEach(({ id, slots }) => {
     const order = sortByRendezvous(id, hostIds);
     let left = countUsedSlots(slots);
     while (left > 0) {
-      const open = order.filter((hostId) => (dealt.get(hostId) ?? 0) < evenPart).slice(0, left);
-      open.forEach((hostId) => dealt.set(hostId, (dealt.get(hostId) ?? 0) + 1));
-      if (open.includes(selfId)) own.set(id, (own.get(id) ?? 0) + 1);
-      left -= open.length;
+      const open = order.filter((hostId) => countDealt(hostId) < evenPart);
+      // Totals beyond the safe integers are rounded, so that a few slots may belong to nobody.
+      if (open.length === 0) return;
+      const rounds = countRounds(open.map(countDealt), evenPart, left);
+      const receivers = open.slice(0, left);
+      receivers.forEach((hostId) => dealt.set(hostId, countDealt(hostId) + rounds));
+      if (receivers.includes(selfId)) own.set(id, (own.get(id) ?? 0) + rounds);
+      left -= rounds * receivers.length;
     }
   });
   return own;
 }
 
+/**
+ * Counts the rounds that the same hosts take part in. They are dealt at once, so that the work
+ * depends on the number of hosts and not on the number of slots that a server claims.
+ *
+ * @param dealt - slots that each open host has
+ * @param evenPart - most slots of a host
+ * @param left - slots that are left
+ * @returns number of rounds; 1 if the slots don't suffice for a whole one
+ */
+function countRounds(dealt: readonly number[], evenPart: number, left: number): number {
+  const untilFull = evenPart - dealt.reduce((most, count) => Math.max(most, count), 0);
+  return Math.max(1, Math.min(untilFull, Math.floor(left / dealt.length)));
+}
+
 /** How often servers may refuse requests, and by how many hosts they are sent. */
 export interface RefusalBound {
   /** Number of slots of the server. */
