Lose no change of the store by a fault in what applies it

What callers saw: a host that follows the store with other beliefs than all others, or not any more, until it is started again: servers that joined got no calls there, removed ones still did.

Cause: the follower moved its position before it applied a read. If a callback threw, the changes were counted as applied, the fault as an outage of the store, and the peers weren't told. In a peer's update the exception went to the link's handler, with the same loss. A fault in the handling of a failed read ended the process of the follower for good.

Change: FeedCallbacks runs them. A fault is logged (feed_follower_failed) and counted (feed_follower_faults_total); after a pause of 0.25 to 4 s everything is read again, until a full read was applied; a restore that wasn't applied is still one then. If the process itself ends, it starts again after 1 s. Own reads are passed on to peers although this host couldn't apply them.

Why it holds: only an applied full read clears the fault, whatever arrives in between.

--- a/src/application/direct/feed_follower.ts
+++ b/src/application/direct/feed_follower.ts
@@ -3,14 +3,16 @@
  *
  * @module
  */
-import { formatReason, LogLevel } from '../../domain/errors/mod.js';
+import { LogLevel } from '../../domain/errors/mod.js';
 import { compareEras } from '../../domain/freshness/mod.js';
 import type { ClockReading, StorePosition } from '../../domain/freshness/mod.js';
 import { HistoryLostError } from '../../ports/mod.js';
 import type { FeedItem } from '../../ports/mod.js';
 import { settle, startProcess } from '../channels/mod.js';
 import type { Step } from '../channels/mod.js';
+import { EraSource, logEraChange } from './_era_log.js';
 import { EraTracker } from './_era_tracker.js';
+import { FeedCallbacks } from './_feed_callbacks.js';
 import { FeedState, recordPosition, UpdateEffect } from './_feed_state.js';
 import { StoreAvailability } from './_store_availability.js';
 import type { FeedFollowerOptions } from './feed_follower_options.js';
@@ -26,11 +28,8 @@
  */
 const ERA_WAIT_MS = 250;
 
-/** Where the first state of a new era came from. */
-enum EraSource {
-  Store = 'store',
-  Peer = 'peer',
-}
+/** Time after which the process starts again if it has ended by a fault, in milliseconds. */
+const RESTART_DELAY_MS = 1_000;
 
 /**
  * Reads everything once and then follows changes; reads everything again when history is lost or
@@ -56,6 +55,8 @@
 
   readonly #availability: StoreAvailability;
 
+  readonly #callbacks: FeedCallbacks;
+
   #isRunning = false;
 
   #cancelIdleWait: () => void = () => undefined;
@@ -65,6 +66,7 @@
     this.#options = options;
     this.#eras = new EraTracker(options.log);
     this.#availability = new StoreAvailability(options);
+    this.#callbacks = new FeedCallbacks(options);
   }
 
   /** Whether this follower's last own read reached the store. */
@@ -90,13 +92,7 @@
   /** Starts to follow the feed. */
   start(): void {
     this.#isRunning = true;
-    const run = this.#run.bind(this);
-    startProcess(run).catch((error: unknown) => {
-      // Only a fault in a callback can end the process: read errors are handled inside it.
-      this.#options.log.write(LogLevel.Error, 'feed_follower_failed', {
-        reason: formatReason(error),
-      });
-    });
+    this.#startProcess();
   }
 
   /** Stops following the feed. */
@@ -125,6 +121,13 @@
     return effect;
   }
 
+  #startProcess(): void {
+    startProcess(() => this.#run()).catch((error: unknown) => {
+      this.#callbacks.recordFault('process', error);
+      this.#options.clock.setTimer(RESTART_DELAY_MS, () => this.#startProcess());
+    });
+  }
+
   *#run(): Step<void> {
     while (this.#isRunning) {
       const { position } = this.#state;
@@ -137,10 +140,13 @@
   }
 
   *#runStep(): Step<void> {
+    if (this.#callbacks.mustReadAgain) yield* settle(this.#wait(this.#callbacks.pauseMs));
+    if (!this.#isRunning) return;
     const { position } = this.#state;
     const eraDelayMs = this.#readEraAtMs - this.#options.clock.nowMs();
     if (eraDelayMs <= 0) this.#mustReadAll = true;
-    if (!position || this.#mustReadAll) yield* this.#readSnapshot();
+    if (!position || this.#mustReadAll || this.#callbacks.mustReadAgain)
+      yield* this.#readSnapshot();
     else if (Number.isFinite(eraDelayMs)) yield* settle(this.#waitIdle(eraDelayMs));
     else yield* this.#followChanges(position);
   }
@@ -153,7 +159,7 @@
   }
 
   *#readSnapshot(): Step<void> {
-    const { feed, onStoreRead } = this.#options;
+    const { feed } = this.#options;
     const askedAt = this.#readClock();
     const eraBefore = this.#eras.newest;
     const positionBefore = this.#state.position;
@@ -167,7 +173,7 @@
     const update = this.#state.buildCatchUp(items, position);
     this.#firstReadAtMs = Math.min(this.#firstReadAtMs, this.#options.clock.nowMs());
     const applied = this.#replace(items, position, context, EraSource.Store);
-    if (update) onStoreRead(update, applied);
+    if (update) this.#callbacks.handleStoreRead(update, applied);
     this.#availability.recordSuccess(this.#state.position);
   }
 
@@ -178,11 +184,12 @@
   #wasFilledByPeer(before: StorePosition | undefined, read: StorePosition): boolean {
     const known = this.#state.position;
     if (!known || known === before) return false;
-    return !this.#mustReadAll || compareEras(read, known) < 0;
+    const mustReadAll = this.#mustReadAll || this.#callbacks.mustReadAgain;
+    return !mustReadAll || compareEras(read, known) < 0;
   }
 
   *#readChanges(after: StorePosition, waitMs: number): Step<void> {
-    const { feed, onStoreRead } = this.#options;
+    const { feed } = this.#options;
     const askedAt = this.#readClock();
     // The first read after a failure doesn't wait, to notice the store's return at once.
     const maxWaitMs = this.#availability.failureCount > 0 ? PROBE_WAIT_MS : waitMs;
@@ -203,7 +210,7 @@
     };
     const context = { askedAt, ageMs: 0, wasAway: this.#availability.mayHaveLapsed };
     this.#append(update, context);
-    onStoreRead(update, context);
+    this.#callbacks.handleStoreRead(update, context);
     this.#availability.recordSuccess(this.#state.position);
   }
 
@@ -214,7 +221,7 @@
     const isCondensed = this.#state.isCondensed(update);
     const newChanges = this.#state.append(update);
     recordPosition(this.#options.metrics, this.#state.position);
-    this.#options.onChanges(newChanges, { ...context, isCondensed });
+    this.#callbacks.applyChanges(newChanges, { ...context, isCondensed });
   }
 
   /** Puts a complete state in place of the known one. @returns the context that applies to it */
@@ -224,19 +231,12 @@
     context: FeedContext,
     source: EraSource,
   ): FeedContext {
-    const { log, onSnapshot } = this.#options;
     const former = this.#state.position;
     const isRestored = former !== undefined && compareEras(position, former) > 0;
     if (isRestored) {
       this.#availability.recordReturn();
-      log.write(LogLevel.Warn, 'feed_era_changed', {
-        fromEra: former.era,
-        fromRevision: former.revision,
-        toEra: position.era,
-        toRevision: position.revision,
-        items: items.length,
-        source,
-      });
+      const change = { from: former, to: position, items: items.length, source };
+      logEraChange(this.#options.log, change);
     }
     this.#state.replace(items, position);
     this.#hasGap = false;
@@ -244,7 +244,7 @@
     this.#readEraAtMs = Infinity;
     recordPosition(this.#options.metrics, this.#state.position);
     const applied = { ...context, wasAway: context.wasAway || isRestored };
-    onSnapshot(items, { ...applied, isRestored });
+    this.#callbacks.applySnapshot(items, { ...applied, isRestored });
     return applied;
   }
 
