Infer from the store's past, not from a setting that it has none

Callers saw streams that were answered 200 and ran to the end, but with the first part from one software version and the rest from another. Two versions had been in service, the servers of one had just left, and all entry hosts were killed at one moment and started again.

Cause: a host inferred the version of an unknown stream if all entries since the begin of its history named one, and a host whose settings said `isFirstStart` took its first full read for a history without a gap. Settings are read at each start, and a process that is killed in the first life of the system comes back with the same ones. So the flag is no proof that nothing has run before; nothing that a process is told at its start is.

Change: the flag and its setting are gone (a settings file that still has it is accepted, and the value ignored). Instead a host asks the store once, right after its first full read, for all changes since revision 0. If the answer holds each revision from 2 to that of the read, no entry is missing in it, whoever wrote it and when it went: all of them are recorded as seen now, and the history has no gap. Otherwise (history discarded, a revision without a change, an entry that can't be decoded, another full read meanwhile, a store that came back from a copy) the gap stays, streams are told to peers, and unknown ones are refused for L.

The test of the first start keeps its expectation: the fleet's option now says that the store keeps its history, and by default the fakes discard it before a host starts, as the former default (no first start) did.

Why it holds: each change of the store takes a revision of its own, so an answer without a missing revision has every entry that ever stood; the follower brings the changes after it.

--- a/review/common/hosts.mjs
+++ b/review/common/hosts.mjs
@@ -39,7 +39,6 @@
         // Hosts share the port of the metrics, so that each one needs an address of its own.
         ip: `127.1.${Math.floor(ports[host * 4] / 256)}.${ports[host * 4] % 256}`,
         availabilityZone: 'zone-a',
-        isFirstStart: true,
         zoneRegions: { 'zone-a': 'region-a' },
         callersAddress: at(host, 0),
         readinessAddress: at(host, 1),
--- a/src/application/direct/_server_versions.ts
+++ b/src/application/direct/_server_versions.ts
@@ -17,13 +17,11 @@
 export interface ServerVersionsOptions {
   /** @returns time since the state of the store was confirmed, in milliseconds */
   readonly computeAgeMs: () => number;
-  /** Whether the whole system starts for the first time, so that it has served nobody yet. */
-  readonly isFirstStart?: boolean | undefined;
 }
 
 /** Finds versions of the servers in a directory. */
 export class ServerVersions {
-  readonly history: VersionHistory;
+  readonly history = new VersionHistory();
 
   readonly #directory: ServerDirectory;
 
@@ -31,12 +29,11 @@
 
   /**
    * @param directory - the servers
-   * @param options - age of the view, and whether the whole system starts for the first time
+   * @param options - age of the view
    */
-  constructor(directory: ServerDirectory, { computeAgeMs, isFirstStart }: ServerVersionsOptions) {
+  constructor(directory: ServerDirectory, { computeAgeMs }: ServerVersionsOptions) {
     this.#directory = directory;
     this.#computeAgeMs = computeAgeMs;
-    this.history = new VersionHistory(isFirstStart);
   }
 
   /**
--- a/src/application/direct/store_view.ts
+++ b/src/application/direct/store_view.ts
@@ -43,8 +43,6 @@
   /** Region by availability zone. */
   readonly zoneRegions: Readonly<Record<string, string>>;
   readonly warmupTolerance: WarmupTolerance;
-  /** Whether the whole system starts for the first time, so that it has served nobody yet. */
-  readonly isFirstStart?: boolean | undefined;
   readonly hosts: PaceHosts;
   /** What is known of this host's links to the backend servers. */
   readonly paths: ServerPaths;
@@ -114,6 +112,22 @@
     this.servers.applyChanges(changes, context);
   }
 
+  /**
+   * Records the software of all servers that were ever registered.
+   *
+   * @param changes - all changes since the store was created
+   * @throws Error if one of them can't be decoded; nothing is recorded then
+   */
+  recordPast(changes: readonly FeedChange[]): void {
+    const { clock, layout } = this.#options;
+    const entries = changes.flatMap(({ key, value }) =>
+      value && key.startsWith(layout.serversPrefix) ? [layout.decodeServer(key, value)] : [],
+    );
+    const { history } = this.servers.versions;
+    entries.forEach((entry) => history.recordEntry(entry, clock.nowMs()));
+    history.markComplete();
+  }
+
   #findWarmupBound(serviceId: string): WarmupLimit | undefined {
     const warmup = this.routing.table?.findService(serviceId)?.warmup;
     if (!warmup) return undefined;
--- a/src/application/direct/stream_inference_test.ts
+++ b/src/application/direct/stream_inference_test.ts
@@ -22,7 +22,7 @@
 
 /** Guards against refusals while a system that has served nobody before is young. */
 t.test('an unknown stream goes on at once after the first start of the system', async (t) => {
-  const first = await startStreamFleet(t, { pickVersion: () => 'v1', isFirstStart: true });
+  const first = await startStreamFleet(t, { pickVersion: () => 'v1', keepsHistory: true });
   const again = await startStreamFleet(t, { pickVersion: () => 'v1' });
   const [goesOn, isRefused] = [first, again].map((fleet) => {
     const caller = fleet.createCaller();
@@ -39,7 +39,7 @@
 t.test(
   'hosts tell of streams once their servers run two versions, also of earlier ones',
   async (t) => {
-    const fleet = await startStreamFleet(t, { pickVersion: () => 'v1', isFirstStart: true });
+    const fleet = await startStreamFleet(t, { pickVersion: () => 'v1', keepsHistory: true });
     const countTold = (): number =>
       fleet.hub.delivered.filter(({ message }) => message.type === PeerMessageType.StreamOrigins)
         .length;
@@ -92,7 +92,7 @@
   const fleet = await startStreamFleet(t, {
     pickVersion: () => 'v1',
     hosts: 2,
-    isFirstStart: true,
+    keepsHistory: true,
   });
   const [one, other] = fleet.hosts as [DirectHost, DirectHost];
   const reader = new FollowerHarness(t);
--- a/src/application/direct/stream_moves_test.ts
+++ b/src/application/direct/stream_moves_test.ts
@@ -9,7 +9,7 @@
 
 /** Starts a fleet of one version, and a server of another version in a service without routes. */
 async function startFleetOfTwoServices(hosts = 3): Promise<StreamFleet> {
-  const fleet = await startStreamFleet(t, { pickVersion: () => 'v1', hosts, isFirstStart: true });
+  const fleet = await startStreamFleet(t, { pickVersion: () => 'v1', hosts, keepsHistory: true });
   fleet.startServer('s-9', 'v2', []);
   fleet.writeEntry('s-9', fleet.hosts, { serviceId: NEW_SERVICE });
   await fleet.clock.advance(100);
--- a/src/application/direct/stream_services.ts
+++ b/src/application/direct/stream_services.ts
@@ -7,6 +7,7 @@
 import type { Metrics, PeerNetwork } from '../../ports/mod.js';
 import { OriginResolver, StreamOrigins } from '../streams/mod.js';
 import type { HostReports } from './host_reports.js';
+import { PastReader } from './_past_reader.js';
 import { StoreConfirmer } from './store_confirmer.js';
 import type { StoreConfirmerOptions } from './store_confirmer.js';
 import type { StoreView } from './store_view.js';
@@ -62,7 +63,11 @@
     getLifeMs,
     mustTell: (serviceId) => findOnlyVersion(serviceId) === undefined,
   });
-  servers.onChange(() => origins.tellUntold());
+  const past = new PastReader(options);
+  servers.onChange(() => {
+    past.request();
+    origins.tellUntold();
+  });
   const resolver = new OriginResolver({
     ...shared,
     origins,
--- a/src/commands/_direct_store_view.ts
+++ b/src/commands/_direct_store_view.ts
@@ -24,7 +24,6 @@
   return new StoreView({
     ...parts,
     zoneRegions: settings.zoneRegions,
-    isFirstStart: settings.isFirstStart,
     warmupTolerance: { factor: settings.warmupFactor, slack: settings.warmupSlack },
     countServing: () => getReports().countServing() + 1,
     hosts: {
--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -27,8 +27,6 @@
   hostId: z.string().min(1),
   ip: z.ipv4(),
   availabilityZone: z.string().default(''),
-  /** Whether the whole system starts for the first time, so that it has served nobody yet. */
-  isFirstStart: z.boolean().default(false),
   /** Whether waiting calls get slots by fair shares of their client accounts. */
   hasFairShares: z.boolean().default(false),
   /** Whether this entry host rejects new calls early while it lacks processor time. */
--- a/src/domain/streams/version_history.ts
+++ b/src/domain/streams/version_history.ts
@@ -24,23 +24,26 @@
 
   #completeSinceMs = Infinity;
 
-  /** Whether the next full read is the first one of a system that has served nobody yet. */
-  #isFirstRead: boolean;
+  #restartCount = 0;
 
-  /** @param isFirstStart - whether the whole system starts for the first time */
-  constructor(isFirstStart = false) {
-    this.#isFirstRead = isFirstStart;
+  /** Number of full reads of the registry so far. */
+  get restartCount(): number {
+    return this.#restartCount;
   }
 
   /**
-   * Begins anew after a full read of the registry: entries that came and went before it are unknown,
-   * but for the first read of a system that starts for the first time.
+   * Begins anew after a full read of the registry: entries that came and went before it are unknown.
    *
    * @param nowMs - monotonic time in milliseconds
    */
   restart(nowMs: number): void {
-    this.#completeSinceMs = this.#isFirstRead ? Number.NEGATIVE_INFINITY : nowMs;
-    this.#isFirstRead = false;
+    this.#completeSinceMs = nowMs;
+    this.#restartCount += 1;
+  }
+
+  /** Notes that all entries since the registry was created have been recorded. */
+  markComplete(): void {
+    this.#completeSinceMs = Number.NEGATIVE_INFINITY;
   }
 
   /**
--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -9,6 +9,7 @@
 import type { FakeExchange, FakeReply } from './direct_ends.js';
 import { buildDocument, buildServer, DirectHost } from './direct_host.js';
 import type { DocumentChanges } from './direct_host.js';
+import type { FakeFeed, FeedCopy } from './fake_feed.js';
 import { SeededRandom } from './fakes.js';
 import { buildIdentity, FakePeerHub } from './fake_peer_network.js';
 import { VirtualClock } from './virtual_clock.js';
@@ -33,8 +34,8 @@
   readonly seed?: number;
   /** Whether hosts send requests through peers where their links are cut. Default: true. */
   readonly usesPeers?: boolean;
-  /** Whether the whole system starts for the first time. Default: false. */
-  readonly isFirstStart?: boolean;
+  /** Whether the store still has all its changes when a host starts. Default: false. */
+  readonly keepsHistory?: boolean;
   /** Whether slots are divided by fair shares of client accounts. Default: false. */
   readonly hasFairShares?: boolean;
   /** Number of peers that are told of each stream. Default: that of the product. */
@@ -43,6 +44,14 @@
   readonly pickZone?: (hostNumber: number) => string;
 }
 
+/** An entry host that a test starts. */
+export interface AddedHost {
+  readonly incarnation?: string;
+  readonly zone?: string | undefined;
+  /** What the store holds by then. Default: the configuration and all servers, just written. */
+  readonly store?: FeedCopy | undefined;
+}
+
 /** Load on the fleet. */
 export interface FleetLoad {
   readonly callsPerSecond: number;
@@ -116,7 +125,7 @@
   /** Starts one entry host. */
   async addHost(
     id: string,
-    { incarnation = `${id}-1`, zone = 'hall-a' }: { incarnation?: string; zone?: string } = {},
+    { incarnation = `${id}-1`, zone = 'hall-a', store }: AddedHost = {},
   ): Promise<DirectHost> {
     const seeds = Array.from({ length: SEED_COUNT }, (_, index) => `ws://h-${index + 1}.test`);
     const host = new DirectHost({
@@ -126,15 +135,22 @@
       seeds,
       seed: this.pickHostSeed(id),
       usesPeers: this.#options.usesPeers,
-      isFirstStart: this.#options.isFirstStart,
       streamCopies: this.#options.streamCopies,
       hasFairShares: this.#options.hasFairShares,
     });
     this.#test.teardown(() => host.stop());
     host.backend.onSend = (exchange) => this.serve(id, exchange);
-    host.feed.put('configuration', buildDocument(1, this.#options));
+    if (store) host.feed.load(store);
+    else this.#fillStore(host.feed);
+    this.hosts.push(host);
+    await host.start(this.#options, []);
+    return host;
+  }
+
+  #fillStore(feed: FakeFeed): void {
+    feed.put('configuration', buildDocument(1, this.#options));
     this.serverIds.forEach((serverId) => {
-      host.feed.put(
+      feed.put(
         `servers/${serverId}`,
         buildServer(serverId, {
           slots: this.#options.slots ?? 11,
@@ -142,9 +158,7 @@
         }),
       );
     });
-    this.hosts.push(host);
-    await host.start(this.#options, []);
-    return host;
+    if (!this.#options.keepsHistory) feed.discardHistory();
   }
 
   /** Ends the process of an entry host. */
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -115,7 +115,6 @@
       paths: this.paths,
       layout: TEST_LAYOUT,
       zoneRegions: TEST_ZONE_REGIONS,
-      isFirstStart: options.isFirstStart,
       warmupTolerance: { factor: 1, slack: 0 },
       hosts: {
         selfId: identity.id,
--- a/test/support/direct_host_options.ts
+++ b/test/support/direct_host_options.ts
@@ -21,8 +21,6 @@
   readonly seed?: number | undefined;
   /** Whether the host sends requests through peers where its own links are cut. Default: true. */
   readonly usesPeers?: boolean | undefined;
-  /** Whether the whole system starts for the first time. Default: false. */
-  readonly isFirstStart?: boolean | undefined;
   /** Number of peers that are told of each stream. Default: that of the product. */
   readonly streamCopies?: number | undefined;
   /** Sends requests over this host's own links. Default: the fake backend of the host. */
--- a/test/support/fake_feed.ts
+++ b/test/support/fake_feed.ts
@@ -92,12 +92,19 @@
     return { items: new Map(this.#items), history: [...this.#history], revision: this.#revision };
   }
 
-  /** Replaces the content by a copy, which begins a new era, and cuts all waiting reads. */
-  restore({ items, history, revision }: FeedCopy): void {
+  /** Takes the content of another feed over, as another reader of the same store sees it. */
+  load({ items, history, revision }: FeedCopy): void {
     this.#items = new Map(items);
     this.#history = [...history];
     this.#revision = revision;
-    this.#discardedRevision = Math.min(this.#discardedRevision, revision);
+    this.#discardedRevision = (history[0]?.revision ?? revision + 1) - 1;
+  }
+
+  /** Replaces the content by a copy, which begins a new era, and cuts all waiting reads. */
+  restore(copy: FeedCopy): void {
+    const discardedRevision = this.#discardedRevision;
+    this.load(copy);
+    this.#discardedRevision = Math.min(discardedRevision, copy.revision);
     this.#era += 1;
     [...this.#waiters].forEach((wake) => wake(new Error('Cannot read: the feed was restored')));
   }
--- a/test/support/stream_fleet.ts
+++ b/test/support/stream_fleet.ts
@@ -12,6 +12,7 @@
 import type { DirectFleetOptions } from './direct_fleet.js';
 import { buildServer } from './direct_host.js';
 import type { DirectHost } from './direct_host.js';
+import type { FeedCopy } from './fake_feed.js';
 import { StreamCaller } from './stream_caller.js';
 
 export { StreamState } from './stream_caller.js';
@@ -157,11 +158,11 @@
     await this.removeHost(host);
   }
 
-  /** Starts the process of a killed host again. */
-  async restart(host: DirectHost): Promise<DirectHost> {
+  /** Starts the process of a killed host again. Default store: one that was just written. */
+  async restart(host: DirectHost, store?: FeedCopy): Promise<DirectHost> {
     const { id, incarnation } = host.peers.identity;
     const run = Number(incarnation.split('-').at(-1)) + 1;
-    return this.addHost(id, { incarnation: `${id}-${run}` });
+    return this.addHost(id, { incarnation: `${id}-${run}`, store });
   }
 
   /** Freezes a host: nothing comes from it any more. Its callers leave. */
