Infer nothing from a past in which streams were moved

Callers would see a stream of two versions after all hosts were started again: it had begun at one service, a configuration moved its route to another one, and a host that started after that inferred the version of the second.

A host that starts takes the store's whole history of servers in, and counts it as without a gap; the configurations in it were not looked at, and the host itself had seen no move.

Evidence: the fifth test of stream_moves_test.ts failed before: the stream went on instead of being refused.

Where the configurations of that history send streams to different services, the gap before the first read stays.

--- a/src/application/direct/store_view.ts
+++ b/src/application/direct/store_view.ts
@@ -6,6 +6,7 @@
 import type { BackendServerEntry } from '../../domain/backend_servers/mod.js';
 import type { ServerPaths } from '../../domain/paths/mod.js';
 import type { WarmupLimit } from '../../domain/places/mod.js';
+import { describeStreamRoutes } from '../../domain/routing/mod.js';
 import type { RoutingDocument } from '../../domain/routing/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
 import type { PaceHosts } from './_pace_roles.js';
@@ -116,10 +117,12 @@
    * Records the software of all servers that were ever registered.
    *
    * @param changes - all changes since the store was created
-   * @throws Error if one of them can't be decoded; nothing is recorded then
+   * @throws Error if one of them can't be decoded, or configurations have sent streams to different
+   *   services; nothing is recorded then
    */
   recordPast(changes: readonly FeedChange[]): void {
     const { clock, layout } = this.#options;
+    if (countStreamRoutes(changes, layout) > 1) throw new Error('Cannot tell where streams went');
     const entries = changes.flatMap(({ key, value }) =>
       value && key.startsWith(layout.serversPrefix) ? [layout.decodeServer(key, value)] : [],
     );
@@ -138,3 +141,13 @@
     };
   }
 }
+
+/** Counts the different ways in which configurations have sent streams to services. */
+function countStreamRoutes(changes: readonly FeedChange[], layout: StoreLayout): number {
+  const descriptions = changes.flatMap(({ key, value }) =>
+    value && key === layout.configurationKey
+      ? [describeStreamRoutes(layout.decodeConfiguration(value).routes)]
+      : [],
+  );
+  return new Set(descriptions).size;
+}
--- a/src/application/direct/stream_moves_test.ts
+++ b/src/application/direct/stream_moves_test.ts
@@ -87,3 +87,18 @@
   await fleet.clock.advance(500);
   t.equal(caller.state, StreamState.Whole);
 });
+
+/** Guards against a version that is inferred at hosts that have started since a route was moved. */
+t.test('a move before a restart of all hosts is found in the store’s history', async (t) => {
+  const fleet = await startFleetOfTwoServices();
+  const caller = await fleet.beginStream(fleet.hosts[0] as DirectHost);
+  moveRoute(fleet.hosts);
+  await fleet.clock.advance(100);
+  const killed = [...fleet.hosts];
+  for (const host of killed) await fleet.kill(host);
+  for (const host of killed) await fleet.restart(host, host.feed.copy());
+  await fleet.clock.advance(100);
+  await fleet.takeUp(caller, fleet.pickHost());
+  t.equal(caller.state, StreamState.Refused);
+  t.same(new Set(caller.versions), new Set(['v1']));
+});
