--- a/test/support/direct_fleet.ts
+++ b/test/support/direct_fleet.ts
@@ -111,6 +111,11 @@
     return undefined;
   }
 
+  /** Creates the clock of an entry host. Default: that of the fleet. */
+  protected createHostClock(_hostId: string): VirtualClock {
+    return this.clock;
+  }
+
   /** Plays the server that a request of an entry host is sent to. */
   protected abstract serve(hostId: string, exchange: FakeExchange): void;
 
@@ -129,7 +134,7 @@
   ): Promise<DirectHost> {
     const seeds = Array.from({ length: SEED_COUNT }, (_, index) => `ws://h-${index + 1}.test`);
     const host = new DirectHost({
-      clock: this.clock,
+      clock: this.createHostClock(id),
       hub: this.hub,
       identity: { ...buildIdentity(id, incarnation), availabilityZone: zone },
       seeds,
