Bound the answers that wait for all callers together

Callers saw: an entry host that ends by itself, with all its calls, while many callers read their answers slowly or not at all.

Cause: what waits was bounded by 4 MiB for each caller; 300 callers may hold 1.2 GB.

Change: BufferBudget counts what waits for all callers. An answer that a caller reads holds little and is delivered.

It holds since each write is followed by the check, and recorded bytes are never below what waits: without a write nothing is added.

--- a/src/adapters/direct_http/_node_reply.ts
+++ b/src/adapters/direct_http/_node_reply.ts
@@ -8,6 +8,7 @@
 import type { SchedulerError } from '../../domain/errors/mod.js';
 import { DirectReply } from '../../ports/mod.js';
 import type { DirectHead } from '../../ports/mod.js';
+import type { BufferBudget, BufferHolder } from './_buffer_budget.js';
 import type { DirectDialect } from './direct_dialect.js';
 
 /**
@@ -23,6 +24,8 @@
 export interface NodeReplyOptions {
   readonly response: ServerResponse;
   readonly dialect: DirectDialect;
+  /** Counts the bytes of answers that wait for all callers. */
+  readonly unsent: BufferBudget;
   readonly requestId: string | undefined;
   /** Whether the connection must be closed after this answer. */
   readonly mustClose: () => boolean;
@@ -35,7 +38,7 @@
 }
 
 /** Writes one answer; once the caller has disconnected, writes have no effect. */
-export class NodeReply extends DirectReply {
+export class NodeReply extends DirectReply implements BufferHolder {
   readonly #options: NodeReplyOptions;
 
   #isDisconnected = false;
@@ -57,6 +60,7 @@
     DEPARTURE_EVENTS.forEach((event) => socket.on(event, handleEnd));
     options.response.on('close', () => {
       DEPARTURE_EVENTS.forEach((event) => socket.off(event, handleEnd));
+      options.unsent.set(this, 0);
       this.#handleClose();
     });
     // A reset by the caller also emits 'close', which is handled above.
@@ -88,17 +92,33 @@
     const { response } = this.#options;
     if (this.#isDisconnected || bytes.length === 0) return;
     response.write(bytes);
-    const bufferedBytes = response.writableLength;
-    if (bufferedBytes <= MAX_BUFFERED_BYTES || this.#hasEnded) return;
-    this.#options.onCallerTooSlow(bufferedBytes);
+    if (response.writableLength > MAX_BUFFERED_BYTES && !this.#hasEnded) this.drop();
+    else this.#countUnsent();
+  }
+
+  measureBytes(): number {
+    return this.#options.response.writableLength;
+  }
+
+  drop(): void {
+    if (this.#isDisconnected) return;
+    this.#options.onCallerTooSlow(this.measureBytes());
     this.#breakOff();
     this.#handleClose();
   }
 
+  /** Counts what waits for this caller, and breaks off the largest answers if all have too much. */
+  #countUnsent(): void {
+    const { unsent } = this.#options;
+    unsent.set(this, this.measureBytes());
+    unsent.enforce();
+  }
+
   override end(): void {
     if (this.#isDisconnected) return;
     this.#hasEnded = true;
     this.#options.response.end();
+    this.#countUnsent();
   }
 
   override sendAnswer(head: DirectHead, body: Buffer): void {
@@ -109,6 +129,7 @@
     const length = head.isFramed ? ['Content-Length', String(body.length)] : [];
     response.writeHead(head.status, this.#buildHeaders([...head.headers, ...length]));
     response.end(body);
+    this.#countUnsent();
   }
 
   override abort(): void {
--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -10,6 +10,7 @@
 import type { DirectReply, DirectRequest, EventLog } from '../../ports/mod.js';
 import { startListening } from '../http_common/mod.js';
 import { BodyReader } from './_body_reader.js';
+import { BufferBudget } from './_buffer_budget.js';
 import { IdleConnections } from './_idle_connections.js';
 import { runAfterInput } from './_input_turns.js';
 import { NodeReply } from './_node_reply.js';
@@ -25,6 +26,9 @@
 /** Most bytes of all callers' bodies that are buffered at once, here 32 MiB. */
 const MAX_TOTAL_BODY_BYTES = 33_554_432;
 
+/** Most bytes of all answers that wait for their callers at once, here 32 MiB. */
+const MAX_TOTAL_UNSENT_BYTES = 33_554_432;
+
 /** Headers that are not forwarded: the body gets a new length, and the key stays here. */
 const TERMINATED_HEADERS = ['content-length', 'expect', 'authorization'];
 
@@ -58,6 +62,8 @@
 
   readonly #bodies = new BodyReader(MAX_TOTAL_BODY_BYTES);
 
+  readonly #unsent = new BufferBudget(MAX_TOTAL_UNSENT_BYTES);
+
   readonly #excludedHeaders: ReadonlySet<string>;
 
   /** Answers that have not ended, or whose last bytes wait for their callers. */
@@ -121,6 +127,7 @@
     const reply = new NodeReply({
       response,
       dialect,
+      unsent: this.#unsent,
       requestId,
       mustClose,
       onCallerTooSlow: (bufferedBytes) => onCallerTooSlow(requestId, bufferedBytes),
--- a/src/adapters/direct_http/direct_listener_bounds_test.ts
+++ b/src/adapters/direct_http/direct_listener_bounds_test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 import t from 'tap';
 import type { Test } from 'tap';
 import type { DirectReply } from '../../ports/mod.js';
@@ -57,3 +58,23 @@
   });
   t.equal(await Promise.race(answers), 'HTTP/1.1 503');
 });
+
+// Guards against a host that ends for lack of memory, since many callers don't read their answers.
+t.test('the answers that wait for all callers together have a bound', async (t) => {
+  let answered = 0;
+  let onAllAnswered = (): void => undefined;
+  const allAnswered = new Promise<void>((resolve) => {
+    onAllAnswered = resolve;
+  });
+  const { sockets, brokenOff } = await openConnections(t, 12, (reply) => {
+    const size = answered === 5 ? 12_000_000 : 8_000_000;
+    reply.sendAnswer({ status: 200, headers: [], isFramed: true }, Buffer.alloc(size));
+    answered += 1;
+    if (answered === 12) onAllAnswered();
+  });
+  sockets.forEach((socket) => socket.write('GET /a HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\n\r\n'));
+  await allAnswered;
+  await setImmediate();
+  t.ok(brokenOff.length > 0 && brokenOff.length < 12, `${brokenOff.length} are broken off`);
+  t.ok(Math.max(...brokenOff) > 8_000_000, 'the largest one is among them');
+});
