Keep descriptors free under many idle callers

Callers saw: an entry host that isn't ready and resets each new call while idle connections take all its descriptors. It could neither answer whether it is ready nor open links to the store, to peers or to backend servers.

Cause: callers' connections had no bound but the limit of the process, where accept fails.

Change: ConnectionBound keeps callers to three quarters of the descriptors of the process, as /proc/self/limits has them. Beyond that the connection that has been idle for longest, with nothing of a request read, makes room for a new one; if there is none, the new one is closed unread.

It holds since every connection is counted until it is closed, and one with a request under way is never chosen.

--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -11,6 +11,8 @@
 import { startListening } from '../http_common/mod.js';
 import { BodyReader } from './_body_reader.js';
 import { BufferBudget } from './_buffer_budget.js';
+import { ConnectionBound } from './_connection_bound.js';
+import { readDescriptorLimit } from './_descriptor_limit.js';
 import { IdleConnections } from './_idle_connections.js';
 import { runAfterInput } from './_input_turns.js';
 import { NodeReply } from './_node_reply.js';
@@ -29,6 +31,9 @@
 /** Most bytes of all answers that wait for their callers at once, here 32 MiB. */
 const MAX_TOTAL_UNSENT_BYTES = 33_554_432;
 
+/** Share of this process's descriptors that callers may use; the others are for its own links. */
+const CALLERS_DESCRIPTOR_SHARE = 3 / 4;
+
 /** Headers that are not forwarded: the body gets a new length, and the key stays here. */
 const TERMINATED_HEADERS = ['content-length', 'expect', 'authorization'];
 
@@ -43,6 +48,8 @@
   readonly handle: (request: DirectRequest, reply: DirectReply) => void;
   /** Receives a line while the address to listen on is not available. */
   readonly log: EventLog;
+  /** Most connections of callers. Default: three quarters of what this process may have open. */
+  readonly maxConnections?: number | undefined;
   /**
    * Called when an answer is broken off as its caller doesn't read it.
    *
@@ -62,6 +69,8 @@
 
   readonly #bodies = new BodyReader(MAX_TOTAL_BODY_BYTES);
 
+  readonly #connectionBound: ConnectionBound;
+
   readonly #unsent = new BufferBudget(MAX_TOTAL_UNSENT_BYTES);
 
   readonly #excludedHeaders: ReadonlySet<string>;
@@ -76,7 +85,13 @@
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 });
     this.#server.on('request', (message, response) => this.#handleRequest(message, response));
     this.#idleConnections = new IdleConnections(options.getLimits);
-    this.#server.on('connection', () => this.#applyLimits());
+    this.#connectionBound = new ConnectionBound(
+      options.maxConnections ?? Math.floor(readDescriptorLimit() * CALLERS_DESCRIPTOR_SHARE),
+    );
+    this.#server.on('connection', (socket) => {
+      this.#applyLimits();
+      this.#connectionBound.add(socket);
+    });
     this.#server.on('timeout', (socket) => this.#idleConnections.handleTimeout(socket));
   }
 
@@ -121,7 +136,12 @@
     this.#applyLimits();
     this.#responses.add(response);
     response.on('finish', () => this.#idleConnections.recordQuiet(message.socket));
-    response.on('close', () => this.#responses.delete(response));
+    const { socket } = message;
+    this.#connectionBound.beginRequest(socket);
+    response.on('close', () => {
+      this.#responses.delete(response);
+      this.#connectionBound.endRequest(socket);
+    });
     const info = dialect.readCall(message.headers);
     const { requestId } = info;
     const reply = new NodeReply({
--- a/src/adapters/direct_http/direct_listener_bounds_test.ts
+++ b/src/adapters/direct_http/direct_listener_bounds_test.ts
@@ -16,8 +16,13 @@
   idleTimeoutMs: 60_000,
 };
 
+const MAX_CONNECTIONS = 20;
+
+const REQUEST = 'GET /a HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\n\r\n';
+
 /** A listener, and callers that have connected to it. */
 interface Connections {
+  readonly port: number;
   readonly sockets: readonly Socket[];
   /** Bytes that waited for each caller whose answer was broken off. */
   readonly brokenOff: readonly number[];
@@ -35,6 +40,7 @@
     mustClose: () => false,
     handle: (_request, reply) => handle(reply),
     log: new FakeLog(),
+    maxConnections: MAX_CONNECTIONS,
     onCallerTooSlow: (_requestId, bufferedBytes) => brokenOff.push(bufferedBytes),
   });
   const port = await listener.start('127.0.0.1', 0);
@@ -44,7 +50,7 @@
     listener.stop();
   });
   sockets.forEach((socket) => socket.on('error', () => undefined));
-  return { sockets, brokenOff };
+  return { port, sockets, brokenOff };
 }
 
 // Guards against a host that ends for lack of memory, since many callers send long bodies.
@@ -72,9 +78,52 @@
     answered += 1;
     if (answered === 12) onAllAnswered();
   });
-  sockets.forEach((socket) => socket.write('GET /a HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\n\r\n'));
+  sockets.forEach((socket) => socket.write(REQUEST));
   await allAnswered;
   await setImmediate();
   t.ok(brokenOff.length > 0 && brokenOff.length < 12, `${brokenOff.length} are broken off`);
   t.ok(Math.max(...brokenOff) > 8_000_000, 'the largest one is among them');
 });
+
+/** @returns status line of the answer, or nothing if the connection is closed before */
+async function readStatus(socket: Socket): Promise<string> {
+  const closed = once(socket, 'close').then(() => '');
+  const answered = once(socket, 'data').then(([bytes]) => String(bytes).slice(0, 12));
+  socket.write(REQUEST);
+  return Promise.race([closed, answered]);
+}
+
+// Guards against a host that can't be reached, nor reach others, as idle callers hold its descriptors.
+t.test('the connection that is idle for longest makes room for a new one', async (t) => {
+  const { port, sockets } = await openConnections(t, MAX_CONNECTIONS, (reply) => {
+    reply.sendAnswer({ status: 200, headers: [], isFramed: true }, Buffer.from('ok'));
+  });
+  for (const socket of sockets) t.equal(await readStatus(socket), 'HTTP/1.1 200');
+  const [first, ...others] = sockets;
+  const firstClosed = once(first as Socket, 'close');
+  const late = connect({ port, host: '127.0.0.1' });
+  t.teardown(() => late.destroy());
+  t.equal(await readStatus(late), 'HTTP/1.1 200');
+  await firstClosed;
+  t.ok(others.every(({ destroyed }) => !destroyed));
+});
+
+// Guards against requests that are cut off as new callers come.
+t.test('no connection with a request makes room for a new one', async (t) => {
+  const replies: DirectReply[] = [];
+  let onAllArrived = (): void => undefined;
+  const allArrived = new Promise<void>((resolve) => {
+    onAllArrived = resolve;
+  });
+  const { port, sockets } = await openConnections(t, MAX_CONNECTIONS, (reply) => {
+    if (replies.push(reply) === MAX_CONNECTIONS) onAllArrived();
+  });
+  const statuses = sockets.map(readStatus);
+  await allArrived;
+  const late = connect({ port, host: '127.0.0.1' }).on('error', () => undefined);
+  t.equal(await readStatus(late).catch(() => ''), '', 'the new one is closed');
+  replies.forEach((reply) =>
+    reply.sendAnswer({ status: 200, headers: [], isFramed: true }, Buffer.from('ok')),
+  );
+  t.ok((await Promise.all(statuses)).every((status) => status === 'HTTP/1.1 200'));
+});
