List no more slots to lend than a host can use

A claim beyond 2^32 slots an owner throws in a timer.

Cause: SlotLender made a list as long as the slots that a server claims.

Evidence, the new test with the lender before (14 hosts, relays, entries of 65,536, 9e15 and 2^53 - 1 slots among 16 odd ones): RangeError: Invalid array length at SlotLender.#listLendable not ok 2 - a fleet with relays lends slots beside odd entries; the process ended The same test without a limit of refusals passes on the code before.

Change: at most 1,024 slots of one server are listed in one check.

Result: 1,010 of 1,010 calls served without and 1,041 of 1,041 with the limit, one odd entry at a time; all messages that passed between the hosts meet the schemas of peer messages; each host heard all others; a server that joined afterwards got calls (of all 14 hosts without the limit).

Why it holds: the length of the list depends on no number in an entry.

--- a/src/application/direct/slot_lender.ts
+++ b/src/application/direct/slot_lender.ts
@@ -37,6 +37,9 @@
 /** Maximum number of times that a slot is sent on: to a relay, another relay and a member. */
 const MAX_HOPS = 3;
 
+/** Maximum number of slots of one server that a host considers in one check. */
+const MAX_LENDABLE_SLOTS = 1_024;
+
 /** Slots that all hosts together offer in one check for each call that waits. */
 const OFFERS_PER_CALL = 2;
 
@@ -209,8 +212,10 @@
     const nowMs = clock.nowMs();
     const { pace, ownInFlight } = load;
     if (!servers.isUsable(id) || load.mustAvoid(nowMs) || pace.pause.isActive(nowMs)) return [];
-    const count = Math.min(pace.slots.countLendable(nowMs, ownInFlight), load.freeSlots);
-    return Array.from({ length: Math.max(0, count) }, () => id);
+    const lendable = Math.min(pace.slots.countLendable(nowMs, ownInFlight), load.freeSlots);
+    // A server may claim more slots than a list can hold.
+    const length = Math.max(0, Math.min(lendable, MAX_LENDABLE_SLOTS));
+    return Array.from({ length }, () => id);
   }
 
   #lend(to: string, serverId: string): void {
