Confirm the store's state also where its answers name no era

Callers that took a stream up waited for a regular read of the store, and were refused as `stream_unknown` when none came in time, although all servers had run one version for long; the reads made for them had no effect.

Cause: StoreConfirmer compared the era that an answer names with the known one, and dropped answers that name none. Everywhere else such an answer belongs to the era that was known when it was asked (docs/design/platform.md).

Evidence: "a version is inferred at once beside a store that names no era" fails on the code before: "not ok 1 - should be equal" 500 ms after the take-up; it passes now.

Change: only an answer that names a later era is left to the regular reads.

Why it holds: a linearizable store had reached the known era when it was asked; an update of an era that the host has left meanwhile is ignored as before.

--- a/src/application/direct/store_confirmer.ts
+++ b/src/application/direct/store_confirmer.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { formatReason, LogLevel } from '../../domain/errors/mod.js';
+import { compareEras } from '../../domain/freshness/mod.js';
 import type { ChangeFeed, Clock, EventLog } from '../../ports/mod.js';
 import { PROBE_WAIT_MS } from './feed_follower.js';
 import type { FeedFollower } from './feed_follower.js';
@@ -48,9 +49,12 @@
     const { position } = follower;
     if (!position) return;
     const askedAt = { steadyMs: clock.nowMs(), wallMs: clock.wallMs() };
-    const { changes, revision, era } = await feed.readChanges('', position.revision, PROBE_WAIT_MS);
-    // Without the same era, revisions can't be compared; the regular reads find that out.
-    if (era !== position.era) return;
+    const answer = await feed.readChanges('', position.revision, PROBE_WAIT_MS);
+    // The store had reached the known era by then, whether or not the answer names it. Revisions of a
+    // later era can't be compared; the regular reads find that out.
+    const { era } = position;
+    if (answer.era !== undefined && compareEras({ era: answer.era }, position) > 0) return;
+    const { changes, revision } = answer;
     const update = {
       era,
       isComplete: false,
--- a/src/application/direct/stream_inference_test.ts
+++ b/src/application/direct/stream_inference_test.ts
@@ -126,3 +126,14 @@
   t.equal(caller.state, StreamState.Refused);
   t.same(new Set(caller.versions), new Set(['v2']));
 });
+
+/** Guards against confirmations that are dropped where the store names no era. */
+t.test('a version is inferred at once beside a store that names no era', async (t) => {
+  const fleet = await startStreamFleet(t, { pickVersion: () => 'v1' });
+  await fleet.clock.advance(35_000);
+  fleet.hosts.forEach(({ feed }) => Object.assign(feed, { namedEra: () => undefined }));
+  const caller = fleet.createCaller();
+  caller.send(fleet.pickHost(), { resumedRequestId: 'unknown', lastEventId: '2' });
+  await fleet.clock.advance(500);
+  t.equal(caller.state, StreamState.Whole);
+});
