--- a/src/application/direct/stream_out_of_step_test.ts
+++ b/src/application/direct/stream_out_of_step_test.ts
@@ -131,7 +131,7 @@
     slots: 100,
     pickVersion,
     seed,
-    isFirstStart: true,
+    keepsHistory: true,
   });
   await fleet.start();
   const play = new ReleasePlay(fleet, seed);
