Go on with a stop through further signals

Callers saw about ten requests cut at a host that was stopping: a second SIGTERM within the time to stop ended the process at once, by the signal's default action, though replicas ran the requests.

Cause: the handlers of SIGTERM and SIGINT were registered for one signal each; after it none was left.

The second test of process_signals_test.ts failed before.

All signals are handled any number of times; a further one to stop changes nothing, as the stop has a time limit of its own.

--- a/src/commands/process_signals.ts
+++ b/src/commands/process_signals.ts
@@ -17,7 +17,6 @@
 /** Source of signals, such as `process`. */
 export interface SignalSource {
   on(signal: ProcessSignal, handler: () => void): unknown;
-  once(signal: ProcessSignal, handler: () => void): unknown;
 }
 
 /** Keeps the signals that come before the program can act on them. */
@@ -28,9 +27,8 @@
 
   /** @param source - source of signals; none of them ends the process any more */
   constructor(source: SignalSource) {
-    source.once(ProcessSignal.Stop, () => this.#handle(ProcessSignal.Stop));
-    source.once(ProcessSignal.Interrupt, () => this.#handle(ProcessSignal.Interrupt));
-    source.on(ProcessSignal.Reload, () => this.#handle(ProcessSignal.Reload));
+    // Each signal is handled any number of times: without a handler, a second one ends the process.
+    Object.values(ProcessSignal).forEach((signal) => source.on(signal, () => this.#handle(signal)));
   }
 
   /**
--- a/src/commands/process_signals_test.ts
+++ b/src/commands/process_signals_test.ts
@@ -16,3 +16,13 @@
   t.same(handled.at(-1), ProcessSignal.Reload);
   t.equal(handled.length, 3);
 });
+
+// Guards against a host that a second signal to stop ends in the middle of its calls.
+t.test('ProcessSignals handles each signal any number of times', async (t) => {
+  const source = new EventEmitter();
+  const handled: ProcessSignal[] = [];
+  new ProcessSignals(source).setHandler((signal) => handled.push(signal));
+  const signals = Object.values(ProcessSignal);
+  [...signals, ...signals].forEach((signal) => source.emit(signal));
+  t.same(handled, [...signals, ...signals]);
+});
