Keep long failed answers from their callers

Callers were told by a 503 that a request had not run, though it had, and may have had it run twice.

Cause: an answer over 262,144 bytes is passed on before it is complete, and only a complete one was asked whether its status promises that nothing ran.

Which answers may reach a caller is decided at their head: one of status 408, 421, 429 or 503 of a request that ran is discarded as it arrives, whatever its length.

--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -18,15 +18,10 @@
 import type { AnswerRelay } from './_answer_relay.js';
 import { AttemptLoad } from './_attempt_load.js';
 import type { DirectAttemptOptions } from './_attempt_options.js';
+import { DiscardedAnswer, isNotRunStatus } from './_discarded_answer.js';
 import { AbandonReason } from './_end_cause.js';
 import { StallDetector } from './_stall_detector.js';
 
-/**
- * Statuses that tell callers that the request did not run. An answer with such a status is
- * relayed only when the backend server itself states that the request did not run.
- */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** Silence after which a server counts as ended that is said to have restarted, in milliseconds. */
 const ENDED_SILENCE_MS = 200;
 
@@ -146,6 +141,7 @@
     const { reply, route } = this.#options;
     if (!head.isEventStream || head.status !== 200) {
       if (reply.hasStarted) this.#abandon(`status ${head.status} cannot continue the stream`);
+      else if (isNotRunStatus(head.status)) this.#relay = new DiscardedAnswer();
       else this.#relay = this.#createBuffer(head);
       return;
     }
@@ -169,7 +165,7 @@
   onComplete(): void {
     if (this.#hasEnded) return;
     this.#recordFirstByte();
-    const isServerError = this.#status >= 500 || NOT_RUN_STATUSES.has(this.#status);
+    const isServerError = this.#status >= 500 || isNotRunStatus(this.#status);
     if (isServerError && !this.#hasBegun) this.#endWithServerError();
     else this.#endAnswer();
   }
@@ -234,7 +230,7 @@
    */
   #endWithServerError(): void {
     const relay = this.#relay;
-    const mayForward = !NOT_RUN_STATUSES.has(this.#status);
+    const mayForward = !isNotRunStatus(this.#status);
     this.#end(
       BackendFailure.Broken,
       `answered with status ${this.#status}`,
