Leave no handler behind by an attempt to listen

Operators saw a warning of Node about a leak, a second after a host began to wait for a taken port.

Cause: each attempt to listen left its handler of 'listening'.

--- a/src/adapters/http_common/start_listening.ts
+++ b/src/adapters/http_common/start_listening.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { once } from 'node:events';
 import type { AddressInfo, Server } from 'node:net';
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { EventLog } from '../../ports/mod.js';
@@ -55,14 +56,11 @@
   }
 }
 
-function tryListening(server: Server, address: ListenAddress): Promise<number> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address, () => {
-      server.off('error', reject);
-      resolve((server.address() as AddressInfo).port);
-    });
-  });
+async function tryListening(server: Server, address: ListenAddress): Promise<number> {
+  const listening = once(server, 'listening');
+  server.listen(address);
+  await listening;
+  return (server.address() as AddressInfo).port;
 }
 
 function logDelay(log: EventLog, { host, port }: ListenAddress, error: Error): void {
--- a/src/adapters/http_common/start_listening_test.ts
+++ b/src/adapters/http_common/start_listening_test.ts
@@ -29,6 +29,8 @@
   const started = startListening(server, { host: HOST, port }, log);
   while (log.lines.length === 0) await once(server, 'error');
   t.match(log.list('listen_delayed'), [{ host: HOST, port, reason: /EADDRINUSE/ }]);
+  await once(server, 'error');
+  t.equal(server.listenerCount('listening'), 0, 'no handler is left of an attempt');
   holder.close();
   t.equal(await started, port);
   t.equal(server.listenerCount('error'), 0);
