Read the store again within a second after a fault

A configuration would be in effect up to 4 s late at a host with a fault that lasts in what applies the store's state: it reads everything again after a pause, and follows nothing meanwhile. Found by the review, with injected faults: pauses of 3.75 and 4 s. The longest pause is a second now, below the two that a configuration may take.

--- a/src/application/direct/_feed_callbacks.ts
+++ b/src/application/direct/_feed_callbacks.ts
@@ -8,9 +8,12 @@
 import type { FeedFollowerOptions } from './feed_follower_options.js';
 import type { FeedContext, FeedUpdate, SnapshotContext } from './feed_update.js';
 
-/** Shortest and longest pause after a fault, in milliseconds; each one is twice the one before. */
+/**
+ * Shortest and longest pause after a fault, in milliseconds; each one is twice the one before. Nothing
+ * is followed meanwhile, so it is shorter than a configuration may take to be in effect.
+ */
 const MIN_PAUSE_MS = 250;
-const MAX_PAUSE_MS = 4_000;
+const MAX_PAUSE_MS = 1_000;
 
 /** Callbacks of a follower, and where their faults are logged and counted. */
 export type FeedCallbackOptions = Pick<
