Infer versions on beside configurations that add routes

Callers who took a stream up were refused for half a minute after each configuration that added a route for other streams, though it had changed nothing for theirs.

Cause: two configurations counted as the same only if all their stream routes were.

The question is now whether a call that could have brought a stream under the one may go elsewhere under the other: the route of a call changes only at the prefixes of both, so these are compared.

--- a/src/application/direct/routing_view.ts
+++ b/src/application/direct/routing_view.ts
@@ -5,7 +5,7 @@
  */
 import { formatReason, LogLevel } from '../../domain/errors/mod.js';
 import { ConfirmedAge } from '../../domain/freshness/mod.js';
-import { describeStreamRoutes, RouteTable } from '../../domain/routing/mod.js';
+import { hasMovedStreams, RouteTable } from '../../domain/routing/mod.js';
 import type { RoutingDocument } from '../../domain/routing/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
 import type { FeedContext, SnapshotContext } from './feed_update.js';
@@ -46,9 +46,6 @@
 
   #longestTimeoutMs = 0;
 
-  /** Where calls for streams go; undefined before the first configuration. */
-  #streamRoutes: string | undefined;
-
   /** Monotonic time in milliseconds at which another configuration last sent them elsewhere. */
   #streamsMovedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -166,8 +163,7 @@
     if (this.#table && document.version < this.#table.version) return;
     this.#recordStored(document);
     if (document.version === this.#table?.version) return;
-    this.#table = new RouteTable(document);
-    this.#noteStreamRoutes(document);
+    this.#replaceTable(new RouteTable(document));
     this.#longestTimeoutMs = document.routes.reduce(
       (longest, { timeoutMs }) => Math.max(longest, timeoutMs),
       this.#longestTimeoutMs,
@@ -182,10 +178,10 @@
     this.#changeHandlers.forEach((handler) => handler());
   }
 
-  #noteStreamRoutes({ routes }: RoutingDocument): void {
-    const former = this.#streamRoutes;
-    this.#streamRoutes = describeStreamRoutes(routes);
-    if (former !== undefined && former !== this.#streamRoutes)
+  #replaceTable(table: RouteTable): void {
+    const former = this.#table;
+    this.#table = table;
+    if (former && hasMovedStreams(former, table))
       this.#streamsMovedAtMs = this.#options.clock.nowMs();
   }
 
--- a/src/application/direct/store_view.ts
+++ b/src/application/direct/store_view.ts
@@ -6,7 +6,7 @@
 import type { BackendServerEntry } from '../../domain/backend_servers/mod.js';
 import type { ServerPaths } from '../../domain/paths/mod.js';
 import type { WarmupLimit } from '../../domain/places/mod.js';
-import { describeStreamRoutes } from '../../domain/routing/mod.js';
+import { hasMovedStreams, RouteTable } from '../../domain/routing/mod.js';
 import type { RoutingDocument } from '../../domain/routing/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
 import type { PaceHosts } from './_pace_roles.js';
@@ -122,7 +122,7 @@
    */
   recordPast(changes: readonly FeedChange[]): void {
     const { clock, layout } = this.#options;
-    if (countStreamRoutes(changes, layout) > 1) throw new Error('Cannot tell where streams went');
+    if (hasPastMoves(changes, layout)) throw new Error('Cannot tell where streams went');
     const entries = changes.flatMap(({ key, value }) =>
       value && key.startsWith(layout.serversPrefix) ? [layout.decodeServer(key, value)] : [],
     );
@@ -142,12 +142,15 @@
   }
 }
 
-/** Counts the different ways in which configurations have sent streams to services. */
-function countStreamRoutes(changes: readonly FeedChange[], layout: StoreLayout): number {
-  const descriptions = changes.flatMap(({ key, value }) =>
+/** Tells whether one of the configurations among changes has sent streams elsewhere. */
+function hasPastMoves(changes: readonly FeedChange[], layout: StoreLayout): boolean {
+  const tables = changes.flatMap(({ key, value }) =>
     value && key === layout.configurationKey
-      ? [describeStreamRoutes(layout.decodeConfiguration(value).routes)]
+      ? [new RouteTable(layout.decodeConfiguration(value))]
       : [],
   );
-  return new Set(descriptions).size;
+  return tables.some((table, index) => {
+    const former = tables[index - 1];
+    return former !== undefined && hasMovedStreams(former, table);
+  });
 }
--- a/src/application/direct/stream_moves_test.ts
+++ b/src/application/direct/stream_moves_test.ts
@@ -88,6 +88,21 @@
   t.equal(caller.state, StreamState.Whole);
 });
 
+/** Guards against refusals after a configuration that only adds a route for other calls. */
+t.test('a new route for other streams leaves the version inferable', async (t) => {
+  const fleet = await startFleetOfTwoServices();
+  const services = [{ serviceId: NEW_SERVICE, weight: 1 }];
+  const added = { ...STREAM_ROUTE, name: 'added', prefix: '/other/', services };
+  fleet.hosts.forEach(({ feed }) =>
+    feed.put('configuration', buildDocument(2, { routes: [STREAM_ROUTE, added] })),
+  );
+  await fleet.clock.advance(100);
+  const caller = fleet.createCaller();
+  caller.send(fleet.pickHost(), { resumedRequestId: 'unknown', lastEventId: '2' });
+  await fleet.clock.advance(500);
+  t.equal(caller.state, StreamState.Whole);
+});
+
 /** Guards against a version that is inferred at hosts that have started since a route was moved. */
 t.test('a move before a restart of all hosts is found in the store’s history', async (t) => {
   const fleet = await startFleetOfTwoServices();
--- a/src/domain/routing/mod.ts
+++ b/src/domain/routing/mod.ts
@@ -5,7 +5,7 @@
  * @module
  */
 export { computeRank, pickService, RouteTable } from './route_table.js';
-export { describeStreamRoutes } from './stream_routes.js';
+export { hasMovedStreams } from './stream_routes.js';
 export { LimitUnit } from './types.js';
 export type {
   AccountLimit,
