Keep a reserve for small bodies

Callers with small bodies would be refused while a few long bodies of calls that run take up the limit for all: a body counts until its call ends.

Bodies of up to 64 KiB may use a quarter more than the limit.

--- a/src/adapters/direct_http/_body_reader.ts
+++ b/src/adapters/direct_http/_body_reader.ts
@@ -13,6 +13,12 @@
 /** Time within which a body normally arrives, in milliseconds; a slower one gives way to others. */
 const USUAL_BODY_MS = 5_000;
 
+/** Longest body, in bytes, that may use the reserve, so that few long ones don't keep out all others. */
+const SMALL_BODY_BYTES = 65_536;
+
+/** Reserve for small bodies, as a share of the limit for all. */
+const RESERVE_SHARE = 1 / 4;
+
 /** A request whose body is read. */
 export interface BodyRequest {
   readonly message: IncomingMessage;
@@ -92,7 +98,7 @@
   /** Bodies that have not arrived completely, in the order in which they began. */
   readonly #incomplete = new Set<PartialBody>();
 
-  /** @param maxTotalBytes - most bytes of all bodies together */
+  /** @param maxTotalBytes - most bytes of all bodies together, without the reserve for small ones */
   constructor(maxTotalBytes: number) {
     this.#maxTotalBytes = maxTotalBytes;
   }
@@ -124,7 +130,13 @@
     const formerBytes = body.sizeBytes;
     body.append(part);
     this.#totalBytes += body.sizeBytes - formerBytes;
-    while (this.#totalBytes > this.#maxTotalBytes && !body.isOver) this.#makeRoom(body);
+    const limitBytes = this.#getLimit(body);
+    while (this.#totalBytes > limitBytes && !body.isOver) this.#makeRoom(body);
+  }
+
+  #getLimit({ length }: PartialBody): number {
+    const isSmall = length <= SMALL_BODY_BYTES;
+    return isSmall ? this.#maxTotalBytes * (1 + RESERVE_SHARE) : this.#maxTotalBytes;
   }
 
   /** Refuses the body that arrives, unless another one has taken longer than usual. */
--- a/src/adapters/direct_http/_body_reader_test.ts
+++ b/src/adapters/direct_http/_body_reader_test.ts
@@ -46,6 +46,18 @@
   }
 }
 
+// Guards against small bodies that are refused beside a few long ones of calls that run.
+t.test('BodyReader has a reserve for small bodies', async (t) => {
+  const reader = new BodyReader(MAX_TOTAL_BYTES);
+  const long = new Sender(reader);
+  long.send(PART, 9);
+  long.end();
+  const small = Array.from({ length: 8 }, () => new Sender(reader));
+  small.forEach((sender) => sender.send(Buffer.alloc(50_000)));
+  const refusedCount = small.filter(({ errors }) => errors.length > 0).length;
+  t.equal(refusedCount, 2, 'beyond the reserve');
+});
+
 // Guards against a host that ends for lack of memory, since many callers send long bodies.
 t.test('BodyReader bounds the bytes of all bodies', async (t) => {
   const reader = new BodyReader(MAX_TOTAL_BYTES);
