--- a/src/adapters/direct_http/direct_listener_bounds_test.ts
+++ b/src/adapters/direct_http/direct_listener_bounds_test.ts
@@ -127,3 +127,18 @@
   );
   t.ok((await Promise.all(statuses)).every((status) => status === 'HTTP/1.1 200'));
 });
+
+// Guards against idle connections that are closed while a request is arriving.
+t.test('a connection whose request has arrived unread makes no room', async (t) => {
+  const { port, sockets } = await openConnections(t, MAX_CONNECTIONS, (reply) => {
+    reply.sendAnswer({ status: 200, headers: [], isFramed: true }, Buffer.from('ok'));
+  });
+  for (const socket of sockets) t.equal(await readStatus(socket), 'HTTP/1.1 200');
+  const late = connect({ port, host: '127.0.0.1' });
+  late.on('error', () => undefined);
+  t.teardown(() => late.destroy());
+  // Both reach the listener in one turn of its loop, the connection first.
+  await new Promise(process.nextTick);
+  const status = await readStatus(sockets[0] as Socket).catch((error: unknown) => String(error));
+  t.equal(status, 'HTTP/1.1 200');
+});
--- a/src/application/direct/stream_inference_test.ts
+++ b/src/application/direct/stream_inference_test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import { FakeFeed } from '../../../test/support/fake_feed.js';
 import type { DirectHost } from '../../../test/support/direct_host.js';
 import { FollowerHarness } from '../../../test/support/follower_harness.js';
 import { startStreamFleet, StreamState } from '../../../test/support/stream_fleet.js';
@@ -137,3 +138,24 @@
   await fleet.clock.advance(500);
   t.equal(caller.state, StreamState.Whole);
 });
+
+/** Guards against a first error of the store that keeps a whole past unknown. */
+t.test('the past is read although the first read of it fails', async (t) => {
+  const read = FakeFeed.prototype.readChanges;
+  const failed = new Set<FakeFeed>();
+  t.teardown(() => Object.assign(FakeFeed.prototype, { readChanges: read }));
+  FakeFeed.prototype.readChanges = function readOrFail(this: FakeFeed, prefix, after, waitMs) {
+    if (after === 0 && !failed.has(this)) {
+      failed.add(this);
+      return Promise.reject(new Error('Cannot read the store: it answered with status 429'));
+    }
+    return read.call(this, prefix, after, waitMs);
+  };
+  const fleet = await startStreamFleet(t, { pickVersion: () => 'v1', keepsHistory: true });
+  t.equal(failed.size, fleet.hosts.length);
+  await fleet.clock.advance(5_000);
+  const caller = fleet.createCaller();
+  caller.send(fleet.pickHost(), { resumedRequestId: 'unknown', lastEventId: '2' });
+  await fleet.clock.advance(500);
+  t.equal(caller.state, StreamState.Whole);
+});
