Start and reload with settings of which some values are invalid

What callers saw: a host with one odd seed address beside good ones ended with code 2 at each start, so it served nobody, and a reload with such a list was refused as a whole. The same went for each setting that has a default: a bound of 0 or below, null, or a number as text.

Cause, and its class: one schema decided at once over values that a host can't run without and values that it only prefers. A list of which one entry is enough counted as invalid by its worst entry.

A required field still ends the start, and all faults are named. An invalid shared secret does so too, since a default would separate the host from all others. An address must be an IPv4 number; 999.1.1.1 was taken before.

Why it holds: whether a field may be left out is asked of the schema itself, so it follows for new fields.

--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -6,6 +6,8 @@
 import { readFileSync } from 'node:fs';
 import * as z from 'zod';
 import { formatReason } from '../domain/errors/mod.js';
+import { parseReplaceable } from './_replaceable_settings.js';
+import type { SettingsReport } from './_replaceable_settings.js';
 import { SettingsError, UnreadableSettingsError } from './settings_error.js';
 
 /** Environment variable that names the settings file. */
@@ -15,7 +17,7 @@
 
 const addressSchema = z
   .string()
-  .regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected an IP number and a port')
+  .refine(hasIp, { error: 'expected an IP number and a port', abort: true })
   .refine((address) => Number(address.split(':')[1]) <= MAX_PORT, 'the port is out of range');
 const positiveSchema = z.number().positive();
 
@@ -76,40 +78,47 @@
   warmupSlack: z.number().nonnegative().default(0),
 });
 
+/** A secret that differs from that of the other hosts would separate this host from them. */
+const IRREPLACEABLE: ReadonlySet<string> = new Set(['peersSecret']);
+
 /** Checked settings. */
 export type DirectSettings = z.infer<typeof settingsSchema>;
 
 /**
- * Parses and checks settings.
+ * Parses and checks settings. Where the host can run without a value, an invalid one is left out.
  *
  * @param text - content of the settings file, in JSON
+ * @param report - receives what was left out
  * @returns the checked settings
  * @throws SettingsError with every fault, one line each; UnreadableSettingsError for text that isn't
  *   whole JSON, as while the file is being written
  */
-export function parseDirectSettings(text: string): DirectSettings {
+export function parseDirectSettings(
+  text: string,
+  report: SettingsReport = () => undefined,
+): DirectSettings {
   let value: unknown;
   try {
     value = JSON.parse(text);
   } catch (error) {
     throw new UnreadableSettingsError([`settings file: ${formatReason(error)}`]);
   }
-  const result = settingsSchema.safeParse(value);
-  if (result.success) return result.data;
-  throw new SettingsError(
-    result.error.issues.map(({ path, message }) => `settings file: ${path.join('.')}: ${message}`),
-  );
+  return parseReplaceable({ schema: settingsSchema, irreplaceable: IRREPLACEABLE }, value, report);
 }
 
 /**
  * Reads and checks the settings file.
  *
  * @param env - environment variables, of which `MONSOONHALL_CONFIG` names the file
+ * @param report - receives what was left out of the settings
  * @returns the checked settings
  * @throws SettingsError with every fault, one line each; UnreadableSettingsError for a file that is
  *   missing or not whole
  */
-export function readDirectSettings(env: NodeJS.ProcessEnv): DirectSettings {
+export function readDirectSettings(
+  env: NodeJS.ProcessEnv,
+  report: SettingsReport = () => undefined,
+): DirectSettings {
   const path = env[DIRECT_SETTINGS_VARIABLE];
   if (!path) throw new SettingsError([`${DIRECT_SETTINGS_VARIABLE}: it must name a settings file`]);
   let text: string;
@@ -118,5 +127,11 @@
   } catch (error) {
     throw new UnreadableSettingsError([`settings file: ${formatReason(error)}`]);
   }
-  return parseDirectSettings(text);
+  return parseDirectSettings(text, report);
+}
+
+/** Tells whether an address consists of an IPv4 number and a port. */
+function hasIp(address: string): boolean {
+  const [, ip, port] = /^([^:]*):(\d+)$/.exec(address) ?? [];
+  return port !== undefined && z.ipv4().safeParse(ip).success;
 }
