Name the longest turn of the event loop, and what it did

What callers saw: nothing told a host that stood still from one that had ended: neither log nor metrics had a line of it, and the gauge of late timers shows the last timer only.

The change: TurnMonitor runs a timer each 100 ms and measures how late it is; work whose length others decide is run through it (full reads and changes of the store, updates to peers, the store's past, each peer's message by type, metrics, status). A turn of 200 ms and more writes `long_turn` with its length, its main task and the processor time used meanwhile, and counts in `long_turns_total`; the gauge `longest_turn_ms` holds the longest one. Processor time far below the length means that the machine gave none. Both kinds of entry host start it.

--- a/src/adapters/peers_ws/ws_peer_network.ts
+++ b/src/adapters/peers_ws/ws_peer_network.ts
@@ -250,14 +250,13 @@
       this.#options.metrics.count('peer_messages_overtaken_total');
       return;
     }
-    this.#options.metrics.count('peer_messages_received_total', { type: message.type });
+    const { type } = message;
+    this.#options.metrics.count('peer_messages_received_total', { type });
     try {
-      this.#handlers.get(message.type)?.(peer, message);
+      this.#options.runHandler(type, () => this.#handlers.get(type)?.(peer, message));
     } catch (error) {
       // The link stays up when a handler fails, since it carries the messages of all handlers.
-      this.#log(LogLevel.Error, 'peer_message_handler_failed', String(error), {
-        type: message.type,
-      });
+      this.#log(LogLevel.Error, 'peer_message_handler_failed', String(error), { type });
     }
   }
 
--- a/src/adapters/peers_ws/ws_peer_network_options.ts
+++ b/src/adapters/peers_ws/ws_peer_network_options.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { EntryHostIdentity } from '../../domain/membership/types.js';
-import type { Clock, EventLog, Metrics, RandomSource } from '../../ports/mod.js';
+import type { Clock, EventLog, Metrics, PeerMessageType, RandomSource } from '../../ports/mod.js';
 
 /** Options of `WsPeerNetwork`. */
 export interface WsPeerNetworkOptions {
@@ -36,6 +36,8 @@
   readonly maxRedialMs?: number;
   /** Timeout for closing the links, in milliseconds. Default: 1000. */
   readonly closeTimeoutMs?: number;
+  /** Runs the handler of a received message. Default: calls it. */
+  readonly runHandler?: (type: PeerMessageType, handle: () => void) => void;
 }
 
 const MEBIBYTE = 1_048_576;
@@ -66,5 +68,6 @@
     minRedialMs: options.minRedialMs ?? 100,
     maxRedialMs: options.maxRedialMs ?? 5_000,
     closeTimeoutMs: options.closeTimeoutMs ?? 1_000,
+    runHandler: options.runHandler ?? ((_type, handle) => handle()),
   };
 }
--- a/src/application/direct/_past_reader.ts
+++ b/src/application/direct/_past_reader.ts
@@ -7,6 +7,8 @@
 import { isWholeHistory } from '../../domain/freshness/mod.js';
 import type { StorePosition } from '../../domain/freshness/mod.js';
 import type { ChangeFeed, EventLog } from '../../ports/mod.js';
+import { TurnTask } from '../turns/mod.js';
+import type { TurnMonitor } from '../turns/mod.js';
 import { PROBE_WAIT_MS } from './feed_follower.js';
 import type { FeedFollower } from './feed_follower.js';
 import type { StoreView } from './store_view.js';
@@ -24,6 +26,7 @@
   readonly getFollower: () => FeedFollower;
   readonly storeView: StoreView;
   readonly log: EventLog;
+  readonly turns: TurnMonitor;
 }
 
 /**
@@ -54,7 +57,7 @@
   }
 
   async #read(known: StorePosition): Promise<void> {
-    const { feed, log, storeView } = this.#options;
+    const { feed, log, storeView, turns } = this.#options;
     const { history } = storeView.servers.versions;
     const { restartCount } = history;
     const answer = await feed.readChanges('', START_REVISION, PROBE_WAIT_MS);
@@ -63,7 +66,7 @@
     const isUnbroken =
       history.restartCount === restartCount && (answer.era ?? known.era) === known.era;
     const isWhole = isUnbroken && isWholeHistory(revisions, known.revision);
-    if (isWhole) storeView.recordPast(answer.changes);
+    if (isWhole) turns.run(TurnTask.StorePast, () => storeView.recordPast(answer.changes));
     log.write(LogLevel.Info, 'store_past_read', {
       isWhole,
       changes: revisions.length,
--- a/src/application/direct/stream_services.ts
+++ b/src/application/direct/stream_services.ts
@@ -6,6 +6,7 @@
 import type { SoftwareVersion } from '../../domain/streams/mod.js';
 import type { Metrics, PeerNetwork } from '../../ports/mod.js';
 import { OriginResolver, StreamOrigins } from '../streams/mod.js';
+import type { TurnMonitor } from '../turns/mod.js';
 import type { HostReports } from './host_reports.js';
 import { PastReader } from './_past_reader.js';
 import { StoreConfirmer } from './store_confirmer.js';
@@ -32,6 +33,7 @@
   readonly metrics: Metrics;
   readonly peers: PeerNetwork;
   readonly storeView: StoreView;
+  readonly turns: TurnMonitor;
   /** Number of peers that are told of each stream. Default: 4. */
   readonly copies?: number | undefined;
   /** @returns the exchange of reports; undefined for a host that knows no others */
--- a/src/commands/_direct_peers.ts
+++ b/src/commands/_direct_peers.ts
@@ -6,6 +6,7 @@
  */
 import { createHash } from 'node:crypto';
 import { WsPeerNetwork } from '../adapters/peers_ws/mod.js';
+import type { TurnMonitor } from '../application/turns/mod.js';
 import type { EntryHostIdentity } from '../domain/membership/mod.js';
 import type { Clock, EventLog, Metrics, RandomSource } from '../ports/mod.js';
 import type { DirectSettings } from './direct_settings.js';
@@ -59,6 +60,7 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly metrics: Metrics;
+  readonly turns: TurnMonitor;
 }
 
 /**
@@ -70,7 +72,7 @@
  * @returns the network, not started yet
  */
 export function createDirectPeers(options: DirectPeersOptions): WsPeerNetwork {
-  const { settings, self, clock, random, log, metrics } = options;
+  const { settings, self, clock, random, log, metrics, turns } = options;
   const [listenHost, listenPort] = splitAddress(settings.peersAddress);
   return new WsPeerNetwork({
     self,
@@ -83,6 +85,7 @@
     random,
     log,
     metrics,
+    runHandler: (type, handle) => turns.run(type, handle),
     pingAfterMs: PEER_PING_AFTER_MS,
     linkTimeoutMs: PEER_LINK_TIMEOUT_MS,
     maxRedialMs: MAX_PEER_REDIAL_MS,
--- a/src/commands/_entry_parts.ts
+++ b/src/commands/_entry_parts.ts
@@ -35,6 +35,7 @@
 import type { GroupLoad } from '../ports/mod.js';
 import { createStrategy } from '../domain/scheduling/mod.js';
 import type { EntrySettings } from './settings.js';
+import { createTurnMonitor } from './_turn_monitor.js';
 
 const INCARNATION_BYTES = 8;
 
@@ -71,7 +72,8 @@
     peerUrl: settings.peerAdvertise ?? `ws://${peerListen.host}:${peerListen.port}`,
     availabilityZone: settings.availabilityZone,
   };
-  return { clock, random, log, metrics, tracer, self };
+  const turns = createTurnMonitor({ clock, log, metrics });
+  return { clock, random, log, metrics, tracer, turns, self };
 }
 
 /**
@@ -90,6 +92,7 @@
     listenHost: settings.peerListen.host,
     listenPort: settings.peerListen.port,
     clusterKey: settings.clusterKey,
+    runHandler: (type, handle) => base.turns.run(type, handle),
   });
   const configuration = new ConfigurationReplica({
     ...base,
--- a/src/commands/_entry_process.ts
+++ b/src/commands/_entry_process.ts
@@ -30,9 +30,10 @@
 
   /** Starts every component. The callers' listener starts last, so that each caller is served. */
   async start(): Promise<void> {
-    const { settings, peers, configuration, membership, log } = this.#parts;
+    const { settings, peers, configuration, membership, log, turns } = this.#parts;
     const { dispatcher, allowances, owner, crashes, forwardServer, callers, self, late } =
       this.#parts;
+    turns.start();
     await peers.start();
     await this.#admin.start(settings.adminListen.host, settings.adminListen.port);
     membership.start();
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -12,18 +12,20 @@
   AccountSpending,
   createStreamServices,
   DirectCrashPaths,
-  FeedFollower,
   FeedDistributor,
   runDirectStop,
 } from '../application/direct/mod.js';
 import type {
   DirectGateway,
+  FeedFollower,
   HostReports,
   StoreLayout,
   StoreView,
   StreamServices,
 } from '../application/direct/mod.js';
 import type { HostPaths } from '../application/paths/mod.js';
+import { TurnTask } from '../application/turns/mod.js';
+import type { TurnMonitor } from '../application/turns/mod.js';
 import { LogLevel } from '../domain/errors/mod.js';
 import type { EntryHostIdentity } from '../domain/membership/mod.js';
 import { ServerPaths } from '../domain/paths/mod.js';
@@ -36,6 +38,7 @@
 } from './_direct_peers.js';
 import { listNearbyAddresses } from './_direct_addresses.js';
 import type { AddressQuery } from './_direct_addresses.js';
+import { createDirectFollower } from './_direct_follower.js';
 import { createDirectGateway } from './_direct_gateway.js';
 import { createDirectListener } from './_direct_listener.js';
 import { createHostPaths } from './_direct_paths.js';
@@ -45,6 +48,7 @@
 import type { GaugeSources } from './_direct_gauges.js';
 import { buildDirectStatus } from './_direct_status.js';
 import type { EntryHostStatus } from './_status_report.js';
+import { createTurnMonitor } from './_turn_monitor.js';
 import type { DirectSettings } from './direct_settings.js';
 
 export { splitAddress } from './_direct_peers.js';
@@ -74,6 +78,8 @@
 
   readonly #random = new SystemRandom();
 
+  readonly #turns: TurnMonitor;
+
   readonly #self: EntryHostIdentity;
 
   readonly #peers: WsPeerNetwork;
@@ -111,7 +117,8 @@
     this.clock = clock;
     this.log = log;
     this.metrics = metrics;
-    const shared = { clock, log, metrics, random: this.#random };
+    this.#turns = createTurnMonitor({ clock, log, metrics });
+    const shared = { clock, log, metrics, random: this.#random, turns: this.#turns };
     this.#self = buildDirectIdentity(settings, this.#random);
     this.#peers = createDirectPeers({ ...shared, self: this.#self, settings });
     this.#storeView = createDirectStoreView({
@@ -124,7 +131,12 @@
     this.#spending = new AccountSpending(this.clock);
     this.#reports = this.#createReports();
     const feed = adapters.createFeed(this.clock);
-    this.#feedFollower = this.#createFollower(feed);
+    this.#feedFollower = createDirectFollower({
+      ...shared,
+      feed,
+      storeView: this.#storeView,
+      getDistributor: () => this.#feedDistributor,
+    });
     this.#feedDistributor = new FeedDistributor({
       ...shared,
       peers: this.#peers,
@@ -194,13 +206,15 @@
 
   /** @returns counters, gauges and histograms as text */
   exportMetrics(): string {
-    updateGauges(this.metrics, this.#listSources());
-    return this.metrics.exportPrometheus();
+    return this.#turns.run(TurnTask.Metrics, () => {
+      updateGauges(this.metrics, this.#listSources());
+      return this.metrics.exportPrometheus();
+    });
   }
 
   /** @returns what this entry host believes at present, for operators */
   buildStatus(): EntryHostStatus {
-    return buildDirectStatus(this.#listSources());
+    return this.#turns.run(TurnTask.Status, () => buildDirectStatus(this.#listSources()));
   }
 
   /**
@@ -223,6 +237,7 @@
 
   /** Starts every component. */
   start(): void {
+    this.#turns.start();
     this.#feedFollower.start();
     this.#reports.start();
     this.#crashes.start();
@@ -282,19 +297,4 @@
       }),
     });
   }
-
-  #createFollower(feed: ChangeFeed): FeedFollower {
-    return new FeedFollower({
-      feed,
-      clock: this.clock,
-      random: this.#random,
-      log: this.log,
-      metrics: this.metrics,
-      getReadPlan: () => this.#feedDistributor.getReadPlan(),
-      getRetryBackoff: () => this.#feedDistributor.getRetryBackoff(),
-      onSnapshot: (items, context) => this.#storeView.applySnapshot(items, context),
-      onChanges: (changes, context) => this.#storeView.applyChanges(changes, context),
-      onStoreRead: (update, context) => this.#feedDistributor.sendUpdate(update, context),
-    });
-  }
 }
--- a/test/support/direct_host.ts
+++ b/test/support/direct_host.ts
@@ -35,7 +35,7 @@
 import type { FakeExchange } from './direct_ends.js';
 import { buildIdentity, FakePeerHub, FakePeerNetwork } from './fake_peer_network.js';
 import { FakeFeed } from './fake_feed.js';
-import { FakeLog, FakeMetrics, SeededRandom } from './fakes.js';
+import { createTurns, FakeLog, FakeMetrics, SeededRandom } from './fakes.js';
 import { settle, VirtualClock } from './virtual_clock.js';
 
 export { buildDocument, buildServer, CLOSED_ZONES_PREFIX } from './direct_documents.js';
@@ -148,6 +148,7 @@
     });
     this.streams = createStreamServices({
       ...shared,
+      turns: createTurns(shared),
       peers: this.peers,
       storeView: this.storeView,
       getReports: () => this.reports,
--- a/test/support/fakes.ts
+++ b/test/support/fakes.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { TurnMonitor } from '../../src/application/turns/mod.js';
+import type { TurnMonitorOptions } from '../../src/application/turns/mod.js';
 import { EventLog, Metrics, RandomSource, Tracer } from '../../src/ports/mod.js';
 import type { Hop, LogFields, MetricLabels, Span } from '../../src/ports/mod.js';
 import type { LogLevel } from '../../src/domain/errors/mod.js';
@@ -76,3 +78,8 @@
     };
   }
 }
+
+/** @param parts - clock, log and metrics. @returns a measure of turns that take no processor time */
+export function createTurns(parts: Omit<TurnMonitorOptions, 'measureProcessorMs'>): TurnMonitor {
+  return new TurnMonitor({ ...parts, measureProcessorMs: () => 0 });
+}
