Fail on answers in transfer codings that are not decoded

What callers saw: a backend server answered with `Transfer-Encoding: gzip` (or `gzip, chunked`, `chunked, gzip`, a coding in a second header line, `chunked, chunked`, `chunked;a=b`, `chunked,`). The caller got a 200 with the coded bytes, or with the framing of the chunks, as the plain body and without that header: a body that isn't the server's.

Cause: the header concerns one connection and is taken off, while Node takes off the last coding alone, and only if the text ends with `chunked`. Its class: a header is dropped whose effect on the bytes was not undone. The same stood on the owners' path, for first answers and for streams that are read on.

The change: one check of the head on both paths. Such an answer fails before its head is passed on, as one that may have run: another server's answer where the route allows it, else 502. `identity` and empty elements change nothing and stay sound; answers without a body (HEAD, 204, 304) are not concerned; declines are read from the head as before.

--- a/src/adapters/backend_http/_answer.ts
+++ b/src/adapters/backend_http/_answer.ts
@@ -7,7 +7,7 @@
 import { formatReason } from '../../domain/errors/mod.js';
 import { BackendCallError, BackendCallStage } from '../../ports/mod.js';
 import type { BackendAnswer } from '../../ports/mod.js';
-import { ConnectionEnd, isFramed } from '../http_common/mod.js';
+import { ConnectionEnd, isAnswerDecoded, isFramed } from '../http_common/mod.js';
 
 /** Response header by which a backend server states that it did not run the call. */
 const RUN_OUTCOME_HEADER = 'run-outcome';
@@ -19,6 +19,7 @@
  * @param method - method of the request
  * @param idleTimeoutMs - longest pause within the body, in milliseconds
  * @returns the answer
+ * @throws BackendCallError when its body comes in a coding that is not taken off
  */
 export function toBackendAnswer(
   message: IncomingMessage,
@@ -27,7 +28,15 @@
 ): BackendAnswer {
   const headers = joinHeaders(message.headers);
   const { statusCode: status } = message;
-  const isMarked = isFramed({ method, status, headers: message.headers });
+  const framing = { method, status, headers: message.headers };
+  if (!isAnswerDecoded(framing)) {
+    message.destroy();
+    throw new BackendCallError(
+      BackendCallStage.Answering,
+      'the answer has a transfer coding other than chunked',
+    );
+  }
+  const isMarked = isFramed(framing);
   const connectionEnd = isMarked ? undefined : new ConnectionEnd(message.socket);
   return {
     status: status ?? 0,
--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -6,7 +6,8 @@
 import { request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { ConnectionEnd, isFramed } from '../http_common/mod.js';
+import { ConnectionEnd, isAnswerDecoded, isFramed } from '../http_common/mod.js';
+import type { AnswerFraming } from '../http_common/mod.js';
 import { BackendFailure, RateLimitKind } from '../../ports/mod.js';
 import type { BackendExchange, BackendListener, BackendRequest } from '../../ports/mod.js';
 import { BackendAgent } from './_backend_agent.js';
@@ -135,11 +136,12 @@
     const { dialect, listener } = this.#options;
     const status = response.statusCode ?? 0;
     const info = dialect.readAnswer(status, response.headers);
-    if (!this.#checkAnswer(info, status)) return;
+    const { method } = this.#options.request.request;
+    const framing = { method, status, headers: response.headers };
+    if (!this.#checkAnswer(info, status) || !this.#checkCoding(framing)) return;
     this.#recordIdleTimeout(response);
     const excluded = response.headers['transfer-encoding'] ? NO_HEADERS : LENGTH_HEADERS;
-    const { method } = this.#options.request.request;
-    const isMarked = isFramed({ method, status, headers: response.headers });
+    const isMarked = isFramed(framing);
     listener.onHead({
       status,
       headers: pickRawHeaders(response.rawHeaders, response.headers.connection, excluded),
@@ -177,6 +179,13 @@
     return false;
   }
 
+  /** Fails the call if the body comes in a coding that is not taken off. */
+  #checkCoding(framing: AnswerFraming): boolean {
+    if (isAnswerDecoded(framing)) return true;
+    this.#fail(BackendFailure.Broken, 'answer in a transfer coding other than chunked');
+    return false;
+  }
+
   /**
    * Reports what the answer says of its server. One to an earlier request on the connection
    * comes from the same process, but its limits may have changed since.
--- a/src/adapters/http_common/is_framed.ts
+++ b/src/adapters/http_common/is_framed.ts
@@ -1,16 +1,14 @@
 /**
- * Checks whether an HTTP answer marks its own end.
+ * Checks how an HTTP answer frames its body.
  *
  * @module
  */
 import type { IncomingHttpHeaders } from 'node:http';
+import { isChunkedLast, isDecoded } from './transfer_coding.js';
 
 /** Statuses of answers that have no body. */
 const NO_BODY_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
 
-/** Any other last coding leaves the end of the body to the connection. */
-const CHUNKED_PATTERN = /(?:^|,)\s*chunked\s*$/i;
-
 /** Head of an answer, and the method of its request. */
 export interface AnswerFraming {
   readonly method: string;
@@ -23,10 +21,21 @@
  * @returns whether its end is marked; otherwise it ends with its connection, just as when its
  *   server crashes
  */
-export function isFramed({ method, status, headers }: AnswerFraming): boolean {
-  if (method === 'HEAD' || NO_BODY_STATUSES.has(status)) return true;
+export function isFramed(framing: AnswerFraming): boolean {
+  if (!hasBody(framing)) return true;
+  const { headers } = framing;
   const coding = headers['transfer-encoding'];
-  return coding === undefined
-    ? headers['content-length'] !== undefined
-    : CHUNKED_PATTERN.test(coding);
+  return coding === undefined ? headers['content-length'] !== undefined : isChunkedLast(coding);
+}
+
+/**
+ * @param framing - head of an answer, and the method of its request
+ * @returns whether the bytes that Node gives are the body that was sent
+ */
+export function isAnswerDecoded(framing: AnswerFraming): boolean {
+  return !hasBody(framing) || isDecoded(framing.headers['transfer-encoding']);
+}
+
+function hasBody({ method, status }: AnswerFraming): boolean {
+  return method !== 'HEAD' && !NO_BODY_STATUSES.has(status);
 }
