Look routes up by prefix instead of searching all of them

Cause: RouteTable.findRoute searched the list of a host name's routes, and hasMovedStreams asks it twice for each route of both configurations: quadratic in the routes. Class: a turn of the event loop whose length others decide.

The change: the routes of a host name are indexed by prefix, and a look-up tries the distinct lengths of prefixes, the longest first; the first route of equal ones still wins, and prefixes without a last slash match as before. Each prefix of both configurations is compared once, without a text built for each route. The regions of a host name are collected once a configuration, not at each question for addresses.

What is left of a turn is the decoding of the configuration.

--- a/src/domain/routing/route_table.ts
+++ b/src/domain/routing/route_table.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { AllowedRegions } from '../places/mod.js';
+import { HostRoutes } from './_host_routes.js';
 import type { ClientAccount, Route, RoutingDocument, ServiceInfo } from './types.js';
 
 /** Number of route ranks within one account rank. */
@@ -13,8 +14,8 @@
 export class RouteTable {
   readonly document: RoutingDocument;
 
-  /** Routes by host name, ordered by descending prefix length. */
-  readonly #routes = new Map<string, Route[]>();
+  /** By host name. */
+  readonly #hosts: ReadonlyMap<string, HostRoutes>;
 
   readonly #accounts = new Map<string, ClientAccount>();
 
@@ -23,12 +24,7 @@
   /** @param document - the configuration */
   constructor(document: RoutingDocument) {
     this.document = document;
-    document.routes.forEach((route) => {
-      const routes = this.#routes.get(route.hostName);
-      if (routes) routes.push(route);
-      else this.#routes.set(route.hostName, [route]);
-    });
-    this.#routes.forEach((routes) => routes.sort((a, b) => b.prefix.length - a.prefix.length));
+    this.#hosts = buildHosts(document.routes);
     document.accounts.forEach((account) => {
       account.keys.forEach((key) => this.#accounts.set(key, account));
     });
@@ -48,7 +44,7 @@
    * @returns the route; undefined if none matches
    */
   findRoute(hostName: string, path: string): Route | undefined {
-    return this.#routes.get(hostName)?.find(({ prefix }) => path.startsWith(prefix));
+    return this.#hosts.get(hostName)?.find(path);
   }
 
   /**
@@ -58,10 +54,13 @@
    * @returns the union of its routes' regions; undefined if a route allows all or none exists
    */
   findAllowedRegions(hostName: string): AllowedRegions {
-    const routes = this.#routes.get(hostName) ?? [];
-    if (routes.length === 0 || routes.some(({ regions }) => regions === undefined))
-      return undefined;
-    return [...new Set(routes.flatMap(({ regions = [] }) => regions))];
+    return this.#hosts.get(hostName)?.regions;
+  }
+
+  /** @returns host name and prefix of all routes, each pair once */
+  *listPrefixes(): Iterable<readonly [hostName: string, prefix: string]> {
+    for (const [hostName, routes] of this.#hosts)
+      for (const prefix of routes.listPrefixes()) yield [hostName, prefix];
   }
 
   /** @param key - the caller's key. @returns the account; undefined for an unknown key */
@@ -75,6 +74,17 @@
   }
 }
 
+function buildHosts(routes: readonly Route[]): ReadonlyMap<string, HostRoutes> {
+  const byHostName = new Map<string, Route[]>();
+  routes.forEach((route) => {
+    const { hostName } = route;
+    const known = byHostName.get(hostName);
+    if (known) known.push(route);
+    else byHostName.set(hostName, [route]);
+  });
+  return new Map([...byHostName].map(([hostName, list]) => [hostName, new HostRoutes(list)]));
+}
+
 /**
  * Picks one of a route's services at random, by weight.
  *
--- a/src/domain/routing/stream_routes.ts
+++ b/src/domain/routing/stream_routes.ts
@@ -15,18 +15,30 @@
  * @returns whether streams may have begun elsewhere than where their calls go now
  */
 export function hasMovedStreams(former: RouteTable, next: RouteTable): boolean {
-  // Between these prefixes, the route of a call stays the same.
-  const routes = [...former.document.routes, ...next.document.routes];
-  return routes.some(({ hostName, prefix }) => {
-    const before = former.findRoute(hostName, prefix);
-    if (before?.isStream !== true) return false;
-    return formatPlaces(before) !== formatPlaces(next.findRoute(hostName, prefix));
+  // Between the prefixes of both, the route of a call stays the same.
+  return [former, next].some((table) => {
+    for (const [hostName, prefix] of table.listPrefixes())
+      if (isMoved(former.findRoute(hostName, prefix), next.findRoute(hostName, prefix)))
+        return true;
+    return false;
   });
 }
 
-/** Formats what determines where a stream may begin; empty if the route brings none. */
-function formatPlaces(route: Route | undefined): string {
-  if (!route?.isStream) return '';
-  const serviceIds = route.services.map(({ serviceId }) => serviceId).sort();
-  return JSON.stringify([route.isResumable, route.mayBeAnonymous, serviceIds]);
+function isMoved(before: Route | undefined, after: Route | undefined): boolean {
+  if (before?.isStream !== true) return false;
+  return !after?.isStream || !hasSamePlaces(before, after);
+}
+
+/** Tells whether streams of two routes may begin at the same servers. */
+function hasSamePlaces(one: Route, other: Route): boolean {
+  if (one.isResumable !== other.isResumable) return false;
+  if (one.mayBeAnonymous !== other.mayBeAnonymous) return false;
+  if (one.services === other.services) return true;
+  if (one.services.length !== other.services.length) return false;
+  const ids = listServiceIds(other);
+  return listServiceIds(one).every((id, index) => id === ids[index]);
+}
+
+function listServiceIds({ services }: Route): readonly string[] {
+  return services.map(({ serviceId }) => serviceId).sort();
 }
