Pass requests of one connection on one after another

What callers saw: a caller that sends requests on one connection without waiting for the answers lost most of them in a planned stop. Their servers had run them, also those that may run once only.

Cause: all requests of a connection were passed on at once. In a stop, the first answer says that the connection ends, and Node closes it then, with the answers to the requests behind it unsent. Outside of a stop the same holds for an answer that breaks off or that has no mark of its end. Node doesn't close the answers whose turn never came either: they counted as unsent for good, so that a stop waited for them to its limit, and their bodies kept their share of the bound on all bodies. The class: what is passed on before its answer has a way back.

The change: a request is handled once the answers before it on its connection have been sent, if the connection lasts; the time that it waits is part of its call's. An answer says that its connection ends only if no request has arrived behind it. Answers without a connection are closed with it.

Why it holds: nothing is passed on before its answer is the next one.

--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -17,6 +17,7 @@
 import { runAfterInput } from './_input_turns.js';
 import { NodeReply } from './_node_reply.js';
 import { pickRawHeaders } from './_raw_headers.js';
+import { RequestOrder } from './_request_order.js';
 import type { DirectDialect } from './direct_dialect.js';
 
 /** Largest header block that Node parses, in bytes; the limits for callers are lower. */
@@ -71,6 +72,8 @@
 
   readonly #connectionBound: ConnectionBound;
 
+  readonly #requestOrder = new RequestOrder();
+
   readonly #unsent = new BufferBudget(MAX_TOTAL_UNSENT_BYTES);
 
   readonly #excludedHeaders: ReadonlySet<string>;
@@ -91,6 +94,7 @@
     this.#server.on('connection', (socket) => {
       this.#applyLimits();
       this.#connectionBound.add(socket);
+      this.#requestOrder.addConnection(socket);
     });
     this.#server.on('timeout', (socket) => this.#idleConnections.handleTimeout(socket));
   }
@@ -138,6 +142,7 @@
     response.on('finish', () => this.#idleConnections.recordQuiet(message.socket));
     const { socket } = message;
     this.#connectionBound.beginRequest(socket);
+    this.#requestOrder.addRequest(socket, response);
     response.on('close', () => {
       this.#responses.delete(response);
       this.#connectionBound.endRequest(socket);
@@ -149,7 +154,7 @@
       dialect,
       unsent: this.#unsent,
       requestId,
-      mustClose,
+      mustClose: () => mustClose() && this.#requestOrder.isLast(socket, response),
       onCallerTooSlow: (bufferedBytes) => onCallerTooSlow(requestId, bufferedBytes),
     });
     message.on('error', () => undefined);
@@ -161,9 +166,15 @@
       }
       const request = { ...info, requestId, ...this.#readTarget(message), body };
       // A process that reads late would spend its time on calls whose callers have left unread.
-      runAfterInput(() => {
-        if (!reply.isDisconnected) this.#options.handle(request, reply);
-      });
+      runAfterInput(() => this.#handleInOrder(request, reply, response));
+    });
+  }
+
+  #handleInOrder(request: DirectRequest, reply: DirectReply, response: ServerResponse): void {
+    const readAtMs = performance.now();
+    this.#requestOrder.run(response.req.socket, response, () => {
+      const heldMs = performance.now() - readAtMs;
+      if (!reply.isDisconnected) this.#options.handle({ ...request, heldMs }, reply);
     });
   }
 
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -122,7 +122,8 @@
 
   /** Sends the call, queues it, or refuses it. */
   start(): void {
-    this.#options.queue.submit(this);
+    if (this.#attempts.timeLeftMs > 0) this.#options.queue.submit(this);
+    else this.endOverdue();
   }
 
   /** What is in flight may still bring the answer; without it nobody else would end the call. */
--- a/src/application/direct/direct_call_test.ts
+++ b/src/application/direct/direct_call_test.ts
@@ -220,6 +220,18 @@
   t.ok(host.getSent(0).isCancelled);
 });
 
+t.test('the time for which a call was held on its connection is part of its own', async (t) => {
+  // Guards against servers that are handed more time than the caller and the route have left.
+  const host = await startDirectHost(t);
+  const reply = host.call({ deadlineMs: 1_000, heldMs: 400 });
+  t.equal(host.getSent(0).request.deadlineMs, 600);
+  await host.clock.advance(600);
+  t.equal(reply.error?.kind, ErrorKind.AnswerTimeout);
+  const late = host.call({ deadlineMs: 1_000, heldMs: 1_000 });
+  t.equal(late.error?.run, RunOutcome.NotRun);
+  t.equal(host.backend.sent.length, 1);
+});
+
 t.test("the route's timeout ends a call whose deadline is later", async (t) => {
   const host = await startDirectHost(t, { route: { timeoutMs: 500 } });
   const reply = host.call({ deadlineMs: 9_000 });
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -199,7 +199,7 @@
    * @param reply - the reply to the caller
    */
   handle(request: DirectRequest, reply: DirectReply): void {
-    const waitedMs = this.#earlyRejections.lateness.recordCall();
+    const waitedMs = this.#earlyRejections.lateness.recordCall() + (request.heldMs ?? 0);
     const rejection = this.#earlyRejections.findRejection(request);
     if (rejection) reply.sendError(rejection);
     else this.#try(request, reply, () => this.#startCall(request, reply, waitedMs));
--- a/src/ports/direct_calls.ts
+++ b/src/ports/direct_calls.ts
@@ -28,6 +28,8 @@
   readonly key: string | undefined;
   /** Time that the caller allows, counted from the request's arrival; undefined if not stated. */
   readonly deadlineMs: number | undefined;
+  /** Time for which the request has waited for others of its connection, in ms. Default: 0. */
+  readonly heldMs?: number | undefined;
   /** ID of the event after which the caller wants to resume a stream; undefined otherwise. */
   readonly lastEventId: string | undefined;
   /**
