Send ended answers to slow callers until a stop is over

Cause: stopAccepting() closed the connections that Node takes for idle, at the end of a stop and in server.close() too. Node looks whether the answer has ended, not whether it has been sent. The class: ended is taken for sent.

Evidence: on the code before, the new test fails, as the connection is closed with most of 16 MB unsent:

not ok 7 - a caller that reads slowly gets its whole answer while connections close

The change: the listening socket is closed without that, and those connections are closed that this listener knows as idle: their answers are sent, and no request is arriving on them.

Why it holds: an answer counts as open until it is closed, which Node does once its last byte was handed over.

--- a/src/adapters/direct_http/_connection_bound.ts
+++ b/src/adapters/direct_http/_connection_bound.ts
@@ -51,6 +51,12 @@
     if (!socket.destroyed) this.#idle.set(socket, socket.bytesRead);
   }
 
+  /** Closes the connections that are idle, and on which no request is arriving. */
+  closeIdle(): void {
+    for (let socket = this.#takeLongestIdle(); socket; socket = this.#takeLongestIdle())
+      socket.destroy();
+  }
+
   /** Takes the connection that has been idle for longest, and on which no request is arriving. */
   #takeLongestIdle(): Socket | undefined {
     for (const [socket, bytesRead] of this.#idle) {
--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -5,6 +5,7 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as TcpServer } from 'node:net';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { CallerLimits } from '../../domain/routing/mod.js';
 import type { DirectReply, DirectRequest, EventLog } from '../../ports/mod.js';
@@ -116,10 +117,11 @@
     return [...this.#responses].filter((response) => response.writableEnded).length;
   }
 
-  /** Refuses new connections and closes idle ones; open answers go on. */
+  /** Refuses new connections and closes idle ones; answers go on until their callers have them. */
   stopAccepting(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // An HTTP server would take connections for idle whose answers wait for their callers.
+    TcpServer.prototype.close.call(this.#server);
+    this.#connectionBound.closeIdle();
   }
 
   /** Stops listening and closes all connections, without waiting for open answers. */
--- a/src/adapters/direct_http/direct_listener_test.ts
+++ b/src/adapters/direct_http/direct_listener_test.ts
@@ -177,6 +177,25 @@
   },
 );
 
+t.test('a caller that reads slowly gets its whole answer while connections close', async (t) => {
+  // Guards against ended answers that a stop breaks off before its time for slow callers is over.
+  let onAnswered = (): void => undefined;
+  const answered = new Promise<void>((resolve) => {
+    onAnswered = resolve;
+  });
+  const { listener, socket } = await openConnection(t, (reply) => {
+    sendAnswer(reply, LONG_BODY);
+    onAnswered();
+  });
+  socket.write(REQUEST);
+  await answered;
+  listener.stopAccepting();
+  socket.resume();
+  while (listener.unsentCount > 0) await setImmediate();
+  while (socket.bytesRead < LONG_BODY.length && !socket.destroyed) await setImmediate();
+  t.ok(socket.bytesRead > LONG_BODY.length);
+});
+
 t.test(
   'a body may arrive in parts while its limit shrinks, and not beyond the limit',
   async (t) => {
