Forget what waits on a connection that closes

What callers saw: after connections that had sent several requests without waiting were closed, a host refused bodies with 503 for good, and its planned stop waited until its limit for answers that nobody would read.

Cause: Node emits 'close' only for the answer that is being sent. Those behind it on the same connection end without an event, and what is released by that event (bytes of bodies, unread answers, the set of open answers) stayed counted until the process ended. Class: a resource is released by an event that need not come.

Evidence: of five requests in one write, whose connection closes, one answer closes (trial). The new test on the code before:

+HTTP/1.1 503 not ok 3 - the bodies behind an open request are dropped with their connection

Change: the answers of a connection are kept beside it, and those that are left when it closes are told.

It holds because each answer now ends by one of two events, and a connection's end is one that Node always tells.

--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -16,6 +16,7 @@
 import { IdleConnections } from './_idle_connections.js';
 import { runAfterInput } from './_input_turns.js';
 import { NodeReply } from './_node_reply.js';
+import { PendingAnswers } from './_pending_answers.js';
 import { pickRawHeaders } from './_raw_headers.js';
 import type { DirectDialect } from './direct_dialect.js';
 
@@ -73,6 +74,8 @@
 
   readonly #unsent = new BufferBudget(MAX_TOTAL_UNSENT_BYTES);
 
+  readonly #pendingAnswers = new PendingAnswers();
+
   readonly #excludedHeaders: ReadonlySet<string>;
 
   /** Answers that have not ended, or whose last bytes wait for their callers. */
@@ -137,6 +140,7 @@
     this.#responses.add(response);
     response.on('finish', () => this.#idleConnections.recordQuiet(message.socket));
     const { socket } = message;
+    this.#pendingAnswers.add(socket, response);
     this.#connectionBound.beginRequest(socket);
     response.on('close', () => {
       this.#responses.delete(response);
--- a/src/adapters/direct_http/direct_listener_bounds_test.ts
+++ b/src/adapters/direct_http/direct_listener_bounds_test.ts
@@ -85,6 +85,43 @@
   t.ok(Math.max(...brokenOff) > 8_000_000, 'the largest one is among them');
 });
 
+/** Sends long bodies on one connection, without waiting for answers. */
+function sendBodies(socket: Socket, count: number): void {
+  const head = 'POST /a HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\nContent-Length: 3400000\r\n\r\n';
+  for (let sent = 0; sent < count; sent += 1) {
+    socket.write(head);
+    socket.write(Buffer.alloc(3_400_000));
+  }
+}
+
+// Guards against a host that refuses all bodies for good, as it counts those of connections that are gone.
+t.test('the bodies behind an open request are dropped with their connection', async (t) => {
+  let handled = 0;
+  let onFourHandled = (): void => undefined;
+  const { sockets } = await openConnections(t, 6, () => {
+    handled += 1;
+    if (handled % 4 === 0) onFourHandled();
+  });
+  const waitForFour = (): Promise<string> =>
+    new Promise((resolve) => {
+      onFourHandled = () => resolve('four handled');
+    });
+  for (const socket of sockets.slice(0, 2)) {
+    const fourHandled = waitForFour();
+    sendBodies(socket, 4);
+    await fourHandled;
+    socket.destroy();
+    await once(socket, 'close');
+  }
+  const lastHandled = waitForFour();
+  const answers = sockets.slice(2).map(async (socket) => {
+    sendBodies(socket, 1);
+    const [bytes] = (await once(socket, 'data')) as [Buffer];
+    return bytes.toString('latin1', 0, 12);
+  });
+  t.equal(await Promise.race([lastHandled, ...answers]), 'four handled');
+});
+
 /** @returns status line of the answer, or nothing if the connection is closed before */
 async function readStatus(socket: Socket): Promise<string> {
   const closed = once(socket, 'close').then(() => '');
