--- a/src/adapters/direct_http/direct_listener_bounds_test.ts
+++ b/src/adapters/direct_http/direct_listener_bounds_test.ts
@@ -1,4 +1,5 @@
 import { once } from 'node:events';
+import type { IncomingHttpHeaders } from 'node:http';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
@@ -7,6 +8,7 @@
 import type { DirectReply } from '../../ports/mod.js';
 import { FakeLog } from '../../../test/support/fakes.js';
 import { TestDialect } from './_test_servers.js';
+import type { CallInfo } from './direct_dialect.js';
 import { DirectListener } from './direct_listener.js';
 
 const LIMITS = {
@@ -32,10 +34,11 @@
   t: Test,
   count: number,
   handle: (reply: DirectReply) => void,
+  dialect = new TestDialect(),
 ): Promise<Connections> {
   const brokenOff: number[] = [];
   const listener = new DirectListener({
-    dialect: new TestDialect(),
+    dialect,
     getLimits: () => LIMITS,
     mustClose: () => false,
     handle: (_request, reply) => handle(reply),
@@ -85,6 +88,68 @@
   t.ok(Math.max(...brokenOff) > 8_000_000, 'the largest one is among them');
 });
 
+/** Sends long bodies on one connection, without waiting for answers. */
+function sendBodies(socket: Socket, count: number): void {
+  const head = 'POST /a HTTP/1.1\r\nHost: a\r\nX-Id: r-1\r\nContent-Length: 3400000\r\n\r\n';
+  for (let sent = 0; sent < count; sent += 1) {
+    socket.write(head);
+    socket.write(Buffer.alloc(3_400_000));
+  }
+}
+
+/** Tells when so many heads of requests have been read. */
+class HeadCounter extends TestDialect {
+  #headCount = 0;
+
+  #waiter: { readonly count: number; readonly resolve: () => void } | undefined;
+
+  override readCall(headers: IncomingHttpHeaders): CallInfo {
+    this.#headCount += 1;
+    if (this.#headCount === this.#waiter?.count) this.#waiter.resolve();
+    return super.readCall(headers);
+  }
+
+  /** @param count - number of heads from now on */
+  waitFor(count: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#waiter = { count: this.#headCount + count, resolve };
+    });
+  }
+}
+
+// Guards against a host that refuses all bodies for good, as it counts those of connections that are gone.
+t.test('the bodies behind an open request are dropped with their connection', async (t) => {
+  let handled = 0;
+  let onAllHandled = (): void => undefined;
+  const allHandled = new Promise<string>((resolve) => {
+    onAllHandled = () => resolve('all handled');
+  });
+  const heads = new HeadCounter();
+  const { sockets } = await openConnections(
+    t,
+    6,
+    () => {
+      handled += 1;
+      if (handled === 6) onAllHandled();
+    },
+    heads,
+  );
+  for (const socket of sockets.slice(0, 2)) {
+    const bodiesRead = heads.waitFor(5);
+    sendBodies(socket, 4);
+    socket.write(REQUEST);
+    await bodiesRead;
+    socket.destroy();
+    await once(socket, 'close');
+  }
+  const answers = sockets.slice(2).map(async (socket) => {
+    sendBodies(socket, 1);
+    const [bytes] = (await once(socket, 'data')) as [Buffer];
+    return bytes.toString('latin1', 0, 12);
+  });
+  t.equal(await Promise.race([allHandled, ...answers]), 'all handled');
+});
+
 /** @returns status line of the answer, or nothing if the connection is closed before */
 async function readStatus(socket: Socket): Promise<string> {
   const closed = once(socket, 'close').then(() => '');
