Work the store's past off in short steps

Cause: recordPast decoded and compared the whole answer of the store in one turn of the event loop. Class: a turn whose length others decide.

The change: PastReview works off one large configuration, or about 32 kB of small values, a step, keeps one table, and of a server its service and version; PastReader pauses 10 ms between steps. Results are as before: configurations come before servers, errors are the same, and nothing is recorded unless all was worked off. A full read or condensed update between two steps (restartCount) ends the work without a record.

The tests count decodings a step and steps between turns. On the code before: not ok 1 - a host hands the processor back between parts of the past not ok 2 - a full read between parts of the past leaves a gap (isWhole: true)

--- a/src/application/direct/store_view.ts
+++ b/src/application/direct/store_view.ts
@@ -3,28 +3,21 @@
  *
  * @module
  */
-import type { BackendServerEntry } from '../../domain/backend_servers/mod.js';
 import type { ServerPaths } from '../../domain/paths/mod.js';
 import type { WarmupLimit } from '../../domain/places/mod.js';
-import { hasMovedStreams, RouteTable } from '../../domain/routing/mod.js';
-import type { RoutingDocument } from '../../domain/routing/mod.js';
 import type { Clock, EventLog, FeedChange, FeedItem, Metrics } from '../../ports/mod.js';
 import type { PaceHosts } from './_pace_roles.js';
+import { PastReview } from './_past_review.js';
+import type { PastLayout } from './_past_review.js';
 import type { FeedContext, SnapshotContext } from './feed_update.js';
 import { ZoneView } from './zone_view.js';
 import { RoutingView } from './routing_view.js';
 import { ServerRegistry } from './server_registry.js';
 
 /** Keys and value formats of the store. */
-export interface StoreLayout {
-  /** Key of the configuration. */
-  readonly configurationKey: string;
-  /** Prefix of the keys under which backend servers are registered. */
-  readonly serversPrefix: string;
+export interface StoreLayout extends PastLayout {
   /** Prefix of the keys that close a zone while they exist; the zone's name follows the prefix. */
   readonly closedZonesPrefix: string;
-  readonly decodeConfiguration: (value: Uint8Array) => RoutingDocument;
-  readonly decodeServer: (key: string, value: Uint8Array) => BackendServerEntry;
 }
 
 /** How far all entry hosts together may exceed the warm-up rate of a backend server. */
@@ -114,20 +107,20 @@
   }
 
   /**
-   * Records the software of all servers that were ever registered.
+   * Begins to work off all servers that were ever registered; {@link StoreView.recordPast} takes the
+   * result.
    *
    * @param changes - all changes since the store was created
-   * @throws Error if one of them can't be decoded, or configurations have sent streams to different
-   *   services; nothing is recorded then
+   * @returns the changes, none of them worked off
    */
-  recordPast(changes: readonly FeedChange[]): void {
-    const { clock, layout } = this.#options;
-    if (hasPastMoves(changes, layout)) throw new Error('Cannot tell where streams went');
-    const entries = changes.flatMap(({ key, value }) =>
-      value && key.startsWith(layout.serversPrefix) ? [layout.decodeServer(key, value)] : [],
-    );
+  beginPast(changes: readonly FeedChange[]): PastReview {
+    return new PastReview(changes, this.#options.layout);
+  }
+
+  /** @param past - all changes since the store was created, worked off to the end */
+  recordPast(past: PastReview): void {
     const { history } = this.servers.versions;
-    entries.forEach((entry) => history.recordEntry(entry, clock.nowMs()));
+    past.servers.forEach((server) => history.recordEntry(server, this.#options.clock.nowMs()));
     history.markComplete();
   }
 
@@ -141,16 +134,3 @@
     };
   }
 }
-
-/** Tells whether one of the configurations among changes has sent streams elsewhere. */
-function hasPastMoves(changes: readonly FeedChange[], layout: StoreLayout): boolean {
-  const tables = changes.flatMap(({ key, value }) =>
-    value && key === layout.configurationKey
-      ? [new RouteTable(layout.decodeConfiguration(value))]
-      : [],
-  );
-  return tables.some((table, index) => {
-    const former = tables[index - 1];
-    return former !== undefined && hasMovedStreams(former, table);
-  });
-}
