Read everything when the store's changes are too long for one answer

What callers saw: 40 registry entries of 0.5 MB, published in one go, took all hosts out of service at once: none had a confirmed state a moment later, so calls were refused with 503, no host was ready, and no later configuration came into force.

Cause, and its class: a watch has no bound on its length, and the follower's answer has one. Over it, the read failed like an outage, and the next one asked for the same changes, until the store discards them. A lasting state was taken for a passing one.

Change: changes that are too long are reported as ones that can't be had, which the follower meets with a full read in pages of 1 MB; the line feed_history_lost says why.

--- a/src/adapters/http_common/fetch_response.ts
+++ b/src/adapters/http_common/fetch_response.ts
@@ -28,6 +28,11 @@
   readonly body: Buffer;
 }
 
+/** The response is longer than the reader takes; asking again would give it again. */
+export class ResponseTooLongError extends Error {
+  override readonly name = 'ResponseTooLongError';
+}
+
 /**
  * Sends a GET request and reads the complete response.
  *
@@ -36,7 +41,8 @@
  *
  * @param options - the URL to read, and the limits
  * @returns the response, whatever its status
- * @throws Error when no complete response arrives within the limits
+ * @throws ResponseTooLongError when the response exceeds the limit on its size
+ * @throws Error when no complete response arrives in time
  */
 export async function fetchResponse(options: FetchOptions): Promise<FetchedResponse> {
   const { url, agent, signal, maxBytes } = options;
@@ -93,7 +99,9 @@
     if (length > maxBytes) {
       // The unread rest would be taken for the start of the next response.
       response.destroy();
-      throw new Error(`Cannot read ${url.host}: its answer is over ${maxBytes} bytes`);
+      throw new ResponseTooLongError(
+        `Cannot read ${url.host}: its answer is over ${maxBytes} bytes`,
+      );
     }
     chunks.push(chunk);
   }
--- a/src/adapters/http_common/mod.ts
+++ b/src/adapters/http_common/mod.ts
@@ -16,7 +16,7 @@
 export { HOP_BY_HOP_HEADERS, pickEndToEndHeaders } from './end_to_end_headers.js';
 export { isFramed } from './is_framed.js';
 export { ConnectionEnd } from './connection_end.js';
-export { fetchResponse } from './fetch_response.js';
+export { fetchResponse, ResponseTooLongError } from './fetch_response.js';
 export type { FetchedResponse, FetchOptions } from './fetch_response.js';
 export { parseRequestTarget } from './request_target.js';
 export type { RequestTarget } from './request_target.js';
--- a/src/application/direct/feed_follower.ts
+++ b/src/application/direct/feed_follower.ts
@@ -262,7 +262,7 @@
     const { log, metrics } = this.#options;
     metrics.count('feed_reads_failed_total');
     if (error instanceof HistoryLostError) {
-      log.write(LogLevel.Info, 'feed_history_lost', { ...askedAfter });
+      log.write(LogLevel.Info, 'feed_history_lost', { ...askedAfter, reason: error.message });
       // Without a known position everything is read anyway.
       this.#mustReadAll = askedAfter === undefined || !this.#state.hasLeftEra(askedAfter);
       return;
--- a/src/ports/change_feed.ts
+++ b/src/ports/change_feed.ts
@@ -40,7 +40,10 @@
   readonly era: number | undefined;
 }
 
-/** The store no longer has the requested changes; the caller must read a new snapshot. */
+/**
+ * The requested changes can't be had: the store no longer has them, or they are too long for one
+ * answer. The caller must read a new snapshot.
+ */
 export class HistoryLostError extends Error {
   override readonly name = 'HistoryLostError';
 }
@@ -64,7 +67,7 @@
    * @param afterRevision - the last known revision
    * @param waitMs - maximum wait in milliseconds
    * @returns the changes; none if nothing changed within the wait
-   * @throws HistoryLostError if the store no longer has the changes
+   * @throws HistoryLostError if the store no longer has the changes, or they are too long to be read
    * @throws Error if the store can't be read
    */
   abstract readChanges(prefix: string, afterRevision: number, waitMs: number): Promise<FeedChanges>;
