--- a/src/adapters/http_common/mod.ts
+++ b/src/adapters/http_common/mod.ts
@@ -18,7 +18,7 @@
 export type { AnswerFraming } from './is_framed.js';
 export { isDecoded } from './transfer_coding.js';
 export { ConnectionEnd } from './connection_end.js';
-export { fetchResponse } from './fetch_response.js';
+export { fetchResponse, ResponseTooLongError } from './fetch_response.js';
 export type { FetchedResponse, FetchOptions } from './fetch_response.js';
 export { parseRequestTarget } from './request_target.js';
 export type { RequestTarget } from './request_target.js';
