Read the store's past again after a read that failed

What callers saw: callers who took a stream up were refused as unknown for half a minute, though all servers ran one version, where the one read of the store's past had failed (such as with status 429, as when many hosts start).

Cause: PastReader asked once, whatever became of the read. Class: a passing error that is taken for good.

The change: a failed read is repeated up to four times, after half a second, doubled and jittered; not if the store has discarded the history, nor if what was read is of no use. Position and restart count are taken anew for each attempt, so that a full read between two attempts leaves no gap.

Two tests more bound the reads and hold the gap.

--- a/src/application/direct/past_reader_test.ts
+++ b/src/application/direct/past_reader_test.ts
@@ -4,6 +4,7 @@
 import { settle } from '../../../test/support/virtual_clock.js';
 import { parseSoftwareVersion } from '../../domain/streams/mod.js';
 import type { SoftwareVersion } from '../../domain/streams/mod.js';
+import { HistoryLostError } from '../../ports/mod.js';
 
 const SERVICE = 'engines';
 
@@ -99,3 +100,45 @@
   await host.clock.advance(3_000);
   t.equal(asked.filter((after) => after === 0).length, 1);
 });
+
+/** Guards against reads of the whole history without end while the store refuses them. */
+t.test('a host gives the past up after some failed reads, or once it is discarded', async (t) => {
+  const failures = [new Error('status 429'), new HistoryLostError('discarded')];
+  const counts = failures.map(async (failure) => {
+    const host = new DirectHost();
+    t.teardown(() => host.stop());
+    let count = 0;
+    const read = host.feed.readChanges.bind(host.feed);
+    host.feed.readChanges = async (prefix, after, waitMs) => {
+      if (after > 0) return read(prefix, after, waitMs);
+      count += 1;
+      throw failure;
+    };
+    await host.start();
+    await host.clock.advance(60_000);
+    return count;
+  });
+  t.same(await Promise.all(counts), [5, 1]);
+});
+
+/** Guards against a past whose later part was read in a gap between two attempts. */
+t.test('a full read before a second attempt leaves no gap in what it reads', async (t) => {
+  const host = new DirectHost();
+  t.teardown(() => host.stop());
+  putServer(host, 's-1', 'v1');
+  const read = host.feed.readChanges.bind(host.feed);
+  let hasFailed = false;
+  host.feed.readChanges = async (prefix, after, waitMs) => {
+    if (after > 0 || hasFailed) return read(prefix, after, waitMs);
+    hasFailed = true;
+    throw new Error('status 503');
+  };
+  await host.start({}, []);
+  putServer(host, 's-2', 'v0');
+  host.feed.remove('servers/s-2');
+  await host.clock.advance(1);
+  host.servers.versions.history.restart(host.clock.nowMs());
+  await host.clock.advance(2_000);
+  t.match(host.log.list('store_past_read'), [{ isWhole: true }]);
+  t.equal(inferVersion(host), undefined);
+});
--- a/src/application/direct/stream_services.ts
+++ b/src/application/direct/stream_services.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { SoftwareVersion } from '../../domain/streams/mod.js';
-import type { Metrics, PeerNetwork } from '../../ports/mod.js';
+import type { Metrics, PeerNetwork, RandomSource } from '../../ports/mod.js';
 import { OriginResolver, StreamOrigins } from '../streams/mod.js';
 import type { TurnMonitor } from '../turns/mod.js';
 import type { HostReports } from './host_reports.js';
@@ -32,6 +32,7 @@
 export interface StreamServicesOptions extends StoreConfirmerOptions {
   readonly metrics: Metrics;
   readonly peers: PeerNetwork;
+  readonly random: RandomSource;
   readonly storeView: StoreView;
   readonly turns: TurnMonitor;
   /** Number of peers that are told of each stream. Default: 4. */
