Refuse to send a message that is too long for its peer

What callers saw: none by this alone. A message of over 8 MiB ended the link that it was sent on, and with it all messages of all kinds, and the next link again.

Cause, and its class: the receiver's bound on a message ends the link, and the sender checked everything but the length.

The test on the code before: not ok 4 - send() refuses a message that is too long and keeps the link (sent; no log line; the link went down)

Change: the encoded frame is compared with the bound, which all hosts share; a longer one isn't sent, is counted (peer_sends_refused_total, too_long) and logged (peer_message_too_long).

--- a/src/adapters/peers_ws/_peer_link.ts
+++ b/src/adapters/peers_ws/_peer_link.ts
@@ -58,6 +58,8 @@
   readonly dialledUrl: string | undefined;
   /** Returns the monotonic time in milliseconds. */
   readonly nowMs: () => number;
+  /** Longest frame that the other end takes; a longer one would end the link. */
+  readonly maxFrameBytes: number;
 }
 
 /** A link to a peer. Frames are validated before a callback receives them. */
@@ -121,9 +123,15 @@
     this.#sendFrame(this.#handshake.buildChallenge());
   }
 
-  /** @param sequence - sequence number of the message. @param message - the message */
-  send(sequence: number, message: PeerMessage): void {
-    this.#sendFrame({ kind: FrameKind.Message, sequence, message });
+  /**
+   * Sends a message, unless it is too long for the other end.
+   *
+   * @param sequence - sequence number of the message
+   * @param message - the message
+   * @returns false for a message that is too long
+   */
+  send(sequence: number, message: PeerMessage): boolean {
+    return this.#sendFrame({ kind: FrameKind.Message, sequence, message });
   }
 
   /** Sends a WebSocket ping, which the other end answers with a pong. */
@@ -228,8 +236,11 @@
     this.#options.onEnd(this, cause, reason);
   }
 
-  #sendFrame(frame: Frame): void {
-    if (this.#webSocket.readyState !== this.#webSocket.OPEN) return;
-    this.#webSocket.send(encodeFrame(frame));
+  #sendFrame(frame: Frame): boolean {
+    if (this.#webSocket.readyState !== this.#webSocket.OPEN) return true;
+    const bytes = encodeFrame(frame);
+    if (bytes.length > this.#options.maxFrameBytes) return false;
+    this.#webSocket.send(bytes);
+    return true;
   }
 }
--- a/src/adapters/peers_ws/ws_peer_network.ts
+++ b/src/adapters/peers_ws/ws_peer_network.ts
@@ -18,6 +18,7 @@
 import { NONCE_BYTES } from './_frames.js';
 import type { MessageFrame } from './_frames.js';
 import { LinkRole } from './_handshake.js';
+import { logLinkEnd } from './_link_log.js';
 import { LinkMonitor } from './_link_monitor.js';
 import { LinkTable } from './_link_table.js';
 import { parseMessage } from './_message_schema.js';
@@ -115,7 +116,10 @@
     const link = this.#linkTable.findLink(incarnation);
     if (!link || !this.#maySend(link, message)) return false;
     this.#lastSequence += 1;
-    link.send(this.#lastSequence, message);
+    if (!link.send(this.#lastSequence, message)) {
+      this.#log(LogLevel.Error, 'peer_message_too_long', undefined, { type: message.type });
+      return this.#refuseSend('too_long');
+    }
     this.#options.metrics.count('peer_messages_sent_total', { type: message.type });
     return true;
   }
@@ -167,22 +171,23 @@
    * of the deployment would repeatedly go down and up.
    */
   #maySend(link: PeerLink, message: PeerMessage): boolean {
-    if (link.bufferedBytes > this.#options.maxBufferedBytes) {
-      this.#options.metrics.count('peer_sends_refused_total', { reason: 'buffer_full' });
-      return false;
-    }
+    if (link.bufferedBytes > this.#options.maxBufferedBytes) return this.#refuseSend('buffer_full');
     if (message === this.#lastValidMessage) return true;
     try {
       parseMessage(message);
       this.#lastValidMessage = message;
       return true;
     } catch (error) {
-      this.#options.metrics.count('peer_sends_refused_total', { reason: 'malformed' });
       this.#log(LogLevel.Error, 'peer_message_malformed', String(error));
-      return false;
+      return this.#refuseSend('malformed');
     }
   }
 
+  #refuseSend(reason: string): false {
+    this.#options.metrics.count('peer_sends_refused_total', { reason });
+    return false;
+  }
+
   #hasLink(url: string): boolean {
     return this.#linkTable.hasUrl(url) || [...this.#links].some((link) => link.dialledUrl === url);
   }
@@ -221,6 +226,7 @@
       webSocket,
       dialledUrl,
       nowMs: () => this.#options.clock.nowMs(),
+      maxFrameBytes: this.#options.maxMessageBytes,
       handshake: {
         role: dialledUrl === undefined ? LinkRole.Listener : LinkRole.Dialer,
         self: this.#identity,
@@ -264,7 +270,7 @@
   #handleEnd(link: PeerLink, cause: LinkEndCause, reason: string): void {
     this.#links.delete(link);
     const { peer, dialledUrl } = link;
-    this.#logEnd(link, cause, reason);
+    logLinkEnd(this.#options, link, cause, reason);
     if (cause === LinkEndCause.OwnIncarnation && dialledUrl !== undefined) {
       this.#dialer.addOwnUrl(dialledUrl);
     }
@@ -277,19 +283,6 @@
     if (peer && wasLastLink) this.#notifyLink({ peer, up: false, wasSilent });
   }
 
-  #logEnd({ peer, dialledUrl }: PeerLink, cause: LinkEndCause, reason: string): void {
-    const isFault = cause === LinkEndCause.Refused || cause === LinkEndCause.OwnIncarnation;
-    if (isFault) this.#options.metrics.count('peer_links_refused_total', { reason: cause });
-    // Logged at debug level without a peer, as an address without a listener is redialled forever.
-    const level = peer ? LogLevel.Info : LogLevel.Debug;
-    this.#log(isFault ? LogLevel.Warn : level, 'peer_link_down', reason, {
-      end: cause,
-      entryHost: peer?.id,
-      incarnation: peer?.incarnation,
-      peerUrl: dialledUrl,
-    });
-  }
-
   #notifyLink(event: LinkEvent): void {
     this.#linkHandlers.forEach((handler) => handler(event));
   }
--- a/src/adapters/peers_ws/ws_peer_network_test.ts
+++ b/src/adapters/peers_ws/ws_peer_network_test.ts
@@ -17,6 +17,7 @@
 import type { TestPeer } from './_test_peers.js';
 
 const MESSAGE_COUNT = 2_000;
+const MAX_MESSAGE_BYTES = 8_388_608;
 const MAX_REDIAL_MS = 5_000;
 const LINK_TIMEOUT_MS = 3_000;
 
@@ -93,6 +94,25 @@
   stalled.webSocket.terminate();
 });
 
+// Guards against links that end again and again since each message is too long for the other end.
+t.test('send() refuses a message that is too long and keeps the link', async (t) => {
+  const [a, b] = await startLinked(t);
+  const events = recordLinkEvents(a);
+  const bytes = new Uint8Array(MAX_MESSAGE_BYTES);
+  const tooLong: ForwardChunkMessage = {
+    type: PeerMessageType.ForwardChunk,
+    callId: 1,
+    offset: 0,
+    bytes,
+  };
+  t.equal(a.network.send('b-1', tooLong), false);
+  t.match(a.log.list('peer_message_too_long'), [{ type: PeerMessageType.ForwardChunk }]);
+  t.ok(a.network.send('b-1', { ...tooLong, bytes: bytes.subarray(1_000) }));
+  a.network.send('b-1', buildNumberedMessage(1));
+  await waitUntil(() => b.received.length === 1 || events.length > 0);
+  t.same(events, []);
+});
+
 t.test('send() refuses a malformed message and keeps the link', async (t) => {
   // Guards against links of a deployment that keep going down and up: a fault puts NaN into a
   // message, the receiver closes the link, and the new link gets the same message because the
