Refuse requests whose body is in a coding that is not decoded

What callers saw: a request with `Transfer-Encoding: gzip, chunked` was answered 200. The backend server had got the coded bytes as the plain body, with a length and without that header, and may have acted on them.

Cause: as with answers, the header is taken off while Node decodes the last coding alone. Its class: a header is dropped whose effect on the bytes was not undone. The same stood at the listener of the own interface and at the administrators' one.

The change: such a body is refused with 400, which says that the request has not run; where the connection is open, the next request on it is read as usual. `identity` and empty elements change nothing and stay sound.

Looked at beside it, and found sound before: 15 ways to write a length or a coding on whose end two readers may differ (two lengths, lists, signs, a length and a coding, spaces, folded lines) are refused and close the connection, so that nothing behind them is read as a request; a test keeps that. Requests towards servers always have one length and never a coding.

--- a/src/adapters/callers_http/callers_listener_limits_test.ts
+++ b/src/adapters/callers_http/callers_listener_limits_test.ts
@@ -2,6 +2,7 @@
 import { setImmediate as waitForTurn } from 'node:timers/promises';
 import fc from 'fast-check';
 import {
+  CHAT_BODY,
   formatChat,
   formatRequest,
   RawConnection,
@@ -157,3 +158,15 @@
   );
   t.match(await sendRaw(port, good), /^HTTP\/1.1 200/);
 });
+
+t.test('CallersListener refuses a body in a coding that it does not decode', async (t) => {
+  // Guards against coded bytes that a backend server gets as the plain body, without their header.
+  const { port } = await startFixture(t);
+  const body = `${CHAT_BODY.length.toString(16)}\r\n${CHAT_BODY}\r\n0\r\n\r\n`;
+  const send = (coding: string): Promise<string> => {
+    const headers = { 'content-length': '', 'transfer-encoding': coding };
+    return sendRaw(port, formatRequest(CHAT, headers, body));
+  };
+  t.match(await send('gzip, chunked'), /^HTTP\/1.1 400[^]*"malformed_request"/);
+  t.match(await send('identity, chunked'), /^HTTP\/1.1 200/);
+});
--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -8,7 +8,7 @@
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { CallerLimits } from '../../domain/routing/mod.js';
 import type { DirectReply, DirectRequest, EventLog } from '../../ports/mod.js';
-import { startListening } from '../http_common/mod.js';
+import { createCodingError, isDecoded, startListening } from '../http_common/mod.js';
 import { BodyReader } from './_body_reader.js';
 import { BufferBudget } from './_buffer_budget.js';
 import { ConnectionBound } from './_connection_bound.js';
@@ -159,6 +159,10 @@
         reply.sendError(new SchedulerError(ErrorKind.RequestIdRequired));
         return;
       }
+      if (!isDecoded(message.headers['transfer-encoding'])) {
+        reply.sendError(createCodingError());
+        return;
+      }
       const request = { ...info, requestId, ...this.#readTarget(message), body };
       // A process that reads late would spend its time on calls whose callers have left unread.
       runAfterInput(() => {
--- a/src/adapters/http_common/_request_body.ts
+++ b/src/adapters/http_common/_request_body.ts
@@ -5,7 +5,8 @@
  */
 import type { IncomingMessage } from 'node:http';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
-import { toSchedulerError } from './error_answer.js';
+import { createCodingError, toSchedulerError } from './error_answer.js';
+import { isDecoded } from './transfer_coding.js';
 
 /** Time that a connection with a too long body stays open so that its answer can be read. */
 const LINGER_MS = 250;
@@ -22,6 +23,16 @@
     throw createTooLargeError(maxBytes);
 }
 
+/**
+ * Checks the transfer codings of a request.
+ *
+ * @param request - the request
+ * @throws SchedulerError of kind MalformedRequest when its body is not decoded
+ */
+export function checkTransferCoding(request: IncomingMessage): void {
+  if (!isDecoded(request.headers['transfer-encoding'])) throw createCodingError();
+}
+
 /**
  * Reads a request's body.
  *
--- a/src/adapters/http_common/error_answer.ts
+++ b/src/adapters/http_common/error_answer.ts
@@ -53,3 +53,10 @@
     'retry-after-ms': String(retryAfterMs),
   };
 }
+
+/** @returns the refusal of a request whose body comes in a coding that is not taken off */
+export function createCodingError(): SchedulerError {
+  return new SchedulerError(ErrorKind.MalformedRequest, {
+    message: 'Cannot accept the body: its transfer coding is not chunked alone',
+  });
+}
--- a/src/adapters/http_common/http_exchange.ts
+++ b/src/adapters/http_common/http_exchange.ts
@@ -7,7 +7,12 @@
 import { buildErrorBody } from '../../domain/errors/mod.js';
 import type { SchedulerError } from '../../domain/errors/mod.js';
 import type { BodyBudget } from './_body_budget.js';
-import { checkDeclaredLength, drainRequestBody, readRequestBody } from './_request_body.js';
+import {
+  checkDeclaredLength,
+  checkTransferCoding,
+  drainRequestBody,
+  readRequestBody,
+} from './_request_body.js';
 import { buildErrorHeaders } from './error_answer.js';
 import type { HttpLimits } from './http_limits.js';
 
@@ -70,10 +75,11 @@
    *
    * @param holder - whom the body counts against until the answer is closed
    * @returns the body
-   * @throws SchedulerError when the body is too long or exceeds the budget, or the caller
-   * disconnects meanwhile
+   * @throws SchedulerError when the body is too long, exceeds the budget or comes in a coding that
+   * is not taken off, or the caller disconnects meanwhile
    */
   async readBody(holder: string): Promise<Buffer> {
+    checkTransferCoding(this.request);
     checkDeclaredLength(this.request, this.#options.limits.maxBodyBytes);
     this.#isBodyRequested = true;
     this.#holder = holder;
--- a/src/adapters/http_common/mod.ts
+++ b/src/adapters/http_common/mod.ts
@@ -12,7 +12,7 @@
 export type { HttpListenerOptions, TlsIdentity } from './http_listener.js';
 export { startListening } from './start_listening.js';
 export type { ListenAddress } from './start_listening.js';
-export { buildErrorHeaders, toSchedulerError } from './error_answer.js';
+export { buildErrorHeaders, createCodingError, toSchedulerError } from './error_answer.js';
 export { HOP_BY_HOP_HEADERS, pickEndToEndHeaders } from './end_to_end_headers.js';
 export { isAnswerDecoded, isFramed } from './is_framed.js';
 export type { AnswerFraming } from './is_framed.js';
