Limit the time of a head that begins behind an informational one

What callers saw: a backend server sent an informational answer (103, 102 or 100) and, in the same segment, the beginning of its final head, and stopped there. The call waited until its deadline and got 504, also where another server could have answered.

Cause: an informational answer stops the timer of the head, since the final one may take its time, and the bytes that had completed it were not counted as the begin of the next head, whatever stood behind them. Its class: one read is taken for one message.

The change: bytes that complete an informational answer begin no further head only if they end with its empty line.

--- a/src/adapters/direct_http/_framing_guard.ts
+++ b/src/adapters/direct_http/_framing_guard.ts
@@ -23,6 +23,9 @@
 /** Longest time in which an unused body is read so that its connection can be reused. */
 const DISCARD_TIMEOUT_MS = 1_000;
 
+/** End of the last header and the empty line that ends a head. */
+const EMPTY_LINE = '\r\n\r\n';
+
 /**
  * Watches a connection from a request to the end of its answer. The parser limits a head and a
  * trailer, but neither empty lines, spaces, informational answers nor leading zeros of a chunk
@@ -33,14 +36,14 @@
 
   readonly #onExceeded: (reason: string) => void;
 
-  readonly #dataListener = (bytes: Buffer): void => this.#recordBytes(bytes.length);
+  readonly #dataListener = (bytes: Buffer): void => this.#recordBytes(bytes);
 
   /** Bytes received, less those that the body allows for. */
   #overheadBytes = 0;
 
   #isHeadComplete = false;
 
-  /** Whether the bytes that are counted next end with an informational answer. */
+  /** Whether the bytes that are counted next have completed an informational answer. */
   #isAfterInformation = false;
 
   #timer: NodeJS.Timeout | undefined;
@@ -83,11 +86,12 @@
     this.#stopTimer();
   }
 
-  #recordBytes(byteCount: number): void {
-    this.#overheadBytes += byteCount;
+  #recordBytes(bytes: Buffer): void {
+    this.#overheadBytes += bytes.length;
+    const hasBegunHead = !this.#isAfterInformation || !endsWithEmptyLine(bytes);
     if (this.#overheadBytes > MAX_OVERHEAD_BYTES)
       this.#onExceeded(`more than ${MAX_OVERHEAD_BYTES} bytes beside the body of the answer`);
-    else if (!this.#isHeadComplete && !this.#timer && !this.#isAfterInformation)
+    else if (!this.#isHeadComplete && !this.#timer && hasBegunHead)
       this.#startTimer(HEAD_TIMEOUT_MS, `head not complete within ${HEAD_TIMEOUT_MS} ms`);
     this.#isAfterInformation = false;
   }
@@ -108,3 +112,8 @@
     this.#timer = undefined;
   }
 }
+
+/** Whether the bytes end with a head; the empty line may have come in several parts. */
+function endsWithEmptyLine(bytes: Buffer): boolean {
+  return EMPTY_LINE.endsWith(bytes.subarray(-EMPTY_LINE.length).toString('latin1'));
+}
--- a/src/adapters/direct_http/endless_answers_test.ts
+++ b/src/adapters/direct_http/endless_answers_test.ts
@@ -140,10 +140,16 @@
 
 t.test('HttpDirectBackend bounds the time of a head', async (t) => {
   // Guards against a server that sends a head byte by byte until the call's deadline.
-  const trickle = await startEndless(t, `${HEAD}A: `, '');
-  const seen = await collectResult(send(trickle));
-  t.equal(seen.failure, BackendFailure.Broken);
-  await checkClosed(t, trickle, 'a head that stops');
+  const cases = {
+    'a head that stops': `${HEAD}A: `,
+    'a head that stops behind an informational one': `HTTP/1.1 103 Early\r\n\r\n${HEAD}A: `,
+  };
+  for (const [name, first] of Object.entries(cases)) {
+    const trickle = await startEndless(t, first, '');
+    const seen = await collectResult(send(trickle));
+    t.equal(seen.failure, BackendFailure.Broken, name);
+    await checkClosed(t, trickle, name);
+  }
 });
 
 t.test('a body without end is read with bounded memory, and ends with its call', async (t) => {
