Handle all signals that would end an entry host

What callers saw: a SIGHUP ended the owners' program with all its requests, and a third signal to stop did within the two seconds that its last answers have. SIGUSR2, SIGALRM, SIGVTALRM, SIGIO, SIGPWR, SIGXCPU, SIGSTKFLT and SIGQUIT ended both programs at once, and SIGUSR1 opened a debugger on a port.

Cause: only three signals had handlers, in the owners' program two, for one signal each. The class: a default action is in force for what a program doesn't expect.

Evidence (built program, each signal sent to a ready host): end by the eight above, and write "Debugger listening" at SIGUSR1. Tests on the code before:

not ok 1 - SIGHUP (test/faults/signals_test.ts) not ok 1 - should be equal (platform/signals_test.ts, SIGUSR2)

The change: one list of signals for both programs. SIGTERM, SIGINT and SIGQUIT ask for a planned stop, SIGHUP reads the settings of a host on the platform again, all others are logged.

Measured: of 18 signals none but SIGPROF, which is the profiler's, ends a host by its default action; SIGTSTP, SIGTTIN and SIGTTOU suspend it.

What remains: signals of real time (34 to 64) have no handler in Node, and the owners' program handles signals only once its modules have been loaded.

--- a/src/commands/_entry_process.ts
+++ b/src/commands/_entry_process.ts
@@ -10,6 +10,7 @@
 import { createEntryParts } from './_entry_parts.js';
 import type { EntryParts } from './_entry_parts.js';
 import { registerFaultHandler } from './fault_handler.js';
+import type { ProcessSignal } from './process_signals.js';
 import type { EntrySettings } from './settings.js';
 
 /** Least time that listeners get to finish their last answers, in milliseconds. */
@@ -28,6 +29,12 @@
     this.#admin = createAdminListener(this.#parts);
   }
 
+  /** @param signal - a signal that the process has received */
+  logSignal(signal: ProcessSignal): void {
+    const uptimeMs = Math.round(performance.now());
+    this.#parts.log.write(LogLevel.Info, 'signal_received', { signal, uptimeMs });
+  }
+
   /** Starts every component. The callers' listener starts last, so that each caller is served. */
   async start(): Promise<void> {
     const { settings, peers, configuration, membership, log } = this.#parts;
--- a/src/commands/process_signals.ts
+++ b/src/commands/process_signals.ts
@@ -7,11 +7,37 @@
  * @module
  */
 
-/** Signals that a program handles. */
+/**
+ * Signals that a program handles: those that others may send it, and whose default action ends a
+ * process or opens it to a debugger. SIGPROF is left to the profiler of Node.
+ */
 export enum ProcessSignal {
   Stop = 'SIGTERM',
   Interrupt = 'SIGINT',
+  Quit = 'SIGQUIT',
   Reload = 'SIGHUP',
+  User1 = 'SIGUSR1',
+  User2 = 'SIGUSR2',
+  Alarm = 'SIGALRM',
+  VirtualAlarm = 'SIGVTALRM',
+  Io = 'SIGIO',
+  Power = 'SIGPWR',
+  CpuLimit = 'SIGXCPU',
+  StackFault = 'SIGSTKFLT',
+}
+
+const STOP_SIGNALS: ReadonlySet<ProcessSignal> = new Set([
+  ProcessSignal.Stop,
+  ProcessSignal.Interrupt,
+  ProcessSignal.Quit,
+]);
+
+/**
+ * @param signal - a signal that has come
+ * @returns whether it asks the process to end
+ */
+export function isStopSignal(signal: ProcessSignal): boolean {
+  return STOP_SIGNALS.has(signal);
 }
 
 /** Source of signals, such as `process`. */
--- a/src/commands/process_signals_test.ts
+++ b/src/commands/process_signals_test.ts
@@ -1,6 +1,6 @@
 import { EventEmitter } from 'node:events';
 import t from 'tap';
-import { ProcessSignal, ProcessSignals } from './process_signals.js';
+import { isStopSignal, ProcessSignal, ProcessSignals } from './process_signals.js';
 
 // Guards against a signal that is lost because it comes before its handler.
 t.test('ProcessSignals keeps early signals for the handler', async (t) => {
@@ -26,3 +26,9 @@
   [...signals, ...signals].forEach((signal) => source.emit(signal));
   t.same(handled, [...signals, ...signals]);
 });
+
+// Guards against hosts that end by a signal which doesn't ask them to, and with them all calls.
+t.test('signals to entry hosts end them only if they mean so', async (t) => {
+  const signals = Object.values(ProcessSignal);
+  t.same(signals.filter(isStopSignal), ['SIGTERM', 'SIGINT', 'SIGQUIT']);
+});
