Tell installed packages by what they are, not by their age

Change: the build compares the packages that npm has recorded as installed with those of the lock, by version and integrity; optional ones may be missing. npm writes its record at the end, so an interrupted installation is done again.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,8 +4,7 @@
 set -eu
 
 is_installed() {
-  [ node_modules/.package-lock.json -nt package-lock.json ] &&
-    node_modules/.bin/esbuild --version >/dev/null 2>&1
+  node scripts/check_packages.mjs && node_modules/.bin/esbuild --version >/dev/null 2>&1
 }
 
 is_installed || npm ci --loglevel=error --ignore-scripts --include=dev
