Take only calls in a stop that can end before it does

What callers saw: calls that came in the first three seconds of a planned stop, or waited as it began, were passed on however long such work takes, and cut off at the stop's end; those that may run once only can't be repeated. A call that waited could start a moment before that.

Cause: a stop had a time for taking calls and one for ending them, and neither was known where a call's start is planned; the servers were told the callers' deadlines, which lie behind the end of the process. The class: a limit of the process is no limit of its work.

The change: from its begin on, the end of a stop is a deadline of all calls. Their latest starts follow from it, the servers are told it, and it ends them with 504 where nothing was sent so far. A call that is not expected to end by then is refused as not run, to be sent to another host at once.

What remains: work that takes longer than predicted is cut off at the end, as the time of the process is over. Streams can't be told then.

--- a/src/application/direct/_call_rejection.ts
+++ b/src/application/direct/_call_rejection.ts
@@ -10,6 +10,7 @@
 import { isAllowedRegion } from '../../domain/places/mod.js';
 import type { AllowedRegions } from '../../domain/places/mod.js';
 import type { LogFields } from '../../ports/mod.js';
+import { buildRetryElsewhereError } from './_call_checks.js';
 import { deriveShedCause } from './_end_cause.js';
 import type { EndCause } from './_end_cause.js';
 import type { DirectCallOptions } from './direct_call_options.js';
@@ -60,6 +61,8 @@
 export interface ShedCall extends LimitedCall {
   /** When the last useful start would be, however long its caller waits for the first byte. */
   readonly completableUntilMs: number;
+  /** Whether this process stops before the call's own time is over. */
+  readonly isCutByStop: boolean;
 }
 
 /** A refusal, and the values that it used, for the log. */
@@ -90,12 +93,16 @@
     : undefined;
   const canReturn =
     retryAfterMs !== undefined && services.clock.nowMs() + retryAfterMs <= call.completableUntilMs;
+  const shortage = canReturn ? ErrorKind.QueueFull : ErrorKind.DeadlineUnreachable;
   const kind =
     findRejection(services.servers, serviceId, call) ??
-    (canReturn ? ErrorKind.QueueFull : ErrorKind.DeadlineUnreachable);
+    (call.isCutByStop ? ErrorKind.EntryHostStopping : shortage);
   const declinesPerSecond = services.servers.notices.refusalLimits.find(serviceId);
   return {
-    error: new SchedulerError(kind, retryAfterMs === undefined ? {} : { retryAfterMs }),
+    error:
+      kind === ErrorKind.EntryHostStopping
+        ? buildRetryElsewhereError(kind)
+        : new SchedulerError(kind, retryAfterMs === undefined ? {} : { retryAfterMs }),
     cause: deriveShedCause(kind),
     fields: {
       clearMs: Number.isFinite(estimatedWaitMs) ? estimatedWaitMs : undefined,
--- a/src/application/direct/_end_cause.ts
+++ b/src/application/direct/_end_cause.ts
@@ -69,6 +69,7 @@
 
 /** @param kind - kind of the refusal of a call that can't be started. @returns the cause */
 export function deriveShedCause(kind: ErrorKind): EndCause {
+  if (kind === ErrorKind.EntryHostStopping) return EndCause.HostStops;
   const isForRoom = kind === ErrorKind.QueueFull || kind === ErrorKind.DeadlineUnreachable;
   return isForRoom ? EndCause.NoRoom : EndCause.NoServer;
 }
--- a/src/application/direct/_refusal_log.ts
+++ b/src/application/direct/_refusal_log.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import { ErrorKind, LogLevel } from '../../domain/errors/mod.js';
-import type { SchedulerError } from '../../domain/errors/mod.js';
+import { ErrorKind, LogLevel, SchedulerError } from '../../domain/errors/mod.js';
 import type { DirectRequest, EventLog, Metrics } from '../../ports/mod.js';
 import type { RoutingView } from './routing_view.js';
 
@@ -20,13 +19,18 @@
  *
  * @param options - log, metrics and configuration
  * @param request - the refused call
- * @param refusal - why it is refused
+ * @param error - what was thrown while the call was checked
+ * @returns the refusal
  */
 export function recordRefusal(
   { log, metrics, routing }: RefusalLogOptions,
   request: DirectRequest,
-  refusal: SchedulerError,
-): void {
+  error: unknown,
+): SchedulerError {
+  const refusal =
+    error instanceof SchedulerError
+      ? error
+      : new SchedulerError(ErrorKind.Internal, { cause: error });
   const level = refusal.kind === ErrorKind.Internal ? LogLevel.Error : LogLevel.Info;
   log.write(level, 'call_refused', {
     requestId: request.requestId,
@@ -39,4 +43,5 @@
     reason: String(refusal.cause ?? refusal.message),
   });
   metrics.count('calls_ended_total', { event: 'call_refused', kind: refusal.kind });
+  return refusal;
 }
--- a/src/application/direct/_scheduled_call.ts
+++ b/src/application/direct/_scheduled_call.ts
@@ -18,28 +18,26 @@
 export abstract class ScheduledCall {
   readonly arrivedAtMs: number;
 
-  /** When the call times out: the earlier of the caller's deadline and the route's timeout. */
-  readonly deadlineAtMs: number;
-
   /** Factor on predicted times within which most answers of the route come. */
   readonly answerTimeFactor: number;
 
   readonly #options: ScheduleOptions;
 
-  #latestStartAtMs: number;
+  /** The earlier of the caller's deadline and the route's timeout. */
+  readonly #ownDeadlineAtMs: number;
+
+  #predictedMs = 0;
 
-  #completableUntilMs: number;
+  #maxWaitMs = Infinity;
 
   /** @param options - the call */
   constructor(options: ScheduleOptions) {
     const { answerTimes, request, route, services, waitedMs } = options;
     this.#options = options;
     this.arrivedAtMs = services.clock.nowMs() - waitedMs;
-    this.deadlineAtMs =
+    this.#ownDeadlineAtMs =
       this.arrivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
     this.answerTimeFactor = answerTimes.factor;
-    this.#latestStartAtMs = this.deadlineAtMs;
-    this.#completableUntilMs = this.deadlineAtMs;
   }
 
   /** Work of the call's request. */
@@ -51,14 +49,24 @@
   /** Whether any backend server may have run the request. */
   abstract readonly mayHaveRun: boolean;
 
+  /** When the call ends at the latest: at its own time, or as this process stops. */
+  get deadlineAtMs(): number {
+    return Math.min(this.#ownDeadlineAtMs, this.#options.services.getEndAtMs());
+  }
+
+  /** Whether this process stops before the call's own time is over. */
+  get isCutByStop(): boolean {
+    return this.deadlineAtMs < this.#ownDeadlineAtMs;
+  }
+
   /** Latest useful start of the call while its caller hears nothing. */
   get latestStartAtMs(): number {
-    return this.#latestStartAtMs;
+    return Math.min(this.completableUntilMs, this.arrivedAtMs + this.#maxWaitMs);
   }
 
   /** Latest start after which the answer can be complete in time. */
   get completableUntilMs(): number {
-    return this.#completableUntilMs;
+    return this.deadlineAtMs - this.#predictedMs;
   }
 
   /**
@@ -72,8 +80,7 @@
     const predicted = predictAnswerTimes(candidates, this, services.clock.nowMs());
     const firstByteMs = predicted.firstByteMs * this.answerTimeFactor;
     const isSilenceLimited = route.isStream && !this.mayHaveRun;
-    const maxWaitMs = isSilenceLimited ? computeMaxSilentWaitMs(firstByteMs) : Infinity;
-    this.#completableUntilMs = this.deadlineAtMs - predicted.totalMs * this.answerTimeFactor;
-    this.#latestStartAtMs = Math.min(this.#completableUntilMs, this.arrivedAtMs + maxWaitMs);
+    this.#maxWaitMs = isSilenceLimited ? computeMaxSilentWaitMs(firstByteMs) : Infinity;
+    this.#predictedMs = predicted.totalMs * this.answerTimeFactor;
   }
 }
--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -122,8 +122,17 @@
 
   /** Sends the call, queues it, or refuses it. */
   start(): void {
-    if (this.#attempts.timeLeftMs > 0) this.#options.queue.submit(this);
-    else this.endOverdue();
+    if (this.#attempts.timeLeftMs <= 0) this.endOverdue();
+    else if (this.#outlastsStop()) this.shed(0);
+    else this.#options.queue.submit(this);
+  }
+
+  /** Other hosts can serve a call that has not run, and that this process would cut off. */
+  #outlastsStop(): boolean {
+    const { services, serviceId } = this.#options;
+    if (!this.isCutByStop || this.mayHaveRun) return false;
+    this.planStart(services.servers.listCandidates(serviceId));
+    return services.clock.nowMs() > this.completableUntilMs;
   }
 
   /** What is in flight may still bring the answer; without it nobody else would end the call. */
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -34,7 +34,8 @@
 import type { RetrySharesOptions } from './_retry_shares.js';
 import type { ServerRegistry } from './server_registry.js';
 import type { StreamServices } from './stream_services.js';
-import { ServiceQueue } from './service_queue.js';
+import { createServiceQueue } from './_create_service_queue.js';
+import type { ServiceQueue } from './service_queue.js';
 import { SlotLender } from './slot_lender.js';
 import { WaitingNotices } from './waiting_notices.js';
 
@@ -107,6 +108,9 @@
 
   #isRefusingNew = false;
 
+  /** When the calls in progress are ended; Infinity: no stop has begun. */
+  #callsEndAtMs = Infinity;
+
   /** @param options - dependencies and limits */
   constructor(options: DirectGatewayOptions) {
     this.#options = options;
@@ -117,7 +121,8 @@
     if (options.hasFairShares)
       this.accountUsage = new AccountUsageTable({ ...options, peers: options.servers.peers });
     const { accountUsage } = this;
-    this.#services = { ...options, ...createRetryShares(options), accountUsage };
+    const getEndAtMs = (): number => this.#callsEndAtMs;
+    this.#services = { ...options, ...createRetryShares(options), accountUsage, getEndAtMs };
     const queues = {
       getFirstUrgency: (id: string) => this.#queues.get(id)?.firstPriority ?? Infinity,
       dispatchWaiting: (id: string) => this.#queues.get(id)?.dispatchWaiting(),
@@ -170,6 +175,11 @@
     return routing.table !== undefined && routing.computeAgeMs() < maxKeyAgeMs;
   }
 
+  /** @param atMs - when a stop ends calls, on the monotonic clock in milliseconds */
+  setCallsEnd(atMs: number): void {
+    this.#callsEndAtMs = atMs;
+  }
+
   /** Refuses new calls from now on. Other entry hosts can serve them. */
   refuseNewCalls(): void {
     this.#isRefusingNew = true;
@@ -214,12 +224,7 @@
   }
 
   #refuse(request: DirectRequest, reply: DirectReply, error: unknown): void {
-    const refusal =
-      error instanceof SchedulerError
-        ? error
-        : new SchedulerError(ErrorKind.Internal, { cause: error });
-    recordRefusal(this.#options, request, refusal);
-    reply.sendError(refusal);
+    reply.sendError(recordRefusal(this.#options, request, error));
   }
 
   #startCall(request: DirectRequest, reply: DirectReply, readDelayMs: number): void {
@@ -280,20 +285,11 @@
   }
 
   #createQueue(serviceId: string): ServiceQueue {
-    const { clock, random, servers, countEntryHosts } = this.#options;
-    const queue: ServiceQueue = new ServiceQueue({
-      clock,
-      random,
+    const queue: ServiceQueue = createServiceQueue(this.#options, {
+      serviceId,
       fairOrder: this.accountUsage?.getOrder(serviceId),
-      listCandidates: () => servers.listCandidates(serviceId),
-      estimateBlockedMs: () => servers.estimateBlockedMs(serviceId),
       onWaiting: () => this.#waitingNotices.notifyPeers(serviceId, queue.summary),
       forwardFreedSlot: (serverId) => this.#freedSlotForwarder.forward(serverId),
-      countEntryHosts,
-      countWaitingAtPeers: () => servers.countWaitingAtPeers(serviceId),
-      countPeerCallsAhead: (rank) => servers.peers.countCallsAhead(serviceId, rank),
-      getPeerUrgency: () =>
-        Math.ceil(servers.peers.findFirstWaiting(serviceId)?.urgency ?? Infinity),
     });
     return queue;
   }
--- a/src/application/direct/direct_services.ts
+++ b/src/application/direct/direct_services.ts
@@ -39,4 +39,6 @@
   readonly servers: ServerRegistry;
   readonly crashes: CrashQuarantine;
   readonly accountUsage: AccountUsageTable | undefined;
+  /** @returns when a planned stop ends the calls in progress, in ms; Infinity: there is none */
+  readonly getEndAtMs: () => number;
 }
--- a/src/application/direct/direct_stop.ts
+++ b/src/application/direct/direct_stop.ts
@@ -40,6 +40,8 @@
   readonly limitMs: number;
   /** Announces that callers must no longer be sent to this entry host. */
   readonly announceStop: () => void;
+  /** @param endAtMs - when calls are ended, on the monotonic clock in milliseconds */
+  readonly setCallsEnd: (endAtMs: number) => void;
   readonly refuseNewCalls: () => void;
   /** Refuses new connections: their callers then know at once that nothing was read. */
   readonly stopAccepting: () => void;
@@ -62,11 +64,12 @@
   const countAll = (): number => options.countCalls() + requestsOfPeers.exchangeCount;
   const startedAtMs = clock.nowMs();
   log.write(LogLevel.Info, 'stop_begun', { calls: countAll(), limitMs });
+  const endCallsAtMs = startedAtMs + limitMs * END_CALLS_FRACTION;
   options.announceStop();
+  options.setCallsEnd(endCallsAtMs);
   requestsOfPeers.refuseNewRequests();
   await wait(clock, Math.min(ACCEPT_PERIOD_MS, limitMs / 2));
   options.refuseNewCalls();
-  const endCallsAtMs = startedAtMs + limitMs * END_CALLS_FRACTION;
   const refuseUntilMs = clock.nowMs() + REFUSAL_PERIOD_MS;
   const isBusy = (): boolean => countAll() > 0 || options.countUnsentAnswers() > 0;
   while (clock.nowMs() < endCallsAtMs && (isBusy() || clock.nowMs() < refuseUntilMs)) {
--- a/src/application/direct/direct_stop_test.ts
+++ b/src/application/direct/direct_stop_test.ts
@@ -16,6 +16,8 @@
   /** What happened to the requests of peers. */
   readonly peerSteps: string[];
   readonly tookMs: number;
+  /** When calls were said to end. */
+  readonly callsEndAtMs: number;
 }> {
   const clock = new VirtualClock();
   const startMs = clock.nowMs();
@@ -32,12 +34,16 @@
     refuseNewRequests: () => peerSteps.push(`refuse ${clock.nowMs() - startMs}`),
     endAll: () => peerSteps.push(`end ${clock.nowMs() - startMs}`),
   };
+  let callsEndAtMs = Infinity;
   const stopped = runDirectStop({
     requestsOfPeers,
     clock,
     log: new FakeLog(),
     limitMs: LIMIT_MS,
     announceStop: recordStep('announce'),
+    setCallsEnd: (endAtMs) => {
+      callsEndAtMs = endAtMs - startMs;
+    },
     refuseNewCalls: recordStep('refuse'),
     stopAccepting: recordStep('close'),
     stopAllCalls: recordStep('end'),
@@ -48,7 +54,7 @@
   });
   await clock.advance(LIMIT_MS);
   await stopped;
-  return { steps, peerSteps, tookMs };
+  return { steps, peerSteps, tookMs, callsEndAtMs };
 }
 
 t.test('runDirectStop() announces at once and accepts calls for three more seconds', async (t) => {
@@ -65,6 +71,13 @@
   t.ok(long.tookMs < LIMIT_MS);
 });
 
+t.test('runDirectStop() tells at once when it ends calls', async (t) => {
+  // Guards against calls that are taken, or start, too late to be answered.
+  const { steps, callsEndAtMs } = await simulateStop([60_000]);
+  const endedAtMs = Number(/end (\d+)/.exec(steps.join())?.[1]);
+  t.ok(endedAtMs >= callsEndAtMs && endedAtMs < callsEndAtMs + 60);
+});
+
 t.test('runDirectStop() waits until the last answers are sent, up to its limit', async (t) => {
   // Guards against answers that are whole here, and broken off as their callers read slowly.
   const inTime = await simulateStop([], 6_000);
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -107,11 +107,10 @@
   constructor(adapters: DirectEntryAdapters) {
     this.#adapters = adapters;
     const { settings, clock, log } = adapters;
-    const metrics = new HdrMetrics({ clock });
     this.clock = clock;
     this.log = log;
-    this.metrics = metrics;
-    const shared = { clock, log, metrics, random: this.#random };
+    this.metrics = new HdrMetrics({ clock });
+    const shared = { clock, log, metrics: this.metrics, random: this.#random };
     this.#self = buildDirectIdentity(settings, this.#random);
     this.#peers = createDirectPeers({ ...shared, self: this.#self, settings });
     this.#storeView = createDirectStoreView({
@@ -241,6 +240,7 @@
         this.#isStopping = true;
         this.#reports.sendNow();
       },
+      setCallsEnd: (endAtMs) => this.#gateway.setCallsEnd(endAtMs),
       refuseNewCalls: () => this.#gateway.refuseNewCalls(),
       stopAccepting: () => this.#listener.stopAccepting(),
       countCalls: () => this.#gateway.callCount,
