--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -113,12 +113,11 @@
   constructor(adapters: DirectEntryAdapters) {
     this.#adapters = adapters;
     const { settings, clock, log } = adapters;
-    const metrics = new HdrMetrics({ clock });
     this.clock = clock;
     this.log = log;
-    this.metrics = metrics;
-    this.#turns = createTurnMonitor({ clock, log, metrics });
-    const shared = { clock, log, metrics, random: this.#random, turns: this.#turns };
+    this.metrics = new HdrMetrics({ clock });
+    this.#turns = createTurnMonitor({ clock, log, metrics: this.metrics });
+    const shared = { clock, log, metrics: this.metrics, random: this.#random, turns: this.#turns };
     this.#self = buildDirectIdentity(settings, this.#random);
     this.#peers = createDirectPeers({ ...shared, self: this.#self, settings });
     this.#storeView = createDirectStoreView({
@@ -256,6 +255,7 @@
         this.#isStopping = true;
         this.#reports.sendNow();
       },
+      setCallsEnd: (endAtMs) => this.#gateway.setCallsEnd(endAtMs),
       refuseNewCalls: () => this.#gateway.refuseNewCalls(),
       stopAccepting: () => this.#listener.stopAccepting(),
       countCalls: () => this.#gateway.callCount,
