Pick the holders of untold streams once, and tell in steps

Cause: tellUntold picked the holders of each stream anew for each holder, by a sort of all of them: streams x holders^2 in one turn of the event loop. A peer's new link had the same choice among all records in one turn, and a relay passed each of a message's 500 records on in messages of their own. Class: a turn whose length others decide. It is in both; no trial played it with real processes.

The change: holders are picked once for each stream, and 500 streams are handled a turn, the first at once. A stream that begins meanwhile is told of at once, as before. What a relay passes on goes in one message a holder.

--- a/src/application/streams/stream_origins.ts
+++ b/src/application/streams/stream_origins.ts
@@ -21,6 +21,7 @@
   PeerNetwork,
   StreamOriginsMessage,
 } from '../../ports/mod.js';
+import { runInSteps } from './_key_steps.js';
 
 /**
  * Default of {@link StreamOriginsOptions.copies}: four of seven hosts may be killed at the same moment
@@ -143,10 +144,11 @@
       .filter(([serviceId]) => this.#options.mustTell(serviceId))
       .forEach(([serviceId, keys]) => {
         this.#untold.delete(serviceId);
-        const holders = this.listHolders();
-        const known = [...keys].filter((key) => this.#table.find(key));
-        holders.forEach((holder) => {
-          this.#send([holder], this.#filterHeldBy(holder, known, holders));
+        runInSteps(this.#options.clock, [...keys], (part) => {
+          this.#tellAll(
+            part.filter((key) => this.#table.find(key)),
+            this.#copies,
+          );
         });
       });
   }
@@ -156,14 +158,6 @@
     this.#untold.set(serviceId, keys.add(key));
   }
 
-  #filterHeldBy(
-    { id }: EntryHostIdentity,
-    keys: readonly string[],
-    holders: readonly EntryHostIdentity[],
-  ): readonly string[] {
-    return keys.filter((key) => pickIds(key, holders, this.#copies).includes(id));
-  }
-
   #handle(
     from: EntryHostIdentity,
     { serviceId, version, keys, agesMs }: StreamOriginsMessage,
@@ -171,11 +165,9 @@
     const { isMember, metrics } = this.#options;
     const record = toRecord(serviceId, version);
     const mustForward = isMember(from.incarnation);
-    keys.forEach((key, index) => {
-      this.#apply(key, record, agesMs[index] ?? 0);
-      // This relay holds one of the copies itself.
-      if (mustForward) this.#tell(key, this.#copies - 1);
-    });
+    keys.forEach((key, index) => this.#apply(key, record, agesMs[index] ?? 0));
+    // This relay holds one of the copies itself.
+    if (mustForward) this.#tellAll(keys, this.#copies - 1);
     metrics.count('stream_origins_received_total', {}, keys.length);
   }
 
@@ -189,13 +181,27 @@
   /** Tells a few holders what is known of a stream. */
   #tell(key: string, copies: number): void {
     const holders = this.listHolders();
-    const ids = new Set(pickIds(key, holders, copies));
+    const ids = new Set(pickIds(key, listIds(holders), copies));
     this.#send(
       holders.filter(({ id }) => ids.has(id)),
       [key],
     );
   }
 
+  /** Tells holders what is known of many streams, each of them of those that it keeps. */
+  #tellAll(keys: readonly string[], copies: number): void {
+    const holders = this.listHolders();
+    const ids = listIds(holders);
+    const keysById = new Map(ids.map((id): [string, string[]] => [id, []]));
+    keys.forEach((key) => {
+      new Set(pickIds(key, ids, copies)).forEach((id) => keysById.get(id)?.push(key));
+    });
+    holders.forEach((holder) => {
+      const held = keysById.get(holder.id) ?? [];
+      if (held.length > 0) this.#send([holder], held);
+    });
+  }
+
   #send(receivers: readonly EntryHostIdentity[], keys: readonly string[]): void {
     const nowMs = this.#options.clock.nowMs();
     const records = keys.flatMap((key) => this.#table.findAged(key, nowMs) ?? []);
@@ -212,21 +218,27 @@
   #handleLink({ peer, up }: LinkEvent): void {
     if (!up) return;
     this.#options.clock.setTimer(ROLE_DELAY_MS, () => {
-      const holders = this.listHolders();
-      if (!holders.some(({ incarnation }) => incarnation === peer.incarnation)) return;
       const untold = new Set([...this.#untold.values()].flatMap((keys) => [...keys]));
       const keys = this.#table.listKeys().filter((key) => !untold.has(key));
-      this.#send([peer], this.#filterHeldBy(peer, keys, holders));
+      runInSteps(this.#options.clock, keys, (part) => this.#sendHeld(peer, part));
     });
   }
+
+  /** Sends what is known of those of some streams that a peer keeps. */
+  #sendHeld(peer: EntryHostIdentity, keys: readonly string[]): void {
+    const holders = this.listHolders();
+    if (!holders.some(({ incarnation }) => incarnation === peer.incarnation)) return;
+    const ids = listIds(holders);
+    const held = keys.filter((key) => pickIds(key, ids, this.#copies).includes(peer.id));
+    this.#send([peer], held);
+  }
+}
+
+function listIds(hosts: readonly EntryHostIdentity[]): readonly string[] {
+  return hosts.map(({ id }) => id);
 }
 
-function pickIds(
-  key: string,
-  holders: readonly EntryHostIdentity[],
-  count: number,
-): readonly string[] {
-  const ids = holders.map(({ id }) => id);
+function pickIds(key: string, ids: readonly string[], count: number): readonly string[] {
   return ids.length <= count ? ids : sortByRendezvous(key, ids).slice(0, count);
 }
 
