Pause between full reads while changes can't be had

What callers saw: nothing by one host alone; each host asked the store 160 times a second while it had no history at all, of the 2,000 calls a second that all hosts share, and all calls beyond are refused, those of other readers too.

Cause, and its class: lost history was met with a full read at once, each time, so a state that lasts made a loop without a pause; failed reads have their backoff.

Change: the first loss is answered at once, as a configuration may be missing; each further one without changes read in between after 50 to 400 ms, twice the pause before.

--- a/src/application/direct/_store_availability.ts
+++ b/src/application/direct/_store_availability.ts
@@ -13,6 +13,13 @@
  */
 const REREGISTRATION_MS = 2_000;
 
+/**
+ * Shortest and longest pause after changes that can't be had, in milliseconds; each one is twice the one
+ * before. The first time there is none, since what is missing may be a configuration.
+ */
+const MIN_LOSS_PAUSE_MS = 50;
+const MAX_LOSS_PAUSE_MS = 400;
+
 /** Dependencies of {@link StoreAvailability}. */
 export interface StoreAvailabilityOptions {
   readonly clock: Clock;
@@ -25,6 +32,9 @@
 
   #failureCount = 0;
 
+  /** Number of times that changes couldn't be had since they last could. */
+  #lossCount = 0;
+
   #reregisteredAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param options - dependencies */
@@ -50,6 +60,18 @@
     this.#options.log.write(LogLevel.Warn, 'dependency_lost', { dependency: 'store', reason });
   }
 
+  /** @returns pause before the next read after changes that can't be had, in milliseconds */
+  recordHistoryLoss(): number {
+    this.#lossCount += 1;
+    if (this.#lossCount === 1) return 0;
+    return Math.min(MAX_LOSS_PAUSE_MS, MIN_LOSS_PAUSE_MS * 2 ** (this.#lossCount - 2));
+  }
+
+  /** Records that changes were read. */
+  recordChangesRead(): void {
+    this.#lossCount = 0;
+  }
+
   /** @param position - state of the store after a successful read */
   recordSuccess(position: StorePosition | undefined): void {
     if (this.#failureCount === 0) return;
--- a/src/application/direct/feed_follower.ts
+++ b/src/application/direct/feed_follower.ts
@@ -210,6 +210,7 @@
     };
     const context = { askedAt, ageMs: 0, wasAway: this.#availability.mayHaveLapsed };
     this.#append(update, context);
+    this.#availability.recordChangesRead();
     this.#callbacks.handleStoreRead(update, context);
     this.#availability.recordSuccess(this.#state.position);
   }
@@ -265,6 +266,8 @@
       log.write(LogLevel.Info, 'feed_history_lost', { ...askedAfter, reason: error.message });
       // Without a known position everything is read anyway.
       this.#mustReadAll = askedAfter === undefined || !this.#state.hasLeftEra(askedAfter);
+      const pauseMs = this.#availability.recordHistoryLoss();
+      if (pauseMs > 0) yield* settle(this.#wait(pauseMs));
       return;
     }
     this.#availability.recordFailure(error);
--- a/src/application/direct/feed_follower_faults_test.ts
+++ b/src/application/direct/feed_follower_faults_test.ts
@@ -15,6 +15,12 @@
 /** Time in which a follower has read everything again after a few faults, in milliseconds. */
 const RECOVERY_MS = 3_000;
 
+/** More than a follower reads in a test. */
+const LOSS_COUNT = 10_000;
+
+/** Turns of the event loop in which a follower without pauses reads many times. */
+const SETTLE_ROUNDS = 500;
+
 t.test('FeedFollower loses no change by a fault in what applies it', async (t) => {
   // Guards against a host that never learns of a change since it has failed to apply it.
   const harness = new FollowerHarness(t);
@@ -110,3 +116,21 @@
   await harness.clock.advance(RECOVERY_MS);
   t.equal(harness.feed.readCount, readCount);
 });
+
+t.test('FeedFollower that never gets changes reads everything at a bounded rate', async (t) => {
+  // Guards against hosts that use up the reads of the store since it has no history at all.
+  const harness = new FollowerHarness(t);
+  harness.feed.lossesLeft = LOSS_COUNT;
+  harness.follower.start();
+  await settle(SETTLE_ROUNDS);
+  t.equal(LOSS_COUNT - harness.feed.lossesLeft, 2, 'no more while no time passes');
+  await harness.clock.advance(RECOVERY_MS);
+  harness.feed.put('p/a', 1);
+  await harness.clock.advance(RECOVERY_MS);
+  t.equal(harness.calls.at(-1), 'all p/a');
+  harness.feed.lossesLeft = 0;
+  await harness.clock.advance(RECOVERY_MS);
+  harness.feed.put('p/b', 1);
+  await settle();
+  t.equal(harness.calls.at(-1), 'changes p/b');
+});
--- a/test/support/fake_feed.ts
+++ b/test/support/fake_feed.ts
@@ -21,6 +21,9 @@
   /** Whether reads are never answered. */
   isSilent = false;
 
+  /** Number of reads of changes for which the history is lost, whatever is asked for. */
+  lossesLeft = 0;
+
   readCount = 0;
 
   /** Era that answers name, by the actual one. */
@@ -141,6 +144,10 @@
     waitMs: number,
   ): Promise<FeedChanges> {
     await this.#read(() => undefined);
+    if (this.lossesLeft > 0) {
+      this.lossesLeft -= 1;
+      throw new HistoryLostError('Cannot follow: forgotten');
+    }
     if (afterRevision < this.#discardedRevision || afterRevision > this.#revision)
       throw new HistoryLostError('Cannot follow: forgotten');
     const mustWait = waitMs > 0 && this.#listChanges(prefix, afterRevision).length === 0;
