Bound what servers and the store send beside an answer's body

What callers saw: nothing yet on the users' platform. On the owners' path a backend server that sent empty lines, spaces, informational answers, a chunk size or a refusal without end held its call, a connection and most of the host's processor time until the call's deadline, for as long as a stream was wanted, or (for a refusal) for good. The store and the platform service held a read in the same way for the whole wait of a watch, 30 s.

Cause: Node's parser limits one head and one trailer, but neither what stands between them nor any time. The direct path watches its connections for that; the owners' path and the reads of the store did not. Its class: a bound that one of two paths has.

The change: the guard of the direct path stands with what all clients share, and watches each exchange: 128 KiB and 16 bytes for each byte of a body, a head within 1 s of its first byte, an unused body within 1 s. A stream that can't be resumed and the answer to a cancellation are closed unread.

--- a/src/adapters/backend_http/_answer.ts
+++ b/src/adapters/backend_http/_answer.ts
@@ -7,6 +7,7 @@
 import { formatReason } from '../../domain/errors/mod.js';
 import { BackendCallError, BackendCallStage } from '../../ports/mod.js';
 import type { BackendAnswer } from '../../ports/mod.js';
+import type { ReceivedHead } from './_exchange.js';
 import { ConnectionEnd, isAnswerDecoded, isFramed } from '../http_common/mod.js';
 
 /** Response header by which a backend server states that it did not run the call. */
@@ -15,17 +16,18 @@
 /**
  * Converts an HTTP response to an answer of the port.
  *
- * @param message - the response, of which the head has been read
+ * @param received - the response
  * @param method - method of the request
  * @param idleTimeoutMs - longest pause within the body, in milliseconds
  * @returns the answer
  * @throws BackendCallError when its body comes in a coding that is not taken off
  */
 export function toBackendAnswer(
-  message: IncomingMessage,
+  received: ReceivedHead,
   method: string,
   idleTimeoutMs: number,
 ): BackendAnswer {
+  const { message } = received;
   const headers = joinHeaders(message.headers);
   const { statusCode: status } = message;
   const framing = { method, status, headers: message.headers };
@@ -43,10 +45,22 @@
     headers,
     isFramed: isMarked,
     streamId: headers['stream-id'],
-    body: readBody(message, idleTimeoutMs, connectionEnd),
+    body: readBody(received, idleTimeoutMs, connectionEnd),
   };
 }
 
+/**
+ * Discards a response so that its connection can be reused, within a bound.
+ *
+ * @param received - the response
+ */
+export function discardAnswer({ message, guard }: ReceivedHead): void {
+  message.on('error', () => undefined);
+  message.once('end', () => guard.stop());
+  message.resume();
+  guard.startDiscarding();
+}
+
 /**
  * @param message - a response
  * @returns whether the backend server states that it did not run the call
@@ -69,7 +83,7 @@
  * a new connection.
  */
 async function* readBody(
-  message: IncomingMessage,
+  { message, guard }: ReceivedHead,
   idleTimeoutMs: number,
   connectionEnd: ConnectionEnd | undefined,
 ): AsyncGenerator<Uint8Array> {
@@ -77,7 +91,11 @@
     message.destroy(new Error(`no byte of the body arrived for ${idleTimeoutMs} ms`));
   });
   try {
-    for await (const chunk of message) yield chunk as Uint8Array;
+    for await (const chunk of message as AsyncIterable<Uint8Array>) {
+      guard.recordBody(chunk.length);
+      yield chunk;
+    }
+    guard.stop();
   } catch (error) {
     throw new BackendCallError(BackendCallStage.Answering, formatReason(error), { cause: error });
   }
--- a/src/adapters/backend_http/_exchange.ts
+++ b/src/adapters/backend_http/_exchange.ts
@@ -10,6 +10,7 @@
 import { formatReason } from '../../domain/errors/mod.js';
 import { BackendCallError, BackendCallStage } from '../../ports/mod.js';
 import type { BackendCall } from '../../ports/mod.js';
+import { ExchangeGuard } from '../http_common/mod.js';
 
 /** The connection that an exchange uses. */
 export interface ExchangeTarget {
@@ -18,6 +19,12 @@
   readonly connectTimeoutMs: number;
 }
 
+/** A response of which the head has been read, and what watches the rest of it. */
+export interface ReceivedHead {
+  readonly message: IncomingMessage;
+  readonly guard: ExchangeGuard;
+}
+
 /** The exchange failed before the response head arrived. */
 export class ExchangeError extends BackendCallError {
   /**
@@ -42,13 +49,13 @@
  *
  * @param call - the call
  * @param target - the connection to use
- * @returns the response, of which the head has been read
+ * @returns the response
  * @throws ExchangeError
  */
 export function exchangeWithContinue(
   call: BackendCall,
   target: ExchangeTarget,
-): Promise<IncomingMessage> {
+): Promise<ReceivedHead> {
   return new Promise((resolve, reject) => {
     let isHandedOver = false;
     const request = startRequest(call, target.agent, { expect: '100-continue' });
@@ -57,6 +64,7 @@
       reject(new ExchangeError(stage, message, request.reusedSocket, cause));
       request.destroy();
     };
+    const guard = new ExchangeGuard(request, (reason) => fail(reason));
     let timer: NodeJS.Timeout | undefined = setTimeout(() => {
       fail(`no 100-continue within ${call.continueTimeoutMs} ms`);
     }, call.continueTimeoutMs);
@@ -74,7 +82,7 @@
     request.on('response', (message) => {
       clearTimeout(timer);
       if (isHandedOver) {
-        resolve(message);
+        resolve({ message, guard });
         return;
       }
       // A final response in place of 100 Continue: the server refuses the call without its body.
@@ -95,13 +103,13 @@
  *
  * @param call - the call
  * @param target - the connect timeout; its agent is not used
- * @returns the response, of which the head has been read
+ * @returns the response
  * @throws ExchangeError
  */
 export async function exchangeWithoutContinue(
   call: BackendCall,
   target: ExchangeTarget,
-): Promise<IncomingMessage> {
+): Promise<ReceivedHead> {
   const socket = await openConnection(call, target.connectTimeoutMs);
   if (!call.mayHandOver()) {
     socket.destroy();
@@ -118,10 +126,11 @@
       socket.destroy();
       reject(new ExchangeError(BackendCallStage.AfterHandOver, message, false, cause));
     };
+    const guard = new ExchangeGuard(request, (reason) => fail(reason));
     const timer = startHeadTimer(call, fail);
     request.on('response', (message) => {
       clearTimeout(timer);
-      resolve(message);
+      resolve({ message, guard });
     });
     request.on('error', (error) => {
       clearTimeout(timer);
--- a/src/adapters/backend_http/http_backend_server_client.ts
+++ b/src/adapters/backend_http/http_backend_server_client.ts
@@ -5,7 +5,6 @@
  */
 import http from 'node:http';
 import * as z from 'zod';
-import type { IncomingMessage } from 'node:http';
 import { formatReason } from '../../domain/errors/mod.js';
 import type { BackendServer } from '../../domain/contracts/types.js';
 import { BackendCallError, BackendCallStage, BackendServerClient } from '../../ports/mod.js';
@@ -16,8 +15,10 @@
   CacheEvent,
   ResumePoint,
 } from '../../ports/mod.js';
-import { hasNotRun, toBackendAnswer } from './_answer.js';
+import { ExchangeGuard } from '../http_common/mod.js';
+import { discardAnswer, hasNotRun, toBackendAnswer } from './_answer.js';
 import { exchangeWithoutContinue, ExchangeError, exchangeWithContinue } from './_exchange.js';
+import type { ReceivedHead } from './_exchange.js';
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -66,28 +67,29 @@
   }
 
   override async dispatch(call: BackendCall): Promise<BackendAnswer> {
-    const message = await this.#exchange(call);
-    if (hasNotRun(message)) {
-      message.resume();
+    const received = await this.#exchange(call);
+    if (hasNotRun(received.message)) {
+      discardAnswer(received);
       throw new BackendCallError(
         BackendCallStage.AfterHandOver,
-        `refused with status ${message.statusCode}`,
+        `refused with status ${received.message.statusCode}`,
       );
     }
-    return toBackendAnswer(message, call.method, this.#idleTimeoutMs);
+    return toBackendAnswer(received, call.method, this.#idleTimeoutMs);
   }
 
   override async resume(point: ResumePoint): Promise<BackendAnswer> {
     const path = `/v1/streams/${encodeURIComponent(point.streamId)}?offset=${point.offset}`;
-    const message = await this.#get(point.backendServer, path, point.signal);
-    if (message.statusCode !== 200) {
-      message.resume();
+    const received = await this.#get(point.backendServer, path, point.signal);
+    const { statusCode } = received.message;
+    if (statusCode !== 200) {
+      received.message.destroy();
       throw new BackendCallError(
         BackendCallStage.Answering,
-        `Cannot resume stream ${point.streamId}: status ${message.statusCode}`,
+        `Cannot resume stream ${point.streamId}: status ${statusCode}`,
       );
     }
-    return toBackendAnswer(message, 'GET', this.#idleTimeoutMs);
+    return toBackendAnswer(received, 'GET', this.#idleTimeoutMs);
   }
 
   override async cancel(backendServer: BackendServer, streamId: string): Promise<void> {
@@ -97,10 +99,12 @@
         url,
         { method: 'DELETE', agent: false, timeout: this.#reportTimeoutMs },
         (message) => {
-          message.resume();
+          message.destroy();
           resolve();
         },
       );
+      const guard = new ExchangeGuard(request, () => request.destroy());
+      request.on('close', () => guard.stop());
       request.on('timeout', () => request.destroy());
       request.on('error', () => resolve());
       request.end();
@@ -125,7 +129,7 @@
     this.#agents.clear();
   }
 
-  async #exchange(call: BackendCall): Promise<IncomingMessage> {
+  async #exchange(call: BackendCall): Promise<ReceivedHead> {
     const { agent, connectTimeoutMs } = this.#getTarget(call.backendServer);
     if (!call.honoursContinue || call.body.length === 0) {
       return exchangeWithoutContinue(call, { agent: undefined, connectTimeoutMs });
@@ -157,13 +161,14 @@
 
   async #readReport(backendServer: BackendServer, path: string): Promise<unknown> {
     const signal = AbortSignal.timeout(this.#reportTimeoutMs);
-    const message = await this.#get(backendServer, path, signal);
+    const { message, guard } = await this.#get(backendServer, path, signal);
     const chunks: Uint8Array[] = [];
     let length = 0;
     try {
-      for await (const chunk of message) {
-        chunks.push(chunk as Uint8Array);
-        length += (chunk as Uint8Array).length;
+      for await (const chunk of message as AsyncIterable<Uint8Array>) {
+        chunks.push(chunk);
+        length += chunk.length;
+        guard.recordBody(chunk.length);
         if (length > MAX_REPORT_BYTES)
           throw new Error(`the report exceeds ${MAX_REPORT_BYTES} bytes`);
       }
@@ -176,10 +181,12 @@
     }
   }
 
-  #get(backendServer: BackendServer, path: string, signal: AbortSignal): Promise<IncomingMessage> {
+  #get(backendServer: BackendServer, path: string, signal: AbortSignal): Promise<ReceivedHead> {
     return new Promise((resolve, reject) => {
       const url = new URL(path, backendServer.url);
-      const request = http.get(url, { agent: false, signal }, resolve);
+      const request = http.get(url, { agent: false, signal });
+      const guard = new ExchangeGuard(request, (reason) => request.destroy(new Error(reason)));
+      request.on('response', (message) => resolve({ message, guard }));
       request.on('error', (error) => {
         reject(
           new BackendCallError(BackendCallStage.Answering, formatReason(error), { cause: error }),
--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -6,14 +6,13 @@
 import { request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { ConnectionEnd, isAnswerDecoded, isFramed } from '../http_common/mod.js';
+import { ConnectionEnd, ExchangeGuard, isAnswerDecoded, isFramed } from '../http_common/mod.js';
 import type { AnswerFraming } from '../http_common/mod.js';
 import { BackendFailure, RateLimitKind } from '../../ports/mod.js';
 import type { BackendExchange, BackendListener, BackendRequest } from '../../ports/mod.js';
 import { BackendAgent } from './_backend_agent.js';
 import type { IncarnationOptions } from './_backend_agent.js';
 import { BodyParts } from './_body_parts.js';
-import { FramingGuard } from './_framing_guard.js';
 import { pickRawHeaders } from './_raw_headers.js';
 import type { AnswerInfo, DirectDialect } from './direct_dialect.js';
 
@@ -68,7 +67,7 @@
 
   #connectTimer: NodeJS.Timeout | undefined;
 
-  #framing: FramingGuard | undefined;
+  readonly #guard: ExchangeGuard;
 
   /** @param options - the request, and the listener for its answer */
   constructor(options: BackendCallOptions) {
@@ -86,8 +85,8 @@
       incarnationId: request.incarnationId,
     };
     this.#request = openRequest(target);
+    this.#guard = new ExchangeGuard(this.#request, (reason) => this.#handleExcess(reason));
     this.#request.on('socket', (socket) => this.#watchSocket(socket));
-    this.#request.on('information', () => this.#framing?.recordInformation());
     this.#request.on('response', (response) => this.#handleResponse(response));
     this.#request.on('error', (error) => this.#handleError(error));
     this.#request.on('close', () => this.#handleClose());
@@ -119,7 +118,6 @@
   }
 
   #watchSocket(socket: Socket): void {
-    this.#framing = new FramingGuard(socket, (reason) => this.#handleExcess(reason));
     if (!socket.connecting) {
       this.#isConnected = true;
       return;
@@ -136,7 +134,6 @@
 
   #handleResponse(response: IncomingMessage): void {
     this.#response = response;
-    this.#framing?.recordHead();
     if (this.#isSettled) return;
     response.on('error', () => undefined);
     const { dialect, listener } = this.#options;
@@ -157,7 +154,7 @@
       load: info.load,
     });
     response.on('data', (bytes: Buffer) => {
-      this.#framing?.recordBody(bytes.length);
+      this.#guard.recordBody(bytes.length);
       this.#parts.append(bytes);
     });
     const { socket } = this.#request;
@@ -211,7 +208,7 @@
     const response = this.#response as IncomingMessage;
     this.#recordIdleTimeout(response);
     response.resume();
-    this.#framing?.startDiscarding();
+    this.#guard.startDiscarding();
     this.#isSettled = true;
     this.#options.listener.onFailure(BackendFailure.Declined, `declined with status ${status}`);
   }
@@ -277,7 +274,7 @@
   #handleClose(): void {
     clearImmediate(this.#writeTurn);
     clearTimeout(this.#connectTimer);
-    this.#framing?.stop();
+    this.#guard.stop();
     if (this.#response?.complete === true) return;
     this.#handleError(Object.assign(new Error('connection closed'), { code: 'ECONNRESET' }));
   }
@@ -293,7 +290,7 @@
   #stop(): void {
     clearImmediate(this.#writeTurn);
     clearTimeout(this.#connectTimer);
-    this.#framing?.stop();
+    this.#guard.stop();
     this.#request.destroy();
   }
 }
--- a/src/adapters/http_common/fetch_response.ts
+++ b/src/adapters/http_common/fetch_response.ts
@@ -6,6 +6,7 @@
 import { request } from 'node:http';
 import type { Agent, ClientRequest, IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import type { Clock, Timer } from '../../ports/mod.js';
+import { ExchangeGuard } from './exchange_guard.js';
 
 /** The URL to read, and the limits. */
 export interface FetchOptions {
@@ -39,8 +40,11 @@
  * @throws Error when no complete response arrives within the limits
  */
 export async function fetchResponse(options: FetchOptions): Promise<FetchedResponse> {
-  const { url, agent, signal, maxBytes } = options;
+  const { url, agent, signal } = options;
   const call = request(url, { agent, headers: { accept: 'application/json' } });
+  const guard = new ExchangeGuard(call, (reason) => {
+    call.destroy(new Error(`Cannot read ${url.host}: ${reason}`));
+  });
   const timers = [startConnectTimer(call, options), startResponseTimer(call, options)];
   const onAbort = (): void => {
     call.destroy(new Error(`Cannot read ${url.host}: the read was ended`));
@@ -49,9 +53,10 @@
   if (signal?.aborted) onAbort();
   try {
     const response = await waitForResponse(call);
-    const body = await readBody(response, url, maxBytes);
+    const body = await readBody(response, guard, options);
     return { status: response.statusCode ?? 0, headers: response.headers, body };
   } finally {
+    guard.stop();
     signal?.removeEventListener('abort', onAbort);
     timers.forEach((timer) => timer.cancel());
   }
@@ -85,11 +90,16 @@
   });
 }
 
-async function readBody(response: IncomingMessage, url: URL, maxBytes: number): Promise<Buffer> {
+async function readBody(
+  response: IncomingMessage,
+  guard: ExchangeGuard,
+  { url, maxBytes }: FetchOptions,
+): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let length = 0;
   for await (const chunk of response as AsyncIterable<Buffer>) {
     length += chunk.length;
+    guard.recordBody(chunk.length);
     if (length > maxBytes) {
       // The unread rest would be taken for the start of the next response.
       response.destroy();
--- a/src/adapters/http_common/mod.ts
+++ b/src/adapters/http_common/mod.ts
@@ -17,6 +17,7 @@
 export { isAnswerDecoded, isFramed } from './is_framed.js';
 export type { AnswerFraming } from './is_framed.js';
 export { isDecoded } from './transfer_coding.js';
+export { ExchangeGuard } from './exchange_guard.js';
 export { ConnectionEnd } from './connection_end.js';
 export { fetchResponse } from './fetch_response.js';
 export type { FetchedResponse, FetchOptions } from './fetch_response.js';
