Answer what owners' callers have sent before connections close

What callers saw: the owners' listener broke off ended answers whose callers read slowly, and in a planned stop it left requests without an answer that stood behind another one on their connection, though they ran.

Cause: the same as at the listener of calls with their own IDs: closing an HTTP server of Node closes connections whose answer has ended and isn't sent, and requests of one connection were handled side by side, also behind an answer that closes it. The class: ended is taken for sent; what is passed on before its answer has a way back.

Evidence, tests on the code before:

not ok 1 - HttpListener sends ended answers to slow callers as it stops not ok 2 - HttpListener answers all requests that have arrived as it drains

The change: both listeners share the order of requests, and this one closes the connections itself that are quiet: no open answer, nothing read since the last one.

Measured: both tests pass, and those of the callers' and the admin listener.

--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -9,7 +9,7 @@
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { CallerLimits } from '../../domain/routing/mod.js';
 import type { DirectReply, DirectRequest, EventLog } from '../../ports/mod.js';
-import { startListening } from '../http_common/mod.js';
+import { RequestOrder, startListening } from '../http_common/mod.js';
 import { BodyReader } from './_body_reader.js';
 import { BufferBudget } from './_buffer_budget.js';
 import { ConnectionBound } from './_connection_bound.js';
@@ -18,7 +18,6 @@
 import { runAfterInput } from './_input_turns.js';
 import { NodeReply } from './_node_reply.js';
 import { pickRawHeaders } from './_raw_headers.js';
-import { RequestOrder } from './_request_order.js';
 import type { DirectDialect } from './direct_dialect.js';
 
 /** Largest header block that Node parses, in bytes; the limits for callers are lower. */
--- a/src/adapters/http_common/_connection_set.ts
+++ b/src/adapters/http_common/_connection_set.ts
@@ -4,10 +4,13 @@
  * @module
  */
 import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 interface Connection {
   isAdmitted: boolean;
+  /** Bytes that had been read when its last answer was sent, or when it was opened. */
+  quietBytes: number;
   readonly running: Set<ServerResponse>;
 }
 
@@ -26,7 +29,8 @@
 
   /** @param socket - a new connection */
   add(socket: Duplex): void {
-    this.#connections.set(socket, { isAdmitted: false, running: new Set() });
+    const quietBytes = readByteCount(socket);
+    this.#connections.set(socket, { isAdmitted: false, quietBytes, running: new Set() });
     this.admit(socket);
     socket.once('close', () => {
       if (this.#connections.get(socket)?.isAdmitted) this.#admittedCount -= 1;
@@ -64,9 +68,11 @@
    * @param onClosed - called when the answer is closed
    */
   trackAnswer(socket: Duplex, response: ServerResponse, onClosed: () => void): void {
-    this.#connections.get(socket)?.running.add(response);
+    const connection = this.#connections.get(socket);
+    connection?.running.add(response);
     response.once('close', () => {
-      this.#connections.get(socket)?.running.delete(response);
+      connection?.running.delete(response);
+      if (connection) connection.quietBytes = readByteCount(socket);
       onClosed();
     });
   }
@@ -76,6 +82,13 @@
     return [...(this.#connections.get(socket)?.running ?? [])];
   }
 
+  /** Destroys connections without an open answer, and on which no request is arriving. */
+  closeQuiet(): void {
+    this.#connections.forEach(({ running, quietBytes }, socket) => {
+      if (running.size === 0 && readByteCount(socket) === quietBytes) socket.destroy();
+    });
+  }
+
   /** Destroys connections without an open answer. */
   closeIdle(): void {
     this.#connections.forEach(({ running }, socket) => {
@@ -90,3 +103,8 @@
     });
   }
 }
+
+/** The connections of listeners are those of Node's `net` and `tls`. */
+function readByteCount(socket: Duplex): number {
+  return (socket as Socket).bytesRead;
+}
--- a/src/adapters/http_common/http_listener.ts
+++ b/src/adapters/http_common/http_listener.ts
@@ -6,6 +6,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
+import { Server as TcpServer } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import type { EventLog } from '../../ports/mod.js';
@@ -16,6 +17,7 @@
 import { HttpExchange } from './http_exchange.js';
 import { DEFAULT_HTTP_LIMITS } from './http_limits.js';
 import type { HttpLimits } from './http_limits.js';
+import { RequestOrder } from './request_order.js';
 import { startListening } from './start_listening.js';
 
 /** Most connections over the limit that still get an error answer; others are dropped. */
@@ -61,6 +63,8 @@
 
   readonly #budget: BodyBudget;
 
+  readonly #order = new RequestOrder();
+
   #isDraining = false;
 
   #isStopping = false;
@@ -105,15 +109,16 @@
     this.#isDraining = true;
     this.#isStopping = true;
     const { headerTimeoutMs, requestTimeoutMs } = this.#options.limits;
-    // Node stops enforcing its own timeouts once a server closes: a caller that never
-    // completes its request would block the stop forever.
+    // A caller that never completes its request would block the stop.
     const timers = [
       setTimeout(() => this.#connections.closeIdle(), headerTimeoutMs),
       setTimeout(() => this.#connections.closeWithoutCompleteRequest(), requestTimeoutMs),
     ];
     if (this.#server.listening) {
       await new Promise<void>((resolve) => {
-        this.#server.close(() => resolve());
+        // An HTTP server would take connections for idle whose answers wait for their callers.
+        TcpServer.prototype.close.call(this.#server, () => resolve());
+        this.#connections.closeQuiet();
       });
     }
     timers.forEach((timer) => clearTimeout(timer));
@@ -121,9 +126,10 @@
 
   #addServerListeners(): void {
     const server = this.#server;
-    server.on(this.#options.tls ? 'secureConnection' : 'connection', (socket: Duplex) =>
-      this.#connections.add(socket),
-    );
+    server.on(this.#options.tls ? 'secureConnection' : 'connection', (socket: Duplex) => {
+      this.#connections.add(socket);
+      this.#order.addConnection(socket);
+    });
     server.on('request', (request, response) => this.#handle(request, response, false));
     server.on('checkContinue', (request, response) => this.#handle(request, response, true));
     server.on('checkExpectation', (request, response) => this.#handle(request, response, false));
@@ -137,14 +143,18 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void {
+    const { socket } = request;
+    this.#order.addRequest(socket, response);
     const exchange = new HttpExchange(request, response, {
       limits: this.#options.limits,
       budget: this.#budget,
       expectsContinue,
-      mustClose: () => this.#isDraining,
+      mustClose: () => this.#isDraining && this.#order.isLast(socket, response),
+    });
+    this.#connections.trackAnswer(socket, response, () => this.#handleAnswerClosed());
+    this.#order.run(socket, response, () => {
+      this.#run(exchange).catch((thrown: unknown) => exchange.sendError(toSchedulerError(thrown)));
     });
-    this.#connections.trackAnswer(request.socket, response, () => this.#handleAnswerClosed());
-    this.#run(exchange).catch((thrown: unknown) => exchange.sendError(toSchedulerError(thrown)));
   }
 
   async #run(exchange: HttpExchange): Promise<void> {
@@ -210,7 +220,7 @@
   }
 
   #handleAnswerClosed(): void {
-    if (this.#isStopping) setImmediate(() => this.#server.closeIdleConnections());
+    if (this.#isStopping) setImmediate(() => this.#connections.closeQuiet());
   }
 }
 
--- a/src/adapters/direct_http/_request_order.ts
+++ b/src/adapters/http_common/request_order.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 
 /** Requests of one connection whose answers haven't been sent. */
 interface OpenRequests {
@@ -19,10 +19,10 @@
  * them may end the connection; a request that had been passed on by then would stay unanswered.
  */
 export class RequestOrder {
-  readonly #connections = new WeakMap<Socket, OpenRequests>();
+  readonly #connections = new WeakMap<Duplex, OpenRequests>();
 
   /** @param socket - a new connection */
-  addConnection(socket: Socket): void {
+  addConnection(socket: Duplex): void {
     const handlers: OpenRequests['handlers'] = new Map();
     this.#connections.set(socket, { handlers, last: undefined });
     socket.once('close', () => {
@@ -41,7 +41,7 @@
    * @param socket - its connection
    * @param response - the answer to it
    */
-  addRequest(socket: Socket, response: ServerResponse): void {
+  addRequest(socket: Duplex, response: ServerResponse): void {
     const open = this.#connections.get(socket);
     if (!open) return;
     open.handlers.set(response, undefined);
@@ -59,7 +59,7 @@
    * @param response - an answer that is sent on it
    * @returns whether no request has arrived behind that of the answer
    */
-  isLast(socket: Socket, response: ServerResponse): boolean {
+  isLast(socket: Duplex, response: ServerResponse): boolean {
     return this.#connections.get(socket)?.last === response;
   }
 
@@ -70,7 +70,7 @@
    * @param response - the answer to it
    * @param handle - handles the request
    */
-  run(socket: Socket, response: ServerResponse, handle: () => void): void {
+  run(socket: Duplex, response: ServerResponse, handle: () => void): void {
     const handlers = this.#connections.get(socket)?.handlers;
     if (!handlers?.has(response)) return;
     const [first] = handlers.keys();
