Fail on heads that the first byte of something else completes

What callers saw: a backend server stopped in its answer's head, right before the last line feed, and the bytes of another answer followed on the connection (also behind an informational answer). The caller got a 200, framed as whole, whose body was the beginning of that other answer: `TTP/1.1 200 `.

Its class: an end that is inferred is passed on as one that was stated. The same stood on the owners' path and for reads of the store.

The change: the guard of each exchange reads the line ends of heads, of informational ones too, up to the end of the final one. A carriage return there without a line feed fails the answer; what was read with it is dropped. Bodies are not looked at.

--- a/src/adapters/backend_http/_answer.ts
+++ b/src/adapters/backend_http/_answer.ts
@@ -93,12 +93,15 @@
   try {
     for await (const chunk of message as AsyncIterable<Uint8Array>) {
       guard.recordBody(chunk.length);
+      if (guard.excess !== undefined) throw new Error(guard.excess);
       yield chunk;
     }
     guard.stop();
   } catch (error) {
     throw new BackendCallError(BackendCallStage.Answering, formatReason(error), { cause: error });
   }
+  if (guard.excess !== undefined)
+    throw new BackendCallError(BackendCallStage.Answering, guard.excess);
   const wasReset = (await connectionEnd?.wasReset) === true;
   if (!message.complete || wasReset) {
     throw new BackendCallError(
--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -267,6 +267,7 @@
 
   /** Closes a connection whose bytes are no answer, or no end of one. */
   #handleExcess(reason: string): void {
+    this.#parts.clear();
     this.#fail(BackendFailure.Broken, reason);
     this.#stop();
   }
--- a/src/adapters/direct_http/_body_parts.ts
+++ b/src/adapters/direct_http/_body_parts.ts
@@ -31,4 +31,9 @@
     this.#parts = [];
     this.#onBytes(parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts));
   }
+
+  /** Drops what was collected. */
+  clear(): void {
+    this.#parts = [];
+  }
 }
--- a/src/adapters/http_common/_framing_guard.ts
+++ b/src/adapters/http_common/_framing_guard.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Socket } from 'node:net';
+import { HeadScanner } from './_head_scanner.js';
 
 /**
  * Bytes that an answer may take beside its body: several heads of the largest size that Node
@@ -29,7 +30,7 @@
 /**
  * Watches a connection from a request to the end of its answer. The parser limits a head and a
  * trailer, but neither empty lines, spaces, informational answers nor leading zeros of a chunk
- * size, and no time at all.
+ * size, and no time at all. It takes a head for whole whose last byte is any other one.
  */
 export class FramingGuard {
   readonly #socket: Socket;
@@ -43,6 +44,12 @@
 
   #isHeadComplete = false;
 
+  /** Reads the present head; undefined behind that of the final answer. */
+  #head: HeadScanner | undefined = new HeadScanner();
+
+  /** Informational answers whose heads were not read here yet. */
+  #informationCount = 0;
+
   /** Whether the bytes that are counted next have completed an informational answer. */
   #isAfterInformation = false;
 
@@ -61,6 +68,7 @@
   /** Records a complete informational answer; the final one may take its time. */
   recordInformation(): void {
     this.#isAfterInformation = true;
+    this.#informationCount += 1;
     this.#stopTimer();
   }
 
@@ -88,6 +96,7 @@
 
   #recordBytes(bytes: Buffer): void {
     this.#overheadBytes += bytes.length;
+    this.#readHeads(bytes);
     const hasBegunHead = !this.#isAfterInformation || !endsWithEmptyLine(bytes);
     if (this.#overheadBytes > MAX_OVERHEAD_BYTES)
       this.#onExceeded(`more than ${MAX_OVERHEAD_BYTES} bytes beside the body of the answer`);
@@ -96,6 +105,20 @@
     this.#isAfterInformation = false;
   }
 
+  #readHeads(bytes: Buffer): void {
+    let index = 0;
+    while (this.#head && index < bytes.length) {
+      index = this.#head.read(bytes, index);
+      if (this.#head.isMalformed) {
+        this.#head = undefined;
+        this.#onExceeded('a line of the head does not end with a line feed');
+      } else if (this.#head.hasEnded) {
+        this.#head = this.#informationCount > 0 ? new HeadScanner() : undefined;
+        this.#informationCount -= 1;
+      }
+    }
+  }
+
   #startTimer(timeoutMs: number, reason: string): void {
     this.#stopTimer();
     const timer = setTimeout(() => {
--- a/src/adapters/http_common/exchange_guard.ts
+++ b/src/adapters/http_common/exchange_guard.ts
@@ -10,19 +10,29 @@
 export class ExchangeGuard {
   #framing: FramingGuard | undefined;
 
+  #excess: string | undefined;
+
   /**
    * @param request - a request that has no connection yet
    * @param onExceeded - called with the reason when the connection must be closed
    */
   constructor(request: ClientRequest, onExceeded: (reason: string) => void) {
     request.once('socket', (socket) => {
-      this.#framing = new FramingGuard(socket, onExceeded);
+      this.#framing = new FramingGuard(socket, (reason) => {
+        this.#excess ??= reason;
+        onExceeded(reason);
+      });
     });
     request.on('information', () => this.#framing?.recordInformation());
     request.once('response', () => this.#framing?.recordHead());
     request.once('close', () => this.stop());
   }
 
+  /** Why the answer is none, also if the parser takes it for whole; undefined if it may be one. */
+  get excess(): string | undefined {
+    return this.#excess;
+  }
+
   /** @param byteCount - bytes of the body that have arrived */
   recordBody(byteCount: number): void {
     this.#framing?.recordBody(byteCount);
--- a/src/adapters/http_common/fetch_response.ts
+++ b/src/adapters/http_common/fetch_response.ts
@@ -54,6 +54,7 @@
   try {
     const response = await waitForResponse(call);
     const body = await readBody(response, guard, options);
+    if (guard.excess !== undefined) throw new Error(`Cannot read ${url.host}: ${guard.excess}`);
     return { status: response.statusCode ?? 0, headers: response.headers, body };
   } finally {
     guard.stop();
