Compare routes without lists where each has one service

A comparison of two configurations built and sorted two lists for each route of streams, and looked routes up in the next configuration that had no streams before. Results are the same: the property against the plain comparison holds.

--- a/src/domain/routing/stream_routes.ts
+++ b/src/domain/routing/stream_routes.ts
@@ -17,24 +17,21 @@
 export function hasMovedStreams(former: RouteTable, next: RouteTable): boolean {
   // Between the prefixes of both, the route of a call stays the same.
   return [former, next].some((table) => {
-    for (const [hostName, prefix] of table.listPrefixes())
-      if (isMoved(former.findRoute(hostName, prefix), next.findRoute(hostName, prefix)))
-        return true;
+    for (const [hostName, prefix] of table.listPrefixes()) {
+      const before = former.findRoute(hostName, prefix);
+      if (before?.isStream && !hasSamePlaces(before, next.findRoute(hostName, prefix))) return true;
+    }
     return false;
   });
 }
 
-function isMoved(before: Route | undefined, after: Route | undefined): boolean {
-  if (before?.isStream !== true) return false;
-  return !after?.isStream || !hasSamePlaces(before, after);
-}
-
 /** Tells whether streams of two routes may begin at the same servers. */
-function hasSamePlaces(one: Route, other: Route): boolean {
-  if (one.isResumable !== other.isResumable) return false;
+function hasSamePlaces(one: Route, other: Route | undefined): boolean {
+  if (!other?.isStream || one.isResumable !== other.isResumable) return false;
   if (one.mayBeAnonymous !== other.mayBeAnonymous) return false;
-  if (one.services === other.services) return true;
   if (one.services.length !== other.services.length) return false;
+  if (one.services.length === 1) return one.services[0]?.serviceId === other.services[0]?.serviceId;
+  if (one.services === other.services) return true;
   const ids = listServiceIds(other);
   return listServiceIds(one).every((id, index) => id === ids[index]);
 }
