List the servers of all services with one look at each

What callers saw: nothing yet; found in the search for turns whose length others decide.

Cause: after each change of any entry, the directory went through all servers once for each service that had a call: services x servers for each change.

The change: entries are grouped by service once after a change. The order within a service stays the same.

The test counts reads of the service.

--- a/src/domain/backend_servers/server_directory.ts
+++ b/src/domain/backend_servers/server_directory.ts
@@ -86,7 +86,8 @@
   /** IDs of incarnations whose entry was removed and not written again since. */
   readonly #removedIds = new BoundedMap<true>(MAX_REMEMBERED_INCARNATIONS);
 
-  readonly #entriesByService = new Map<string, BackendServerEntry[]>();
+  /** All entries by service; undefined until they are listed after a change. */
+  #entriesByService: ReadonlyMap<string, readonly BackendServerEntry[]> | undefined;
 
   /**
    * Applies a registry entry. Ignores an entry of an incarnation older than the newest one seen:
@@ -111,7 +112,7 @@
     const usableFromMs = this.#computeUsableFromMs(id, nowMs, source);
     const named = keepVersion(entry, previous?.entry);
     this.#incarnations.set(id, { entry: named, usableFromMs, usableUntilMs: Infinity });
-    this.#entriesByService.clear();
+    this.#entriesByService = undefined;
     const isUnchanged =
       previous?.entry.isLeaving === entry.isLeaving && previous.usableUntilMs === Infinity;
     return { effect: isUnchanged ? EntryEffect.None : EntryEffect.Changed, endedId };
@@ -229,7 +230,7 @@
       this.#incarnations.delete(id);
       this.#removedIds.set(id, true);
     });
-    if (expired.length > 0) this.#entriesByService.clear();
+    if (expired.length > 0) this.#entriesByService = undefined;
     return expired;
   }
 
@@ -259,16 +260,23 @@
   }
 
   #listByService(serviceId: string): readonly BackendServerEntry[] {
-    const cached = this.#entriesByService.get(serviceId);
-    if (cached) return cached;
-    const entries = [...this.#incarnations.values()]
-      .map(({ entry }) => entry)
-      .filter((entry) => entry.serviceId === serviceId);
-    this.#entriesByService.set(serviceId, entries);
-    return entries;
+    this.#entriesByService ??= groupByService(this.list());
+    return this.#entriesByService.get(serviceId) ?? [];
   }
 }
 
+function groupByService(
+  entries: readonly BackendServerEntry[],
+): ReadonlyMap<string, readonly BackendServerEntry[]> {
+  const groups = new Map<string, BackendServerEntry[]>();
+  entries.forEach((entry) => {
+    const group = groups.get(entry.serviceId);
+    if (group) group.push(entry);
+    else groups.set(entry.serviceId, [entry]);
+  });
+  return groups;
+}
+
 /** An incarnation whose entries name several versions may run any of them. */
 function keepVersion(
   entry: BackendServerEntry,
--- a/src/domain/backend_servers/server_directory_test.ts
+++ b/src/domain/backend_servers/server_directory_test.ts
@@ -137,3 +137,24 @@
   t.match(directory.removeExpired(5_000), [{ id: 'a@1' }]);
   t.same(listIds(directory, 5_000), ['a@2']);
 });
+
+/** Guards against hosts that look at all servers again for each service after each change. */
+t.test('ServerDirectory lists all services with one look at each server', async (t) => {
+  const directory = new ServerDirectory();
+  const reads = { count: 0 };
+  const entries = Array.from({ length: 200 }, (_, index) => {
+    const entry = buildEntry(`s-${index}`);
+    const get = (): string => {
+      reads.count += 1;
+      return `service-${index % 50}`;
+    };
+    return Object.defineProperty(entry, 'serviceId', { get });
+  });
+  entries.forEach((entry) => directory.applyEntry(entry, 0));
+  reads.count = 0;
+  const listed = Array.from({ length: 50 }, (_, index) =>
+    directory.listUsable(`service-${index}`, 0),
+  );
+  t.equal(listed.flat().length, 200);
+  t.ok(reads.count <= 2 * 200, `${reads.count} reads`);
+});
