Check the changes of an update once for all peers

What callers saw: nothing yet; found in the search for turns whose length others decide.

Cause: an update of the store is checked before it is sent, and is another message for each peer (heardSequence), so that the check of the last message never held: changes x peers in one turn, such as all items of a store that has come back from a copy.

The change: SentMessageCheck keeps the changes that were checked last, and checks the other fields of each message.

--- a/src/adapters/peers_ws/ws_peer_network.ts
+++ b/src/adapters/peers_ws/ws_peer_network.ts
@@ -20,9 +20,9 @@
 import { LinkRole } from './_handshake.js';
 import { LinkMonitor } from './_link_monitor.js';
 import { LinkTable } from './_link_table.js';
-import { parseMessage } from './_message_schema.js';
 import { LinkEndCause, PeerLink } from './_peer_link.js';
 import { PeerListener } from './_peer_listener.js';
+import { SentMessageCheck } from './_sent_message_check.js';
 import { resolveOptions } from './ws_peer_network_options.js';
 import type { WsPeerNetworkOptions } from './ws_peer_network_options.js';
 
@@ -58,8 +58,7 @@
 
   #lastSequence = 0;
 
-  /** Last message that passed validation; sending it to further peers skips the validation. */
-  #lastValidMessage: PeerMessage | undefined;
+  readonly #sentCheck = new SentMessageCheck();
 
   #isClosed = false;
 
@@ -171,10 +170,8 @@
       this.#options.metrics.count('peer_sends_refused_total', { reason: 'buffer_full' });
       return false;
     }
-    if (message === this.#lastValidMessage) return true;
     try {
-      parseMessage(message);
-      this.#lastValidMessage = message;
+      this.#sentCheck.check(message);
       return true;
     } catch (error) {
       this.#options.metrics.count('peer_sends_refused_total', { reason: 'malformed' });
