Space the reads of the store's past further apart

The change: four reads at most, after up to 1, 4 and 16 s. A passing error is still mended within a second; an answer that is too long for the host is asked for again only when its start is over.

--- a/src/application/direct/_past_reader.ts
+++ b/src/application/direct/_past_reader.ts
@@ -31,10 +31,13 @@
 const STEP_PAUSE_MS = 10;
 
 /** Most reads that may fail. */
-const MAX_FAILURES = 5;
+const MAX_FAILURES = 4;
 
-/** Longest wait after the first failed read, in milliseconds; each one is twice the one before. */
-const FIRST_RETRY_MS = 500;
+/** Longest wait after the first failed read, in milliseconds. */
+const FIRST_RETRY_MS = 1_000;
+
+/** Factor on the wait after each further one: a long answer that came too late costs much. */
+const RETRY_FACTOR = 4;
 
 /** Dependencies of {@link PastReader}. */
 export interface PastReaderOptions {
@@ -96,7 +99,7 @@
       return await feed.readChanges('', START_REVISION, PROBE_WAIT_MS);
     } catch (error) {
       if (error instanceof HistoryLostError || failures + 1 >= MAX_FAILURES) throw error;
-      const maxDelayMs = FIRST_RETRY_MS * 2 ** failures;
+      const maxDelayMs = FIRST_RETRY_MS * RETRY_FACTOR ** failures;
       const retryAfterMs = Math.round(maxDelayMs * (0.5 + random.nextFraction() / 2));
       const reason = formatReason(error);
       log.write(LogLevel.Info, 'store_past_unknown', { reason, retryAfterMs });
