Read everything when the store's changes don't arrive in time

What callers saw: the same as with changes over 8 MiB, at a shorter length, where the link or the host is slow: a watch of 6.7 MB that takes longer than its 0.9 s is broken off, counts as an outage, and is asked for again, for ever. The host isn't ready and takes no later configuration in.

Cause, and its class: as in, a lasting state was taken for a passing one; there by its length, here by its time.

Change: a response that breaks off after 1 MiB or more is reported as too long, whichever end or timer broke it off; the feed reads everything in pages then. A shorter one is a failed read as before, so an outage is still told by its silence.

--- a/src/adapters/http_common/fetch_response.ts
+++ b/src/adapters/http_common/fetch_response.ts
@@ -28,6 +28,12 @@
   readonly body: Buffer;
 }
 
+/**
+ * Length from which a response that breaks off counts as too long for the time that it has, in bytes;
+ * it takes some hundred milliseconds on a slow machine.
+ */
+const LONG_RESPONSE_BYTES = 1_048_576;
+
 /** The response is longer than the reader takes; asking again would give it again. */
 export class ResponseTooLongError extends Error {
   override readonly name = 'ResponseTooLongError';
@@ -41,7 +47,8 @@
  *
  * @param options - the URL to read, and the limits
  * @returns the response, whatever its status
- * @throws ResponseTooLongError when the response exceeds the limit on its size
+ * @throws ResponseTooLongError when the response exceeds the limit on its size, or breaks off after much
+ *   of it has arrived
  * @throws Error when no complete response arrives in time
  */
 export async function fetchResponse(options: FetchOptions): Promise<FetchedResponse> {
@@ -94,16 +101,19 @@
 async function readBody(response: IncomingMessage, url: URL, maxBytes: number): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let length = 0;
-  for await (const chunk of response as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > maxBytes) {
-      // The unread rest would be taken for the start of the next response.
-      response.destroy();
-      throw new ResponseTooLongError(
-        `Cannot read ${url.host}: its answer is over ${maxBytes} bytes`,
-      );
+  try {
+    for await (const chunk of response as AsyncIterable<Buffer>) {
+      length += chunk.length;
+      if (length > maxBytes) break;
+      chunks.push(chunk);
     }
-    chunks.push(chunk);
+  } catch (error) {
+    if (length < LONG_RESPONSE_BYTES) throw error;
+    const message = `Cannot read ${url.host}: its answer broke off after ${length} bytes`;
+    throw new ResponseTooLongError(message, { cause: error });
   }
-  return Buffer.concat(chunks);
+  if (length <= maxBytes) return Buffer.concat(chunks);
+  // The unread rest would be taken for the start of the next response.
+  response.destroy();
+  throw new ResponseTooLongError(`Cannot read ${url.host}: its answer is over ${maxBytes} bytes`);
 }
