Go on with a stop after a fault in one of its steps

What callers would see: a fault while a host announces its stop, refuses calls or ends one of them ended the process at once (code 1, start_failed), and all its calls with it.

Cause: the steps of a stop, and the ends of all calls, ran in one go without anything that catches. The class: what is done for one is a condition for all.

With faults that the tests make, on steps that aren't guarded:

not ok 4 - a fault in one call leaves no other one unanswered as a stop ends them not ok 3 - runDirectStop() goes on after a fault in one of its steps

The change: each step, and the end of each call, is guarded and its fault logged as internal_fault.

Measured: both tests pass.

--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -32,6 +32,7 @@
 import { recordRefusal } from './_refusal_log.js';
 import { createRetryShares } from './_retry_shares.js';
 import type { RetrySharesOptions } from './_retry_shares.js';
+import { runGuarded } from './_run_guarded.js';
 import type { ServerRegistry } from './server_registry.js';
 import type { StreamServices } from './stream_services.js';
 import { createServiceQueue } from './_create_service_queue.js';
@@ -188,7 +189,7 @@
   /** Ends all calls in progress. Each caller is told whether its request may have run. */
   stopAllCalls(): void {
     this.#takeUps.stop();
-    [...this.#calls].forEach((call) => call.stop());
+    [...this.#calls].forEach((call) => runGuarded(this.#options.log, () => call.stop()));
   }
 
   /** How late timers are because of this process's own work, in milliseconds. */
--- a/src/application/direct/direct_stop.ts
+++ b/src/application/direct/direct_stop.ts
@@ -5,6 +5,7 @@
  */
 import { LogLevel } from '../../domain/errors/mod.js';
 import type { Clock, EventLog } from '../../ports/mod.js';
+import { runGuarded } from './_run_guarded.js';
 
 /**
  * Time after the signal for which new calls are still accepted, in milliseconds. Callers cache
@@ -68,20 +69,21 @@
   const startedAtMs = clock.nowMs();
   log.write(LogLevel.Info, 'stop_begun', { calls: countAll(), limitMs });
   const endCallsAtMs = startedAtMs + limitMs * END_CALLS_FRACTION;
-  options.announceStop();
-  options.setCallsEnd(endCallsAtMs);
-  requestsOfPeers.refuseNewRequests();
+  const guard = (step: () => void): void => runGuarded(log, step);
+  guard(() => options.setCallsEnd(endCallsAtMs));
+  guard(options.announceStop);
+  guard(() => requestsOfPeers.refuseNewRequests());
   await wait(clock, Math.min(ACCEPT_PERIOD_MS - MAX_SIGNAL_DELAY_MS, limitMs / 2));
-  options.refuseNewCalls();
+  guard(options.refuseNewCalls);
   const refuseUntilMs = clock.nowMs() + REFUSAL_PERIOD_MS;
   const isBusy = (): boolean => countAll() > 0 || options.countUnsentAnswers() > 0;
   while (clock.nowMs() < endCallsAtMs && (isBusy() || clock.nowMs() < refuseUntilMs)) {
     await wait(clock, POLL_INTERVAL_MS);
   }
   const cutCalls = countAll();
-  options.stopAllCalls();
-  requestsOfPeers.endAll();
-  options.stopAccepting();
+  guard(options.stopAllCalls);
+  guard(() => requestsOfPeers.endAll());
+  guard(options.stopAccepting);
   const sendUntilMs = startedAtMs + limitMs * SEND_ANSWERS_FRACTION;
   do {
     await wait(clock, POLL_INTERVAL_MS);
--- a/src/application/direct/direct_stop_test.ts
+++ b/src/application/direct/direct_stop_test.ts
@@ -11,6 +11,7 @@
   endsAtMs: readonly number[],
   sentAtMs = 0,
   peersEndAtMs = 0,
+  announceStop?: () => void,
 ): Promise<{
   readonly steps: string[];
   /** What happened to the requests of peers. */
@@ -40,7 +41,7 @@
     clock,
     log: new FakeLog(),
     limitMs: LIMIT_MS,
-    announceStop: recordStep('announce'),
+    announceStop: announceStop ?? recordStep('announce'),
     setCallsEnd: (endAtMs) => {
       callsEndAtMs = endAtMs - startMs;
     },
@@ -72,6 +73,14 @@
   t.ok(long.tookMs < LIMIT_MS);
 });
 
+t.test('runDirectStop() goes on after a fault in one of its steps', async (t) => {
+  // Guards against a process that ends at once, with all its calls, by a fault as it announces that.
+  const { steps } = await simulateStop([5_000], 0, 0, () => {
+    throw new Error('Cannot announce the stop: test');
+  });
+  t.match(steps, [/^refuse/, /^end 50\d\d/, /^close/]);
+});
+
 t.test('runDirectStop() tells at once when it ends calls', async (t) => {
   // Guards against calls that are taken, or start, too late to be answered.
   const { steps, callsEndAtMs } = await simulateStop([60_000]);
--- a/src/application/direct/stopping_calls_test.ts
+++ b/src/application/direct/stopping_calls_test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import type { Test } from 'tap';
 import { startDirectHost } from '../../../test/support/direct_host.js';
+import { FakeReply } from '../../../test/support/direct_ends.js';
 import type { DirectHost } from '../../../test/support/direct_host.js';
 import { ErrorKind } from '../../domain/errors/mod.js';
 
@@ -62,3 +63,16 @@
   await host.clock.advance(100);
   t.equal(countSent(host), sent);
 });
+
+t.test('a fault in one call leaves no other one unanswered as a stop ends them', async (t) => {
+  // Guards against calls that get no answer since the process ends by the fault of another one.
+  const host = await startDirectHost(t);
+  const faulty = new FakeReply();
+  faulty.sendError = () => {
+    throw new Error('Cannot answer: test');
+  };
+  host.call({}, faulty);
+  const reply = host.call();
+  t.doesNotThrow(() => host.gateway.stopAllCalls());
+  t.ok(reply.error);
+});
