Bound the requests that a caller sends ahead on one connection

What callers saw: one caller that sends thousands of requests on a connection without waiting keeps the host from serving anybody, and takes memory for all of them.

Cause: each request that has arrived gets its objects and its listeners on the connection at once, and taking those off again costs as much as there are. The class: work and memory whose amount others choose.

Test on the code before, which waits for an end that doesn't come:

not ok 5 - a connection with very many unanswered requests is closed

The change: a connection with 128 requests whose answers haven't been sent is closed at the next one, and what else has arrived on it is left out. One of them at most has been passed on.

--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -138,12 +138,12 @@
 
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
     const { dialect, getLimits, mustClose, onCallerTooSlow } = this.#options;
+    const { socket } = message;
+    if (!this.#requestOrder.addRequest(socket, response)) return;
     this.#applyLimits();
     this.#responses.add(response);
     response.on('finish', () => this.#idleConnections.recordQuiet(message.socket));
-    const { socket } = message;
     this.#connectionBound.beginRequest(socket);
-    this.#requestOrder.addRequest(socket, response);
     response.on('close', () => {
       this.#responses.delete(response);
       this.#connectionBound.endRequest(socket);
--- a/src/adapters/direct_http/pipelined_requests_test.ts
+++ b/src/adapters/direct_http/pipelined_requests_test.ts
@@ -125,3 +125,12 @@
   await setImmediate();
   t.equal(listener.unsentCount, 0);
 });
+
+t.test('a connection with very many unanswered requests is closed', async (t) => {
+  // Guards against a host that stands still, and runs out of memory, for the requests of one caller.
+  const pipeline = await openPipeline(t);
+  const { socket, replies } = pipeline;
+  send(pipeline, ...Array.from({ length: 2_000 }, (_, index) => `X-Id: r-${index}`));
+  await waitUntil(() => socket.destroyed);
+  t.ok(replies.size <= 1);
+});
--- a/src/adapters/http_common/http_listener.ts
+++ b/src/adapters/http_common/http_listener.ts
@@ -144,7 +144,7 @@
 
   #handle(request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void {
     const { socket } = request;
-    this.#order.addRequest(socket, response);
+    if (!this.#order.addRequest(socket, response)) return;
     const exchange = new HttpExchange(request, response, {
       limits: this.#options.limits,
       budget: this.#budget,
--- a/src/adapters/http_common/request_order.ts
+++ b/src/adapters/http_common/request_order.ts
@@ -6,6 +6,12 @@
 import type { ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 
+/** Most requests of one connection that wait for their answers; each takes memory. */
+const MAX_OPEN_REQUESTS = 128;
+
+/** Listeners that others add to a connection, beside those of its requests. */
+const MAX_OTHER_LISTENERS = 10;
+
 /** Requests of one connection whose answers haven't been sent. */
 interface OpenRequests {
   /** By answer, in the order of arrival: handles a request that can be, and waits for its turn. */
@@ -25,6 +31,7 @@
   addConnection(socket: Duplex): void {
     const handlers: OpenRequests['handlers'] = new Map();
     this.#connections.set(socket, { handlers, last: undefined });
+    socket.setMaxListeners(MAX_OPEN_REQUESTS + MAX_OTHER_LISTENERS);
     socket.once('close', () => {
       const responses = [...handlers.keys()];
       handlers.clear();
@@ -36,14 +43,19 @@
   }
 
   /**
-   * Adds a request whose head has been read.
+   * Adds a request whose head has been read. A connection with too many of them is closed.
    *
    * @param socket - its connection
    * @param response - the answer to it
+   * @returns whether the request may be handled
    */
-  addRequest(socket: Duplex, response: ServerResponse): void {
+  addRequest(socket: Duplex, response: ServerResponse): boolean {
     const open = this.#connections.get(socket);
-    if (!open) return;
+    if (!open || socket.destroyed) return false;
+    if (open.handlers.size >= MAX_OPEN_REQUESTS) {
+      socket.destroy();
+      return false;
+    }
     open.handlers.set(response, undefined);
     open.last = response;
     response.on('finish', () => {
@@ -52,6 +64,7 @@
       // The answer that was sent may have been announced as the last one.
       if (!socket.writableEnded) handleNext?.();
     });
+    return true;
   }
 
   /**
