Divide the memory of the machine among what callers make a host keep

What callers saw: the process of a host was ended, with all its calls, by its memory or by its heap's limit, while callers asked for long answers and read nothing, sent heads of many short fields, or many requests on one connection, or while servers sent long events.

Cause: bounds were constants (32 MiB of bodies with a reserve, 32 MiB of unread answers), whatever memory the machine had; heads, calls, connections, answers that aren't complete (256 KiB a call, 1 MiB a stream) had none in sum; and the engine lets 64 MB of unused buffers gather before it collects them, which no option lowers. Class: each is bounded and not their sum, and no bound knows the machine.

Change: settings memoryMb and maxDescriptors. divideMemory() gives each use its share; budgets count bodies, unread answers, incomplete answers and events, and requests with their heads. Beyond them: 503, not run, with a reserve for small bodies and small heads; a connection whose queued requests leave no room even for refusals is closed; plain answers are passed on before they are complete; an event ends its attempt; most unread answers are broken off, as before. Unused buffers are collected when all buffers exceed their shares, and servers' answers are read one part a turn while much is unread. Connections follow the memory and maxDescriptors less 200 too. Metrics: kept_bytes and its limit by kind, heap, heap limit, external memory.

Why it holds: the shares add up to the machine's memory (test), what is counted is refused before it is kept, and tests count bytes against small limits.

--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -36,6 +36,11 @@
   readonly dialect: DirectDialect;
   readonly request: BackendRequest;
   readonly listener: BackendListener;
+  /**
+   * Called with the length of each part of the answer's body. Returns whether the next part may be
+   * read in the same turn of the event loop.
+   */
+  readonly onReceived: (bytes: number) => boolean;
   /** Called when the request has opened a connection. */
   readonly onConnected: () => void;
 }
@@ -151,6 +156,7 @@
     response.on('data', (bytes: Buffer) => {
       this.#framing?.recordBody(bytes.length);
       if (!this.#isSettled) listener.onBody(bytes);
+      if (!this.#options.onReceived(bytes.length)) pauseForTurn(response);
     });
     const { socket } = this.#request;
     if (!isMarked && socket) this.#connectionEnd = new ConnectionEnd(socket);
@@ -280,3 +286,9 @@
     this.#request.destroy();
   }
 }
+
+/** Reads no more of an answer until the next turn, when callers that take none of theirs are cut off. */
+function pauseForTurn(response: IncomingMessage): void {
+  response.pause();
+  setImmediate(() => response.resume());
+}
--- a/src/adapters/direct_http/_body_reader.ts
+++ b/src/adapters/direct_http/_body_reader.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import type { ByteBudget } from '../../domain/memory/mod.js';
 import type { DirectReply } from '../../ports/mod.js';
 
 /** Memory that one part of a body takes beside its bytes, roughly. */
@@ -16,8 +17,8 @@
 /** Longest body, in bytes, that may use the reserve, so that few long ones don't keep out all others. */
 const SMALL_BODY_BYTES = 65_536;
 
-/** Reserve for small bodies, as a share of the limit for all. */
-const RESERVE_SHARE = 1 / 4;
+/** Part of the limit that is kept for small bodies. */
+const SMALL_RESERVE_SHARE = 1 / 5;
 
 /** A request whose body is read. */
 export interface BodyRequest {
@@ -91,16 +92,20 @@
  * with all calls. A body counts until its answer is closed, as the call may be sent once more.
  */
 export class BodyReader {
-  readonly #maxTotalBytes: number;
+  readonly #budget: ByteBudget;
 
-  #totalBytes = 0;
+  readonly #onReceived: (bytes: number) => void;
 
   /** Bodies that have not arrived completely, in the order in which they began. */
   readonly #incomplete = new Set<PartialBody>();
 
-  /** @param maxTotalBytes - most bytes of all bodies together, without the reserve for small ones */
-  constructor(maxTotalBytes: number) {
-    this.#maxTotalBytes = maxTotalBytes;
+  /**
+   * @param budget - counts the bytes of all bodies together; a part of it is kept for small ones
+   * @param onReceived - called with the length of each part, also of refused bodies
+   */
+  constructor(budget: ByteBudget, onReceived: (bytes: number) => void = () => undefined) {
+    this.#budget = budget;
+    this.#onReceived = onReceived;
   }
 
   /**
@@ -122,6 +127,7 @@
   }
 
   #append(body: PartialBody, part: Buffer, maxBodyBytes: number): void {
+    this.#onReceived(part.length);
     if (body.isOver) return;
     if (body.length + part.length > maxBodyBytes) {
       this.#refuse(body, new SchedulerError(ErrorKind.BodyTooLarge));
@@ -129,14 +135,14 @@
     }
     const formerBytes = body.sizeBytes;
     body.append(part);
-    this.#totalBytes += body.sizeBytes - formerBytes;
+    this.#budget.add(body.sizeBytes - formerBytes);
     const limitBytes = this.#getLimit(body);
-    while (this.#totalBytes > limitBytes && !body.isOver) this.#makeRoom(body);
+    while (this.#budget.usedBytes > limitBytes && !body.isOver) this.#makeRoom(body);
   }
 
   #getLimit({ length }: PartialBody): number {
     const isSmall = length <= SMALL_BODY_BYTES;
-    return isSmall ? this.#maxTotalBytes * (1 + RESERVE_SHARE) : this.#maxTotalBytes;
+    return this.#budget.maxBytes * (isSmall ? 1 : 1 - SMALL_RESERVE_SHARE);
   }
 
   /** Refuses the body that arrives, unless another one has taken longer than usual. */
@@ -158,7 +164,7 @@
 
   #release(body: PartialBody): void {
     this.#incomplete.delete(body);
-    this.#totalBytes -= body.sizeBytes;
+    this.#budget.release(body.sizeBytes);
     body.clear();
   }
 }
--- a/src/adapters/direct_http/_body_reader_test.ts
+++ b/src/adapters/direct_http/_body_reader_test.ts
@@ -2,11 +2,15 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import t from 'tap';
 import type { SchedulerError } from '../../domain/errors/mod.js';
+import { ByteBudget } from '../../domain/memory/mod.js';
 import type { DirectReply } from '../../ports/mod.js';
 import { BodyReader } from './_body_reader.js';
 
 const MAX_TOTAL_BYTES = 1_000_000;
 
+/** The limit with the reserve for small bodies. */
+const MAX_WITH_RESERVE_BYTES = MAX_TOTAL_BYTES * 1.25;
+
 const PART = Buffer.alloc(100_000);
 
 /** One caller that sends a body in parts. */
@@ -48,7 +52,7 @@
 
 // Guards against small bodies that are refused beside a few long ones of calls that run.
 t.test('BodyReader has a reserve for small bodies', async (t) => {
-  const reader = new BodyReader(MAX_TOTAL_BYTES);
+  const reader = new BodyReader(new ByteBudget(MAX_WITH_RESERVE_BYTES));
   const long = new Sender(reader);
   long.send(PART, 9);
   long.end();
@@ -60,7 +64,7 @@
 
 // Guards against a host that ends for lack of memory, since many callers send long bodies.
 t.test('BodyReader bounds the bytes of all bodies', async (t) => {
-  const reader = new BodyReader(MAX_TOTAL_BYTES);
+  const reader = new BodyReader(new ByteBudget(MAX_WITH_RESERVE_BYTES));
   const senders = Array.from({ length: 12 }, () => new Sender(reader));
   senders.forEach((sender) => sender.send(PART));
   senders.forEach((sender) => sender.end());
@@ -82,7 +86,7 @@
 
 // Guards against a host that ends for lack of memory by bodies in many tiny parts.
 t.test('BodyReader counts what a part takes beside its bytes', async (t) => {
-  const sender = new Sender(new BodyReader(MAX_TOTAL_BYTES));
+  const sender = new Sender(new BodyReader(new ByteBudget(MAX_WITH_RESERVE_BYTES)));
   sender.send(Buffer.from('a'), 5_000);
   t.equal(sender.errors[0]?.status, 503);
 });
@@ -91,7 +95,7 @@
 t.test('BodyReader has slow bodies make room', async (t) => {
   let nowMs = 0;
   t.intercept(performance, 'now', { value: () => nowMs });
-  const reader = new BodyReader(MAX_TOTAL_BYTES);
+  const reader = new BodyReader(new ByteBudget(MAX_WITH_RESERVE_BYTES));
   const [slow, quick] = [new Sender(reader), new Sender(reader)];
   slow.send(PART, 9);
   nowMs = 10_000;
@@ -104,7 +108,7 @@
 });
 
 t.test('BodyReader discards what follows on a refused body', async (t) => {
-  const sender = new Sender(new BodyReader(MAX_TOTAL_BYTES), 150_000);
+  const sender = new Sender(new BodyReader(new ByteBudget(MAX_WITH_RESERVE_BYTES)), 150_000);
   sender.send(PART, 3);
   sender.end();
   t.strictSame(
--- a/src/adapters/direct_http/_buffer_budget.ts
+++ b/src/adapters/direct_http/_buffer_budget.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ByteBudget } from '../../domain/memory/mod.js';
 
 /** A caller whose bytes are buffered. */
 export interface BufferHolder {
@@ -19,16 +20,14 @@
  * calls.
  */
 export class BufferBudget {
-  readonly #maxBytes: number;
+  readonly #budget: ByteBudget;
 
   /** Bytes by holder as last recorded, in the order of their first record. */
   readonly #bytesByHolder = new Map<BufferHolder, number>();
 
-  #totalBytes = 0;
-
-  /** @param maxBytes - most bytes of all holders together */
-  constructor(maxBytes: number) {
-    this.#maxBytes = maxBytes;
+  /** @param budget - counts the bytes of all holders together */
+  constructor(budget: ByteBudget) {
+    this.#budget = budget;
   }
 
   /**
@@ -38,16 +37,16 @@
    * @param bytes - bytes buffered for it; 0 removes it
    */
   set(holder: BufferHolder, bytes: number): void {
-    this.#totalBytes += bytes - (this.#bytesByHolder.get(holder) ?? 0);
+    this.#budget.add(bytes - (this.#bytesByHolder.get(holder) ?? 0));
     if (bytes > 0) this.#bytesByHolder.set(holder, bytes);
     else this.#bytesByHolder.delete(holder);
   }
 
   /** @returns whether all holders together exceed the limit, by what is buffered now */
   #isExceeded(): boolean {
-    if (this.#totalBytes <= this.#maxBytes) return false;
+    if (!this.#budget.isExceeded) return false;
     this.#refresh();
-    return this.#totalBytes > this.#maxBytes;
+    return this.#budget.isExceeded;
   }
 
   /**
--- a/src/adapters/direct_http/_buffer_budget_test.ts
+++ b/src/adapters/direct_http/_buffer_budget_test.ts
@@ -1,5 +1,6 @@
 import { setImmediate } from 'node:timers/promises';
 import t from 'tap';
+import { ByteBudget } from '../../domain/memory/mod.js';
 import { BufferBudget } from './_buffer_budget.js';
 import type { BufferHolder } from './_buffer_budget.js';
 
@@ -24,7 +25,7 @@
 }
 
 async function findDropped(sizes: readonly number[], sizesNow = sizes): Promise<number[]> {
-  const budget = new BufferBudget(MAX_BYTES);
+  const budget = new BufferBudget(new ByteBudget(MAX_BYTES));
   const holders = sizes.map((bytes) => new FakeHolder(bytes));
   holders.forEach((holder) => budget.set(holder, holder.bytes));
   holders.forEach((holder, index) => Object.assign(holder, { bytes: sizesNow[index] }));
--- a/src/adapters/direct_http/_connection_bound.ts
+++ b/src/adapters/direct_http/_connection_bound.ts
@@ -4,6 +4,33 @@
  * @module
  */
 import type { Socket } from 'node:net';
+import { readDescriptorLimit } from './_descriptor_limit.js';
+
+/** Share of this process's descriptors that callers may use; the others are for its own links. */
+const CALLERS_DESCRIPTOR_SHARE = 3 / 4;
+
+/** Memory that an idle connection takes, in bytes. */
+const CONNECTION_BYTES = 9_216;
+
+/** What bounds the connections of callers. */
+export interface ConnectionLimits {
+  /** Memory that they may take, in bytes. Default: any. */
+  readonly memoryBytes?: number | undefined;
+  /** Most sockets that this process may have open. Default: the limit of the process. */
+  readonly maxSockets?: number | undefined;
+}
+
+/**
+ * Computes how many connections callers may have open.
+ *
+ * @param limits - what bounds them, beside the limit of the process
+ * @returns most connections of callers, at least 1
+ */
+export function computeMaxConnections(limits: ConnectionLimits = {}): number {
+  const { memoryBytes = Infinity, maxSockets = Infinity } = limits;
+  const descriptors = Math.min(readDescriptorLimit(), maxSockets) * CALLERS_DESCRIPTOR_SHARE;
+  return Math.max(1, Math.floor(Math.min(descriptors, memoryBytes / CONNECTION_BYTES)));
+}
 
 /**
  * Closes connections beyond a limit: the one that has been idle for longest makes room for a new
@@ -34,10 +61,15 @@
     if (!socket.destroyed) this.#idle.set(socket, socket.bytesRead);
   }
 
-  /** @param socket - connection on which a request has arrived */
-  beginRequest(socket: Socket): void {
+  /**
+   * @param socket - connection on which a request has arrived
+   * @returns whether no other request of the connection waits for its answer
+   */
+  beginRequest(socket: Socket): boolean {
     this.#idle.delete(socket);
-    this.#requests.set(socket, (this.#requests.get(socket) ?? 0) + 1);
+    const requests = (this.#requests.get(socket) ?? 0) + 1;
+    this.#requests.set(socket, requests);
+    return requests === 1;
   }
 
   /** @param socket - connection on which a request has ended */
--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -6,13 +6,19 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
+import {
+  createMemoryBudgets,
+  DEFAULT_MEMORY_BYTES,
+  divideMemory,
+} from '../../domain/memory/mod.js';
+import type { MemoryBudgets } from '../../domain/memory/mod.js';
 import type { CallerLimits } from '../../domain/routing/mod.js';
 import type { DirectReply, DirectRequest, EventLog } from '../../ports/mod.js';
 import { startListening } from '../http_common/mod.js';
 import { BodyReader } from './_body_reader.js';
 import { BufferBudget } from './_buffer_budget.js';
-import { ConnectionBound } from './_connection_bound.js';
-import { readDescriptorLimit } from './_descriptor_limit.js';
+import { computeMaxConnections, ConnectionBound } from './_connection_bound.js';
+import { Admission, HeldRequests } from './_held_requests.js';
 import { IdleConnections } from './_idle_connections.js';
 import { runAfterInput } from './_input_turns.js';
 import { NodeReply } from './_node_reply.js';
@@ -26,14 +32,7 @@
 /** Most connections that wait to be accepted; a full queue delays a caller by seconds. */
 const LISTEN_BACKLOG = 1_024;
 
-/** Most bytes of all callers' bodies that are buffered at once, here 32 MiB. */
-const MAX_TOTAL_BODY_BYTES = 33_554_432;
-
-/** Most bytes of all answers that wait for their callers at once, here 32 MiB. */
-const MAX_TOTAL_UNSENT_BYTES = 33_554_432;
-
-/** Share of this process's descriptors that callers may use; the others are for its own links. */
-const CALLERS_DESCRIPTOR_SHARE = 3 / 4;
+const FULL_MESSAGE = 'Cannot accept the request: the requests of all callers exceed the limit';
 
 /** Headers that are not forwarded: the body gets a new length, and the key stays here. */
 const TERMINATED_HEADERS = ['content-length', 'expect', 'authorization'];
@@ -49,8 +48,16 @@
   readonly handle: (request: DirectRequest, reply: DirectReply) => void;
   /** Receives a line while the address to listen on is not available. */
   readonly log: EventLog;
+  /** Bounds of what callers make this process keep. Default: those of a small machine. */
+  readonly memory?: Omit<MemoryBudgets, 'answers'> | undefined;
   /** Most connections of callers. Default: three quarters of what this process may have open. */
   readonly maxConnections?: number | undefined;
+  /**
+   * Called with each part of a body.
+   *
+   * @param bytes - length of the part
+   */
+  readonly onReceived?: (bytes: number) => void;
   /**
    * Called when an answer is broken off as its caller doesn't read it.
    *
@@ -68,11 +75,13 @@
 
   readonly #idleConnections: IdleConnections;
 
-  readonly #bodies = new BodyReader(MAX_TOTAL_BODY_BYTES);
+  readonly #bodies: BodyReader;
 
   readonly #connectionBound: ConnectionBound;
 
-  readonly #unsent = new BufferBudget(MAX_TOTAL_UNSENT_BYTES);
+  readonly #unsent: BufferBudget;
+
+  readonly #requests: HeldRequests;
 
   readonly #pendingAnswers = new PendingAnswers();
 
@@ -84,13 +93,15 @@
   /** @param options - the dialect, the limits and the handler */
   constructor(options: DirectListenerOptions) {
     this.#options = options;
+    const memory = options.memory ?? createMemoryBudgets(divideMemory(DEFAULT_MEMORY_BYTES));
+    this.#bodies = new BodyReader(memory.bodies, options.onReceived);
+    this.#unsent = new BufferBudget(memory.unsent);
+    this.#requests = new HeldRequests(memory.requests);
     this.#excludedHeaders = new Set([...TERMINATED_HEADERS, ...options.dialect.reservedHeaders]);
     this.#server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 });
     this.#server.on('request', (message, response) => this.#handleRequest(message, response));
     this.#idleConnections = new IdleConnections(options.getLimits);
-    this.#connectionBound = new ConnectionBound(
-      options.maxConnections ?? Math.floor(readDescriptorLimit() * CALLERS_DESCRIPTOR_SHARE),
-    );
+    this.#connectionBound = new ConnectionBound(options.maxConnections ?? computeMaxConnections());
     this.#server.on('connection', (socket) => {
       this.#applyLimits();
       this.#connectionBound.add(socket);
@@ -137,11 +148,17 @@
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
     const { dialect, getLimits, mustClose, onCallerTooSlow } = this.#options;
     this.#applyLimits();
-    this.#responses.add(response);
-    response.on('finish', () => this.#idleConnections.recordQuiet(message.socket));
     const { socket } = message;
+    if (socket.destroyed) return;
     this.#pendingAnswers.add(socket, response);
-    this.#connectionBound.beginRequest(socket);
+    const isFirst = this.#connectionBound.beginRequest(socket);
+    const admission = this.#requests.admit(message, response, isFirst);
+    if (admission === Admission.Closed) {
+      socket.destroy();
+      return;
+    }
+    this.#responses.add(response);
+    response.on('finish', () => this.#idleConnections.recordQuiet(message.socket));
     response.on('close', () => {
       this.#responses.delete(response);
       this.#connectionBound.endRequest(socket);
@@ -157,6 +174,11 @@
       onCallerTooSlow: (bufferedBytes) => onCallerTooSlow(requestId, bufferedBytes),
     });
     message.on('error', () => undefined);
+    if (admission === Admission.Refused) {
+      message.resume();
+      reply.sendError(new SchedulerError(ErrorKind.TooManyConnections, { message: FULL_MESSAGE }));
+      return;
+    }
     const { maxBodyBytes } = getLimits();
     this.#bodies.read({ message, response, reply, maxBodyBytes }, (body) => {
       if (requestId === undefined) {
--- a/src/adapters/direct_http/http_direct_backend_client.ts
+++ b/src/adapters/direct_http/http_direct_backend_client.ts
@@ -24,10 +24,17 @@
 
   #onConnected: (incarnationId: string) => void = () => undefined;
 
-  /** @param dialect - names and formats of the headers */
-  constructor(dialect: DirectDialect) {
+  readonly #onReceived: (bytes: number) => boolean;
+
+  /**
+   * @param dialect - names and formats of the headers
+   * @param onReceived - called with the length of each part of an answer's body; returns whether
+   *   the next part may be read in the same turn of the event loop
+   */
+  constructor(dialect: DirectDialect, onReceived: (bytes: number) => boolean = () => true) {
     super();
     this.#dialect = dialect;
+    this.#onReceived = onReceived;
   }
 
   /** @param handler - called with each server to which a request has opened a connection */
@@ -41,6 +48,7 @@
       dialect: this.#dialect,
       request,
       listener,
+      onReceived: this.#onReceived,
       onConnected: () => this.#onConnected(request.incarnationId),
     });
   }
--- a/src/application/direct/_answer_relay.ts
+++ b/src/application/direct/_answer_relay.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { ByteChunks } from '../../domain/collections/mod.js';
+import { ByteBudget, HeldBytes } from '../../domain/memory/mod.js';
 import { EventSplitter } from '../../domain/streams/mod.js';
 import type { AnswerEndFacts } from '../../domain/streams/mod.js';
 import type { BackendHead, DirectReply } from '../../ports/mod.js';
@@ -42,6 +43,23 @@
 
   /** Ends the caller's answer, with a mark if its head promised one. */
   abstract end(): void;
+
+  /** Called once its attempt has ended, and it gets no further bytes. */
+  release(): void {}
+}
+
+/** Budget of relays that are given none. */
+const UNBOUNDED = new ByteBudget(Infinity);
+
+/** Dependencies of a {@link BufferedRelay}. */
+export interface BufferedRelayOptions {
+  /** Status and headers of the answer. */
+  readonly head: BackendHead;
+  readonly reply: DirectReply;
+  /** Called once, immediately before the first part is sent to the caller. */
+  readonly onBegin: () => void;
+  /** Bounds what all relays keep; an answer for which there is no room is relayed as it arrives. */
+  readonly budget?: ByteBudget | undefined;
 }
 
 /**
@@ -65,16 +83,15 @@
 
   readonly #onBegin: () => void;
 
-  /**
-   * @param head - status and headers of the answer
-   * @param reply - the reply to the caller
-   * @param onBegin - called once, immediately before the first part is sent to the caller
-   */
-  constructor(head: BackendHead, reply: DirectReply, onBegin: () => void) {
+  readonly #held: HeldBytes;
+
+  /** @param options - head of the answer, and where it goes */
+  constructor({ head, reply, onBegin, budget = UNBOUNDED }: BufferedRelayOptions) {
     super();
     this.#head = head;
     this.#reply = reply;
     this.#onBegin = onBegin;
+    this.#held = new HeldBytes(budget);
   }
 
   override get hasBegun(): boolean {
@@ -92,7 +109,9 @@
   override write(bytes: Buffer): void {
     this.#isEmpty &&= bytes.length === 0;
     this.#chunks.append(bytes);
-    if (!this.#hasBegun && this.#chunks.length <= MAX_BUFFERED_BYTES) return;
+    const { length } = this.#chunks;
+    if (!this.#hasBegun && length <= MAX_BUFFERED_BYTES && this.#held.trySet(length)) return;
+    this.release();
     if (!this.#hasBegun) {
       this.#onBegin();
       this.#reply.writeHead(this.#head);
@@ -109,6 +128,10 @@
     }
     this.#hasBegun = true;
   }
+
+  override release(): void {
+    this.#held.trySet(0);
+  }
 }
 
 /** Dependencies of a {@link StreamRelay}. */
@@ -120,6 +143,8 @@
   readonly nowMs: () => number;
   /** Called once, immediately before the first event is sent to the caller. */
   readonly onBegin: () => void;
+  /** Bounds what all relays keep; an event for which there is no room ends the attempt. */
+  readonly budget?: ByteBudget | undefined;
 }
 
 /**
@@ -134,6 +159,8 @@
 
   #splitter = new EventSplitter();
 
+  readonly #held: HeldBytes;
+
   #hasBegun = false;
 
   #lastEventId: string | undefined;
@@ -151,8 +178,9 @@
   readonly #onBegin: () => void;
 
   /** @param options - head of the first backend server's answer, and where the stream goes */
-  constructor({ head, reply, nowMs, onBegin }: StreamRelayOptions) {
+  constructor({ head, reply, nowMs, onBegin, budget = UNBOUNDED }: StreamRelayOptions) {
     super();
+    this.#held = new HeldBytes(budget);
     this.#head = head;
     this.#reply = reply;
     this.#nowMs = nowMs;
@@ -200,6 +228,7 @@
    * the next server sends that event in full.
    */
   restart(): void {
+    this.release();
     this.#splitter = new EventSplitter();
     this.#isEmpty = true;
     this.#lastEventsAtMs = this.#nowMs();
@@ -208,6 +237,8 @@
   override write(bytes: Buffer): void {
     this.#isEmpty &&= bytes.length === 0;
     const { bytes: completeEvents, count, lastId } = this.#splitter.split(bytes);
+    if (!this.#held.trySet(this.#splitter.pendingLength))
+      throw new RangeError('Cannot keep an event: the kept answers of all calls exceed the limit');
     if (completeEvents.length === 0) return;
     const nowMs = this.#nowMs();
     if (this.#hasBegun) {
@@ -230,4 +261,8 @@
     this.#reply.write(this.#splitter.pendingBytes);
     this.#reply.end();
   }
+
+  override release(): void {
+    this.#held.trySet(0);
+  }
 }
--- a/src/application/direct/_attempt_options.ts
+++ b/src/application/direct/_attempt_options.ts
@@ -12,7 +12,7 @@
 
 /** Dependencies and request of an attempt. */
 export interface DirectAttemptOptions {
-  readonly services: Pick<DirectServices, 'backend' | 'clock' | 'servers'>;
+  readonly services: Pick<DirectServices, 'answers' | 'backend' | 'clock' | 'servers'>;
   readonly reply: DirectReply;
   readonly route: Route;
   readonly load: ServerLoad;
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -176,11 +176,14 @@
 
   #createStream(head: BackendHead): StreamRelay {
     const { reply, onBegin, services } = this.#options;
-    return new StreamRelay({ head, reply, onBegin, nowMs: () => services.clock.nowMs() });
+    const { answers: budget, clock } = services;
+    return new StreamRelay({ head, reply, onBegin, budget, nowMs: () => clock.nowMs() });
   }
 
   #createBuffer(head: BackendHead): BufferedRelay {
-    return new BufferedRelay(head, this.#options.reply, () => this.#takeOver());
+    const { reply, services } = this.#options;
+    const onBegin = (): void => this.#takeOver();
+    return new BufferedRelay({ head, reply, onBegin, budget: services.answers });
   }
 
   /** The server that went on before may have left an incomplete event, which is sent in full here. */
@@ -284,6 +287,7 @@
 
   #finish(outcome: ServerOutcome): void {
     this.#hasEnded = true;
+    this.#relay?.release();
     this.#stallDetector.stop();
     this.load.end(outcome);
   }
--- a/src/application/direct/direct_gateway.ts
+++ b/src/application/direct/direct_gateway.ts
@@ -7,16 +7,7 @@
 import { ErrorKind, SchedulerError } from '../../domain/errors/mod.js';
 import { computeRank, pickService } from '../../domain/routing/mod.js';
 import type { StreamOrigin } from '../../domain/streams/mod.js';
-import type {
-  Clock,
-  DirectBackendClient,
-  DirectReply,
-  DirectRequest,
-  EventLog,
-  Metrics,
-  PeerNetwork,
-  RandomSource,
-} from '../../ports/mod.js';
+import type { DirectReply, DirectRequest, PeerNetwork } from '../../ports/mod.js';
 import { AccountUsageTable } from './_account_usage_table.js';
 import { isTakeUp, TakeUps } from './_take_ups.js';
 import { buildRetryElsewhereError, CallChecks } from './_call_checks.js';
@@ -25,7 +16,7 @@
 import { FreedSlotForwarder } from './freed_slot_forwarder.js';
 import type { ReportTimes } from './freed_slot_forwarder.js';
 import { DirectCall } from './direct_call.js';
-import type { DirectServices } from './direct_services.js';
+import type { CallAdapters, DirectServices } from './direct_services.js';
 import { EarlyRejections } from './_early_rejections.js';
 import { LazyMap } from './_lazy_map.js';
 import { RecentCalls } from './_recent_calls.js';
@@ -39,13 +30,8 @@
 import { WaitingNotices } from './waiting_notices.js';
 
 /** Dependencies and limits of {@link DirectGateway}. */
-export interface DirectGatewayOptions extends CallChecksOptions, RetrySharesOptions {
+export interface DirectGatewayOptions extends CallAdapters, CallChecksOptions, RetrySharesOptions {
   readonly streams: StreamServices;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly log: EventLog;
-  readonly metrics: Metrics;
-  readonly backend: DirectBackendClient;
   readonly peers: PeerNetwork;
   readonly servers: ServerRegistry;
   readonly spending: AccountSpending;
--- a/src/application/direct/direct_services.ts
+++ b/src/application/direct/direct_services.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { RetryDecision } from '../../domain/direct/mod.js';
+import type { ByteBudget } from '../../domain/memory/mod.js';
 import type {
   Clock,
   DirectBackendClient,
@@ -28,13 +29,19 @@
   readonly releaseRetry: (serviceId: string) => void;
 }
 
-/** Dependencies that all calls of an entry host share. */
-export interface DirectServices extends RetryServices {
+/** What connects the calls of an entry host to its environment. */
+export interface CallAdapters {
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly backend: DirectBackendClient;
+  /** Bounds what all calls keep of answers that are not complete. Default: no bound. */
+  readonly answers?: ByteBudget | undefined;
+}
+
+/** Dependencies that all calls of an entry host share. */
+export interface DirectServices extends RetryServices, CallAdapters {
   readonly routing: RoutingView;
   readonly servers: ServerRegistry;
   readonly crashes: CrashQuarantine;
--- a/src/commands/_direct_gateway.ts
+++ b/src/commands/_direct_gateway.ts
@@ -6,6 +6,7 @@
 import { performance } from 'node:perf_hooks';
 import { DirectGateway } from '../application/direct/mod.js';
 import type { DirectGatewayOptions, HostReports } from '../application/direct/mod.js';
+import type { DirectMemory } from './_direct_memory.js';
 import type { DirectSettings } from './direct_settings.js';
 
 /**
@@ -18,6 +19,7 @@
 const MS_PER_SECOND = 1_000;
 
 type DerivedOptions =
+  | 'answers'
   | 'hasFairShares'
   | 'measureIdleMs'
   | 'retryBounds'
@@ -31,6 +33,7 @@
 export interface DirectGatewayParts extends Omit<DirectGatewayOptions, DerivedOptions> {
   readonly settings: DirectSettings;
   readonly reports: HostReports;
+  readonly memory: DirectMemory;
 }
 
 /**
@@ -40,9 +43,10 @@
  * @returns the gateway
  */
 export function createDirectGateway(parts: DirectGatewayParts): DirectGateway {
-  const { settings, reports } = parts;
+  const { settings, reports, memory } = parts;
   return new DirectGateway({
     ...parts,
+    answers: memory.budgets.answers,
     retryBounds: {
       ratio: settings.retryRatio,
       slack: settings.retrySlack,
--- a/src/commands/_direct_gauges.ts
+++ b/src/commands/_direct_gauges.ts
@@ -15,6 +15,7 @@
 import { countVersions } from '../domain/backend_servers/mod.js';
 import type { HostPaths } from '../application/paths/mod.js';
 import type { ServerPaths } from '../domain/paths/mod.js';
+import type { DirectMemory } from './_direct_memory.js';
 
 /** Components whose current state the gauges report. */
 export interface GaugeSources {
@@ -26,6 +27,7 @@
   readonly streams: StreamServices;
   readonly paths: ServerPaths;
   readonly hostPaths: HostPaths;
+  readonly memory: DirectMemory;
   readonly isServing: boolean;
 }
 
@@ -35,10 +37,8 @@
  * @param metrics - registry that holds the gauges
  * @param sources - components that the values are read from
  */
-export function updateGauges(
-  metrics: HdrMetrics,
-  { storeView, gateway, reports, crashes, streams, paths, hostPaths, isServing }: GaugeSources,
-): void {
+export function updateGauges(metrics: HdrMetrics, sources: GaugeSources): void {
+  const { storeView, gateway, reports, crashes, streams, paths, hostPaths, isServing } = sources;
   metrics.set('configuration_age_ms', Math.round(storeView.routing.computeAgeMs()));
   metrics.set('configuration_unconfirmed', storeView.routing.isUnconfirmed ? 1 : 0);
   metrics.set('calls_under_way', gateway.callCount);
@@ -68,6 +68,16 @@
   metrics.set('requests_through_peers', hostPaths.proxies.exchangeCount);
   metrics.set('requests_for_peers', hostPaths.server.exchangeCount);
   gateway.accountUsage?.updateGauges();
+  updateMemoryGauges(metrics, sources.memory);
+}
+
+function updateMemoryGauges(metrics: HdrMetrics, { budgets, collector }: DirectMemory): void {
+  Object.entries(budgets).forEach(([kind, { usedBytes, maxBytes }]) => {
+    metrics.set('kept_bytes', usedBytes, { kind });
+    metrics.set('kept_bytes_limit', maxBytes, { kind });
+  });
+  metrics.set('buffer_bytes_limit', collector.maxBytes);
+  metrics.set('buffer_collections', collector.collections);
 }
 
 function countCutOff(reports: HostReports): number {
--- a/src/commands/_direct_listener.ts
+++ b/src/commands/_direct_listener.ts
@@ -10,6 +10,7 @@
 import { LogLevel } from '../domain/errors/mod.js';
 import type { CallerLimits } from '../domain/routing/mod.js';
 import type { DirectReply, DirectRequest, EventLog, Metrics } from '../ports/mod.js';
+import type { DirectMemory } from './_direct_memory.js';
 
 /** Limits on callers until the first configuration is read. */
 const INITIAL_LIMITS: CallerLimits = {
@@ -19,10 +20,12 @@
   idleTimeoutMs: 15_000,
 };
 
-/** Where log lines and metrics go. */
-export interface ListenerSinks {
+/** What the listener shares with other parts of the process. */
+export interface ListenerSurroundings {
   readonly log: EventLog;
   readonly metrics: Metrics;
+  /** What callers may make the process keep. Default: what a small machine may. */
+  readonly memory?: DirectMemory;
 }
 
 /** What the listener depends on. */
@@ -37,17 +40,20 @@
 /**
  * Creates the listener.
  *
- * @param sinks - where log lines and metrics go
+ * @param surroundings - logs, metrics and memory of the process
  * @param parts - what the listener depends on
  * @returns a listener that is not started yet
  */
 export function createDirectListener(
-  { log, metrics }: ListenerSinks,
+  { log, metrics, memory }: ListenerSurroundings,
   { routing, ...rest }: DirectListenerParts,
 ): DirectListener {
   return new DirectListener({
     ...rest,
     log,
+    memory: memory?.budgets,
+    maxConnections: memory?.maxConnections,
+    onReceived: (bytes) => memory?.collector.record(bytes),
     getLimits: () => routing.table?.document.callerLimits ?? INITIAL_LIMITS,
     onCallerTooSlow: (requestId, bufferedBytes) => {
       const cause = EndCause.CallerTooSlow;
--- a/src/commands/_direct_paths.ts
+++ b/src/commands/_direct_paths.ts
@@ -11,6 +11,7 @@
 import { HostPaths } from '../application/paths/mod.js';
 import type { HostPathsOptions } from '../application/paths/mod.js';
 import { Reachability } from '../ports/mod.js';
+import type { DirectMemory } from './_direct_memory.js';
 import type { DirectSettings } from './direct_settings.js';
 
 type DerivedOptions =
@@ -27,6 +28,7 @@
   readonly settings: DirectSettings;
   readonly dialect: DirectDialect;
   readonly servers: ServerRegistry;
+  readonly memory: DirectMemory;
 }
 
 /**
@@ -36,9 +38,12 @@
  * @returns the ways of this host's own requests and of those that it sends for peers
  */
 export function createHostPaths(parts: HostPathsParts): HostPaths {
-  const { settings, dialect, servers, metrics } = parts;
+  const { settings, dialect, servers, metrics, memory } = parts;
   const labels = { cause: 'request', result: Reachability.Open };
-  const backend = new HttpDirectBackendClient(dialect);
+  const backend = new HttpDirectBackendClient(dialect, (bytes) => {
+    memory.collector.record(bytes);
+    return !memory.budgets.unsent.isFilling;
+  });
   const hostPaths = new HostPaths({
     ...parts,
     availabilityZone: settings.availabilityZone,
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -38,6 +38,8 @@
 import type { AddressQuery } from './_direct_addresses.js';
 import { createDirectGateway } from './_direct_gateway.js';
 import { createDirectListener } from './_direct_listener.js';
+import { createDirectMemory } from './_direct_memory.js';
+import type { DirectMemory } from './_direct_memory.js';
 import { createHostPaths } from './_direct_paths.js';
 import { createDirectReports } from './_direct_reports.js';
 import { createDirectStoreView } from './_direct_store_view.js';
@@ -97,6 +99,8 @@
 
   readonly #streams: StreamServices;
 
+  readonly #memory: DirectMemory;
+
   readonly #gateway: DirectGateway;
 
   readonly #listener: DirectListener;
@@ -111,12 +115,14 @@
     this.clock = clock;
     this.log = log;
     this.metrics = metrics;
-    const shared = { clock, log, metrics, random: this.#random };
+    this.#memory = createDirectMemory(settings);
+    const memory = this.#memory;
+    const shared = { clock, log, metrics, random: this.#random, settings, memory };
     this.#self = buildDirectIdentity(settings, this.#random);
-    this.#peers = createDirectPeers({ ...shared, self: this.#self, settings });
+    this.#peers = createDirectPeers({ ...shared, self: this.#self });
+    const linked = { ...shared, peers: this.#peers };
     this.#storeView = createDirectStoreView({
       ...shared,
-      settings,
       paths: this.#paths,
       layout: adapters.layout,
       getReports: () => this.#reports,
@@ -126,39 +132,32 @@
     const feed = adapters.createFeed(this.clock);
     this.#feedFollower = this.#createFollower(feed);
     this.#feedDistributor = new FeedDistributor({
-      ...shared,
-      peers: this.#peers,
+      ...linked,
       reports: this.#reports,
       follower: this.#feedFollower,
     });
     this.#hostPaths = createHostPaths({
-      ...shared,
-      settings,
+      ...linked,
       dialect: adapters.dialect,
-      peers: this.#peers,
       paths: this.#paths,
       listHeard: () => this.#reports.listHeard(),
       servers: this.#storeView.servers,
     });
     this.#crashes = new CrashQuarantine({
-      ...shared,
-      peers: this.#peers,
+      ...linked,
       probe: this.#hostPaths.probe,
       paths: new DirectCrashPaths(this.#reports, this.#storeView.servers),
     });
     this.#streams = createStreamServices({
-      ...shared,
-      peers: this.#peers,
+      ...linked,
       storeView: this.#storeView,
       getReports: () => this.#reports,
       feed,
       getFollower: () => this.#feedFollower,
     });
     this.#gateway = createDirectGateway({
-      ...shared,
-      settings,
+      ...linked,
       backend: this.#hostPaths.client,
-      peers: this.#peers,
       reports: this.#reports,
       routing: this.#storeView.routing,
       servers: this.#storeView.servers,
@@ -260,6 +259,7 @@
       streams: this.#streams,
       paths: this.#paths,
       hostPaths: this.#hostPaths,
+      memory: this.#memory,
       isServing: this.isServing,
     };
   }
--- a/src/commands/direct_settings.ts
+++ b/src/commands/direct_settings.ts
@@ -53,6 +53,10 @@
   coreShare: positiveSchema.default(1),
   /** Speed of that core relative to a standard core. */
   coreSpeed: positiveSchema.default(1),
+  /** Memory beyond which this process is ended, in megabytes. */
+  memoryMb: positiveSchema.optional(),
+  /** Most files and sockets that this process may have open. */
+  maxDescriptors: positiveSchema.optional(),
   /** Longest time from the stop signal to the end of the process, in seconds. */
   stopLimitS: positiveSchema.default(5),
   /** Time after which no entry host may accept a revoked key, in milliseconds. */
--- a/src/domain/streams/event_splitter.ts
+++ b/src/domain/streams/event_splitter.ts
@@ -57,6 +57,11 @@
     return this.#rest.join();
   }
 
+  /** Number of those bytes. */
+  get pendingLength(): number {
+    return this.#rest.length;
+  }
+
   /** Whether the bytes so far end inside an event. */
   get isInsideEvent(): boolean {
     return !NO_EVENT_LINES.test(this.pendingBytes.toString('latin1'));
