--- a/review/common/hosts.mjs
+++ b/review/common/hosts.mjs
@@ -12,10 +12,14 @@
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 
+/** Memory of the machines of the case, in megabytes. */
+const MEMORY_MB = '350';
+
 /** @returns {string[]} program and arguments of the deploy file */
 function readCommand() {
   const text = readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
-  return /^run = "(.*)"$/m.exec(text)[1].split(' ');
+  const command = /^run = "(.*)"$/m.exec(text)[1].replaceAll('{{limits.memoryMb}}', MEMORY_MB);
+  return command.split(' ');
 }
 
 /** Processes of entry hosts, their settings and their logs. */
