Close no connection before its input was read

What callers saw: a request on a kept connection was cut off without an answer when a new connection came at the bound, although it had arrived; its caller may not repeat every request.

Cause: the connection that had been idle for longest was closed as soon as a new one was accepted, before the event loop had read what had arrived on it. Class: a decision about input before the input is read.

Change: room is made two turns later, when all input that had arrived is read. At most an eighth of the bound waits so; beyond that, room is made at once, so that a burst can't take all descriptors (test).

It holds because a request that has arrived marks its connection as in use before one is picked. What arrives after that can still be cut.

--- a/src/adapters/direct_http/_connection_bound.ts
+++ b/src/adapters/direct_http/_connection_bound.ts
@@ -5,6 +5,7 @@
  */
 import type { Socket } from 'node:net';
 import { readDescriptorLimit } from './_descriptor_limit.js';
+import { runAfterInput } from './_input_turns.js';
 
 /** Share of this process's descriptors that callers may use; the others are for its own links. */
 const CALLERS_DESCRIPTOR_SHARE = 3 / 4;
@@ -12,6 +13,9 @@
 /** Memory that an idle connection takes, in bytes. */
 const CONNECTION_BYTES = 9_216;
 
+/** Connections beyond the limit that wait until it is known which others are idle, as a share of it. */
+const EXCESS_SHARE = 1 / 8;
+
 /** What bounds the connections of callers. */
 export interface ConnectionLimits {
   /** Memory that they may take, in bytes. Default: any. */
@@ -57,10 +61,17 @@
   add(socket: Socket): void {
     this.#count += 1;
     socket.once('close', () => this.#remove(socket));
-    if (this.#count > this.#maxConnections) (this.#takeLongestIdle() ?? socket).destroy();
+    if (this.#count > this.#maxConnections * (1 + EXCESS_SHARE)) this.#makeRoom(socket);
+    else if (this.#count > this.#maxConnections) runAfterInput(() => this.#makeRoom(socket));
     if (!socket.destroyed) this.#idle.set(socket, socket.bytesRead);
   }
 
+  /** Closes an idle connection, or the new one if there is none, unless another one has closed. */
+  #makeRoom(newest: Socket): void {
+    if (this.#count <= this.#maxConnections) return;
+    (this.#takeLongestIdle() ?? newest).destroy();
+  }
+
   /**
    * @param socket - connection on which a request has arrived
    * @returns whether no other request of the connection waits for its answer
--- a/src/adapters/direct_http/_connection_bound_test.ts
+++ b/src/adapters/direct_http/_connection_bound_test.ts
@@ -1,5 +1,7 @@
+import { EventEmitter } from 'node:events';
+import type { Socket } from 'node:net';
 import t from 'tap';
-import { computeMaxConnections } from './_connection_bound.js';
+import { computeMaxConnections, ConnectionBound } from './_connection_bound.js';
 import { readDescriptorLimit } from './_descriptor_limit.js';
 
 const PROCESS_CONNECTIONS = Math.floor((readDescriptorLimit() * 3) / 4);
@@ -12,3 +14,23 @@
   t.equal(computeMaxConnections({ memoryBytes: 921_600, maxSockets: 400 }), 100);
   t.equal(computeMaxConnections({ maxSockets: -100 }), 1);
 });
+
+/** A connection on which nothing arrives. */
+class IdleSocket extends EventEmitter {
+  readonly bytesRead = 0;
+
+  destroyed = false;
+
+  destroy(): void {
+    this.destroyed = true;
+    this.emit('close');
+  }
+}
+
+// Guards against a burst of connections that takes all descriptors before any of them is closed.
+t.test('few connections beyond the bound wait until others are known to be idle', async (t) => {
+  const bound = new ConnectionBound(80);
+  const sockets = Array.from({ length: 300 }, () => new IdleSocket());
+  sockets.forEach((socket) => bound.add(socket as unknown as Socket));
+  t.equal(sockets.filter(({ destroyed }) => !destroyed).length, 90);
+});
