--- a/src/domain/backend_servers/server_directory.ts
+++ b/src/domain/backend_servers/server_directory.ts
@@ -260,12 +260,12 @@
   }
 
   #listByService(serviceId: string): readonly BackendServerEntry[] {
-    this.#entriesByService ??= groupByService(this.list());
+    this.#entriesByService ??= splitByService(this.list());
     return this.#entriesByService.get(serviceId) ?? [];
   }
 }
 
-function groupByService(
+function splitByService(
   entries: readonly BackendServerEntry[],
 ): ReadonlyMap<string, readonly BackendServerEntry[]> {
   const groups = new Map<string, BackendServerEntry[]>();
