--- a/src/application/direct/direct_call.ts
+++ b/src/application/direct/direct_call.ts
@@ -123,12 +123,12 @@
   /** Sends the call, queues it, or refuses it. */
   start(): void {
     if (this.#attempts.timeLeftMs <= 0) this.endOverdue();
-    else if (this.#outlastsStop()) this.shed(0);
+    else if (this.#mustLeaveToOthers()) this.shed(0);
     else this.#options.queue.submit(this);
   }
 
   /** Other hosts can serve a call that has not run, and that this process would cut off. */
-  #outlastsStop(): boolean {
+  #mustLeaveToOthers(): boolean {
     const { services, serviceId } = this.#options;
     if (!this.isCutByStop || this.mayHaveRun) return false;
     this.planStart(services.servers.listCandidates(serviceId));
