Keep no body of a peer's request that has ended

What callers saw: nothing that was traced to it. A host that sends requests for its peers kept the body of each of them for 5 s after its end, refused ones too.

Cause: the log of the answer's events outlives its exchange, so that the peer may ask for events again, and it held on to all options of the exchange, the request among them, and to the exchange itself by a callback. Its class: a short-lived object is kept by a long-lived one that needs a part of it.

The change: the log gets what it needs, and lets go of the exchange when that ends.

What is left of it is bodies of up to 160 requests that run or wait: bounded by their number, not by their bytes.

--- a/src/application/paths/_proxied_exchange.ts
+++ b/src/application/paths/_proxied_exchange.ts
@@ -72,9 +72,12 @@
   constructor(options: ProxiedExchangeOptions) {
     this.#options = options;
     this.#arrivedAtMs = options.clock.nowMs();
+    const { clock, isKept, keptBytes, reply: send } = options;
     this.log = new ReplyLog({
-      ...options,
-      send: options.reply,
+      clock,
+      isKept,
+      keptBytes,
+      send,
       onLost: () => this.#abandon('lost'),
     });
     this.#job = {
@@ -198,6 +201,7 @@
     this.#hasEnded = true;
     this.#waitTimer?.cancel();
     if (this.#isRunning) this.#options.gate.release();
+    this.log.release();
     this.#options.onEnd(result, this.#waitedMs);
   }
 }
--- a/src/application/paths/_reply_log.ts
+++ b/src/application/paths/_reply_log.ts
@@ -41,7 +41,9 @@
 
 /** Numbers events, and keeps the newest ones until the log is closed. */
 export class ReplyLog {
-  readonly #options: ReplyLogOptions;
+  readonly #options: Omit<ReplyLogOptions, 'onLost'>;
+
+  #onLost: (() => void) | undefined;
 
   readonly #events: ProxyEvent[] = [];
 
@@ -63,8 +65,9 @@
   #isClosed = false;
 
   /** @param options - the way to the peer, and what is kept for it */
-  constructor(options: ReplyLogOptions) {
+  constructor({ onLost, ...options }: ReplyLogOptions) {
     this.#options = options;
+    this.#onLost = onLost;
   }
 
   /** Whether nothing more is sent. */
@@ -110,6 +113,11 @@
     this.#cancelRetry();
   }
 
+  /** Lets go of the exchange, which has ended: the log outlives it, and must not keep its body. */
+  release(): void {
+    this.#onLost = undefined;
+  }
+
   /** Drops all events, and sends nothing more. */
   close(): void {
     this.#isClosed = true;
@@ -160,7 +168,7 @@
   #lose(): void {
     this.setFailure(BackendFailure.Broken, PeerFault.EventsDropped);
     this.#sendFailure();
-    this.#options.onLost();
+    this.#onLost?.();
   }
 
   /** A link that is full takes the failure later; without a word the peer would wait on. */
