--- a/src/adapters/peers_ws/ws_peer_network.ts
+++ b/src/adapters/peers_ws/ws_peer_network.ts
@@ -21,9 +21,9 @@
 import { logLinkEnd } from './_link_log.js';
 import { LinkMonitor } from './_link_monitor.js';
 import { LinkTable } from './_link_table.js';
-import { parseMessage } from './_message_schema.js';
 import { LinkEndCause, PeerLink } from './_peer_link.js';
 import { PeerListener } from './_peer_listener.js';
+import { SentMessageCheck } from './_sent_message_check.js';
 import { resolveOptions } from './ws_peer_network_options.js';
 import type { WsPeerNetworkOptions } from './ws_peer_network_options.js';
 
@@ -59,8 +59,7 @@
 
   #lastSequence = 0;
 
-  /** Last message that passed validation; sending it to further peers skips the validation. */
-  #lastValidMessage: PeerMessage | undefined;
+  readonly #sentCheck = new SentMessageCheck();
 
   #isClosed = false;
 
@@ -172,10 +171,8 @@
    */
   #maySend(link: PeerLink, message: PeerMessage): boolean {
     if (link.bufferedBytes > this.#options.maxBufferedBytes) return this.#refuseSend('buffer_full');
-    if (message === this.#lastValidMessage) return true;
     try {
-      parseMessage(message);
-      this.#lastValidMessage = message;
+      this.#sentCheck.check(message);
       return true;
     } catch (error) {
       this.#log(LogLevel.Error, 'peer_message_malformed', String(error));
