--- a/src/adapters/direct_http/held_requests_test.ts
+++ b/src/adapters/direct_http/held_requests_test.ts
@@ -1,7 +1,10 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { setImmediate } from 'node:timers/promises';
 import t from 'tap';
+import type { Test } from 'tap';
+import type { DirectReply } from '../../ports/mod.js';
 import { FakeLog } from '../../../test/support/fakes.js';
 import { TestDialect } from './_test_servers.js';
 import { DirectListener } from './direct_listener.js';
@@ -14,11 +17,25 @@
 /** Many times what a caller that doesn't wait for its answers has under way. */
 const MAX_HELD_REQUESTS = 2_000;
 
+/** Requests behind one that is under way. */
+const SENT_AHEAD = 500;
+
+/** Heads after which the listener has begun to read those that were sent ahead. */
+const FEW_HEADS = 100;
+
 /** Turns of the event loop without another head after which none is read any more. */
 const QUIET_TURNS = 500;
 
-t.test('one connection does not bring requests without end behind an open one', async (t) => {
-  // Guards against a caller whose waiting requests take the memory of the process, which ends.
+/** A connection of a caller, and what its listener has seen of it. */
+interface Caller {
+  readonly socket: Socket;
+  /** Replies to the requests that were passed on. */
+  readonly replies: readonly DirectReply[];
+  /** @returns number of requests whose heads were read */
+  readonly countHeads: () => number;
+}
+
+async function openCaller(t: Test): Promise<Caller> {
   let headCount = 0;
   const dialect = new TestDialect();
   const readCall = dialect.readCall.bind(dialect);
@@ -26,6 +43,7 @@
     headCount += 1;
     return readCall(headers);
   };
+  const replies: DirectReply[] = [];
   const listener = new DirectListener({
     dialect,
     getLimits: () => ({
@@ -35,7 +53,7 @@
       idleTimeoutMs: 60_000,
     }),
     mustClose: () => false,
-    handle: () => undefined,
+    handle: (_request, reply) => replies.push(reply),
     log: new FakeLog(),
     onCallerTooSlow: () => undefined,
   });
@@ -46,12 +64,34 @@
     listener.stop();
   });
   await once(socket, 'connect');
+  return { socket, replies, countHeads: () => headCount };
+}
+
+t.test('one connection does not bring requests without end behind an open one', async (t) => {
+  // Guards against a caller whose waiting requests take the memory of the process, which ends.
+  const { socket, countHeads } = await openCaller(t);
   socket.write(REQUEST.repeat(REQUEST_COUNT));
   let quietTurns = 0;
-  while (quietTurns < QUIET_TURNS && headCount <= MAX_HELD_REQUESTS) {
-    const before = headCount;
+  while (quietTurns < QUIET_TURNS && countHeads() <= MAX_HELD_REQUESTS) {
+    const before = countHeads();
     await setImmediate();
-    quietTurns = headCount === before && headCount > 0 ? quietTurns + 1 : 0;
+    quietTurns = countHeads() === before && before > 0 ? quietTurns + 1 : 0;
   }
-  t.ok(headCount <= MAX_HELD_REQUESTS, `${headCount} requests were read`);
+  t.ok(countHeads() <= MAX_HELD_REQUESTS, `${countHeads()} requests were read`);
+});
+
+t.test('requests that are sent ahead leave the open one its answer', async (t) => {
+  // Guards against a request that a server runs, and whose connection is closed for those behind it.
+  const { socket, replies, countHeads } = await openCaller(t);
+  const received: string[] = [];
+  socket.on('data', (bytes: Buffer) => received.push(bytes.toString('latin1')));
+  socket.write(REQUEST);
+  while (replies.length === 0) await setImmediate();
+  socket.write(REQUEST.repeat(SENT_AHEAD));
+  while (countHeads() < FEW_HEADS && !socket.destroyed) await setImmediate();
+  for (let turns = 0; turns < QUIET_TURNS; turns += 1) await setImmediate();
+  const head = { status: 200, headers: [], isFramed: true };
+  replies[0]?.sendAnswer(head, Buffer.from('one'));
+  while (!received.join('').includes('one') && !socket.destroyed) await setImmediate();
+  t.match(received.join(''), /one/);
 });
