--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -9,12 +9,14 @@
 import { ConnectionEnd, ExchangeGuard, isAnswerDecoded, isFramed } from '../http_common/mod.js';
 import type { AnswerFraming } from '../http_common/mod.js';
 import { BackendFailure, RateLimitKind } from '../../ports/mod.js';
-import type { BackendExchange, BackendListener, BackendRequest } from '../../ports/mod.js';
+import type { BackendExchange } from '../../ports/mod.js';
 import { BackendAgent } from './_backend_agent.js';
 import type { IncarnationOptions } from './_backend_agent.js';
+import type { BackendCallOptions } from './_backend_call_options.js';
 import { BodyParts } from './_body_parts.js';
+import { pauseForTurn } from './_pause_for_turn.js';
 import { pickRawHeaders } from './_raw_headers.js';
-import type { AnswerInfo, DirectDialect } from './direct_dialect.js';
+import type { AnswerInfo } from './direct_dialect.js';
 
 /**
  * Longest time to open a connection, in milliseconds. Within a region this takes a few
@@ -31,16 +33,6 @@
 const NO_HEADERS: ReadonlySet<string> = new Set();
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
-/** Options of {@link BackendCall}. */
-export interface BackendCallOptions {
-  readonly agent: BackendAgent;
-  readonly dialect: DirectDialect;
-  readonly request: BackendRequest;
-  readonly listener: BackendListener;
-  /** Called when the request has opened a connection. */
-  readonly onConnected: () => void;
-}
-
 /** Sends a request, and checks each part of its answer before passing it to the listener. */
 export class BackendCall implements BackendExchange {
   readonly #options: BackendCallOptions;
@@ -156,6 +148,7 @@
     response.on('data', (bytes: Buffer) => {
       this.#guard.recordBody(bytes.length);
       this.#parts.append(bytes);
+      if (!this.#options.onReceived(bytes.length)) pauseForTurn(response);
     });
     const { socket } = this.#request;
     if (!isMarked && socket) this.#connectionEnd = new ConnectionEnd(socket);
--- a/src/commands/direct_entry.ts
+++ b/src/commands/direct_entry.ts
@@ -41,6 +41,8 @@
 import { createDirectFollower } from './_direct_follower.js';
 import { createDirectGateway } from './_direct_gateway.js';
 import { createDirectListener } from './_direct_listener.js';
+import { createDirectMemory } from './_direct_memory.js';
+import type { DirectMemory } from './_direct_memory.js';
 import { createHostPaths } from './_direct_paths.js';
 import { createDirectReports } from './_direct_reports.js';
 import { createDirectStoreView } from './_direct_store_view.js';
@@ -103,6 +105,8 @@
 
   readonly #streams: StreamServices;
 
+  readonly #memory: DirectMemory;
+
   readonly #gateway: DirectGateway;
 
   readonly #listener: DirectListener;
@@ -117,12 +121,14 @@
     this.log = log;
     this.metrics = new HdrMetrics({ clock });
     this.#turns = createTurnMonitor({ clock, log, metrics: this.metrics });
-    const shared = { clock, log, metrics: this.metrics, random: this.#random, turns: this.#turns };
+    this.#memory = createDirectMemory(settings);
+    const [metrics, turns, memory] = [this.metrics, this.#turns, this.#memory];
+    const shared = { clock, log, metrics, random: this.#random, turns, settings, memory };
     this.#self = buildDirectIdentity(settings, this.#random);
-    this.#peers = createDirectPeers({ ...shared, self: this.#self, settings });
+    this.#peers = createDirectPeers({ ...shared, self: this.#self });
+    const linked = { ...shared, peers: this.#peers };
     this.#storeView = createDirectStoreView({
       ...shared,
-      settings,
       paths: this.#paths,
       layout: adapters.layout,
       getReports: () => this.#reports,
@@ -137,39 +143,32 @@
       getDistributor: () => this.#feedDistributor,
     });
     this.#feedDistributor = new FeedDistributor({
-      ...shared,
-      peers: this.#peers,
+      ...linked,
       reports: this.#reports,
       follower: this.#feedFollower,
     });
     this.#hostPaths = createHostPaths({
-      ...shared,
-      settings,
+      ...linked,
       dialect: adapters.dialect,
-      peers: this.#peers,
       paths: this.#paths,
       listHeard: () => this.#reports.listHeard(),
       servers: this.#storeView.servers,
     });
     this.#crashes = new CrashQuarantine({
-      ...shared,
-      peers: this.#peers,
+      ...linked,
       probe: this.#hostPaths.probe,
       paths: new DirectCrashPaths(this.#reports, this.#storeView.servers),
     });
     this.#streams = createStreamServices({
-      ...shared,
-      peers: this.#peers,
+      ...linked,
       storeView: this.#storeView,
       getReports: () => this.#reports,
       feed,
       getFollower: () => this.#feedFollower,
     });
     this.#gateway = createDirectGateway({
-      ...shared,
-      settings,
+      ...linked,
       backend: this.#hostPaths.client,
-      peers: this.#peers,
       reports: this.#reports,
       routing: this.#storeView.routing,
       servers: this.#storeView.servers,
@@ -275,6 +274,7 @@
       streams: this.#streams,
       paths: this.#paths,
       hostPaths: this.#hostPaths,
+      memory: this.#memory,
       isServing: this.isServing,
     };
   }
