Refuse requests that are too many on a connection, and keep the connection

What callers saw: a caller that sent more than 128 requests without waiting lost its connection, and with it the answer to the request that a server was running; that request may be one that may run only once (LOST).

Cause: a bound on what waits was kept by closing what runs. Class: the limit of one thing ends another.

The change: requests beyond the bound are refused with 503, not run, in their turn. Node stops reading a connection while 16 KB of answers wait for their turn, so that few more than one read of them come.

Beyond the memory for requests a connection is still closed.

Why it holds: nothing that a request behind does touches the one in front.

--- a/src/adapters/direct_http/_held_requests.ts
+++ b/src/adapters/direct_http/_held_requests.ts
@@ -60,6 +60,16 @@
     const reserveShare = hasReserve ? REFUSALS_RESERVE_SHARE : SMALL_RESERVE_SHARE;
     if (this.#hold(response, headBytes + REQUEST_BYTES, maxBytes * reserveShare))
       return Admission.Accepted;
+    return this.admitRefusal(response);
+  }
+
+  /**
+   * Takes the refusal of a request in.
+   *
+   * @param response - its answer, whose close makes room again
+   * @returns whether the refusal can be answered
+   */
+  admitRefusal(response: ServerResponse): Admission {
     return this.#hold(response, REFUSAL_BYTES, 0) ? Admission.Refused : Admission.Closed;
   }
 
--- a/src/adapters/direct_http/direct_listener.ts
+++ b/src/adapters/direct_http/direct_listener.ts
@@ -150,10 +150,13 @@
   #handleRequest(message: IncomingMessage, response: ServerResponse): void {
     const { dialect, getLimits, mustClose, onCallerTooSlow } = this.#options;
     const { socket } = message;
-    if (!this.#requestOrder.addRequest(socket, response)) return;
+    if (socket.destroyed) return;
     this.#applyLimits();
+    const mayBeHandled = this.#requestOrder.addRequest(socket, response);
     const isFirst = this.#connectionBound.beginRequest(socket);
-    const admission = this.#requests.admit(message, response, isFirst);
+    const admission = mayBeHandled
+      ? this.#requests.admit(message, response, isFirst)
+      : this.#requests.admitRefusal(response);
     if (admission === Admission.Closed) {
       socket.destroy();
       return;
--- a/src/adapters/http_common/http_listener.ts
+++ b/src/adapters/http_common/http_listener.ts
@@ -144,7 +144,8 @@
 
   #handle(request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void {
     const { socket } = request;
-    if (!this.#order.addRequest(socket, response)) return;
+    if (socket.destroyed) return;
+    const mayBeHandled = this.#order.addRequest(socket, response);
     const exchange = new HttpExchange(request, response, {
       limits: this.#options.limits,
       budget: this.#budget,
@@ -152,6 +153,10 @@
       mustClose: () => this.#isDraining && this.#order.isLast(socket, response),
     });
     this.#connections.trackAnswer(socket, response, () => this.#handleAnswerClosed());
+    if (!mayBeHandled) {
+      exchange.sendError(new SchedulerError(ErrorKind.TooManyConnections));
+      return;
+    }
     this.#order.run(socket, response, () => {
       this.#run(exchange).catch((thrown: unknown) => exchange.sendError(toSchedulerError(thrown)));
     });
--- a/src/adapters/http_common/request_order.ts
+++ b/src/adapters/http_common/request_order.ts
@@ -6,11 +6,11 @@
 import type { ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 
-/** Most requests of one connection that wait for their answers; each takes memory. */
+/** Most requests of one connection that are taken before the first of them is answered. */
 const MAX_OPEN_REQUESTS = 128;
 
-/** Listeners that others add to a connection, beside those of its requests. */
-const MAX_OTHER_LISTENERS = 10;
+/** Each request adds listeners to its connection, and Node bounds the requests that it reads. */
+const ANY_LISTENER_COUNT = 0;
 
 /** Requests of one connection whose answers haven't been sent. */
 interface OpenRequests {
@@ -31,7 +31,7 @@
   addConnection(socket: Duplex): void {
     const handlers: OpenRequests['handlers'] = new Map();
     this.#connections.set(socket, { handlers, last: undefined });
-    socket.setMaxListeners(MAX_OPEN_REQUESTS + MAX_OTHER_LISTENERS);
+    socket.setMaxListeners(ANY_LISTENER_COUNT);
     socket.once('close', () => {
       const responses = [...handlers.keys()];
       handlers.clear();
@@ -43,19 +43,18 @@
   }
 
   /**
-   * Adds a request whose head has been read. A connection with too many of them is closed.
+   * Adds a request whose head has been read. Closing the connection for one that is too many would
+   * take the answer from the one that is running; a refusal comes in its turn, and Node reads no
+   * more while a few of them wait.
    *
    * @param socket - its connection
    * @param response - the answer to it
-   * @returns whether the request may be handled
+   * @returns whether the request may be handled; else it must be refused
    */
   addRequest(socket: Duplex, response: ServerResponse): boolean {
     const open = this.#connections.get(socket);
-    if (!open || socket.destroyed) return false;
-    if (open.handlers.size >= MAX_OPEN_REQUESTS) {
-      socket.destroy();
-      return false;
-    }
+    if (!open) return false;
+    const mayBeHandled = open.handlers.size < MAX_OPEN_REQUESTS;
     open.handlers.set(response, undefined);
     open.last = response;
     response.on('finish', () => {
@@ -64,7 +63,7 @@
       // The answer that was sent may have been announced as the last one.
       if (!socket.writableEnded) handleNext?.();
     });
-    return true;
+    return mayBeHandled;
   }
 
   /**
