Read owners' requests at once, whatever waits before them

What callers saw: a long request on the owners' path was cut off, without an answer, 15 s after another one with a body was sent behind it.

Cause: since a request waited for its turn before its body was read, and Node's timeout for a whole request went on meanwhile and closed the connection. Class: a limit counts time in which the limited side couldn't act.

The change: owners' requests are handled as they arrive, as before; that an answer says that its connection ends only if no request stands behind it stays.

--- a/src/adapters/http_common/http_listener.ts
+++ b/src/adapters/http_common/http_listener.ts
@@ -153,13 +153,10 @@
       mustClose: () => this.#isDraining && this.#order.isLast(socket, response),
     });
     this.#connections.trackAnswer(socket, response, () => this.#handleAnswerClosed());
-    if (!mayBeHandled) {
-      exchange.sendError(new SchedulerError(ErrorKind.TooManyConnections));
-      return;
-    }
-    this.#order.run(socket, response, () => {
+    // A request that waited for its turn unread would run into Node's own timeout.
+    if (mayBeHandled)
       this.#run(exchange).catch((thrown: unknown) => exchange.sendError(toSchedulerError(thrown)));
-    });
+    else exchange.sendError(new SchedulerError(ErrorKind.TooManyConnections));
   }
 
   async #run(exchange: HttpExchange): Promise<void> {
