Take an answer without a mark for whole only if its server still listens

What callers saw: a stream, or a plain answer, with neither a length nor chunks that ended early and looked complete, since nothing but the close of the connection ends such an answer.

Cause: the system of a server closes the connections of a killed process just as the process would after a whole answer. The relay took every close that was no reset for the end (the class of fault: an end that nobody stated).

Change: PathExchange holds back the end of an answer without a mark until a probe shows whether its server listens. Refused, also at peers where the own link fails, means that the process is gone: the attempt is lost, and another server continues or replaces the answer where the route allows it; else it is broken off. Any other result leaves the end as it was. A server that leaves isn't probed: it may stop listening before its last answer is whole. The open connection goes on to the next request, which needs a new one anyway. `server_connections_total` counts these probes as `unmarked_end`, and `attempt_failed` names the reason.

Why it holds: while a process lives that listens, its system accepts connections; once it is killed, its system refuses them before or as it closes the others. A server that starts again at once is not told apart.

--- a/src/application/paths/_path_exchange.ts
+++ b/src/application/paths/_path_exchange.ts
@@ -60,6 +60,9 @@
   /** Why the server could not be connected to over the own link; undefined before that was tried. */
   #directReason: string | undefined;
 
+  /** Whether the end of the answer is marked, by a length or by chunks. */
+  #isFramed = false;
+
   #hasEnded = false;
 
   /** @param options - the request, its listener and the ways */
@@ -177,7 +180,7 @@
       },
       onHead: (head) => {
         this.#recordReached();
-        listener.onHead(head);
+        this.#handleHead(head);
       },
       onBody: (bytes) => {
         this.#recordReached();
@@ -204,7 +207,7 @@
     return {
       onNotice: (notice: ServerNotice, isAuthentic: boolean) =>
         listener.onNotice(notice, isAuthentic),
-      onHead: (head: BackendHead) => listener.onHead(head),
+      onHead: (head) => this.#handleHead(head),
       onBody: (bytes: Buffer) => listener.onBody(bytes),
       onComplete: () => this.#complete(),
       onFailure: (failure, reason) => {
@@ -224,7 +227,25 @@
     this.#fail(BackendFailure.NotSent, 'no host could connect a moment ago');
   }
 
+  #handleHead(head: BackendHead): void {
+    this.#isFramed = head.isFramed;
+    this.#options.listener.onHead(head);
+  }
+
   #complete(): void {
+    if (this.#isFramed) this.#passEnd();
+    else this.#confirmEnd();
+  }
+
+  async #confirmEnd(): Promise<void> {
+    const { request, unmarkedEnds } = this.#options;
+    const hasServerEnded = await unmarkedEnds.hasServerEnded(request);
+    if (this.#hasEnded) return;
+    if (hasServerEnded) this.#fail(BackendFailure.Lost, 'the backend server ended in its answer');
+    else this.#passEnd();
+  }
+
+  #passEnd(): void {
     this.#finish();
     this.#options.listener.onComplete();
   }
--- a/src/application/paths/host_paths.ts
+++ b/src/application/paths/host_paths.ts
@@ -24,6 +24,7 @@
 import { ProxyClient } from './proxy_client.js';
 import { pickProxyHosts } from './_proxy_hosts.js';
 import { ProxyServer } from './proxy_server.js';
+import { UnmarkedEnds } from './_unmarked_ends.js';
 
 /** Dependencies of {@link HostPaths}. */
 export interface HostPathsOptions {
@@ -89,6 +90,7 @@
       ...shared,
       direct: options.backend,
       checks: this.#checks,
+      unmarkedEnds: new UnmarkedEnds({ ...options, probe: this.probe }),
     });
   }
 
--- a/src/application/paths/path_backend_client.ts
+++ b/src/application/paths/path_backend_client.ts
@@ -10,6 +10,7 @@
 import type { PathChecks } from './path_checks.js';
 import { PathExchange } from './_path_exchange.js';
 import type { ProxyClient } from './proxy_client.js';
+import type { UnmarkedEnds } from './_unmarked_ends.js';
 
 /** Dependencies of {@link PathBackendClient}. */
 export interface PathBackendClientOptions {
@@ -19,6 +20,7 @@
   readonly proxies: ProxyClient;
   readonly paths: ServerPaths;
   readonly checks: PathChecks;
+  readonly unmarkedEnds: UnmarkedEnds;
 }
 
 /** Picks the way of each request. */
--- a/src/ports/server_probe.ts
+++ b/src/ports/server_probe.ts
@@ -28,6 +28,8 @@
   Peer = 'peer',
   /** A run at the server was lost. */
   LostRun = 'lost_run',
+  /** The server has closed the connection of an answer that nothing marked as complete. */
+  UnmarkedEnd = 'unmarked_end',
 }
 
 /** Probes an address by opening a connection without sending a request. */
