--- a/src/adapters/direct_http/http_direct_backend_client_test.ts
+++ b/src/adapters/direct_http/http_direct_backend_client_test.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import t from 'tap';
-import { BackendFailure, RateLimitKind, Reachability } from '../../ports/mod.js';
+import { BackendFailure, ProbeCause, RateLimitKind, Reachability } from '../../ports/mod.js';
 import type { BackendExchange, BackendListener } from '../../ports/mod.js';
 import { TcpServerProbe } from '../server_probe/mod.js';
 import { HttpDirectBackendClient } from './http_direct_backend_client.js';
@@ -223,10 +223,10 @@
   );
   const backend = new HttpDirectBackendClient(new TestDialect());
   const probe = new TcpServerProbe((address, socket) => backend.keepReady(address, socket));
-  t.equal(await probe.check(server.address), Reachability.Open);
+  t.equal(await probe.check(server.address, ProbeCause.Doubt), Reachability.Open);
   t.match(await collectResult(send(backend, server)), { body: 'ok', failure: undefined });
   t.equal(server.countConnections(), 1, 'one connection for the probe and the request');
-  t.equal(await probe.check(server.address), Reachability.Open);
+  t.equal(await probe.check(server.address, ProbeCause.Doubt), Reachability.Open);
   backend.closeIdle('another');
   const seen = await collectResult(send(backend, server, 'r-1', 'engine-1@2'));
   t.match(seen, { body: 'ok', failure: undefined });
