Refuse answers without a final status on the owners' path

What callers saw: on other systems of this kind, an answer whose status was 000 reached its client as one. Here: calls that bear their own request ID fail (502, another server where the route allows it). On the owners' path, dispatch() handed statuses 000 and 042 on as an answer.

Cause: Node's parser takes any three digits for a status, and reports those below 100 as a response; nothing checked the status there.

Change: toBackendAnswer() fails below 200, as the other path does.

Tests: 'dispatch() and resume() fail on a status that is none' failed for 000 and 042.

--- a/src/adapters/backend_http/_answer.ts
+++ b/src/adapters/backend_http/_answer.ts
@@ -10,6 +10,9 @@
 import type { ReceivedHead } from './_exchange.js';
 import { ConnectionEnd, isAnswerDecoded, isFramed } from '../http_common/mod.js';
 
+/** Lowest status of a final answer; Node reads lower ones too, such as 000. */
+const MIN_STATUS = 200;
+
 /** Response header by which a backend server states that it did not run the call. */
 const RUN_OUTCOME_HEADER = 'run-outcome';
 
@@ -20,7 +23,8 @@
  * @param method - method of the request
  * @param idleTimeoutMs - longest pause within the body, in milliseconds
  * @returns the answer
- * @throws BackendCallError when its body comes in a coding that is not taken off
+ * @throws BackendCallError when its status is none of a final answer, or its body comes in a coding
+ *   that is not taken off
  */
 export function toBackendAnswer(
   received: ReceivedHead,
@@ -29,7 +33,11 @@
 ): BackendAnswer {
   const { message } = received;
   const headers = joinHeaders(message.headers);
-  const { statusCode: status } = message;
+  const status = message.statusCode ?? 0;
+  if (status < MIN_STATUS) {
+    message.destroy();
+    throw new BackendCallError(BackendCallStage.Answering, `the answer has status ${status}`);
+  }
   const framing = { method, status, headers: message.headers };
   if (!isAnswerDecoded(framing)) {
     message.destroy();
@@ -41,7 +49,7 @@
   const isMarked = isFramed(framing);
   const connectionEnd = isMarked ? undefined : new ConnectionEnd(message.socket);
   return {
-    status: status ?? 0,
+    status,
     headers,
     isFramed: isMarked,
     streamId: headers['stream-id'],
--- a/src/adapters/backend_http/_raw_engine.ts
+++ b/src/adapters/backend_http/_raw_engine.ts
@@ -35,14 +35,14 @@
   }
 
   /** @returns the text of the answer, or the stage at which it failed */
-  async run(honoursContinue = false): Promise<string> {
+  async run(honoursContinue = false, body = Buffer.from('question')): Promise<string> {
     return this.#read(
       this.client.dispatch({
         backendServer: this.backendServer,
         method: 'POST',
         path: '/work',
         headers: {},
-        body: Buffer.from('question'),
+        body,
         honoursContinue,
         continueTimeoutMs: 1_000,
         mayHandOver: () => true,
