Fail a stream that its server closed before the first event

What callers saw: 200 and a stream without any event, which looks complete, when a server closed the connection of an unmarked stream right after its head and the route allows no other server.

Cause: an empty answer without a mark may be meant so, and is passed on where no other server may be asked. No stream is meant so: a caller that gets none of its events has lost it, and ORDER counts it as ended before its last piece.

Change: such a stream fails (502) unless its caller takes it up behind an event, when nothing may be left to send. Empty plain answers are passed on as before. toServerOutcome() moves beside the result that it reads.

Tests: 'a stream that ends before its first event is not passed on' failed for the stream from its beginning, and passes.

--- a/src/application/direct/_attempt_result.ts
+++ b/src/application/direct/_attempt_result.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
+import { ServerOutcome } from '../../domain/backend_servers/mod.js';
 import type { AnswerEnd } from '../../domain/streams/mod.js';
-import type { BackendFailure } from '../../ports/mod.js';
+import { BackendFailure } from '../../ports/mod.js';
 import type { StreamRelay } from './_answer_relay.js';
 
 /** Result of an attempt. */
@@ -32,3 +33,9 @@
   /** Sends the backend server's error answer, for the case that no other server is tried. */
   readonly sendFallback: (() => void) | undefined;
 }
+
+/** @param failure - how an attempt failed; undefined if it didn't. @returns what it says of its server */
+export function toServerOutcome(failure: BackendFailure | undefined): ServerOutcome {
+  if (failure === undefined) return ServerOutcome.Answered;
+  return failure === BackendFailure.Declined ? ServerOutcome.Declined : ServerOutcome.Failed;
+}
--- a/src/application/direct/_direct_attempt.ts
+++ b/src/application/direct/_direct_attempt.ts
@@ -20,6 +20,7 @@
 import type { DirectAttemptOptions } from './_attempt_options.js';
 import { DiscardedAnswer, isNotRunStatus } from './_discarded_answer.js';
 import { AbandonReason } from './_end_cause.js';
+import { toServerOutcome } from './_attempt_result.js';
 import { StallDetector } from './_stall_detector.js';
 
 /** Silence after which a server counts as ended that is said to have restarted, in milliseconds. */
@@ -213,11 +214,16 @@
       return;
     }
     const failure = this.#isFramed ? BackendFailure.Broken : BackendFailure.Lost;
-    // An empty answer may be meant so, and is relayed if no other server answers.
-    const sendFallback = facts.isInsideEvent || this.#hasBegun ? undefined : () => relay.end();
+    const sendFallback = this.#mayBeWhole(facts) ? () => relay.end() : undefined;
     this.#end(failure, describeBrokenEnd(facts), sendFallback);
   }
 
+  /** An empty answer may be meant so, but for a stream from its beginning. */
+  #mayBeWhole({ isInsideEvent }: AnswerEndFacts): boolean {
+    const isRest = this.#options.request.lastEventId !== undefined;
+    return !isInsideEvent && !this.#hasBegun && (isRest || this.#relay !== this.#stream);
+  }
+
   /** What an attempt without any bytes leaves in the stream is another server's. */
   #buildEndFacts(relay: AnswerRelay): AnswerEndFacts {
     const facts = relay.buildEndFacts(this.#isFramed);
@@ -292,8 +298,3 @@
     this.load.end(outcome);
   }
 }
-
-function toServerOutcome(failure: BackendFailure | undefined): ServerOutcome {
-  if (failure === undefined) return ServerOutcome.Answered;
-  return failure === BackendFailure.Declined ? ServerOutcome.Declined : ServerOutcome.Failed;
-}
--- a/src/application/direct/empty_answers_test.ts
+++ b/src/application/direct/empty_answers_test.ts
@@ -50,6 +50,26 @@
   t.equal(reply.error?.kind, ErrorKind.BackendServerLost);
 });
 
+t.test('a stream that ends before its first event is not passed on', async (t) => {
+  // Guards against a stream without any event that looks whole since its server closed it.
+  for (const [lastEventId, status] of [
+    [undefined, undefined],
+    ['4', 200],
+  ] as const) {
+    const host = await startDirectHost(t, { route: { ...READ, isStream: true, maxAttempts: 1 } });
+    // Long enough for the host to infer the version that began the stream.
+    await host.clock.advance(35_000);
+    const reply = host.call({ lastEventId });
+    await host.clock.advance(500);
+    const first = host.getSent(0);
+    first.sendHead({ isFramed: false, isEventStream: true });
+    first.listener.onComplete();
+    await settle();
+    t.equal(reply.head?.status, status, `after event ${lastEventId}`);
+    t.equal(reply.error === undefined, status === 200, `after event ${lastEventId}`);
+  }
+});
+
 t.test('a server error is passed on once time is over', async (t) => {
   const host = await startDirectHost(t, { route: READ });
   const reply = host.call();
