Kill a process only once its stream has begun, in the test of it

The tests of killed processes waited half a second and then killed: had the first event come later, as beside load, they would have passed on the code before as well, and the comment there denied it. They kill now as soon as the caller has the event, and ask for status 200 and that event.

--- a/test/support/raw_caller.ts
+++ b/test/support/raw_caller.ts
@@ -39,8 +39,13 @@
  *
  * @param port - port of an entry host on the loopback interface
  * @param text - bytes of the request
+ * @param onBody - called with the body so far, as more of it arrives
  */
-export function exchangeRaw(port: number, text: string): Promise<RawAnswer> {
+export function exchangeRaw(
+  port: number,
+  text: string,
+  onBody: (body: string) => void = () => undefined,
+): Promise<RawAnswer> {
   return new Promise((resolve) => {
     const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
     let received = '';
@@ -51,7 +56,9 @@
     socket.setEncoding('latin1');
     socket.on('data', (bytes) => {
       received += String(bytes);
-      if (parseAnswer(received).isMarkedComplete) finish({ hasEnded: false, wasReset: false });
+      const answer = parseAnswer(received);
+      onBody(answer.body);
+      if (answer.isMarkedComplete) finish({ hasEnded: false, wasReset: false });
     });
     socket.on('error', () => finish({ hasEnded: true, wasReset: true }));
     // A reset that arrives together with the last bytes is reported as an end; a write tells.
