Ask for a final status in one place

Both clients of backend servers held the lowest status of a final answer as a constant of their own. isFinalStatus() stands beside the other questions about heads now; early_answers_test and the clients' tests cover both users.

--- a/src/adapters/backend_http/_answer.ts
+++ b/src/adapters/backend_http/_answer.ts
@@ -8,10 +8,7 @@
 import { BackendCallError, BackendCallStage } from '../../ports/mod.js';
 import type { BackendAnswer } from '../../ports/mod.js';
 import type { ReceivedHead } from './_exchange.js';
-import { ConnectionEnd, isAnswerDecoded, isFramed } from '../http_common/mod.js';
-
-/** Lowest status of a final answer; Node reads lower ones too, such as 000. */
-const MIN_STATUS = 200;
+import { ConnectionEnd, isAnswerDecoded, isFinalStatus, isFramed } from '../http_common/mod.js';
 
 /** Response header by which a backend server states that it did not run the call. */
 const RUN_OUTCOME_HEADER = 'run-outcome';
@@ -34,7 +31,7 @@
   const { message } = received;
   const headers = joinHeaders(message.headers);
   const status = message.statusCode ?? 0;
-  if (status < MIN_STATUS) {
+  if (!isFinalStatus(status)) {
     message.destroy();
     throw new BackendCallError(BackendCallStage.Answering, `the answer has status ${status}`);
   }
--- a/src/adapters/direct_http/_backend_call.ts
+++ b/src/adapters/direct_http/_backend_call.ts
@@ -6,7 +6,13 @@
 import { request as openRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
-import { ConnectionEnd, ExchangeGuard, isAnswerDecoded, isFramed } from '../http_common/mod.js';
+import {
+  ConnectionEnd,
+  ExchangeGuard,
+  isAnswerDecoded,
+  isFinalStatus,
+  isFramed,
+} from '../http_common/mod.js';
 import type { AnswerFraming } from '../http_common/mod.js';
 import { BackendFailure, RateLimitKind } from '../../ports/mod.js';
 import type { BackendExchange } from '../../ports/mod.js';
@@ -27,9 +33,6 @@
 /** Error codes of a connection that the server has closed or reset. */
 const CONNECTION_LOST_CODES: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE']);
 
-/** Lowest status of a final answer. Node reads lower ones, and throws when it is to write them. */
-const MIN_STATUS = 200;
-
 const NO_HEADERS: ReadonlySet<string> = new Set();
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(['content-length']);
 
@@ -163,7 +166,7 @@
       this.#fail(BackendFailure.Broken, `answer belongs to request ${info.requestId}`);
     } else if (info.isMisdirected) {
       this.#fail(BackendFailure.Misdirected, 'another incarnation answers at this address');
-    } else if (status < MIN_STATUS) {
+    } else if (!isFinalStatus(status)) {
       this.#fail(BackendFailure.Broken, `answer with status ${status}`);
     } else if (info.hasNotRun) {
       this.#handleDecline(status);
--- a/src/adapters/http_common/is_framed.ts
+++ b/src/adapters/http_common/is_framed.ts
@@ -6,6 +6,9 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { isChunkedLast, isDecoded } from './transfer_coding.js';
 
+/** Lowest status of a final answer. Node reads lower ones too, such as 000. */
+const MIN_FINAL_STATUS = 200;
+
 /** Statuses of answers that have no body. */
 const NO_BODY_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304]);
 
@@ -16,6 +19,11 @@
   readonly headers: IncomingHttpHeaders;
 }
 
+/** @param status - status of an answer. @returns whether it is that of a final answer */
+export function isFinalStatus(status: number): boolean {
+  return status >= MIN_FINAL_STATUS;
+}
+
 /**
  * @param framing - head of an answer, and the method of its request
  * @returns whether its end is marked; otherwise it ends with its connection, just as when its
--- a/src/adapters/http_common/mod.ts
+++ b/src/adapters/http_common/mod.ts
@@ -25,7 +25,7 @@
 export type { ListenAddress } from './start_listening.js';
 export { buildErrorHeaders, createCodingError, toSchedulerError } from './error_answer.js';
 export { HOP_BY_HOP_HEADERS, pickEndToEndHeaders } from './end_to_end_headers.js';
-export { isAnswerDecoded, isFramed } from './is_framed.js';
+export { isAnswerDecoded, isFinalStatus, isFramed } from './is_framed.js';
 export type { AnswerFraming } from './is_framed.js';
 export { isDecoded } from './transfer_coding.js';
 export { ExchangeGuard } from './exchange_guard.js';
--- a/src/domain/streams/answer_end.ts
+++ b/src/domain/streams/answer_end.ts
@@ -27,7 +27,7 @@
 }
 
 /**
- * Decides about the end of an answer. The caller is never told more than the server did.
+ * Decides about the end of an answer. Only what its server marked counts as marked.
  *
  * @param facts - how the answer ended
  * @returns what becomes of it
