review: case 7, a foreign entry has runs of a sound replica cut

Cause: an entry whose service no configuration names counts as a new life of the replica at its key.

--- a/review/common-2/replica.mjs
+++ b/review/common-2/replica.mjs
@@ -24,9 +24,20 @@
     slots = 11,
     zone = 'hall-a',
     isUnmarked = false,
+    born = undefined,
     record = () => undefined,
   }) {
-    Object.assign(this, { id, service, store, slots, zone, isUnmarked, record, state: 'ready' });
+    Object.assign(this, {
+      id,
+      service,
+      store,
+      slots,
+      zone,
+      isUnmarked,
+      born,
+      record,
+      state: 'ready',
+    });
     this.#server.keepAliveTimeout = 5_000;
   }
 
@@ -50,6 +61,7 @@
       state: this.state,
       warmupLeftMs: 0,
       sequence: this.#sequence,
+      ...(this.born === undefined ? {} : { born: this.born }),
     });
   }
 
