--- a/review/common-2/replica.mjs
+++ b/review/common-2/replica.mjs
@@ -65,6 +65,11 @@
     });
   }
 
+  /** Writes no entry any more. */
+  leave() {
+    clearInterval(this.#timer);
+  }
+
   get running() {
     return this.runs.filter(({ end }) => end === undefined).length;
   }
--- a/review/common-2/store.mjs
+++ b/review/common-2/store.mjs
@@ -5,6 +5,16 @@
 
 const MAX_PAGE_ITEMS = 500;
 
+/** An entry of a replica changes when more than its `sequence` changes. */
+function isSameEntry(former, value) {
+  if (!former || Buffer.isBuffer(value)) return false;
+  const { sequence: before, ...known } = JSON.parse(Buffer.from(former.value, 'base64'));
+  const { sequence: now, ...fields } = value;
+  return (
+    before !== undefined && now !== undefined && JSON.stringify(known) === JSON.stringify(fields)
+  );
+}
+
 export class Store {
   #items = new Map();
 
@@ -25,6 +35,7 @@
 
   /** @param value - an object, which is stored as JSON, or bytes. @returns the revision */
   put(key, value) {
+    if (isSameEntry(this.#items.get(key), value)) return this.#revision;
     const bytes = Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value));
     return this.#write({ key, value: bytes.toString('base64') });
   }
